--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Set-up, checks and demonstrations; each target installs what it needs.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.PHONY: setup test demo model soak measure capacity lint format
+
+$(READY): requirements.lock pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps \
+		--no-build-isolation -e .
+	touch $(READY)
+
+setup: $(READY)
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+test: setup
+	$(BIN)/python -m features.run
+
+demo: setup
+	$(BIN)/python -m bench.demo
+
+model: setup
+	$(BIN)/python -m model
+
+soak: setup
+	$(BIN)/python -m bench.soak
+
+measure: setup
+	$(BIN)/python -m bench.measure
+
+capacity: setup
+	$(BIN)/python -m bench.capacity
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""bench: demonstrations and measurements."""
--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""features: behaviour tests as tables of examples."""
--- /dev/null
+++ b/greengagetack/calls/__init__.py
@@ -0,0 +1,1 @@
+"""greengagetack.calls: keyed non-idempotent calls."""
--- /dev/null
+++ b/greengagetack/cli/__init__.py
@@ -0,0 +1,1 @@
+"""greengagetack.cli: the command line."""
--- /dev/null
+++ b/greengagetack/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""greengagetack.daemons: the roles of a daemon and their assembly."""
--- /dev/null
+++ b/greengagetack/engines/__init__.py
@@ -0,0 +1,1 @@
+"""greengagetack.engines: adapters to the interfaces of endpoints."""
--- /dev/null
+++ b/greengagetack/errors.py
@@ -0,0 +1,271 @@
+"""greengagetack.errors: exceptions with codes, reasons and remedies."""
+
+import enum
+
+__all__ = [
+    "ERROR_TYPES",
+    "CodedError",
+    "Outcome",
+    "error_from_code",
+    "register_error",
+]
+
+
+class Outcome(enum.StrEnum):
+    """What is known about the effect of a request that got no normal answer."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class CodedError(Exception):
+    """Base class of all errors that may reach a caller, trainer or operator.
+
+    Parameters
+    ----------
+    reason : str
+        What went wrong, in one sentence.
+    retry_after_s : float or None
+        Seconds after which the sender may come back, None if never.
+
+    Attributes
+    ----------
+    code : str
+        Stable identifier, listed in ``docs/operators/error-codes.md``.
+    http_status : int
+        Status towards HTTP clients.
+    outcome : Outcome
+        Whether the request surely did not run.
+    remedy : str
+        What the receiver can do about it.
+    """
+
+    code = "internal_error"
+    http_status = 500
+    outcome = Outcome.NOT_RUN
+    remedy = "Report the request identifier to the operators."
+
+    def __init__(self, reason: str, retry_after_s: float | None = None) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+ERROR_TYPES: dict[str, type[CodedError]] = {CodedError.code: CodedError}
+
+
+def register_error(error_type: type[CodedError]) -> type[CodedError]:
+    """Add an error type to the registry under its code.
+
+    Raises
+    ------
+    ValueError
+        If another type has the same code.
+    """
+    if error_type.code in ERROR_TYPES:
+        raise ValueError(f"duplicate error code {error_type.code!r}")
+    ERROR_TYPES[error_type.code] = error_type
+    return error_type
+
+
+def error_from_code(
+    code: str, reason: str, retry_after_s: float | None = None
+) -> CodedError:
+    """Build the error registered under `code`, or a plain one if unknown."""
+    error_type = ERROR_TYPES.get(code, CodedError)
+    return error_type(reason, retry_after_s)
+
+
+@register_error
+class InvalidRequest(CodedError):
+    """The request is malformed or a value is out of range."""
+
+    code = "invalid_request"
+    http_status = 400
+    remedy = "Correct the request; the reason names the field."
+
+
+@register_error
+class RequestTooLarge(CodedError):
+    """A body, header or nesting depth is over its limit."""
+
+    code = "request_too_large"
+    http_status = 413
+    remedy = "Send a smaller request."
+
+
+@register_error
+class RequestTooSlow(CodedError):
+    """The sender took too long to send its request."""
+
+    code = "request_too_slow"
+    http_status = 408
+    remedy = "Send the whole body without pauses."
+
+
+@register_error
+class Unauthorized(CodedError):
+    """The bearer token is missing or wrong."""
+
+    code = "unauthorized"
+    http_status = 401
+    remedy = "Send a valid bearer token of your team."
+
+
+@register_error
+class Forbidden(CodedError):
+    """The token's team may not touch what the request names."""
+
+    code = "forbidden"
+    http_status = 403
+    remedy = "Use a token of the team that owns it."
+
+
+@register_error
+class NotFound(CodedError):
+    """The request names something that does not exist."""
+
+    code = "not_found"
+    http_status = 404
+    remedy = "Check the name; the reason gives what was looked up."
+
+
+@register_error
+class Conflict(CodedError):
+    """The state changed since the sender read it."""
+
+    code = "conflict"
+    http_status = 409
+    remedy = "Read the current state and apply your change to it."
+
+
+@register_error
+class Overloaded(CodedError):
+    """The request cannot be served in time and was refused before running."""
+
+    code = "overloaded"
+    http_status = 429
+    remedy = "Come back after the given time."
+
+
+@register_error
+class BudgetExhausted(CodedError):
+    """The team has used up its bound."""
+
+    code = "budget_exhausted"
+    http_status = 429
+    remedy = "Wait for the next budget period or raise the team's bound."
+
+
+@register_error
+class NoEndpoint(CodedError):
+    """No endpoint may serve the request now."""
+
+    code = "no_endpoint"
+    http_status = 503
+    remedy = "Come back after the given time, or check the allowed versions."
+
+
+@register_error
+class NotReady(CodedError):
+    """The daemon has not got its settings or membership yet, or is stopping."""
+
+    code = "not_ready"
+    http_status = 503
+    remedy = "Come back after the given time or use another daemon."
+
+
+@register_error
+class OwnerUnavailable(CodedError):
+    """The duty's owner cannot act now; nothing was run."""
+
+    code = "owner_unavailable"
+    http_status = 503
+    remedy = "Repeat the request with the same key after the given time."
+
+
+@register_error
+class PeerUnreachable(CodedError):
+    """A daemon could not be reached; the request was not sent."""
+
+    code = "peer_unreachable"
+    http_status = 503
+    remedy = "Come back after the given time."
+
+
+@register_error
+class PeerLost(CodedError):
+    """A daemon was lost after the request was sent to it."""
+
+    code = "peer_lost"
+    http_status = 504
+    outcome = Outcome.UNKNOWN
+    remedy = "Repeat an idempotent request; look up the result of another one."
+
+
+@register_error
+class DeadlineExceeded(CodedError):
+    """The request did not finish in time; it may have run."""
+
+    code = "deadline_exceeded"
+    http_status = 504
+    outcome = Outcome.UNKNOWN
+    remedy = "Repeat an idempotent request; look up the result of another one."
+
+
+@register_error
+class EndpointFailed(CodedError):
+    """An endpoint failed after it had been sent the request."""
+
+    code = "endpoint_failed"
+    http_status = 502
+    outcome = Outcome.UNKNOWN
+    remedy = "Repeat an idempotent request; look up the result of another one."
+
+
+@register_error
+class EndpointRefused(CodedError):
+    """An endpoint refused the request before running it."""
+
+    code = "endpoint_refused"
+    http_status = 503
+    remedy = "Come back after the given time."
+
+
+@register_error
+class CallInProgress(CodedError):
+    """A call with the same key is running now."""
+
+    code = "call_in_progress"
+    http_status = 409
+    outcome = Outcome.UNKNOWN
+    remedy = "Ask again with the same key after the given time."
+
+
+@register_error
+class CallOutcomeUnknown(CodedError):
+    """A call with this key may have run; it will never run again."""
+
+    code = "call_outcome_unknown"
+    http_status = 502
+    outcome = Outcome.UNKNOWN
+    remedy = "Look up the effect at the service before using a new key."
+
+
+@register_error
+class PlatformUnavailable(CodedError):
+    """The platform's object API does not answer or refuses for now."""
+
+    code = "platform_unavailable"
+    http_status = 503
+    outcome = Outcome.UNKNOWN
+    remedy = "Come back after the given time; running work goes on."
+
+
+@register_error
+class OptionError(CodedError):
+    """An option of a registry or command line has a bad value."""
+
+    code = "option_error"
+    http_status = 400
+    remedy = "Use one of the values that the reason lists."
--- /dev/null
+++ b/greengagetack/leases/__init__.py
@@ -0,0 +1,1 @@
+"""greengagetack.leases: leases, promises and fencing numbers."""
--- /dev/null
+++ b/greengagetack/limits/__init__.py
@@ -0,0 +1,1 @@
+"""greengagetack.limits: queues, shares, budgets and retry limits."""
--- /dev/null
+++ b/greengagetack/observability/__init__.py
@@ -0,0 +1,1 @@
+"""greengagetack.observability: logs, metrics and traces."""
--- /dev/null
+++ b/greengagetack/observability/traces.py
@@ -0,0 +1,135 @@
+"""greengagetack.observability.traces: spans for each hop, kept in a bounded store."""
+
+from collections import OrderedDict
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+from opentelemetry import context as otel_context
+from opentelemetry import trace
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    SimpleSpanProcessor,
+    SpanExporter,
+    SpanExportResult,
+)
+from opentelemetry.trace.propagation.tracecontext import (
+    TraceContextTextMapPropagator,
+)
+
+__all__ = [
+    "SpanRecord",
+    "SpanStore",
+    "attached",
+    "configure_traces",
+    "current_trace_id",
+    "current_traceparent",
+    "span",
+]
+
+MAX_TRACES = 2_000
+MAX_SPANS_PER_TRACE = 200
+NANOSECONDS_PER_SECOND = 1e9
+
+_PROPAGATOR = TraceContextTextMapPropagator()
+
+
+@dataclass(frozen=True, slots=True)
+class SpanRecord:
+    """One finished span, as shown by ``greengagetack trace``."""
+
+    trace_id: str
+    span_id: str
+    parent_id: str
+    name: str
+    vm_id: str
+    started_s: float
+    duration_s: float
+    attributes: tuple[tuple[str, str], ...]
+    failed: bool
+
+
+class SpanStore(SpanExporter):
+    """Keeps the newest traces of this process in bounded memory."""
+
+    def __init__(self, vm_id: str) -> None:
+        self._vm_id = vm_id
+        self._traces: OrderedDict[str, list[SpanRecord]] = OrderedDict()
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Take finished spans from the tracer."""
+        for finished in spans:
+            self._keep(self._record(finished))
+        return SpanExportResult.SUCCESS
+
+    def _keep(self, record: SpanRecord) -> None:
+        records = self._traces.setdefault(record.trace_id, [])
+        if len(records) < MAX_SPANS_PER_TRACE:
+            records.append(record)
+        while len(self._traces) > MAX_TRACES:
+            self._traces.popitem(last=False)
+
+    def _record(self, finished: ReadableSpan) -> SpanRecord:
+        context = finished.context
+        parent = finished.parent
+        started_ns = finished.start_time or 0
+        ended_ns = finished.end_time or started_ns
+        attributes = finished.attributes or {}
+        return SpanRecord(
+            trace_id=f"{context.trace_id:032x}" if context else "",
+            span_id=f"{context.span_id:016x}" if context else "",
+            parent_id=f"{parent.span_id:016x}" if parent else "",
+            name=finished.name,
+            vm_id=self._vm_id,
+            started_s=started_ns / NANOSECONDS_PER_SECOND,
+            duration_s=(ended_ns - started_ns) / NANOSECONDS_PER_SECOND,
+            attributes=tuple((key, str(value)) for key, value in attributes.items()),
+            failed=not finished.status.is_ok
+            and finished.status.status_code is trace.StatusCode.ERROR,
+        )
+
+    def spans(self, trace_id: str) -> tuple[SpanRecord, ...]:
+        """Return the finished spans of a trace, empty if none is known."""
+        return tuple(self._traces.get(trace_id, ()))
+
+
+def configure_traces(vm_id: str) -> SpanStore:
+    """Set up tracing for this process and return its span store."""
+    store = SpanStore(vm_id)
+    provider = TracerProvider(resource=Resource({"service.instance.id": vm_id}))
+    provider.add_span_processor(SimpleSpanProcessor(store))
+    trace.set_tracer_provider(provider)
+    return store
+
+
+@contextmanager
+def span(name: str, **attributes: str) -> Iterator[trace.Span]:
+    """Run a block as one span of the current trace."""
+    tracer = trace.get_tracer("greengagetack")
+    with tracer.start_as_current_span(name, attributes=attributes) as current:
+        yield current
+
+
+def current_traceparent() -> str:
+    """Return the W3C ``traceparent`` of the current span, or an empty string."""
+    carrier: dict[str, str] = {}
+    _PROPAGATOR.inject(carrier)
+    return carrier.get("traceparent", "")
+
+
+def current_trace_id() -> str:
+    """Return the trace identifier of the current span in hexadecimal."""
+    context = trace.get_current_span().get_span_context()
+    return f"{context.trace_id:032x}" if context.is_valid else ""
+
+
+@contextmanager
+def attached(traceparent: str) -> Iterator[None]:
+    """Run a block under the remote span that `traceparent` names."""
+    remote = _PROPAGATOR.extract({"traceparent": traceparent} if traceparent else {})
+    token = otel_context.attach(remote)
+    try:
+        yield
+    finally:
+        otel_context.detach(token)
--- /dev/null
+++ b/greengagetack/peers/__init__.py
@@ -0,0 +1,1 @@
+"""greengagetack.peers: message streams between the daemons."""
--- /dev/null
+++ b/greengagetack/platform/__init__.py
@@ -0,0 +1,1 @@
+"""greengagetack.platform: clients of the platform's services."""
--- /dev/null
+++ b/greengagetack/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""greengagetack.rollouts: rollout jobs, samples and their delivery."""
--- /dev/null
+++ b/greengagetack/routing/__init__.py
@@ -0,0 +1,1 @@
+"""greengagetack.routing: routing policies and the choice of an endpoint."""
--- /dev/null
+++ b/greengagetack/settings/__init__.py
@@ -0,0 +1,1 @@
+"""greengagetack.settings: typed settings under paths, with checks and history."""
--- /dev/null
+++ b/greengagetack/world.py
@@ -0,0 +1,108 @@
+"""greengagetack.world: VMs, availability zones, links, endpoints and contracts."""
+
+import enum
+from dataclasses import dataclass
+
+__all__ = [
+    "Address",
+    "AvailabilityZone",
+    "Contract",
+    "Endpoint",
+    "EndpointKind",
+    "Fencing",
+    "Link",
+    "Vm",
+    "VmState",
+]
+
+
+class VmState(enum.StrEnum):
+    """State of a VM or endpoint as the platform or the cell's table lists it."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class EndpointKind(enum.StrEnum):
+    """What stands behind an endpoint."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class Fencing(enum.StrEnum):
+    """Whether an endpoint refuses orders with an older fencing number."""
+
+    CHECKED = "checked"
+    IGNORED = "ignored"
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """IP number and TCP port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class AvailabilityZone:
+    """An availability zone and the cell that it belongs to."""
+
+    name: str
+    cell: str
+
+
+@dataclass(frozen=True, slots=True)
+class Vm:
+    """A VM that runs a daemon; `incarnation` differs after each start."""
+
+    vm_id: str
+    availability_zone: str
+    incarnation: str
+    peer: Address
+    http: Address
+    state: VmState = VmState.LIVE
+
+
+@dataclass(frozen=True, slots=True)
+class Link:
+    """A connection between two VMs and when it was last heard from."""
+
+    local_vm_id: str
+    remote_vm_id: str
+    last_heard_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """A model engine replica or plain service.
+
+    `name` is the model or service that it serves, `adapter` the registered
+    adapter that speaks to it, `url` its base URL.
+    """
+
+    endpoint_id: str
+    kind: EndpointKind
+    name: str
+    adapter: str
+    url: str
+    availability_zone: str
+    vm_id: str = ""
+    fencing: Fencing = Fencing.CHECKED
+    slots: int = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Contract:
+    """What a team may use: tokens per period, concurrent requests and weight."""
+
+    team: str
+    weight: float = 1.0
+    tokens_per_period: int = 0
+    period_s: float = 86_400.0
+    concurrent_requests: int = 0
+    retry_ratio: float = 0.1
--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""model: the specification of the core protocol and its checks."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""standins: small stand-ins for the systems around greengagetack."""
