Fix the types and messages between the parts

Cause: parts written side by side need one set of typed messages, settings and protocols. Ruled out: untyped maps between parts. Conclusion: each part can be written and tested against small fakes.

--- /dev/null
+++ b/greengagetack/daemons/role.py
@@ -0,0 +1,82 @@
+"""greengagetack.daemons.role: base class and registry of a daemon's roles."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from starlette.routing import BaseRoute
+
+from greengagetack.membership.shards import ShardStore
+from greengagetack.membership.table import Directory
+from greengagetack.observability.metrics import Metrics
+from greengagetack.observability.traces import SpanStore
+from greengagetack.peers.node import PeerNode
+from greengagetack.platform.objects import ObjectStore
+from greengagetack.settings.schema import VmSettings
+from greengagetack.settings.view import SettingsView
+from greengagetack.timer import Timer
+
+__all__ = ["ROLES", "ROUTE_SOURCES", "Role", "Services", "http_routes", "role"]
+
+
+@dataclass(frozen=True, slots=True)
+class Services:
+    """What a role may use of its daemon."""
+
+    vm: VmSettings
+    timer: Timer
+    peers: PeerNode
+    platform: ObjectStore
+    settings: SettingsView
+    directory: Directory
+    shards: ShardStore
+    metrics: Metrics
+    spans: SpanStore
+
+
+class Role:
+    """A part of a daemon with a life of its own.
+
+    Parameters
+    ----------
+    services : Services
+        What the daemon offers to all roles.
+
+    Attributes
+    ----------
+    name : str
+        Name in the settings' ``roles``.
+    """
+
+    name = ""
+
+    def __init__(self, services: Services) -> None:
+        self.services = services
+
+    async def start(self) -> None:
+        """Register message handlers and subscribe to timers."""
+
+    async def drain(self) -> None:
+        """Finish what is in flight and hand over what is owned."""
+
+    async def close(self) -> None:
+        """Release sockets and tasks."""
+
+
+ROLES: dict[str, type[Role]] = {}
+ROUTE_SOURCES: list[Callable[[Services], list[BaseRoute]]] = []
+
+
+def role(role_type: type[Role]) -> type[Role]:
+    """Register a role under its name."""
+    if role_type.name in ROLES:
+        raise ValueError(f"duplicate role {role_type.name!r}")
+    ROLES[role_type.name] = role_type
+    return role_type
+
+
+def http_routes(
+    source: Callable[[Services], list[BaseRoute]],
+) -> Callable[[Services], list[BaseRoute]]:
+    """Register a function that gives routes for the entry's HTTP application."""
+    ROUTE_SOURCES.append(source)
+    return source
--- /dev/null
+++ b/greengagetack/keeper/__init__.py
@@ -0,0 +1,1 @@
+"""greengagetack.keeper: the one gate before each endpoint."""
--- /dev/null
+++ b/greengagetack/membership/table.py
@@ -0,0 +1,114 @@
+"""greengagetack.membership.table: the cell's assignment table and who reads it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import xxhash
+
+from greengagetack.world import Endpoint, Vm
+
+__all__ = [
+    "CellTable",
+    "Directory",
+    "KeeperAssignment",
+    "ShardPair",
+    "rendezvous_order",
+    "shard_of_key",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class KeeperAssignment:
+    """Which VM keeps an endpoint; `fencing_number` goes into its orders."""
+
+    endpoint_id: str
+    keeper_vm_id: str
+    fencing_number: int
+
+
+@dataclass(frozen=True, slots=True)
+class ShardPair:
+    """Owner and backup of a shard in one epoch; `backup_vm_id` may be empty."""
+
+    shard: int
+    epoch: int
+    owner_vm_id: str
+    backup_vm_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class CellTable:
+    """Members of a cell, keepers of its endpoints and endpoints that leave.
+
+    `revision` is the version of the platform object; it only grows.
+    """
+
+    cell: str
+    revision: int = 0
+    lead_epoch: int = 0
+    lead_vm_id: str = ""
+    members: tuple[Vm, ...] = ()
+    keepers: tuple[KeeperAssignment, ...] = ()
+    leaving_endpoint_ids: tuple[str, ...] = ()
+
+
+def rendezvous_order(key: str, candidates: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the candidates by descending rendezvous hash for `key`."""
+
+    def weight(candidate: str) -> int:
+        return xxhash.xxh3_64_intdigest(f"{key}\0{candidate}".encode())
+
+    return tuple(sorted(candidates, key=weight, reverse=True))
+
+
+def shard_of_key(key: str, shard_count: int) -> int:
+    """Return the shard that a key belongs to."""
+    return xxhash.xxh3_64_intdigest(key.encode()) % shard_count
+
+
+class Directory(Protocol):
+    """What other parts may ask about the cell."""
+
+    @property
+    def ready(self) -> bool:
+        """Whether a table with this VM in it is known."""
+
+    def table(self) -> CellTable:
+        """Return the newest table."""
+
+    def live_members(self) -> tuple[Vm, ...]:
+        """Return members that are neither leaving nor suspected."""
+
+    def endpoint(self, endpoint_id: str) -> Endpoint | None:
+        """Return an endpoint of the settings."""
+
+    def endpoints_serving(self, name: str) -> tuple[Endpoint, ...]:
+        """Return endpoints of a model or service that are not leaving."""
+
+    def is_leaving(self, endpoint_id: str) -> bool:
+        """Whether any source has said that the endpoint leaves."""
+
+    def report_leaving(self, endpoint_id: str) -> None:
+        """Take the sign, from any part, that an endpoint leaves."""
+
+    def keepers_for(self, endpoint_id: str) -> tuple[str, ...]:
+        """Return the assigned keeper, then substitutes for completions.
+
+        A substitute may relay requests, but never gives orders.
+        """
+
+    def fencing_number(self, endpoint_id: str) -> int | None:
+        """Return this VM's fencing number, None if it is not the keeper."""
+
+    def holds_keeper_lease(self, endpoint_id: str) -> bool:
+        """Whether this VM may surely give unfenced orders now."""
+
+    def pair(self, shard: int) -> ShardPair | None:
+        """Return the newest known pair of a shard."""
+
+    def is_lead(self) -> bool:
+        """Whether this VM holds the lead's lease and still trusts it."""
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call `callback` after each change of the table or pairs."""
--- /dev/null
+++ b/greengagetack/settings/schema.py
@@ -0,0 +1,162 @@
+"""greengagetack.settings.schema: the shape of all settings."""
+
+from dataclasses import dataclass, field
+
+from greengagetack.world import Address, Endpoint
+
+__all__ = [
+    "AdmissionSettings",
+    "BudgetSettings",
+    "DataFolderSettings",
+    "FleetSettings",
+    "LogSettings",
+    "ModelSettings",
+    "PolicySettings",
+    "RolloutSettings",
+    "RoutingSettings",
+    "ServiceSettings",
+    "TeamSettings",
+    "TlsSettings",
+    "VmSettings",
+]
+
+DEFAULT_ROLES = ("lead", "keeper", "owner", "entry")
+
+
+@dataclass(frozen=True, slots=True)
+class TlsSettings:
+    """Files, in PEM format, for mutual TLS on peer links."""
+
+    certificate_file: str
+    key_file: str
+    authority_file: str
+
+
+@dataclass(frozen=True, slots=True)
+class LogSettings:
+    """How much is logged and whether as JSON."""
+
+    level: str = "INFO"
+    as_json: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class DataFolderSettings:
+    """Folder on a small disk for snapshots, and how often they are written."""
+
+    path: str
+    interval_s: float = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class VmSettings:
+    """The settings file of one daemon (``vm.jsonc``)."""
+
+    vm_id: str
+    availability_zone: str
+    cell: str
+    platform_url: str
+    peer: Address = Address("127.0.0.1", 0)
+    http: Address = Address("127.0.0.1", 0)
+    roles: tuple[str, ...] = DEFAULT_ROLES
+    platform_token_file: str | None = None
+    tls: TlsSettings | None = None
+    log: LogSettings = LogSettings()
+    data_folder: DataFolderSettings | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingSettings:
+    """Which routing policy chooses endpoints, with its numbers."""
+
+    policy: str = "affinity"
+    probes: int = 3
+    ejection_s: float = 5.0
+    slow_factor: float = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionSettings:
+    """Bounds of queues and the reserve for callers at each engine."""
+
+    queue_limit: int = 512
+    caller_reserve_ratio: float = 0.25
+    max_retry_after_s: float = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutSettings:
+    """Numbers of the rollout scheduler."""
+
+    hedge_waste_ratio: float = 0.02
+    straggler_factor: float = 3.0
+    sample_attempts: int = 8
+    retention_s: float = 600.0
+
+
+@dataclass(frozen=True, slots=True)
+class ModelSettings:
+    """A model that engines serve."""
+
+    name: str
+    switch_wave_ratio: float = 0.34
+    prefetch_concurrency: int = 2
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSettings:
+    """A plain service; methods outside `idempotent_methods` run at most once."""
+
+    name: str
+    timeout_s: float = 10.0
+    idempotent_methods: tuple[str, ...] = ("GET", "HEAD", "PUT", "DELETE")
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSettings:
+    """The subtree ``/fleet``, which operators of the fleet own."""
+
+    endpoints: tuple[Endpoint, ...] = ()
+    models: tuple[ModelSettings, ...] = ()
+    services: tuple[ServiceSettings, ...] = ()
+    shard_count: int = 16
+    routing: RoutingSettings = RoutingSettings()
+    admission: AdmissionSettings = AdmissionSettings()
+    rollouts: RolloutSettings = RolloutSettings()
+    operator_token_hashes: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class BudgetSettings:
+    """A team's bound: tokens in a period and concurrent requests."""
+
+    tokens_per_period: int = 1_000_000_000
+    period_s: float = 86_400.0
+    concurrent_requests: int = 1_024
+    warn_ratio: float = 0.8
+
+
+@dataclass(frozen=True, slots=True)
+class PolicySettings:
+    """Which model versions may answer: at most this many behind the trainer."""
+
+    model: str
+    max_staleness_versions: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class TeamSettings:
+    """The subtree ``/teams/<team>``, which that team owns.
+
+    `token_hashes` are ``sha256:<hexadecimal>`` of the team's bearer tokens.
+    `weight` is the team's weight in fair queueing; `budget` its bound.
+    """
+
+    team: str
+    token_hashes: tuple[str, ...] = ()
+    weight: float = 1.0
+    budget: BudgetSettings = BudgetSettings()
+    retry_ratio: float = 0.1
+    policies: tuple[PolicySettings, ...] = field(default=())
+    models: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
--- /dev/null
+++ b/greengagetack/weights/__init__.py
@@ -0,0 +1,1 @@
+"""greengagetack.weights: rollouts of new weight versions to the engines."""
