--- /dev/null
+++ b/greengagetack/daemons/auth.py
@@ -0,0 +1,122 @@
+"""greengagetack.daemons.auth: bearer tokens and whom they stand for."""
+
+import hashlib
+import hmac
+import secrets
+from dataclasses import dataclass
+
+from greengagetack.errors import Forbidden, Unauthorized
+from greengagetack.settings.view import SettingsView
+
+__all__ = [
+    "NewToken",
+    "Principal",
+    "authenticate",
+    "hash_token",
+    "new_token",
+    "require_operator",
+    "require_team",
+]
+
+TOKEN_PREFIX = "ggt_"
+TOKEN_BYTES = 32
+MAX_TOKEN_CHARACTERS = 256
+SCHEME = "bearer"
+
+
+@dataclass(frozen=True, slots=True)
+class Principal:
+    """Who sent a request: a team, or an operator of the fleet (`team` is empty)."""
+
+    team: str = ""
+    is_operator: bool = False
+
+    @property
+    def name(self) -> str:
+        """Name for records and logs."""
+        return "operator" if self.is_operator else self.team
+
+
+@dataclass(frozen=True, slots=True)
+class NewToken:
+    """A bearer token, shown once, and the hash that the settings hold."""
+
+    token: str
+    token_hash: str
+
+
+def new_token() -> NewToken:
+    """Return a random token with its hash."""
+    token = TOKEN_PREFIX + secrets.token_urlsafe(TOKEN_BYTES)
+    return NewToken(token, hash_token(token))
+
+
+def hash_token(token: str) -> str:
+    """Return ``sha256:<hexadecimal>`` of a token.
+
+    Tokens are random, so that a plain hash can't be reversed by guessing.
+    """
+    return "sha256:" + hashlib.sha256(token.encode()).hexdigest()
+
+
+def authenticate(authorization_header: str | None, view: SettingsView) -> Principal:
+    """Return whom the bearer token of a request stands for.
+
+    All hashes are compared in constant time, also after one has matched.
+
+    Raises
+    ------
+    Unauthorized
+        If the token is missing or known to nobody.
+    """
+    token_hash = hash_token(_bearer_token(authorization_header))
+    principal: Principal | None = None
+    for known_hash in view.fleet().operator_token_hashes:
+        if hmac.compare_digest(known_hash, token_hash):
+            principal = Principal(is_operator=True)
+    for team in view.teams():
+        for known_hash in team.token_hashes:
+            if hmac.compare_digest(known_hash, token_hash) and principal is None:
+                principal = Principal(team.team)
+    if principal is None:
+        raise Unauthorized("the bearer token is not known")
+    return principal
+
+
+def _bearer_token(header: str | None) -> str:
+    if not header:
+        raise Unauthorized("the request has no Authorization header")
+    scheme, _, token = header.partition(" ")
+    token = token.strip()
+    if scheme.lower() != SCHEME or not token:
+        raise Unauthorized("the Authorization header is not 'Bearer TOKEN'")
+    if len(token) > MAX_TOKEN_CHARACTERS:
+        raise Unauthorized(
+            f"a bearer token has up to {MAX_TOKEN_CHARACTERS} characters"
+        )
+    return token
+
+
+def require_team(principal: Principal, team: str) -> None:
+    """Pass if the principal is the team itself or an operator.
+
+    Raises
+    ------
+    Forbidden
+        If it is another team.
+    """
+    if principal.is_operator or principal.team == team:
+        return
+    raise Forbidden(f"team {principal.team!r} may not touch what {team!r} owns")
+
+
+def require_operator(principal: Principal) -> None:
+    """Pass if the principal is an operator of the fleet.
+
+    Raises
+    ------
+    Forbidden
+        If it is a team.
+    """
+    if not principal.is_operator:
+        raise Forbidden(f"only operators may do this, not team {principal.team!r}")
--- /dev/null
+++ b/greengagetack/documents.py
@@ -0,0 +1,321 @@
+"""greengagetack.documents: JSON text into frozen data classes, with exact paths."""
+
+import dataclasses
+import difflib
+import enum
+import functools
+import json
+import math
+import re
+import types
+import typing
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+import json5
+import msgspec
+
+from greengagetack.errors import InvalidRequest, register_error
+
+__all__ = [
+    "InvalidDocument",
+    "Problem",
+    "convert_document",
+    "find_problems",
+    "parse_json",
+    "parse_json_with_comments",
+]
+
+MAX_DEPTH = 32
+MAX_COMMENTED_BYTES = 256 * 1024
+MAX_SHOWN_PROBLEMS = 50
+NAME_SIMILARITY_RATIO = 0.6
+
+T = TypeVar("T")
+
+FieldCheck = Callable[[type, str, Any, str], "list[Problem]"]
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One fault of a document: where, as ``/a/b/0/c``, and what."""
+
+    path: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.reason}"
+
+
+@register_error
+class InvalidDocument(InvalidRequest):
+    """A document has faults; all of them are listed in `problems`."""
+
+    code = "invalid_document"
+    remedy = "Correct every field that the reason lists; nothing was changed."
+
+    def __init__(
+        self,
+        reason: str,
+        retry_after_s: float | None = None,
+        problems: tuple[Problem, ...] = (),
+    ) -> None:
+        super().__init__(reason, retry_after_s)
+        self.problems = problems
+
+    @classmethod
+    def from_problems(cls, problems: typing.Sequence[Problem]) -> "InvalidDocument":
+        """Return the error that lists `problems`."""
+        shown = [str(problem) for problem in problems[:MAX_SHOWN_PROBLEMS]]
+        hidden_count = len(problems) - len(shown)
+        if hidden_count:
+            shown.append(f"and {hidden_count} more")
+        return cls("; ".join(shown), problems=tuple(problems))
+
+
+class _DuplicateKey(ValueError):
+    """A JSON object holds a key twice."""
+
+    def __init__(self, key: str) -> None:
+        super().__init__(key)
+        self.key = key
+
+
+def _unique_pairs(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    value: dict[str, Any] = {}
+    for key, item in pairs:
+        if key in value:
+            raise _DuplicateKey(key)
+        value[key] = item
+    return value
+
+
+def parse_json(text: str | bytes) -> Any:
+    """Return the plain value of strict JSON text.
+
+    Raises
+    ------
+    InvalidDocument
+        If the text is no JSON, holds a key twice or is nested too deeply; the
+        reason names line and column.
+    """
+    decoded = _decode(text)
+    try:
+        value = json.loads(decoded, object_pairs_hook=_unique_pairs)
+    except _DuplicateKey as error:
+        raise _duplicate_key_error(decoded, error.key) from None
+    except json.JSONDecodeError as error:
+        raise InvalidDocument(
+            f"line {error.lineno} column {error.colno}: {error.msg}"
+        ) from None
+    except (RecursionError, ValueError) as error:
+        raise InvalidDocument(f"the text is no JSON: {error}") from None
+    _check_depth(value)
+    return value
+
+
+def parse_json_with_comments(text: str | bytes) -> Any:
+    """Return the plain value of JSON text that may hold comments.
+
+    Raises the same errors as `parse_json`.
+    """
+    try:
+        return parse_json(text)
+    except InvalidDocument as error:
+        if error.reason.startswith("the key"):
+            raise
+    decoded = _decode(text)
+    # The parser for comments takes about 20 s a megabyte.
+    if len(decoded) > MAX_COMMENTED_BYTES:
+        raise InvalidDocument(
+            f"text with comments may have {MAX_COMMENTED_BYTES} bytes; "
+            f"this is no plain JSON and has {len(decoded)}"
+        )
+    try:
+        value = json5.loads(decoded, allow_duplicate_keys=False)
+    except RecursionError:
+        raise InvalidDocument("the text is nested too deeply") from None
+    except ValueError as error:
+        raise _commented_text_error(decoded, str(error)) from None
+    _check_depth(value)
+    return value
+
+
+def _decode(text: str | bytes) -> str:
+    if isinstance(text, str):
+        return text
+    try:
+        return text.decode("utf-8-sig")
+    except UnicodeDecodeError as error:
+        raise InvalidDocument(f"byte {error.start} is no UTF-8") from None
+
+
+def _commented_text_error(text: str, reason: str) -> InvalidDocument:
+    duplicate = re.match(r'Duplicate key "(.*)" found', reason, re.DOTALL)
+    if duplicate:
+        return _duplicate_key_error(text, duplicate.group(1))
+    placed = re.match(r"<string>:(\d+) (.*) at column (\d+)", reason, re.DOTALL)
+    if placed:
+        line, fault, column = placed.groups()
+        return InvalidDocument(f"line {line} column {column}: {fault}")
+    return InvalidDocument(f"the text is no JSON: {reason}")
+
+
+def _duplicate_key_error(text: str, key: str) -> InvalidDocument:
+    pattern = re.compile(rf"""(["']?){re.escape(key)}\1\s*:""")
+    places = []
+    for found in pattern.finditer(text):
+        line = text.count("\n", 0, found.start()) + 1
+        column = found.start() - text.rfind("\n", 0, found.start())
+        places.append(f"line {line} column {column}")
+    shown = f"; it stands at {', '.join(places[:10])}" if places else ""
+    return InvalidDocument(f"the key {key!r} stands twice in one object{shown}")
+
+
+def _check_depth(value: Any) -> None:
+    level = [value]
+    for _ in range(MAX_DEPTH + 1):
+        deeper: list[Any] = []
+        for item in level:
+            if isinstance(item, dict):
+                deeper.extend(item.values())
+            if isinstance(item, list):
+                deeper.extend(item)
+        if not deeper:
+            return
+        level = deeper
+    raise InvalidDocument(f"values may be nested {MAX_DEPTH} deep")
+
+
+def convert_document(value: Any, document_type: type[T], path: str = "") -> T:
+    """Return the frozen data class that a plain value describes.
+
+    Raises
+    ------
+    InvalidDocument
+        With all problems at once: unknown and missing keys, wrong types.
+    """
+    problems = find_problems(value, document_type, path)
+    if problems:
+        raise InvalidDocument.from_problems(problems)
+    return msgspec.convert(value, document_type)
+
+
+def find_problems(
+    value: Any, expected: Any, path: str, check: FieldCheck | None = None
+) -> list[Problem]:
+    """Return all problems of a plain value against a type.
+
+    `check` is asked for further problems of each well-typed value of a field; it
+    takes the owning class, the field's name, the value and its path.
+    """
+    return _Finder(check).find(value, expected, path, (object, ""))
+
+
+class _Finder:
+    """Walks a plain value along the fields of a type."""
+
+    def __init__(self, check: FieldCheck | None) -> None:
+        self._check = check
+
+    def find(
+        self, value: Any, expected: Any, path: str, field: tuple[type, str]
+    ) -> list[Problem]:
+        if dataclasses.is_dataclass(expected):
+            return self._find_in_object(value, typing.cast(type, expected), path)
+        origin = typing.get_origin(expected)
+        arguments = typing.get_args(expected)
+        if origin in (types.UnionType, typing.Union):
+            if value is None and types.NoneType in arguments:
+                return []
+            options = [option for option in arguments if option is not types.NoneType]
+            if len(options) == 1:
+                return self.find(value, options[0], path, field)
+        is_uniform = origin is list or (origin is tuple and arguments[-1] is Ellipsis)
+        if is_uniform and isinstance(value, list):
+            return self._find_in_items(enumerate(value), arguments[0], path, field)
+        if origin is dict and isinstance(value, dict):
+            return self._find_in_items(value.items(), arguments[1], path, field)
+        problems = _leaf_problems(value, expected, path)
+        if problems or self._check is None:
+            return problems
+        return self._check(field[0], field[1], value, path)
+
+    def _find_in_items(
+        self, items: Any, expected: Any, path: str, field: tuple[type, str]
+    ) -> list[Problem]:
+        problems: list[Problem] = []
+        for key, item in items:
+            problems.extend(self.find(item, expected, f"{path}/{key}", field))
+        return problems
+
+    def _find_in_object(self, value: Any, expected: type, path: str) -> list[Problem]:
+        if not isinstance(value, dict):
+            return [Problem(path or "/", f"an object is expected, not {_shown(value)}")]
+        types_by_name = _field_types(expected)
+        problems = []
+        for name in value:
+            if name not in types_by_name:
+                reason = "unknown key" + _nearest_name(name, types_by_name)
+                problems.append(Problem(f"{path}/{name}", reason))
+        for field in dataclasses.fields(expected):
+            where = f"{path}/{field.name}"
+            if field.name in value:
+                item_type = types_by_name[field.name]
+                owner = (expected, field.name)
+                found = self.find(value[field.name], item_type, where, owner)
+                problems.extend(found)
+                continue
+            if _is_required(field):
+                problems.append(Problem(where, "this key is required"))
+        return problems
+
+
+@functools.cache
+def _field_types(document_type: type) -> dict[str, Any]:
+    return typing.get_type_hints(document_type)
+
+
+def _is_required(field: "dataclasses.Field[Any]") -> bool:
+    has_default = field.default is not dataclasses.MISSING
+    has_factory = field.default_factory is not dataclasses.MISSING
+    return not has_default and not has_factory
+
+
+def _nearest_name(name: str, known: Iterable[str]) -> str:
+    nearest = difflib.get_close_matches(
+        str(name), list(known), 1, NAME_SIMILARITY_RATIO
+    )
+    return f"; did you mean {nearest[0]!r}?" if nearest else ""
+
+
+def _leaf_problems(value: Any, expected: Any, path: str) -> list[Problem]:
+    if isinstance(value, float) and not math.isfinite(value):
+        return [Problem(path, "a finite number is expected")]
+    if isinstance(expected, type) and issubclass(expected, enum.Enum):
+        names = [str(member.value) for member in expected]
+        if value not in names:
+            near = _nearest_name(str(value), names)
+            return [Problem(path, f"one of {', '.join(names)} is expected{near}")]
+    try:
+        msgspec.convert(value, expected)
+    except msgspec.ValidationError as error:
+        return [Problem(path or "/", str(error).replace("`", "'"))]
+    except (TypeError, OverflowError) as error:
+        return [Problem(path or "/", str(error))]
+    return []
+
+
+def _shown(value: Any) -> str:
+    if value is None:
+        return "null"
+    names: dict[type, str] = {
+        bool: "a boolean",
+        dict: "an object",
+        float: "a number",
+        int: "a number",
+        list: "an array",
+        str: "a string",
+    }
+    return names.get(type(value), type(value).__name__)
--- /dev/null
+++ b/greengagetack/settings/store.py
@@ -0,0 +1,129 @@
+"""greengagetack.settings.store: the settings that this daemon has in force."""
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from greengagetack.errors import NotReady
+from greengagetack.settings.objects import (
+    FLEET_PATH,
+    SettingsObject,
+    team_of_path,
+    team_path,
+)
+from greengagetack.settings.parse import InvalidSettings, parse_fleet, parse_team
+from greengagetack.settings.schema import FleetSettings, TeamSettings
+from greengagetack.settings.view import SettingsVersion
+
+__all__ = ["SettingsStore"]
+
+NOT_READY_RETRY_S = 1.0
+
+
+class SettingsStore:
+    """Keeps the newest version of each subtree; a `SettingsView`.
+
+    A version is applied only if it is higher than the one in force, so that late
+    and repeated messages are harmless.
+    """
+
+    def __init__(self) -> None:
+        self._objects: dict[str, SettingsObject] = {}
+        self._refused: dict[str, int] = {}
+        self._fleet: FleetSettings | None = None
+        self._teams: dict[str, TeamSettings] = {}
+        self._callbacks: list[Callable[[], None]] = []
+
+    @property
+    def ready(self) -> bool:
+        """Whether the fleet's settings are known."""
+        return self._fleet is not None
+
+    def fleet(self) -> FleetSettings:
+        """Return the fleet's settings in force.
+
+        Raises
+        ------
+        NotReady
+            If none are known yet.
+        """
+        if self._fleet is None:
+            raise NotReady("no settings are known yet", NOT_READY_RETRY_S)
+        return self._fleet
+
+    def team(self, team: str) -> TeamSettings | None:
+        """Return a team's settings in force, None if there is no such team."""
+        return self._teams.get(team)
+
+    def teams(self) -> tuple[TeamSettings, ...]:
+        """Return the settings of all teams, by name."""
+        return tuple(self._teams[name] for name in sorted(self._teams))
+
+    def versions(self) -> tuple[SettingsVersion, ...]:
+        """Return the versions in force, by path."""
+        return tuple(
+            SettingsVersion(path, self._objects[path].version)
+            for path in sorted(self._objects)
+        )
+
+    def version(self, path: str) -> int:
+        """Return the version in force of a path, 0 if there is none."""
+        known = self._objects.get(path)
+        return known.version if known is not None else 0
+
+    def get(self, path: str) -> SettingsObject | None:
+        """Return the subtree in force under a path, None if there is none."""
+        return self._objects.get(path)
+
+    def objects(self) -> tuple[SettingsObject, ...]:
+        """Return all subtrees in force, by path."""
+        return tuple(self._objects[path] for path in sorted(self._objects))
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call `callback` after each change."""
+        self._callbacks.append(callback)
+
+    def offer(self, offered: SettingsObject) -> bool:
+        """Put a subtree in force if its version is higher than the known one.
+
+        Returns
+        -------
+        bool
+            Whether the offered version or a higher one is now in force. False
+            only if it has faults, which are logged; the known one stays.
+        """
+        if offered.version <= self.version(offered.path):
+            return True
+        if self._refused.get(offered.path) == offered.version:
+            return False
+        try:
+            self._apply(offered)
+        except InvalidSettings as error:
+            self._refused[offered.path] = offered.version
+            logger.error(
+                "settings: {} version {} refused: {}",
+                offered.path,
+                offered.version,
+                error.reason,
+            )
+            return False
+        logger.info("settings: {} version {} in force", offered.path, offered.version)
+        self._notify()
+        return True
+
+    def _notify(self) -> None:
+        for callback in self._callbacks:
+            try:
+                callback()
+            except Exception as error:
+                logger.opt(exception=error).error("settings: a subscriber failed")
+
+    def _apply(self, offered: SettingsObject) -> None:
+        team = team_of_path(offered.path)
+        if offered.path == FLEET_PATH:
+            self._fleet = parse_fleet(offered.value)
+        elif team and offered.path == team_path(team):
+            self._teams[team] = parse_team(team, offered.value)
+        else:
+            raise InvalidSettings(f"no settings can stand under {offered.path!r}")
+        self._objects[offered.path] = offered
