Spread settings through a cell and repair lost pushes

Change: the role 'settings' loads from platform and members and takes the highest version of each subtree; the first two members by rendezvous order watch the platform; a daemon that accepts a change pushes it to all members at once; digests of versions are compared with a few fixed partners each second, so that a lost push is repaired. WriteUnknown now says that its outcome is unknown. Ruled out: random partners, because every pair of daemons would end up with a link.

--- /dev/null
+++ b/features/settings.feature
@@ -0,0 +1,75 @@
+Feature: An accepted setting is in force everywhere and never reverts
+
+  Scenario Outline: A change reaches every daemon by any way
+    Given a settings cell of <count> members
+    When <way> changes the fleet's settings to version 2
+    Then all settings members have version 2 in force
+
+    Examples:
+      | count | way                 |
+      | 1     | a member            |
+      | 3     | a member            |
+      | 9     | a member            |
+      | 9     | the platform        |
+      | 3     | a dying member      |
+      | 9     | a dying member      |
+
+  Scenario Outline: A push that was lost is repaired
+    Given a settings cell of 4 members
+    And settings member v2 gets no pushes
+    When <way> changes the fleet's settings to version 2
+    Then all settings members have version 2 in force
+
+    Examples:
+      | way          |
+      | a member     |
+      | the platform |
+
+  Scenario: Members that have not confirmed are named
+    Given a settings cell of 4 members
+    And settings member v3 is stopped unnoticed
+    When a member changes the fleet's settings to version 2
+    Then settings members v0 v1 v2 are confirmed and v3 is missing
+
+  Scenario Outline: A restarted daemon comes back with the highest version
+    Given a settings cell of 3 members
+    And a member changes the fleet's settings to version 5
+    And the settings platform is <platform>
+    When settings member <member> is restarted
+    Then all settings members have version 5 in force
+    And settings member <member> never had a version but 5
+
+    Examples:
+      | platform | member |
+      | up       | v0     |
+      | down     | v0     |
+      | down     | v2     |
+
+  Scenario: A daemon with neither platform nor peers is not ready
+    Given a settings cell of 1 members
+    And the settings platform is down
+    When settings member v0 is restarted
+    Then settings member v0 stays without settings
+    When the settings platform comes back
+    Then all settings members have version 1 in force
+
+  Scenario: A cell restarted in an outage waits for the platform
+    Given a settings cell of 3 members
+    And a member changes the fleet's settings to version 3
+    And the settings platform is down
+    When settings members are all restarted
+    Then settings member v1 stays without settings
+    When the settings platform comes back
+    Then all settings members have version 3 in force
+
+  Scenario: Changes made through an outage arrive after it
+    Given a settings cell of 3 members
+    And the settings platform is down
+    When the settings platform comes back with version 2
+    Then all settings members have version 2 in force
+
+  Scenario: An older version from a reordered push changes nothing
+    Given a settings cell of 3 members
+    And a member changes the fleet's settings to version 4
+    When an old push of version 3 reaches settings member v1
+    Then all settings members have version 4 in force
--- a/features/steps/settings_checks_steps.py
+++ b/features/steps/settings_checks_steps.py
@@ -71,6 +71,7 @@
 def step_known(context: Context, version: int) -> None:
     context.store = SettingsStore()
     assert not context.store.ready
+    context.store.mark_loaded()
     if version:
         context.store.offer(SettingsObject("/fleet", version, fleet_value()))
 
--- /dev/null
+++ b/features/support/settings_cell.py
@@ -0,0 +1,144 @@
+"""features.support.settings_cell: members that keep settings, in one process."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from features.support.memory_platform import MemoryPlatform
+from greengagetack.daemons.role import Services
+from greengagetack.membership.shards import ShardStore
+from greengagetack.membership.table import CellTable
+from greengagetack.observability.metrics import Metrics
+from greengagetack.observability.traces import SpanStore
+from greengagetack.peers.node import PeerNode, listening_socket
+from greengagetack.settings.schema import VmSettings
+from greengagetack.settings.store import SettingsStore
+from greengagetack.settings.sync import SettingsRole
+from greengagetack.timer import Timer
+from greengagetack.world import Address, Endpoint, Vm
+
+__all__ = ["FixedDirectory", "Member", "SettingsCell", "settle", "wait_until"]
+
+LOOPBACK = Address("127.0.0.1", 0)
+WAIT_S = 15.0
+
+
+class FixedDirectory:
+    """A directory whose members the test sets."""
+
+    ready = True
+
+    def __init__(self) -> None:
+        self.members: dict[str, Vm] = {}
+        self.suspected: set[str] = set()
+
+    def table(self) -> CellTable:
+        """Return a table of all members."""
+        return CellTable("c", 1, members=tuple(self.members.values()))
+
+    def live_members(self) -> tuple[Vm, ...]:
+        """Return members that are not suspected."""
+        return tuple(
+            vm for vm in self.members.values() if vm.vm_id not in self.suspected
+        )
+
+    def endpoint(self, endpoint_id: str) -> Endpoint | None:
+        """Return no endpoint."""
+        return None
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Members never change by themselves here."""
+
+
+@dataclass
+class Member:
+    """One daemon's parts that keep settings."""
+
+    services: Services
+    store: SettingsStore
+    role: SettingsRole
+    peers: PeerNode
+    timer: Timer
+    first_version: int = 0
+
+
+class SettingsCell:
+    """Starts, stops and restarts members around one platform in memory."""
+
+    def __init__(self) -> None:
+        self.platform = MemoryPlatform()
+        self.directory = FixedDirectory()
+        self.members: dict[str, Member] = {}
+        self._starts = 0
+
+    async def start(self, vm_id: str) -> Member:
+        """Start a member, anew with an empty memory if it ran before."""
+        self._starts += 1
+        timer = Timer(self._starts)
+        incarnation = f"i{self._starts}"
+        peers = PeerNode(vm_id, incarnation, timer)
+        listener = listening_socket(LOOPBACK)
+        address = Address(*listener.getsockname())
+        await peers.start(listener)
+        store = SettingsStore()
+        services = Services(
+            vm=VmSettings(vm_id, "a", "c", "http://127.0.0.1:1"),
+            timer=timer,
+            peers=peers,
+            platform=self.platform,
+            settings=store,
+            directory=self.directory,  # type: ignore[arg-type]
+            shards=ShardStore.__new__(ShardStore),
+            metrics=Metrics(),
+            spans=SpanStore(vm_id),
+        )
+        vm = Vm(vm_id, "a", incarnation, address, LOOPBACK)
+        self.directory.members[vm_id] = vm
+        self.directory.suspected.discard(vm_id)
+        member = Member(services, store, SettingsRole(services), peers, timer)
+        self.members[vm_id] = member
+        for other_id, other in self.members.items():
+            other.peers.learn_address(vm_id, address)
+            peers.learn_address(other_id, self.directory.members[other_id].peer)
+        await member.role.start()
+        return member
+
+    async def stop(self, vm_id: str, suspect: bool = True) -> None:
+        """End a member at once; the others suspect it unless told otherwise."""
+        member = self.members.pop(vm_id)
+        await member.role.close()
+        member.timer.close()
+        await member.peers.close()
+        if suspect:
+            self.directory.suspected.add(vm_id)
+
+    async def close(self) -> None:
+        """End all members."""
+        for vm_id in list(self.members):
+            await self.stop(vm_id)
+        await settle()
+
+    def versions(self, path: str) -> dict[str, int]:
+        """Return the version of a path that each member has in force."""
+        return {
+            vm_id: member.store.version(path) for vm_id, member in self.members.items()
+        }
+
+
+async def settle() -> None:
+    """Cancel what still runs on this loop and wait until it has ended."""
+    current = asyncio.current_task()
+    others = [task for task in asyncio.all_tasks() if task is not current]
+    for task in others:
+        task.cancel()
+    await asyncio.gather(*others, return_exceptions=True)
+
+
+async def wait_until(condition: Callable[[], Any], what: Any = "") -> None:
+    """Wait for a condition, with a generous bound."""
+    deadline_s = asyncio.get_running_loop().time() + WAIT_S
+    while not condition():
+        if asyncio.get_running_loop().time() > deadline_s:
+            raise AssertionError(f"not in {WAIT_S:g} s: {what}")
+        await asyncio.sleep(0.01)
--- a/greengagetack/platform/objects.py
+++ b/greengagetack/platform/objects.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from greengagetack.errors import CodedError, register_error
+from greengagetack.errors import CodedError, Outcome, register_error
 from greengagetack.world import VmState
 
 __all__ = [
@@ -31,6 +31,7 @@
 
     code = "write_unknown"
     http_status = 503
+    outcome = Outcome.UNKNOWN
     remedy = "Read the object once the platform answers again."
 
 
--- a/greengagetack/settings/store.py
+++ b/greengagetack/settings/store.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Callable
 
+import xxhash
 from loguru import logger
 
 from greengagetack.errors import NotReady
+from greengagetack.leases.decisions import accept_version
 from greengagetack.settings.objects import (
     FLEET_PATH,
     SettingsObject,
@@ -33,11 +35,23 @@
         self._fleet: FleetSettings | None = None
         self._teams: dict[str, TeamSettings] = {}
         self._callbacks: list[Callable[[], None]] = []
+        self._loaded = False
 
     @property
     def ready(self) -> bool:
-        """Whether the fleet's settings are known."""
-        return self._fleet is not None
+        """Whether all settings have been loaded, the fleet's among them."""
+        return self._loaded and self._fleet is not None
+
+    def mark_loaded(self) -> None:
+        """Take note that the platform or a peer has given all its subtrees."""
+        if not self._loaded:
+            self._loaded = True
+            self._notify()
+
+    def digest(self) -> int:
+        """Return a 64-bit digest of the versions in force."""
+        text = "\n".join(f"{one.path}\0{one.version}" for one in self.versions())
+        return xxhash.xxh3_64_intdigest(text.encode())
 
     def fleet(self) -> FleetSettings:
         """Return the fleet's settings in force.
@@ -92,7 +106,7 @@
             Whether the offered version or a higher one is now in force. False
             only if it has faults, which are logged; the known one stays.
         """
-        if offered.version <= self.version(offered.path):
+        if not accept_version(self.version(offered.path), offered.version):
             return True
         if self._refused.get(offered.path) == offered.version:
             return False
