Add engine adapters, the keeper and routing

Cause: nothing stood between callers and endpoints yet. Change: adapters for engines and plain services over aiosonic, the keeper role with fair queueing, joins, held answers, ejection and drain, routing policies by name, and relays that survive lost keepers and endpoints. Ruled out: reusing the HTTP library's pooled connection after a cancelled exchange; it would hand the former answer to the next request, so such a connection is closed.

--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""features.support: fakes and helpers that steps share."""
--- a/greengagetack/engines/__init__.py
+++ b/greengagetack/engines/__init__.py
@@ -1,1 +1,6 @@
-"""greengagetack.engines: adapters to the interfaces of endpoints."""
+"""greengagetack.engines: adapters that speak to model engines and plain services."""
+
+from greengagetack.engines import openai, plain
+from greengagetack.engines.base import ADAPTERS, EngineAdapter, adapter, make_adapter
+
+__all__ = ["ADAPTERS", "EngineAdapter", "adapter", "make_adapter", "openai", "plain"]
--- /dev/null
+++ b/greengagetack/keeper/gate.py
@@ -0,0 +1,433 @@
+"""greengagetack.keeper.gate: the queue and the requests of one model engine."""
+
+import asyncio
+from contextlib import aclosing, suppress
+
+from loguru import logger
+
+from greengagetack.daemons.role import Services
+from greengagetack.engines.base import EngineAdapter
+from greengagetack.engines.resume import stream_resumed
+from greengagetack.engines.state import Finish, Generate
+from greengagetack.errors import (
+    CodedError,
+    DeadlineExceeded,
+    EndpointFailed,
+    EndpointRefused,
+    NotReady,
+    Outcome,
+)
+from greengagetack.keeper.admission import Admission, CallerReserve
+from greengagetack.keeper.errors import EndpointUnreachable, StaleVersion
+from greengagetack.keeper.fair_queue import FairQueue
+from greengagetack.keeper.generation import Generation
+from greengagetack.keeper.health import EndpointHealth
+from greengagetack.keeper.held import HeldAnswers
+from greengagetack.keeper.messages import Complete, EndpointLoad, Work
+from greengagetack.keeper.prefixes import PrefixCache
+from greengagetack.keeper.spending import Spending
+from greengagetack.keeper.versions import LoadedVersions
+from greengagetack.observability.logs import REQUEST_ID
+from greengagetack.observability.traces import attached, span
+from greengagetack.world import Endpoint
+
+__all__ = ["EngineGate"]
+
+CALLER_PRIORITY = 1_000
+CALLER_GRACE_S = 2.0
+DRAIN_RETRY_S = 0.2
+LEAVING_RETRY_S = 0.5
+VERSION_RETRY_S = 0.5
+
+
+class EngineGate:
+    """Admits, orders and relays all requests for one model engine.
+
+    One task owns the queue and starts requests in free slots; each running
+    request has a task of its own.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        The engine.
+    adapter : EngineAdapter
+        Speaks to it.
+    services : Services
+        What the daemon offers.
+    held : HeldAnswers
+        Where requests and finished answers are found by identifier.
+    spending : Spending
+        Bounds the tokens of each team.
+    """
+
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        adapter: EngineAdapter,
+        services: Services,
+        held: HeldAnswers,
+        spending: Spending,
+    ) -> None:
+        admission = services.settings.fleet().admission
+        self.endpoint = endpoint
+        self.adapter = adapter
+        self.health = EndpointHealth(endpoint.endpoint_id, endpoint.slots)
+        self.versions = LoadedVersions(endpoint, adapter)
+        self.prefixes = PrefixCache()
+        self.draining = False
+        self.used_at_s = services.timer.now_s()
+        self.sibling_paces: tuple[float, ...] = ()
+        self._services = services
+        self._held = held
+        self._spending = spending
+        self._queue_limit = admission.queue_limit
+        self._admission = Admission(admission)
+        self._reserve = CallerReserve(endpoint.slots, admission.caller_reserve_ratio)
+        self._queue = FairQueue()
+        self._running: dict[Generation, asyncio.Task[None]] = {}
+        self._wake = asyncio.Event()
+        self._task = asyncio.create_task(
+            self._dispatch(), name=f"gate {endpoint.endpoint_id}"
+        )
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the endpoint takes no new work for good."""
+        return self._services.directory.is_leaving(self.endpoint.endpoint_id)
+
+    @property
+    def busy(self) -> bool:
+        """Whether any request waits or runs."""
+        return bool(self._running) or len(self._queue) > 0
+
+    def _count(self, work: str) -> int:
+        return sum(item.request.work == work for item in self._running)
+
+    def _weight(self, team: str) -> float:
+        settings = self._services.settings.team(team)
+        return settings.weight if settings is not None else 1.0
+
+    def load(self) -> EndpointLoad:
+        """Return the load at this moment."""
+        pace_s = self.health.seconds_per_token
+        rate = self.endpoint.slots / pace_s if pace_s else 0.0
+        return EndpointLoad(
+            endpoint_id=self.endpoint.endpoint_id,
+            running=len(self._running),
+            waiting=len(self._queue),
+            waiting_tokens=self._queue.waiting_tokens,
+            slots=self.health.allowed(),
+            tokens_per_s=rate,
+            expected_wait_s=self._expected_wait_s("", Work.ROLLOUT),
+            weight_version=self.versions.active,
+            ejected=self.health.ejected,
+            leaving=self.leaving,
+            seconds_per_token=pace_s,
+        )
+
+    def _expected_wait_s(self, team: str, work: str) -> float:
+        allowed = self.health.allowed()
+        pace_s = self.health.seconds_per_token
+        running_tokens = sum(_tokens_left(item) for item in self._running)
+        free = allowed - len(self._running)
+        if work == Work.ROLLOUT:
+            free -= max(0, self._reserve.slots() - self._count(Work.CALLER))
+        return self._admission.expected_wait_s(
+            self._queue,
+            team,
+            work,
+            self._weight(team),
+            running_tokens,
+            free,
+            allowed / pace_s if pace_s else 0.0,
+        )
+
+    async def open(self, request: Complete) -> Generation:
+        """Join the request in flight, find its held answer, or admit it anew.
+
+        Raises
+        ------
+        CodedError
+            If it is refused; it was then not run.
+        """
+        known = self._held.find(request)
+        if known is not None:
+            return self._join(known, request)
+        await self.versions.ensure_known()
+        known = self._held.find(request)
+        if known is not None:
+            return self._join(known, request)
+        self._check_open()
+        self._check_version(request)
+        self._check_queue(request)
+        self._spending.reserve(request)
+        generation = Generation(request, self._services.timer.now_s())
+        self._held.keep(generation, self)
+        self._queue.push(generation, self._weight(request.team))
+        self.used_at_s = generation.arrived_s
+        self._wake.set()
+        return generation
+
+    def _join(self, generation: Generation, request: Complete) -> Generation:
+        self._services.metrics.add("keeper_joins_total")
+        if request.offset_tokens < generation.first_offset:
+            self._rewind(generation, request.offset_tokens)
+        return generation
+
+    def _rewind(self, generation: Generation, offset_tokens: int) -> None:
+        """Replay from an earlier token, which the engine still knows."""
+        task = self._running.pop(generation, None)
+        generation.rewind(offset_tokens)
+        if task is None:
+            return
+        task.cancel()
+        self._start(generation)
+
+    def _check_open(self) -> None:
+        endpoint_id = self.endpoint.endpoint_id
+        if self.draining:
+            raise NotReady("this daemon is stopping", DRAIN_RETRY_S)
+        if self.leaving:
+            raise EndpointRefused(f"{endpoint_id} is leaving", LEAVING_RETRY_S)
+        if self.health.ejected:
+            wait_s = self.health.probe_at_s - self._services.timer.now_s()
+            raise EndpointRefused(f"{endpoint_id} is ejected", max(0.1, wait_s))
+
+    def _check_version(self, request: Complete) -> None:
+        if not request.oldest_version:
+            return
+        active = self.versions.active_of(request.model)
+        if active >= request.oldest_version:
+            return
+        raise StaleVersion(
+            f"{self.endpoint.endpoint_id} has version {active} loaded, "
+            f"oldest allowed is {request.oldest_version}",
+            VERSION_RETRY_S,
+        )
+
+    def _check_queue(self, request: Complete) -> None:
+        wait_s = self._expected_wait_s(request.team, request.work)
+        self._admission.check_time(request, wait_s, self.health.seconds_per_token)
+        if len(self._queue) < self._queue_limit:
+            return
+        weight = self._weight(request.team)
+        crowded_out = self._queue.crowded_out(request.team, weight)
+        if crowded_out is None:
+            raise self._admission.queue_full(wait_s)
+        self._queue.remove(crowded_out)
+        self._end(crowded_out, self._admission.queue_full(wait_s))
+
+    async def _dispatch(self) -> None:
+        while True:
+            self._wake.clear()
+            while (generation := self._next()) is not None:
+                self._start(generation)
+            await self._wake.wait()
+
+    def _next(self) -> Generation | None:
+        callers = self._count(Work.CALLER)
+        if self._queue.waits(Work.CALLER):
+            now_s = self._services.timer.now_s()
+            self._reserve.observe(callers + 1, now_s)
+        allowed = self.health.allowed()
+        if len(self._running) >= allowed:
+            return None
+        works: tuple[str, ...] = (Work.CALLER, Work.ROLLOUT)
+        if callers < self._reserve.limit and self._queue.waits(Work.CALLER):
+            # Callers go first within the reserve; beyond it, teams compete.
+            return self._queue.pop((Work.CALLER,))
+        if allowed > 1:
+            reserved = max(0, self._reserve.slots() - callers)
+            if len(self._running) + reserved >= allowed:
+                works = (Work.CALLER,)
+        return self._queue.pop(works)
+
+    def _start(self, generation: Generation) -> None:
+        task = asyncio.create_task(self._run(generation))
+        self._running[generation] = task
+
+    async def _run(self, generation: Generation) -> None:
+        error: CodedError | None = None
+        REQUEST_ID.set(generation.log_id)
+        try:
+            with (
+                attached(generation.traceparent),
+                span("engine.stream", endpoint=self.endpoint.endpoint_id),
+            ):
+                await self._relay(generation)
+        except CodedError as failure:
+            error = failure
+        except asyncio.CancelledError:
+            if self._running.get(generation) is not asyncio.current_task():
+                return
+            raise
+        except Exception as failure:
+            logger.opt(exception=failure).error("keeper: request failed")
+            error = EndpointFailed(f"internal failure: {failure}")
+        self._running.pop(generation, None)
+        self._queue.settle(generation)
+        if isinstance(error, EndpointRefused):
+            await self.check_leaving()
+        self._judge(generation, error)
+        self._end(generation, error)
+        self._wake.set()
+
+    async def _relay(self, generation: Generation) -> None:
+        timer = self._services.timer
+        request = generation.request
+        self._check_version(request)
+        generation.started_s = timer.now_s()
+        last_s = generation.started_s
+        self.prefixes.used(request.prompt)
+        left_s = generation.deadline_s - generation.started_s
+        if left_s <= 0:
+            raise _expired()
+        try:
+            async with asyncio.timeout(left_s):
+                stream = stream_resumed(self.adapter, self._generate(generation))
+                async with aclosing(stream) as items:
+                    async for item in items:
+                        if isinstance(item, Finish):
+                            generation.end(item, timer.now_s())
+                            return
+                        self._check_chunk(request, item.weight_version)
+                        now_s = timer.now_s()
+                        if generation.token_count:
+                            self.health.observe(item.token_count, now_s - last_s)
+                        last_s = now_s
+                        generation.add(item)
+        except TimeoutError:
+            await self._cancel_at_engine(generation)
+            raise DeadlineExceeded("the completion did not end in time") from None
+        except StaleVersion:
+            await self._cancel_at_engine(generation)
+            raise
+
+    def _generate(self, generation: Generation) -> Generate:
+        request = generation.request
+        urgent = CALLER_PRIORITY if request.work == Work.CALLER else 0
+        return Generate(
+            request_id=generation.engine_request_id,
+            model=request.model,
+            prompt=request.prompt,
+            max_tokens=request.max_tokens,
+            seed=request.seed,
+            priority=request.priority + urgent,
+            resume_from=generation.first_offset,
+        )
+
+    def _check_chunk(self, request: Complete, version: int) -> None:
+        if version >= request.oldest_version:
+            return
+        error = StaleVersion(
+            f"a token came from version {version}, "
+            f"oldest allowed is {request.oldest_version}",
+            VERSION_RETRY_S,
+        )
+        error.outcome = Outcome.UNKNOWN
+        raise error
+
+    def _judge(self, generation: Generation, error: CodedError | None) -> None:
+        if error is None:
+            self.health.succeeded()
+            return
+        if isinstance(error, EndpointUnreachable | EndpointFailed):
+            routing = self._services.settings.fleet().routing
+            now_s = self._services.timer.now_s()
+            if self.health.failed(now_s, routing.ejection_s):
+                self.hand_back("is ejected")
+
+    def _end(self, generation: Generation, error: CodedError | None) -> None:
+        now_s = self._services.timer.now_s()
+        if error is not None:
+            generation.fail(error, now_s)
+        self._spending.settle(generation)
+        request = generation.request
+        metrics = self._services.metrics
+        outcome = error.code if error is not None else "done"
+        metrics.add("keeper_requests_total", work=request.work, outcome=outcome)
+        metrics.add(
+            "keeper_tokens_total",
+            generation.token_count,
+            team=request.team,
+            work=request.work,
+        )
+        if error is not None:
+            # A failed request may be tried again; only answers are kept.
+            self._held.drop(generation)
+
+    async def check_leaving(self) -> None:
+        """Ask the engine whether it leaves, and pass the sign on."""
+        with suppress(CodedError):
+            if await self.adapter.is_leaving() and not self.leaving:
+                self._services.directory.report_leaving(self.endpoint.endpoint_id)
+        if self.leaving:
+            self.hand_back("is leaving")
+
+    def refuse_expired(self) -> None:
+        """Refuse waiting requests whose time has run out."""
+        now_s = self._services.timer.now_s()
+        for generation in self._held.of_gate(self):
+            if generation.deadline_s > now_s or not self._queue.remove(generation):
+                continue
+            self._end(generation, _expired())
+
+    def hand_back(self, why: str) -> None:
+        """Refuse all waiting requests, so that they run elsewhere."""
+        for generation in self._queue.drain():
+            reason = f"{self.endpoint.endpoint_id} {why}"
+            self._end(generation, EndpointRefused(reason, LEAVING_RETRY_S))
+
+    async def cancel(self, generation: Generation, why: str) -> None:
+        """Stop a request, waiting or running."""
+        if self._queue.remove(generation):
+            self._end(generation, EndpointRefused(why))
+            return
+        task = self._running.pop(generation, None)
+        if task is None:
+            self._held.drop(generation)
+            return
+        task.cancel()
+        self._queue.settle(generation)
+        self._end(generation, DeadlineExceeded(why))
+        self._wake.set()
+        await self._cancel_at_engine(generation)
+
+    async def _cancel_at_engine(self, generation: Generation) -> None:
+        with suppress(CodedError):
+            await self.adapter.cancel(generation.engine_request_id)
+
+    async def drop_abandoned(self) -> None:
+        """Cancel callers' requests that nobody has been reading for a while."""
+        now_s = self._services.timer.now_s()
+        for generation in self._held.of_gate(self):
+            if generation.is_rollout:
+                continue
+            if generation.abandoned_s(now_s) < CALLER_GRACE_S:
+                continue
+            await self.cancel(generation, "nobody reads the answer any more")
+
+    async def close(self) -> None:
+        """Stop all tasks and close all connections."""
+        tasks = [self._task, *self._running.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.health.forget()
+        await self.adapter.close()
+
+    def wake(self) -> None:
+        """Look for work that can start now."""
+        self._wake.set()
+
+
+def _expired() -> DeadlineExceeded:
+    error = DeadlineExceeded("the time ran out before the request was run")
+    error.outcome = Outcome.NOT_RUN
+    return error
+
+
+def _tokens_left(generation: Generation) -> int:
+    request = generation.request
+    expected = request.expected_tokens or request.max_tokens
+    return max(1, expected - generation.end_tokens)
--- a/greengagetack/keeper/messages.py
+++ b/greengagetack/keeper/messages.py
@@ -85,6 +85,7 @@
     weight_version: int
     ejected: bool = False
     leaving: bool = False
+    seconds_per_token: float = 0.0
 
 
 @message("completed")
--- /dev/null
+++ b/greengagetack/keeper/role.py
@@ -0,0 +1,267 @@
+"""greengagetack.keeper.role: the role that keeps endpoints."""
+
+import asyncio
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
+
+from loguru import logger
+
+from greengagetack.daemons.role import Role, Services, role
+from greengagetack.engines import make_adapter
+from greengagetack.engines.state import Finish
+from greengagetack.errors import InvalidRequest, NotFound
+from greengagetack.keeper.gate import EngineGate
+from greengagetack.keeper.held import HeldAnswers
+from greengagetack.keeper.messages import (
+    CallService,
+    CancelRequest,
+    Chunk,
+    Complete,
+    Completed,
+    HeldRequests,
+    ListHeldRequests,
+    ProbeEndpoints,
+    ProbeReply,
+    ReleaseHeld,
+    ServiceAnswer,
+    Work,
+)
+from greengagetack.keeper.monitor import EngineMonitor
+from greengagetack.keeper.service_gate import ServiceGate
+from greengagetack.keeper.spending import Spending, UnboundedSpending
+from greengagetack.observability.traces import span
+from greengagetack.peers.messages import Done
+from greengagetack.world import Endpoint, EndpointKind
+
+__all__ = ["KeeperRole"]
+
+WATCH_INTERVAL_S = 1.0
+DRAIN_STEP_S = 0.05
+DRAIN_COLLECT_S = 5.0
+SUBSTITUTE_IDLE_S = 60.0
+
+
+@role
+class KeeperRole(Role):
+    """The gate before each endpoint that this VM keeps or stands in for."""
+
+    name = "keeper"
+
+    def __init__(self, services: Services) -> None:
+        super().__init__(services)
+        self.held = HeldAnswers()
+        self.spending: Spending = UnboundedSpending()
+        self.gates: dict[str, EngineGate] = {}
+        self.service_gates: dict[str, ServiceGate] = {}
+        self.draining = False
+        self._monitors: dict[str, EngineMonitor] = {}
+        self._watching: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Register message handlers and watch the assigned endpoints."""
+        peers = self.services.peers
+        peers.handle(Complete, self._complete)
+        peers.handle(ProbeEndpoints, self._probe)
+        peers.handle(CancelRequest, self._cancel)
+        peers.handle(ListHeldRequests, self._list_held)
+        peers.handle(ReleaseHeld, self._release)
+        peers.handle(CallService, self._call)
+        self.services.timer.subscribe(WATCH_INTERVAL_S, self._watch, "keeper watch")
+        self.services.directory.subscribe(self._keep_assigned)
+        self.services.settings.subscribe(self._keep_assigned)
+        self._keep_assigned()
+
+    def _keep_assigned(self) -> None:
+        directory = self.services.directory
+        if not directory.ready or not self.services.settings.ready:
+            return
+        for endpoint in self.services.settings.fleet().endpoints:
+            if directory.fencing_number(endpoint.endpoint_id) is None:
+                continue
+            self._gate_of(endpoint)
+
+    def _endpoint(self, endpoint_id: str) -> Endpoint:
+        endpoint = self.services.directory.endpoint(endpoint_id)
+        if endpoint is None:
+            raise NotFound(f"there is no endpoint {endpoint_id!r}")
+        return endpoint
+
+    def _gate_of(self, endpoint: Endpoint) -> EngineGate | ServiceGate:
+        if endpoint.kind is EndpointKind.SERVICE:
+            return self._service_gate(endpoint)
+        return self._engine_gate(endpoint)
+
+    def _engine_gate(self, endpoint: Endpoint) -> EngineGate:
+        gate = self.gates.get(endpoint.endpoint_id)
+        if gate is not None and gate.endpoint == endpoint:
+            return gate
+        if gate is not None:
+            self._retire(gate)
+        if endpoint.kind is not EndpointKind.ENGINE:
+            raise InvalidRequest(f"{endpoint.endpoint_id} is no model engine")
+        gate = EngineGate(
+            endpoint, make_adapter(endpoint), self.services, self.held, self.spending
+        )
+        gate.draining = self.draining
+        self.gates[endpoint.endpoint_id] = gate
+        self._monitors[endpoint.endpoint_id] = EngineMonitor(gate, self.services, None)
+        logger.info("keeper: gate for {} opened", endpoint.endpoint_id)
+        return gate
+
+    def _service_gate(self, endpoint: Endpoint) -> ServiceGate:
+        gate = self.service_gates.get(endpoint.endpoint_id)
+        if gate is not None and gate.endpoint == endpoint:
+            return gate
+        if gate is not None:
+            self._spawn(gate.close())
+        if endpoint.kind is not EndpointKind.SERVICE:
+            raise InvalidRequest(f"{endpoint.endpoint_id} is no plain service")
+        gate = ServiceGate(endpoint, make_adapter(endpoint), self.services)
+        gate.draining = self.draining
+        self.service_gates[endpoint.endpoint_id] = gate
+        return gate
+
+    def _retire(self, gate: EngineGate) -> None:
+        gate.hand_back("has new settings")
+        self._spawn(self._close_when_idle(gate))
+
+    async def _close_when_idle(self, gate: EngineGate) -> None:
+        while gate.busy:
+            await self.services.timer.sleep(DRAIN_STEP_S)
+        await gate.close()
+
+    def _spawn(self, work: "asyncio._CoroutineLike[None]") -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _complete(
+        self, sender_vm_id: str, request: Complete
+    ) -> AsyncGenerator[Chunk | Completed, None]:
+        _check_complete(request)
+        gate = self._engine_gate(self._endpoint(request.endpoint_id))
+        with span("keeper.complete", endpoint=request.endpoint_id, team=request.team):
+            generation = await gate.open(request)
+            reader = generation.read(request.offset_tokens)
+            async with aclosing(reader) as items:
+                async for item in items:
+                    if isinstance(item, Finish):
+                        yield Completed(item.reason, generation.end_tokens, gate.load())
+                        return
+                    yield item
+
+    async def _probe(self, sender_vm_id: str, request: ProbeEndpoints) -> ProbeReply:
+        loads = []
+        ratios = []
+        for endpoint_id in request.endpoint_ids:
+            endpoint = self.services.directory.endpoint(endpoint_id)
+            if endpoint is None or endpoint.kind is not EndpointKind.ENGINE:
+                continue
+            gate = self._engine_gate(endpoint)
+            await gate.versions.ensure_known()
+            loads.append(gate.load())
+            ratios.append(gate.prefixes.cached_ratio(request.prefix_hash))
+        return ProbeReply(tuple(loads), tuple(ratios))
+
+    async def _cancel(self, sender_vm_id: str, request: CancelRequest) -> Done:
+        located = self.held.locate(request.request_id)
+        if located is not None:
+            generation, gate = located
+            await gate.cancel(generation, "the request was cancelled")
+        return Done()
+
+    async def _list_held(
+        self, sender_vm_id: str, request: ListHeldRequests
+    ) -> HeldRequests:
+        return HeldRequests(self.held.of_job(request.job_id))
+
+    async def _release(self, sender_vm_id: str, request: ReleaseHeld) -> Done:
+        self.held.release(request.request_ids)
+        return Done()
+
+    async def _call(self, sender_vm_id: str, request: CallService) -> ServiceAnswer:
+        gate = self._service_gate(self._endpoint(request.endpoint_id))
+        with span("keeper.call", endpoint=request.endpoint_id, team=request.team):
+            return await gate.call(request)
+
+    async def _watch(self) -> None:
+        self._close_unused()
+        given_up = self.held.trim()
+        if given_up:
+            logger.warning("keeper: gave up {} finished answers", given_up)
+        for endpoint_id, monitor in list(self._monitors.items()):
+            if endpoint_id not in self._watching:
+                self._spawn(self._watch_one(endpoint_id, monitor))
+        for gate in list(self.service_gates.values()):
+            self._spawn(gate.check_leaving())
+
+    async def _watch_one(self, endpoint_id: str, monitor: EngineMonitor) -> None:
+        self._watching.add(endpoint_id)
+        try:
+            await monitor.watch_once()
+        except Exception as error:
+            logger.opt(exception=error).error("keeper: watch of {} failed", endpoint_id)
+        finally:
+            self._watching.discard(endpoint_id)
+
+    def _close_unused(self) -> None:
+        """Close gates of a substitute that nobody has used for a while."""
+        now_s = self.services.timer.now_s()
+        for endpoint_id, gate in list(self.gates.items()):
+            if self.services.directory.fencing_number(endpoint_id) is not None:
+                continue
+            if gate.busy or self.held.of_gate(gate):
+                continue
+            if now_s - gate.used_at_s < SUBSTITUTE_IDLE_S:
+                continue
+            del self.gates[endpoint_id]
+            del self._monitors[endpoint_id]
+            self._spawn(gate.close())
+
+    async def drain(self) -> None:
+        """Refuse new work, and finish what waits and runs.
+
+        Finished answers wait a while for their owner to collect them.
+        """
+        self.draining = True
+        for gate in self._all_gates():
+            gate.draining = True
+        timer = self.services.timer
+        while any(gate.busy for gate in self.gates.values()):
+            await timer.sleep(DRAIN_STEP_S)
+        while any(gate.running for gate in self.service_gates.values()):
+            await timer.sleep(DRAIN_STEP_S)
+        end_s = timer.now_s() + DRAIN_COLLECT_S
+        while self._uncollected() and timer.now_s() < end_s:
+            await timer.sleep(DRAIN_STEP_S)
+
+    def _all_gates(self) -> list[EngineGate | ServiceGate]:
+        return [*self.gates.values(), *self.service_gates.values()]
+
+    def _uncollected(self) -> bool:
+        return any(
+            generation.is_rollout
+            for gate in self.gates.values()
+            for generation in self.held.of_gate(gate)
+        )
+
+    async def close(self) -> None:
+        """Stop all gates."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for gate in self._all_gates():
+            await gate.close()
+        self.gates.clear()
+        self.service_gates.clear()
+
+
+def _check_complete(request: Complete) -> None:
+    if request.work not in (Work.CALLER, Work.ROLLOUT):
+        raise InvalidRequest(f"there is no class of work {request.work!r}")
+    if request.max_tokens < 1 or request.offset_tokens < 0:
+        raise InvalidRequest("max_tokens and offset_tokens must be positive")
+    if request.time_left_s <= 0:
+        raise InvalidRequest("the time left must be positive")
--- /dev/null
+++ b/greengagetack/keeper/service_gate.py
@@ -0,0 +1,122 @@
+"""greengagetack.keeper.service_gate: the gate before one plain service endpoint."""
+
+import asyncio
+
+from loguru import logger
+
+from greengagetack.daemons.role import Services
+from greengagetack.engines.base import EngineAdapter
+from greengagetack.errors import (
+    CodedError,
+    EndpointRefused,
+    NotReady,
+    Overloaded,
+)
+from greengagetack.keeper.errors import EndpointUnreachable
+from greengagetack.keeper.messages import CallService, ServiceAnswer
+from greengagetack.observability.traces import span
+from greengagetack.world import Endpoint
+
+__all__ = ["ServiceGate"]
+
+BUSY_RETRY_S = 0.5
+DRAIN_RETRY_S = 0.2
+FAILURES_TO_EJECT = 3
+# A call that has waited for longer than this share of its time is refused.
+WAIT_RATIO = 0.5
+
+
+class ServiceGate:
+    """Passes calls to one service endpoint, at most `slots` at a time."""
+
+    def __init__(
+        self, endpoint: Endpoint, adapter: EngineAdapter, services: Services
+    ) -> None:
+        self.endpoint = endpoint
+        self.adapter = adapter
+        self.draining = False
+        self.running = 0
+        self.used_at_s = services.timer.now_s()
+        self._services = services
+        self._slots = asyncio.Semaphore(endpoint.slots)
+        self._failures = 0
+        self._ejected_until_s = 0.0
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the endpoint takes no new work for good."""
+        return self._services.directory.is_leaving(self.endpoint.endpoint_id)
+
+    @property
+    def ejected(self) -> bool:
+        """Whether the endpoint has lately accepted no connections."""
+        return self._services.timer.now_s() < self._ejected_until_s
+
+    async def call(self, request: CallService) -> ServiceAnswer:
+        """Send one call, once.
+
+        Raises
+        ------
+        CodedError
+            With the outcome ``not_run`` only if it surely did not run.
+        """
+        self._check_open()
+        timer = self._services.timer
+        self.used_at_s = timer.now_s()
+        await self._take_slot(request.time_left_s * WAIT_RATIO)
+        self.running += 1
+        try:
+            self._check_open()
+            with span("service.call", endpoint=self.endpoint.endpoint_id):
+                answer = await self.adapter.call(request)
+        except CodedError as error:
+            self._judge(error)
+            raise
+        finally:
+            self.running -= 1
+            self._slots.release()
+        self._failures = 0
+        return answer
+
+    async def _take_slot(self, limit_s: float) -> None:
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._slots.acquire()
+        except TimeoutError:
+            raise Overloaded(
+                f"{self.endpoint.endpoint_id} has no free slot", BUSY_RETRY_S
+            ) from None
+
+    def _check_open(self) -> None:
+        if self.draining:
+            raise NotReady("this daemon is stopping", DRAIN_RETRY_S)
+        if self.leaving:
+            raise EndpointRefused(f"{self.endpoint.endpoint_id} is leaving")
+        if self.ejected:
+            wait_s = self._ejected_until_s - self._services.timer.now_s()
+            raise EndpointRefused(f"{self.endpoint.endpoint_id} is ejected", wait_s)
+
+    def _judge(self, error: CodedError) -> None:
+        if not isinstance(error, EndpointUnreachable):
+            return
+        self._failures += 1
+        if self._failures < FAILURES_TO_EJECT:
+            return
+        pause_s = self._services.settings.fleet().routing.ejection_s
+        # One more failure after the pause ejects it again.
+        self._failures = FAILURES_TO_EJECT - 1
+        self._ejected_until_s = self._services.timer.now_s() + pause_s
+        logger.warning("keeper: service {} ejected", self.endpoint.endpoint_id)
+
+    async def check_leaving(self) -> None:
+        """Ask the service whether it leaves, and pass the sign on."""
+        try:
+            leaving = await self.adapter.is_leaving()
+        except CodedError:
+            return
+        if leaving and not self.leaving:
+            self._services.directory.report_leaving(self.endpoint.endpoint_id)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.adapter.close()
--- a/greengagetack/routing/__init__.py
+++ b/greengagetack/routing/__init__.py
@@ -1,1 +1,14 @@
-"""greengagetack.routing: routing policies and the choice of an endpoint."""
+"""greengagetack.routing: which endpoint serves a request, and through whom."""
+
+from greengagetack.routing import affinity, least_connections, random_two, round_robin
+from greengagetack.routing.base import POLICIES, RoutingPolicy, make_policy
+
+__all__ = [
+    "POLICIES",
+    "RoutingPolicy",
+    "affinity",
+    "least_connections",
+    "make_policy",
+    "random_two",
+    "round_robin",
+]
