Add rollout steps, keyed calls and the entry's HTTP routes

Cause: nothing made samples, delivered them or ran a keyed call. Ruled out: one platform write per step (the pair of a shard keeps a step, and the trainer's client creates a step again that both have lost); a separate message for plain calls beside the keeper's own. Change: step state, runner, owner role, delivery with receipts and numbered batches, trainer client; intent recorded at the backup before a keyed call is sent; completions, jobs, services, status and traces over HTTP; spans are found by request identifier; a role names the setting that starts it.

--- a/features/support/keeper_world.py
+++ b/features/support/keeper_world.py
@@ -15,6 +15,7 @@
 from greengagetack.observability.metrics import Metrics
 from greengagetack.observability.traces import SpanStore
 from greengagetack.peers.node import PeerNode, listening_socket
+from greengagetack.routing.frontdoor import FrontDoor
 from greengagetack.routing.relay import Relay, Restarted
 from greengagetack.routing.router import Router
 from greengagetack.settings.schema import (
@@ -131,6 +132,7 @@
             shards=FakeShards(vm_id, self.cell),
             metrics=Metrics(),
             spans=SpanStore(vm_id),
+            front_door=FrontDoor(),
         )
 
     def request(self, **fields: Any) -> Complete:
--- /dev/null
+++ b/features/support/memory_shards.py
@@ -0,0 +1,82 @@
+"""features.support.memory_shards: a shard store in memory with switchable faults."""
+
+from collections.abc import Callable
+
+from greengagetack.errors import OwnerUnavailable
+from greengagetack.membership.shards import Record, ShardRole
+from greengagetack.membership.table import shard_of_key
+
+__all__ = ["MemoryShards"]
+
+SHARD_COUNT = 4
+
+
+class MemoryShards:
+    """Keeps records in one process; `backup` is what a backup would hold."""
+
+    def __init__(self) -> None:
+        self.own: dict[tuple[str, str], bytes] = {}
+        self.backup: dict[tuple[str, str], bytes] = {}
+        self.backup_reachable = True
+        self.acting = True
+        self.started_fresh = False
+
+    def fail_over(self) -> "MemoryShards":
+        """Return the store of a new owner that was the backup."""
+        successor = MemoryShards()
+        successor.own = dict(self.backup)
+        successor.backup = dict(self.backup)
+        return successor
+
+    def shard_of(self, key: str) -> int:
+        """Return the shard of a key."""
+        return shard_of_key(key, SHARD_COUNT)
+
+    def role(self, shard: int) -> ShardRole:
+        """Return owner while acting."""
+        return ShardRole.OWNER if self.acting else ShardRole.NONE
+
+    def epoch(self, shard: int) -> int:
+        """Return the only epoch."""
+        return 1
+
+    def epoch_started_fresh(self, shard: int) -> bool:
+        """Return the switch."""
+        return self.started_fresh
+
+    def may_act(self, shard: int) -> bool:
+        """Return the switch."""
+        return self.acting
+
+    def acts_for_jobs(self, shard: int) -> bool:
+        """Return the switch."""
+        return self.acting
+
+    def get(self, shard: int, kind: str, key: str) -> bytes | None:
+        """Return a record's value."""
+        return self.own.get((kind, key)) or None
+
+    def records(self, shard: int, kind: str) -> tuple[Record, ...]:
+        """Return all records of a kind in the shard."""
+        return tuple(
+            Record(shard, kind, key, value)
+            for (found_kind, key), value in self.own.items()
+            if found_kind == kind and value and self.shard_of_record(key) == shard
+        )
+
+    def shard_of_record(self, key: str) -> int:
+        """Return the shard of a record's key (all in one for steps)."""
+        return self.shard_of(key)
+
+    async def put(
+        self, shard: int, kind: str, key: str, value: bytes, *, need_backup: bool
+    ) -> None:
+        """Write here and at the backup."""
+        self.own[(kind, key)] = value
+        if self.backup_reachable:
+            self.backup[(kind, key)] = value
+        elif need_backup:
+            raise OwnerUnavailable("the backup does not answer", 1.0)
+
+    def subscribe(self, callback: Callable[[int, ShardRole], None]) -> None:
+        """Do nothing: roles never change here."""
--- a/features/support/settings_cell.py
+++ b/features/support/settings_cell.py
@@ -12,6 +12,7 @@
 from greengagetack.observability.metrics import Metrics
 from greengagetack.observability.traces import SpanStore
 from greengagetack.peers.node import PeerNode, listening_socket
+from greengagetack.routing.frontdoor import FrontDoor
 from greengagetack.settings.schema import VmSettings
 from greengagetack.settings.store import SettingsStore
 from greengagetack.settings.sync import SettingsRole
@@ -92,6 +93,7 @@
             shards=ShardStore.__new__(ShardStore),
             metrics=Metrics(),
             spans=SpanStore(vm_id),
+            front_door=FrontDoor(),
         )
         vm = Vm(vm_id, "a", incarnation, address, LOOPBACK)
         self.directory.members[vm_id] = vm
--- /dev/null
+++ b/greengagetack/calls/owner.py
@@ -0,0 +1,70 @@
+"""greengagetack.calls.owner: the role that serves the keyed calls of its shards."""
+
+import asyncio
+
+from greengagetack.calls.keyed import KeyedCalls
+from greengagetack.calls.messages import KeyedCall
+from greengagetack.daemons.role import Role, Services, role
+from greengagetack.errors import OwnerUnavailable
+from greengagetack.keeper.messages import CallService, ServiceAnswer
+
+__all__ = ["CallOwnerRole"]
+
+SWEEP_INTERVAL_S = 30.0
+DRAINING_RETRY_S = 0.5
+
+
+@role
+class CallOwnerRole(Role):
+    """Runs keyed calls, each at most once."""
+
+    name = "calls"
+    started_by = "owner"
+
+    def __init__(self, services: Services) -> None:
+        super().__init__(services)
+
+        async def send_once(call: CallService) -> ServiceAnswer:
+            relay = services.front_door.service_relay
+            return await relay.call(call, idempotent=False)
+
+        self._calls = KeyedCalls(
+            services.shards,
+            send_once,
+            lambda: services.settings.fleet().key_retention_s,
+            services.timer,
+        )
+        self._in_flight = 0
+        self._draining = False
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    async def start(self) -> None:
+        """Serve keyed calls and forget the old ones."""
+        self.services.peers.handle(KeyedCall, self._serve)
+        self.services.timer.subscribe(SWEEP_INTERVAL_S, self._sweep, "calls sweep")
+
+    async def drain(self) -> None:
+        """Refuse new calls and wait for those in flight."""
+        self._draining = True
+        await self._idle.wait()
+
+    async def _serve(self, sender_vm_id: str, call: KeyedCall) -> ServiceAnswer:
+        if self._draining:
+            raise OwnerUnavailable("the key's owner is stopping", DRAINING_RETRY_S)
+        self._in_flight += 1
+        self._idle.clear()
+        task = asyncio.ensure_future(self._calls.run(call))
+        task.add_done_callback(self._ended)
+        # The call goes on when the link to its sender breaks.
+        return await asyncio.shield(task)
+
+    def _ended(self, task: "asyncio.Future[ServiceAnswer]") -> None:
+        self._in_flight -= 1
+        if self._in_flight == 0:
+            self._idle.set()
+        if not task.cancelled():
+            task.exception()
+
+    async def _sweep(self) -> None:
+        await self._calls.forget_old(self.services.settings.fleet().shard_count)
--- a/greengagetack/daemons/role.py
+++ b/greengagetack/daemons/role.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from starlette.routing import BaseRoute
 
@@ -15,6 +16,9 @@
 from greengagetack.settings.view import SettingsView
 from greengagetack.timer import Timer
 
+if TYPE_CHECKING:
+    from greengagetack.routing.frontdoor import FrontDoor
+
 __all__ = ["ROLES", "ROUTE_SOURCES", "Role", "Services", "http_routes", "role"]
 
 
@@ -31,6 +35,7 @@
     shards: ShardStore
     metrics: Metrics
     spans: SpanStore
+    front_door: "FrontDoor"
 
 
 class Role:
@@ -44,10 +49,14 @@
     Attributes
     ----------
     name : str
-        Name in the settings' ``roles``.
+        Name of the role.
+    started_by : str or None
+        Entry of the settings' ``roles`` that starts it, None for its own name,
+        empty for a role that every daemon has.
     """
 
     name = ""
+    started_by: str | None = None
 
     def __init__(self, services: Services) -> None:
         self.services = services
--- /dev/null
+++ b/greengagetack/entry/__init__.py
@@ -0,0 +1,1 @@
+"""greengagetack.entry: HTTP towards callers, trainers and operators."""
--- /dev/null
+++ b/greengagetack/entry/operations.py
@@ -0,0 +1,169 @@
+"""greengagetack.entry.operations: status and traces for operators."""
+
+import asyncio
+from dataclasses import dataclass
+
+import msgspec
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import BaseRoute
+
+from greengagetack import __version__
+from greengagetack.daemons.auth import Principal
+from greengagetack.daemons.role import Role, Services, http_routes, role
+from greengagetack.entry.http import team_route
+from greengagetack.errors import NotFound
+from greengagetack.observability.traces import SpanRecord
+from greengagetack.peers.codec import message
+from greengagetack.settings.view import SettingsVersion
+from greengagetack.world import Vm
+
+__all__ = [
+    "CollectSpans",
+    "CollectedSpans",
+    "DaemonStatus",
+    "DescribeDaemon",
+    "OperationsRole",
+]
+
+ASK_TIMEOUT_S = 2.0
+
+
+@message("describe-daemon")
+@dataclass(frozen=True, slots=True)
+class DescribeDaemon:
+    """Ask a daemon what it knows."""
+
+
+@message("daemon-status")
+@dataclass(frozen=True, slots=True)
+class DaemonStatus:
+    """What one daemon knows: its table, its settings and whether it leads."""
+
+    vm_id: str
+    availability_zone: str
+    version: str
+    table_revision: int
+    lead_vm_id: str
+    is_lead: bool
+    settings: tuple[SettingsVersion, ...]
+
+
+@message("collect-spans")
+@dataclass(frozen=True, slots=True)
+class CollectSpans:
+    """Ask a daemon for its spans of a request."""
+
+    request_id: str
+
+
+@message("collected-spans")
+@dataclass(frozen=True, slots=True)
+class CollectedSpans:
+    """Spans of one daemon."""
+
+    spans: tuple[SpanRecord, ...]
+
+
+@role
+class OperationsRole(Role):
+    """Answers what operators ask of each daemon."""
+
+    name = "operations"
+    started_by = ""
+
+    async def start(self) -> None:
+        """Serve questions about this daemon."""
+        self.services.peers.handle(DescribeDaemon, self._describe)
+        self.services.peers.handle(CollectSpans, self._collect)
+
+    async def _describe(self, sender_vm_id: str, body: DescribeDaemon) -> DaemonStatus:
+        services = self.services
+        table = services.directory.table()
+        return DaemonStatus(
+            vm_id=services.vm.vm_id,
+            availability_zone=services.vm.availability_zone,
+            version=__version__,
+            table_revision=table.revision,
+            lead_vm_id=table.lead_vm_id,
+            is_lead=services.directory.is_lead(),
+            settings=services.settings.versions(),
+        )
+
+    async def _collect(self, sender_vm_id: str, body: CollectSpans) -> CollectedSpans:
+        return CollectedSpans(self.services.spans.spans(body.request_id))
+
+
+class _Operations:
+    """Answers operators by asking all members."""
+
+    def __init__(self, services: Services) -> None:
+        self._services = services
+
+    async def status(self, request: Request, principal: Principal) -> Response:
+        """Serve ``GET /v1/status``."""
+        members = self._services.directory.table().members
+        answers = await self._ask_all(members, DescribeDaemon())
+        daemons = []
+        for vm, answer in zip(members, answers, strict=True):
+            known = isinstance(answer, DaemonStatus)
+            daemons.append(
+                {
+                    "vm_id": vm.vm_id,
+                    "availability_zone": vm.availability_zone,
+                    "http": str(vm.http),
+                    "state": vm.state.value,
+                    "answers": known,
+                    "status": msgspec.to_builtins(answer) if known else None,
+                }
+            )
+        table = self._services.directory.table()
+        return JSONResponse(
+            {
+                "cell": table.cell,
+                "lead": table.lead_vm_id,
+                "lead_epoch": table.lead_epoch,
+                "table_revision": table.revision,
+                "daemons": daemons,
+            }
+        )
+
+    async def trace(self, request: Request, principal: Principal) -> Response:
+        """Serve ``GET /v1/traces/{request_id}``."""
+        request_id = request.path_params["request_id"]
+        members = self._services.directory.table().members
+        answers = await self._ask_all(members, CollectSpans(request_id))
+        spans = [
+            span
+            for answer in answers
+            if isinstance(answer, CollectedSpans)
+            for span in answer.spans
+        ]
+        if not spans or not _may_see(principal, spans):
+            raise NotFound(f"no daemon remembers request {request_id!r}")
+        spans.sort(key=lambda span: span.started_s)
+        return JSONResponse({"spans": msgspec.to_builtins(spans)})
+
+    async def _ask_all(
+        self, members: tuple[Vm, ...], body: DescribeDaemon | CollectSpans
+    ) -> list[object]:
+        peers = self._services.peers
+        questions = [peers.request(vm.vm_id, body, ASK_TIMEOUT_S) for vm in members]
+        return await asyncio.gather(*questions, return_exceptions=True)
+
+
+def _may_see(principal: Principal, spans: list[SpanRecord]) -> bool:
+    """Whether the request was the principal's own, or it is an operator."""
+    if principal.is_operator:
+        return True
+    return any(("team", principal.team) in span.attributes for span in spans)
+
+
+@http_routes
+def operation_routes(services: Services) -> list[BaseRoute]:
+    """Return the routes for operators."""
+    operations = _Operations(services)
+    return [
+        team_route(services, "/v1/status", operations.status, "GET"),
+        team_route(services, "/v1/traces/{request_id:path}", operations.trace, "GET"),
+    ]
--- a/greengagetack/membership/shards.py
+++ b/greengagetack/membership/shards.py
@@ -49,6 +49,12 @@
     def may_act(self, shard: int) -> bool:
         """Whether this VM surely is the only owner (class 3 duties)."""
 
+    def acts_for_jobs(self, shard: int) -> bool:
+        """Whether this VM runs the shard's jobs: its owner, or its backup alone.
+
+        Two VMs may act for jobs at once; this is for class 1 duties only.
+        """
+
     def get(self, shard: int, kind: str, key: str) -> bytes | None:
         """Return the value of a record, None without one."""
 
--- a/greengagetack/observability/traces.py
+++ b/greengagetack/observability/traces.py
@@ -18,6 +18,8 @@
     TraceContextTextMapPropagator,
 )
 
+from greengagetack.observability.logs import REQUEST_ID
+
 __all__ = [
     "SpanRecord",
     "SpanStore",
@@ -28,8 +30,8 @@
     "span",
 ]
 
-MAX_TRACES = 2_000
-MAX_SPANS_PER_TRACE = 200
+MAX_REQUESTS = 2_000
+MAX_SPANS_PER_REQUEST = 200
 NANOSECONDS_PER_SECOND = 1e9
 
 _PROPAGATOR = TraceContextTextMapPropagator()
@@ -51,11 +53,11 @@
 
 
 class SpanStore(SpanExporter):
-    """Keeps the newest traces of this process in bounded memory."""
+    """Keeps the spans of this process's newest requests in bounded memory."""
 
     def __init__(self, vm_id: str) -> None:
         self._vm_id = vm_id
-        self._traces: OrderedDict[str, list[SpanRecord]] = OrderedDict()
+        self._requests: OrderedDict[str, list[SpanRecord]] = OrderedDict()
 
     def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
         """Take finished spans from the tracer."""
@@ -64,11 +66,12 @@
         return SpanExportResult.SUCCESS
 
     def _keep(self, record: SpanRecord) -> None:
-        records = self._traces.setdefault(record.trace_id, [])
-        if len(records) < MAX_SPANS_PER_TRACE:
+        request_id = dict(record.attributes).get("request_id", "")
+        records = self._requests.setdefault(request_id, [])
+        if len(records) < MAX_SPANS_PER_REQUEST:
             records.append(record)
-        while len(self._traces) > MAX_TRACES:
-            self._traces.popitem(last=False)
+        while len(self._requests) > MAX_REQUESTS:
+            self._requests.popitem(last=False)
 
     def _record(self, finished: ReadableSpan) -> SpanRecord:
         context = finished.context
@@ -89,9 +92,9 @@
             and finished.status.status_code is trace.StatusCode.ERROR,
         )
 
-    def spans(self, trace_id: str) -> tuple[SpanRecord, ...]:
-        """Return the finished spans of a trace, empty if none is known."""
-        return tuple(self._traces.get(trace_id, ()))
+    def spans(self, request_id: str) -> tuple[SpanRecord, ...]:
+        """Return the finished spans of a request, empty if none is known."""
+        return tuple(self._requests.get(request_id, ()))
 
 
 def configure_traces(vm_id: str) -> SpanStore:
@@ -105,8 +108,9 @@
 
 @contextmanager
 def span(name: str, **attributes: str) -> Iterator[trace.Span]:
-    """Run a block as one span of the current trace."""
+    """Run a block as one span of the current trace and request."""
     tracer = trace.get_tracer("greengagetack")
+    attributes.setdefault("request_id", REQUEST_ID.get())
     with tracer.start_as_current_span(name, attributes=attributes) as current:
         yield current
 
--- /dev/null
+++ b/greengagetack/rollouts/delivery.py
@@ -0,0 +1,125 @@
+"""greengagetack.rollouts.delivery: answers the fetches of trainers."""
+
+from collections.abc import Callable
+
+from greengagetack.errors import DeadlineExceeded, OwnerUnavailable
+from greengagetack.rollouts.groupset import expand_ranges
+from greengagetack.rollouts.messages import (
+    FetchedGroups,
+    FetchGroups,
+    FinishedGroup,
+)
+from greengagetack.rollouts.records import BatchRecord, StepRecords
+from greengagetack.rollouts.runner import StepRunner
+from greengagetack.timer import Timer
+
+__all__ = ["deliver"]
+
+MAX_WAIT_S = 30.0
+MAX_ANSWER_BYTES = 4_000_000
+NOT_EXCLUSIVE_RETRY_S = 1.0
+
+
+async def deliver(
+    runner: StepRunner,
+    records: StepRecords,
+    request: FetchGroups,
+    timer: Timer,
+    time_left_s: Callable[[], float],
+) -> FetchedGroups:
+    """Return finished groups that the trainer lacks, waiting for the first.
+
+    Raises
+    ------
+    DeadlineExceeded
+        If the step's deadline is over and not all groups are finished.
+    OwnerUnavailable
+        If a numbered batch cannot be committed now.
+    """
+    if request.batch >= 0:
+        return await _deliver_batch(runner, records, request, timer, time_left_s)
+    held = expand_ranges(request.held)
+    runner.state.advance_trainer(request.trainer_version)
+    await runner.set_held(held)
+    groups = await _wait_for_groups(runner, request, held, timer, time_left_s)
+    return FetchedGroups(groups, runner.state.missing(held) - len(groups))
+
+
+async def _wait_for_groups(
+    runner: StepRunner,
+    request: FetchGroups,
+    held: frozenset[int],
+    timer: Timer,
+    time_left_s: Callable[[], float],
+) -> tuple[FinishedGroup, ...]:
+    until_s = timer.now_s() + min(request.wait_s, MAX_WAIT_S)
+    while True:
+        await runner.drop_stale()
+        groups = runner.state.deliverable(held, request.max_groups)
+        if groups or runner.state.missing(held) == 0:
+            return _within_bytes(groups)
+        if time_left_s() <= 0:
+            raise DeadlineExceeded("the step's deadline is over")
+        wait_s = min(until_s - timer.now_s(), time_left_s())
+        if until_s <= timer.now_s():
+            return ()
+        await runner.wait_for_change(wait_s)
+
+
+def _within_bytes(groups: tuple[FinishedGroup, ...]) -> tuple[FinishedGroup, ...]:
+    """Return the first groups that fit into one answer, at least one."""
+    size_bytes = 0
+    for count, group in enumerate(groups):
+        size_bytes += sum(len(sample.text.encode()) for sample in group.samples)
+        if size_bytes > MAX_ANSWER_BYTES and count > 0:
+            return groups[:count]
+    return groups
+
+
+async def _deliver_batch(
+    runner: StepRunner,
+    records: StepRecords,
+    request: FetchGroups,
+    timer: Timer,
+    time_left_s: Callable[[], float],
+) -> FetchedGroups:
+    """Return a numbered batch, committing its composition before showing it."""
+    spec = runner.state.spec
+    if not records.may_act(spec):
+        raise OwnerUnavailable(
+            "batches need an owner that is surely the only one", NOT_EXCLUSIVE_RETRY_S
+        )
+    shown: set[int] = set()
+    for number in range(request.batch):
+        earlier = records.batch(spec, number)
+        if earlier is not None:
+            shown.update(earlier.group_ids)
+    committed = records.batch(spec, request.batch)
+    if committed is None:
+        runner.state.advance_trainer(request.trainer_version)
+        held = frozenset(shown)
+        await runner.set_held(held)
+        groups = await _wait_for_groups(runner, request, held, timer, time_left_s)
+        if not groups:
+            return FetchedGroups((), runner.state.missing(held))
+        committed = _to_record(groups)
+    # An earlier commit may have failed after it was written here.
+    await records.put_batch(spec, request.batch, committed)
+    shown.update(committed.group_ids)
+    missing = runner.state.missing(frozenset(shown))
+    return FetchedGroups(_groups_of(committed), missing)
+
+
+def _to_record(groups: tuple[FinishedGroup, ...]) -> BatchRecord:
+    samples = tuple(sample for group in groups for sample in group.samples)
+    return BatchRecord(samples, tuple(group.group_id for group in groups))
+
+
+def _groups_of(record: BatchRecord) -> tuple[FinishedGroup, ...]:
+    return tuple(
+        FinishedGroup(
+            group_id,
+            tuple(sample for sample in record.samples if sample.group_id == group_id),
+        )
+        for group_id in record.group_ids
+    )
--- /dev/null
+++ b/greengagetack/rollouts/messages.py
@@ -0,0 +1,111 @@
+"""greengagetack.rollouts.messages: what entries ask of a step's owner."""
+
+from dataclasses import dataclass
+
+from greengagetack.peers.codec import message
+from greengagetack.rollouts.groupset import GroupRange
+from greengagetack.rollouts.spec import FinishedSample, StepSpec
+
+__all__ = [
+    "CancelStep",
+    "CreateStep",
+    "FetchGroups",
+    "FetchedGroups",
+    "FinishedGroup",
+    "JobList",
+    "ListJobs",
+    "StepProgress",
+]
+
+
+@message("create-step")
+@dataclass(frozen=True, slots=True)
+class CreateStep:
+    """Create a step; the same step again is accepted, another one a conflict."""
+
+    spec: StepSpec
+
+
+@message("fetch-groups")
+@dataclass(frozen=True, slots=True)
+class FetchGroups:
+    """Ask for finished groups that the trainer does not hold.
+
+    `trainer_version` is the trainer's present weight version; samples beyond
+    the staleness bound are made again instead of delivered. `batch` is the
+    number of the batch for trainers without receipts, -1 otherwise.
+    """
+
+    team: str
+    job: str
+    step: int
+    trainer_version: int
+    held: tuple[GroupRange, ...]
+    max_groups: int
+    wait_s: float
+    batch: int = -1
+
+
+@message("finished-group")
+@dataclass(frozen=True, slots=True)
+class FinishedGroup:
+    """All samples of a group."""
+
+    group_id: int
+    samples: tuple[FinishedSample, ...]
+
+
+@message("fetched-groups")
+@dataclass(frozen=True, slots=True)
+class FetchedGroups:
+    """Answer to a fetch: groups, and how many the trainer still lacks."""
+
+    groups: tuple[FinishedGroup, ...]
+    missing_groups: int
+
+
+@message("cancel-step")
+@dataclass(frozen=True, slots=True)
+class CancelStep:
+    """The trainer does not want the step any more."""
+
+    team: str
+    job: str
+    step: int
+
+
+@message("list-jobs")
+@dataclass(frozen=True, slots=True)
+class ListJobs:
+    """Ask for the progress of a team's steps; an empty team means all."""
+
+    team: str
+
+
+@message("step-progress")
+@dataclass(frozen=True, slots=True)
+class StepProgress:
+    """How far a step is and what it has cost."""
+
+    team: str
+    job: str
+    step: int
+    state: str
+    owner_vm_id: str
+    samples: int
+    finished_samples: int
+    groups: int
+    finished_groups: int
+    in_flight: int
+    tokens: int
+    wasted_tokens: int
+    remade_samples: int
+    age_s: float
+
+
+@message("job-list")
+@dataclass(frozen=True, slots=True)
+class JobList:
+    """Progress of the steps that one owner runs."""
+
+    steps: tuple[StepProgress, ...]
--- /dev/null
+++ b/greengagetack/rollouts/state.py
@@ -0,0 +1,279 @@
+"""greengagetack.rollouts.state: the progress of one step, without any I/O."""
+
+from dataclasses import dataclass, field
+
+from greengagetack.rollouts.messages import FinishedGroup
+from greengagetack.rollouts.orders import GroupProgress, Order, longest_first
+from greengagetack.rollouts.spec import FinishedSample, GroupSpec, SampleId, StepSpec
+from greengagetack.rollouts.versions import oldest_version
+
+__all__ = ["StepState"]
+
+
+@dataclass
+class _Group:
+    spec: GroupSpec
+    pending: dict[int, int]
+    in_flight: dict[int, int] = field(default_factory=dict)
+    finished: dict[int, FinishedSample] = field(default_factory=dict)
+    scored: bool = False
+
+    def unfinished(self) -> int:
+        """Return how many samples are pending or in flight."""
+        return len(self.pending) + len(self.in_flight)
+
+
+class StepState:
+    """Which samples of a step are pending, in flight and finished.
+
+    Parameters
+    ----------
+    spec : StepSpec
+        The step.
+    order : Order
+        Sort key of the groups for dispatching.
+    """
+
+    def __init__(self, spec: StepSpec, order: Order = longest_first) -> None:
+        self.spec = spec
+        self.trainer_version = spec.trainer_version
+        self.held: frozenset[int] = frozenset()
+        self.tokens = 0
+        self.wasted_tokens = 0
+        self.remade_samples = 0
+        self._order = order
+        self._finished_tokens = 0
+        self._finished_samples = 0
+        self._groups = {
+            group.group_id: _Group(
+                group, dict.fromkeys(range(spec.samples_per_group), 0)
+            )
+            for group in spec.groups
+        }
+
+    @property
+    def oldest_allowed(self) -> int:
+        """Oldest weight version that the trainer accepts now."""
+        return max(0, self.trainer_version - self.spec.max_staleness_versions)
+
+    def advance_trainer(self, trainer_version: int) -> None:
+        """Take a newer version of the trainer; an older one changes nothing."""
+        self.trainer_version = max(self.trainer_version, trainer_version)
+
+    def expected_tokens(self, group_id: int) -> float:
+        """Return the predicted length of a sample of the group.
+
+        Finished siblings go before the trainer's hint, and that before the
+        mean of the step.
+        """
+        group = self._groups[group_id]
+        if group.finished:
+            return max(sample.token_count for sample in group.finished.values())
+        if group.spec.expected_tokens:
+            return group.spec.expected_tokens
+        if self._finished_samples:
+            return self._finished_tokens / self._finished_samples
+        return self.spec.max_tokens
+
+    def next_sample(self) -> SampleId | None:
+        """Return the pending sample to dispatch next, None without one."""
+        best: tuple[float, ...] | None = None
+        chosen: _Group | None = None
+        for group in self._groups.values():
+            if not group.pending or group.spec.group_id in self.held:
+                continue
+            rank = self._order(self._progress(group))
+            if best is None or rank < best:
+                best = rank
+                chosen = group
+        if chosen is None:
+            return None
+        return SampleId(chosen.spec.group_id, next(iter(chosen.pending)))
+
+    def _progress(self, group: _Group) -> GroupProgress:
+        group_id = group.spec.group_id
+        return GroupProgress(
+            group_id,
+            len(group.pending),
+            group.unfinished(),
+            self.expected_tokens(group_id),
+        )
+
+    def prompt_of(self, sample_id: SampleId) -> str:
+        """Return the prompt of a sample."""
+        return self._groups[sample_id.group_id].spec.prompt
+
+    def unfinished_in_group(self, group_id: int) -> int:
+        """Return how many samples of the group are not finished."""
+        return self._groups[group_id].unfinished()
+
+    def start(self, sample_id: SampleId) -> int:
+        """Move a pending sample in flight and return its attempt number."""
+        group = self._groups[sample_id.group_id]
+        attempt = group.pending.pop(sample_id.index)
+        group.in_flight[sample_id.index] = attempt
+        return attempt
+
+    def put_back(
+        self, sample_id: SampleId, *, remake: bool, lost_tokens: int = 0
+    ) -> None:
+        """Return a sample in flight to the pending ones.
+
+        With `remake` its work starts anew under the next attempt number.
+        """
+        group = self._groups[sample_id.group_id]
+        attempt = group.in_flight.pop(sample_id.index)
+        group.pending[sample_id.index] = attempt + 1 if remake else attempt
+        self.wasted_tokens += lost_tokens
+        self.remade_samples += int(remake)
+
+    def add_waste(self, tokens: int) -> None:
+        """Count tokens that were made in vain."""
+        self.wasted_tokens += tokens
+
+    def finish(self, sample: FinishedSample) -> bool:
+        """Take a whole sample; return whether it was accepted.
+
+        A second answer for the same sample is counted as waste, a stale one is
+        made again.
+        """
+        group = self._groups.get(sample.group_id)
+        if group is None or sample.index >= self.spec.samples_per_group:
+            return False
+        self.tokens += sample.token_count
+        if sample.index in group.finished:
+            self.wasted_tokens += sample.token_count
+            return False
+        group.in_flight.pop(sample.index, None)
+        group.pending.pop(sample.index, None)
+        if self._is_stale(sample):
+            self._remake(group, sample)
+            return False
+        group.finished[sample.index] = sample
+        self._finished_tokens += sample.token_count
+        self._finished_samples += 1
+        return True
+
+    def _is_stale(self, sample: FinishedSample) -> bool:
+        oldest = oldest_version(sample.versions)
+        return oldest is None or oldest < self.oldest_allowed
+
+    def _remake(self, group: _Group, sample: FinishedSample) -> None:
+        group.pending[sample.index] = sample.attempt + 1
+        group.scored = False
+        self.wasted_tokens += sample.token_count
+        self.remade_samples += 1
+
+    def group_is_whole(self, group_id: int) -> bool:
+        """Whether all samples of the group are finished."""
+        group = self._groups[group_id]
+        return len(group.finished) == self.spec.samples_per_group
+
+    def samples_of(self, group_id: int) -> tuple[FinishedSample, ...]:
+        """Return the finished samples of a group by index."""
+        finished = self._groups[group_id].finished
+        return tuple(finished[index] for index in sorted(finished))
+
+    def set_scores(self, group_id: int, scores: dict[int, float]) -> None:
+        """Store the scores of a whole group by sample index."""
+        group = self._groups[group_id]
+        for index, sample in group.finished.items():
+            group.finished[index] = FinishedSample(
+                sample.group_id,
+                sample.index,
+                sample.text,
+                sample.token_count,
+                sample.versions,
+                sample.endpoint_id,
+                sample.attempt,
+                scores.get(index),
+            )
+        group.scored = True
+
+    def needs_score(self, group_id: int) -> bool:
+        """Whether a whole group still waits for its scores."""
+        group = self._groups[group_id]
+        return self.group_is_whole(group_id) and not group.scored
+
+    def whole_unscored_groups(self) -> tuple[int, ...]:
+        """Return whole groups that wait for their scores."""
+        return tuple(key for key in self._groups if self.needs_score(key))
+
+    def drop_stale(self) -> tuple[SampleId, ...]:
+        """Put finished samples beyond the staleness bound back to pending."""
+        dropped: list[SampleId] = []
+        for group in self._groups.values():
+            for sample in list(group.finished.values()):
+                if not self._is_stale(sample):
+                    continue
+                del group.finished[sample.index]
+                self._remake(group, sample)
+                self._finished_tokens -= sample.token_count
+                self._finished_samples -= 1
+                dropped.append(SampleId(sample.group_id, sample.index))
+        return tuple(dropped)
+
+    def deliverable(
+        self, held: frozenset[int], max_groups: int
+    ) -> tuple[FinishedGroup, ...]:
+        """Return up to `max_groups` whole, scored groups outside `held`."""
+        groups: list[FinishedGroup] = []
+        for group_id, group in self._groups.items():
+            if len(groups) >= max_groups:
+                break
+            if group_id in held or not group.scored:
+                continue
+            if not self.group_is_whole(group_id):
+                continue
+            groups.append(FinishedGroup(group_id, self.samples_of(group_id)))
+        return tuple(groups)
+
+    def set_held(self, held: frozenset[int]) -> tuple[SampleId, ...]:
+        """Take what the trainer holds; return samples in flight it needs no more.
+
+        A trainer that has lost groups names fewer, and gets them again.
+        """
+        self.held = held
+        unneeded: list[SampleId] = []
+        for group_id in held:
+            group = self._groups.get(group_id)
+            if group is None:
+                continue
+            unneeded.extend(SampleId(group_id, index) for index in group.in_flight)
+        return tuple(unneeded)
+
+    def missing(self, held: frozenset[int]) -> int:
+        """Return how many groups the trainer does not hold."""
+        return sum(1 for group_id in self._groups if group_id not in held)
+
+    @property
+    def in_flight(self) -> int:
+        """Number of samples in flight."""
+        return sum(len(group.in_flight) for group in self._groups.values())
+
+    @property
+    def pending(self) -> int:
+        """Number of samples that wait to be dispatched."""
+        return sum(
+            len(group.pending)
+            for group_id, group in self._groups.items()
+            if group_id not in self.held
+        )
+
+    @property
+    def finished_samples(self) -> int:
+        """Number of finished samples."""
+        return self._finished_samples
+
+    @property
+    def finished_groups(self) -> int:
+        """Number of groups that can be delivered."""
+        return sum(1 for group in self._groups.values() if group.scored)
+
+    @property
+    def complete(self) -> bool:
+        """Whether nothing is left to make or score."""
+        return all(
+            group.scored or group_id in self.held
+            for group_id, group in self._groups.items()
+        )
--- a/greengagetack/settings/schema.py
+++ b/greengagetack/settings/schema.py
@@ -90,6 +90,7 @@
 
     hedge_waste_ratio: float = 0.02
     straggler_factor: float = 3.0
+    order: str = "longest-first"
     sample_attempts: int = 8
     retention_s: float = 600.0
 
@@ -120,6 +121,7 @@
     models: tuple[ModelSettings, ...] = ()
     services: tuple[ServiceSettings, ...] = ()
     shard_count: int = 16
+    key_retention_s: float = 86_400.0
     routing: RoutingSettings = RoutingSettings()
     admission: AdmissionSettings = AdmissionSettings()
     rollouts: RolloutSettings = RolloutSettings()
--- a/greengagetack/settings/sync.py
+++ b/greengagetack/settings/sync.py
@@ -51,6 +51,7 @@
     """
 
     name = "settings"
+    started_by = ""
 
     def __init__(self, services: Services) -> None:
         super().__init__(services)
