--- /dev/null
+++ b/features/platform_client.feature
@@ -0,0 +1,40 @@
+Feature: Platform calls are sure, also when answers are lost
+
+  Scenario Outline: A platform write meets <faults>
+    Given an HTTP platform that holds the object at version <held>
+    When the platform client writes from version <from> while calls meet "<faults>"
+    Then the platform write ends with <outcome>
+    And the platform was sent <puts> writes
+
+    Examples:
+      | held | from | faults              | outcome              | puts |
+      | 0    | 0    | ok                  | version 1            | 1    |
+      | 1    | 1    | ok                  | version 2            | 1    |
+      | 3    | 1    | ok                  | object_conflict      | 1    |
+      | 1    | 1    | race                | object_conflict      | 1    |
+      | 1    | 1    | refuse              | platform_unavailable | 0    |
+      | 1    | 1    | rate                | platform_unavailable | 0    |
+      | 1    | 1    | hang                | version 2            | 1    |
+      | 1    | 1    | gateway             | version 2            | 1    |
+      | 1    | 1    | drop                | version 2            | 1    |
+      | 1    | 1    | drop,ok,race        | object_conflict      | 1    |
+      | 1    | 1    | drop,ok,refuse      | write_unknown        | 0    |
+      | 1    | 1    | hang,refuse         | write_unknown        | 1    |
+      | 1    | 1    | hang-then-race      | write_unknown        | 1    |
+      | 1    | 1    | drop,ok,drop        | write_unknown        | 0    |
+
+  Scenario Outline: A refused platform read says when to come back after <fault>
+    Given an HTTP platform that holds the object at version 1
+    When the platform client reads while calls meet "<fault>"
+    Then the platform read fails with a time to come back of <retry_after_s> s
+
+    Examples:
+      | fault  | retry_after_s |
+      | refuse | 7             |
+      | rate   | 3             |
+      | drop   | 1             |
+
+  Scenario: The platform client lists objects, watches and reads the VM list
+    Given an HTTP platform that holds the object at version 2
+    When the platform client reads everything
+    Then the platform client saw the object at version 2 everywhere and a leaving VM
--- /dev/null
+++ b/features/support/cell.py
@@ -0,0 +1,189 @@
+"""features.support.cell: several members of a cell in one process."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from features.support.platform_fake import MemoryPlatform, PlatformPort
+from greengagetack.membership.directory import CellDirectory
+from greengagetack.membership.store import ReplicatedShards
+from greengagetack.membership.timings import CellTimings
+from greengagetack.peers.node import PeerNode, listening_socket
+from greengagetack.settings.schema import FleetSettings, TeamSettings, VmSettings
+from greengagetack.settings.view import SettingsVersion
+from greengagetack.timer import Timer
+from greengagetack.world import Address, Endpoint, EndpointKind, Fencing
+
+__all__ = ["SHORT_TIMINGS", "Cell", "FixedSettings", "Member", "make_endpoints"]
+
+SHORT_TIMINGS = CellTimings(
+    lease_s=0.8,
+    margin_s=0.1,
+    renew_s=0.15,
+    heartbeat_s=0.15,
+    suspect_s=0.5,
+    poll_s=0.15,
+    settle_s=0.4,
+    request_timeout_s=0.3,
+)
+WAIT_LIMIT_S = 15.0
+POLL_S = 0.02
+
+
+class FixedSettings:
+    """A `SettingsView` whose fleet settings a test sets."""
+
+    def __init__(self, fleet: FleetSettings) -> None:
+        self._fleet = fleet
+        self._callbacks: list[Callable[[], None]] = []
+        self.ready = True
+
+    def fleet(self) -> FleetSettings:
+        """Return the fleet's settings."""
+        return self._fleet
+
+    def set_fleet(self, fleet: FleetSettings) -> None:
+        """Change the fleet's settings."""
+        self._fleet = fleet
+        for callback in self._callbacks:
+            callback()
+
+    def team(self, team: str) -> TeamSettings | None:
+        """Return None; tests of the cell have no teams."""
+        return None
+
+    def teams(self) -> tuple[TeamSettings, ...]:
+        """Return no teams."""
+        return ()
+
+    def versions(self) -> tuple[SettingsVersion, ...]:
+        """Return no versions."""
+        return ()
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call `callback` after each change."""
+        self._callbacks.append(callback)
+
+
+class PausedTimer(Timer):
+    """A timer whose owner can be frozen: nothing runs until it wakes."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        self.awake = asyncio.Event()
+        self.awake.set()
+
+    async def sleep(self, duration_s: float) -> None:
+        """Wait, and then until the VM is awake."""
+        await asyncio.sleep(duration_s)
+        await self.awake.wait()
+
+
+@dataclass
+class Member:
+    """One member with all its parts."""
+
+    vm_id: str
+    timer: PausedTimer
+    peers: PeerNode
+    port: PlatformPort
+    directory: CellDirectory
+    shards: ReplicatedShards
+
+    async def stop(self) -> None:
+        """End the member as a crash would: no word to anybody."""
+        self.timer.close()
+        await self.shards.close()
+        await self.directory.close()
+        await self.peers.close()
+
+
+@dataclass
+class Cell:
+    """A cell under test: its platform, settings and members by VM."""
+
+    platform: MemoryPlatform = field(default_factory=MemoryPlatform)
+    settings: FixedSettings = field(
+        default_factory=lambda: FixedSettings(FleetSettings(shard_count=4))
+    )
+    timings: CellTimings = SHORT_TIMINGS
+    members: dict[str, Member] = field(default_factory=dict)
+    zones: int = 3
+    starts: itertools.count = field(default_factory=lambda: itertools.count(1))
+
+    async def start(self, vm_id: str) -> Member:
+        """Start a member, again with a new incarnation if it ran before."""
+        number = next(self.starts)
+        incarnation = f"start-{number}"
+        timer = PausedTimer(number)
+        listener = listening_socket(Address("127.0.0.1", 0))
+        address = Address(*listener.getsockname())
+        zone = f"zone-{int(vm_id.removeprefix('vm')) % self.zones}"
+        vm = VmSettings(vm_id, zone, "cell-a", "", address, address)
+        peers = PeerNode(vm_id, incarnation, timer)
+        port = self.platform.port()
+        directory = CellDirectory(
+            vm, incarnation, peers, port, self.settings, timer, self.timings
+        )
+        shards = ReplicatedShards(directory, peers, self.settings, timer, port)
+        await peers.start(listener)
+        await directory.start()
+        await shards.start()
+        directory.stand_for_lead()
+        member = Member(vm_id, timer, peers, port, directory, shards)
+        self.members[vm_id] = member
+        return member
+
+    async def crash(self, vm_id: str) -> None:
+        """End a member without a word."""
+        await self.members.pop(vm_id).stop()
+
+    async def close(self) -> None:
+        """End all members."""
+        for vm_id in list(self.members):
+            await self.crash(vm_id)
+        await asyncio.sleep(0)
+
+    def leads(self) -> list[Member]:
+        """Return the members that trust their lead's lease."""
+        return [m for m in self.members.values() if m.directory.is_lead()]
+
+    def ready(self) -> bool:
+        """Whether all members know a table with all of them and all pairs."""
+        names = set(self.members)
+        for member in self.members.values():
+            table = member.directory.table()
+            if not member.directory.ready or {v.vm_id for v in table.members} != names:
+                return False
+            shards = self.settings.fleet().shard_count
+            if len(member.directory.view.pairs) < shards:
+                return False
+        return len(self.leads()) == 1
+
+    async def until(
+        self, condition: Callable[[], bool], limit_s: float = WAIT_LIMIT_S
+    ) -> None:
+        """Wait for a condition; an error if it does not come in time."""
+        async with asyncio.timeout(limit_s):
+            while True:
+                if condition():
+                    return
+                await asyncio.sleep(POLL_S)
+
+
+def make_endpoints(count: int, fencing: Fencing, zones: int = 3) -> tuple:
+    """Return engines ``e0``, ``e1``... on VMs ``host0``, ``host1``..."""
+    return tuple(
+        Endpoint(
+            endpoint_id=f"e{number}",
+            kind=EndpointKind.ENGINE,
+            name="model",
+            adapter="openai",
+            url=f"http://127.0.0.1:1/{number}",
+            availability_zone=f"zone-{number % zones}",
+            vm_id=f"host{number}",
+            fencing=fencing,
+        )
+        for number in range(count)
+    )
--- /dev/null
+++ b/greengagetack/membership/directory.py
@@ -0,0 +1,403 @@
+"""greengagetack.membership.directory: this VM as a member of its cell."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import replace
+
+from loguru import logger
+
+from greengagetack.errors import CodedError, PlatformUnavailable
+from greengagetack.leases.lease import PlatformLease
+from greengagetack.leases.rules import holder_trusts
+from greengagetack.membership.lead import LeadDuty
+from greengagetack.membership.messages import (
+    CellNews,
+    Heartbeat,
+    HeartbeatAck,
+    LeavingSign,
+    NewPairs,
+)
+from greengagetack.membership.stored import LeadObject, lead_path
+from greengagetack.membership.table import CellTable, ShardPair, rendezvous_order
+from greengagetack.membership.timings import CellTimings
+from greengagetack.membership.view import CellView
+from greengagetack.peers.messages import Done
+from greengagetack.peers.node import PeerNode
+from greengagetack.platform.objects import ObjectStore, WriteUnknown
+from greengagetack.settings.schema import VmSettings
+from greengagetack.settings.view import SettingsView
+from greengagetack.timer import Subscription, Timer
+from greengagetack.world import Endpoint, Vm, VmState
+
+__all__ = ["CellDirectory"]
+
+CONTEST_STEPS_PER_RENEWAL = 4
+RANK_DELAY_RATIO = 0.3
+MAX_RANK_DELAY_RENEWALS = 3.0
+BACKOFF_PER_RANK_RATIO = 0.25
+DRAIN_LEASES = 3.0
+
+
+class CellDirectory:
+    """Implements `Directory`: heartbeats, the newest table and the lead's lease.
+
+    Parameters
+    ----------
+    settings : VmSettings
+        This VM; `peer` and `http` are the addresses that others reach, with
+        the real ports.
+    incarnation : str
+        Differs after each start of the process.
+    peers : PeerNode
+        Links to the other members.
+    platform : ObjectStore
+        The platform.
+    fleet : SettingsView
+        The settings in force.
+    timer : Timer
+        Clock and wake-ups.
+    timings : CellTimings
+        Durations of leases and heartbeats.
+    """
+
+    def __init__(
+        self,
+        settings: VmSettings,
+        incarnation: str,
+        peers: PeerNode,
+        platform: ObjectStore,
+        fleet: SettingsView,
+        timer: Timer,
+        timings: CellTimings | None = None,
+    ) -> None:
+        self.timings = timings or CellTimings()
+        self.vm = Vm(
+            settings.vm_id,
+            settings.availability_zone,
+            incarnation,
+            settings.peer,
+            settings.http,
+        )
+        self._cell = settings.cell
+        self._peers = peers
+        self._fleet = fleet
+        self._timer = timer
+        self.view = CellView(self.vm, peers)
+        self._lease = PlatformLease(
+            platform, lead_path(settings.cell), self.vm, self.timings, timer
+        )
+        self._duty = LeadDuty(
+            settings.cell,
+            self._lease,
+            self.view,
+            peers,
+            platform,
+            fleet,
+            self.timings,
+            timer,
+        )
+        self._candidate = False
+        self._lead_heard_s = timer.now_s()
+        self._trusted_heard_s = -self.timings.observer_s
+        self._keeper_sent_s = -self.timings.lease_s
+        self._contest_after_s = 0.0
+        self._subscriptions: list[Subscription] = []
+        self._notices: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Serve the cell's messages and start the heartbeats."""
+        self._peers.handle(Heartbeat, self._serve_heartbeat)
+        self._peers.handle(CellNews, self._serve_news)
+        self._peers.handle(LeavingSign, self._serve_sign)
+        self._peers.handle(NewPairs, self._serve_pairs)
+        self._fleet.subscribe(self._take_settings)
+        times = self.timings
+        contest_s = times.renew_s / CONTEST_STEPS_PER_RENEWAL
+        self._subscriptions = [
+            self._timer.subscribe(times.heartbeat_s, self.beat, "heartbeat"),
+            self._timer.subscribe(times.renew_s, self._lead_round, "lead"),
+            self._timer.subscribe(contest_s, self._contest_round, "contest"),
+        ]
+
+    def stand_for_lead(self) -> None:
+        """Let this VM become the lead when there is none."""
+        self._candidate = True
+
+    async def stop_leading(self) -> None:
+        """Never become the lead again, and give the lease back if it is held."""
+        self._candidate = False
+        await self._lease.release()
+        self._duty.forget()
+
+    async def drain(self) -> None:
+        """Announce that this VM leaves and wait until it keeps no endpoint."""
+        self.vm = replace(self.vm, state=VmState.LEAVING)
+        limit_s = self._timer.now_s() + DRAIN_LEASES * self.timings.lease_s
+        while self._timer.now_s() < limit_s:
+            await self.beat()
+            if not self._keeps_endpoints():
+                break
+            await self._timer.sleep(self.timings.renew_s / CONTEST_STEPS_PER_RENEWAL)
+        await self.stop_leading()
+
+    def _keeps_endpoints(self) -> bool:
+        others = [vm for vm in self.live_members() if vm.vm_id != self.vm.vm_id]
+        keepers = {keeper.keeper_vm_id for keeper in self.view.table.keepers}
+        return bool(others) and self.vm.vm_id in keepers
+
+    async def close(self) -> None:
+        """Stop all tasks of this part."""
+        for subscription in self._subscriptions:
+            subscription.cancel()
+        for task in list(self._notices):
+            task.cancel()
+        self._duty.close()
+
+    async def beat(self) -> None:
+        """Send one heartbeat to the lead and take its news."""
+        lead = self.view.lead
+        if not lead.vm_id:
+            return
+        sent_s = self._timer.now_s()
+        beat = Heartbeat(
+            self.vm,
+            self.view.table.revision,
+            self.view.pairs_version,
+            self.view.signs.all(),
+        )
+        try:
+            ack = await self._peers.request(
+                lead.vm_id, beat, self.timings.request_timeout_s
+            )
+        except CodedError as error:
+            logger.debug("member: no answer from the lead: {}", error.reason)
+            self._check_lead_silence()
+            return
+        if ack.news is None:
+            self._check_lead_silence()
+            return
+        self._take_ack(ack, sent_s)
+
+    def _take_ack(self, ack: HeartbeatAck, sent_s: float) -> None:
+        news = ack.news
+        if news is None or news.lead_epoch < self.view.lead.epoch:
+            return
+        now_s = self._timer.now_s()
+        self._lead_heard_s = now_s
+        self._take_news(news)
+        if ack.trusted:
+            self._trusted_heard_s = now_s
+            self._lease.note_version(news.lease_version)
+            self._keeper_sent_s = max(self._keeper_sent_s, sent_s)
+
+    def _take_news(self, news: CellNews) -> None:
+        self._lease.note_epoch(news.lead_epoch)
+        if self.view.adopt_news(news):
+            self.view.changed()
+
+    def _check_lead_silence(self) -> None:
+        silent_s = self._timer.now_s() - self._lead_heard_s
+        lead = self.view.lead.vm_id
+        if silent_s < self.timings.suspect_s or lead in self.view.suspected:
+            return
+        logger.warning("member: the lead {} is silent for {:.1f} s", lead, silent_s)
+        self.view.suspected |= {lead}
+        self.view.changed()
+
+    async def _serve_heartbeat(self, _: str, beat: Heartbeat) -> HeartbeatAck:
+        return self._duty.hear(beat)
+
+    async def _serve_news(self, _: str, news: CellNews) -> Done:
+        if news.lead_epoch >= self.view.lead.epoch:
+            self._lead_heard_s = self._timer.now_s()
+        self._take_news(news)
+        return Done()
+
+    async def _serve_sign(self, _: str, sign: LeavingSign) -> Done:
+        if self.view.signs.merge((sign,)):
+            self.view.changed()
+        return Done()
+
+    async def _serve_pairs(self, _: str, news: NewPairs) -> Done:
+        if self.view.adopt_pairs(news):
+            self.view.changed()
+        return Done()
+
+    def _take_settings(self) -> None:
+        names = frozenset(e.endpoint_id for e in self._fleet.fleet().endpoints)
+        self.view.signs.forget_except(names)
+        self.view.changed()
+
+    async def _lead_round(self) -> None:
+        if not self._lease.held:
+            return
+        try:
+            await self._lease.renew()
+            if self._lease.held:
+                await self._duty.step()
+            else:
+                self._duty.forget()
+        except CodedError as error:
+            logger.warning("lead: {}", error.reason)
+
+    async def _contest_round(self) -> None:
+        now_s = self._timer.now_s()
+        if not self._candidate or self._lease.held or now_s < self._contest_after_s:
+            return
+        if now_s - self._trusted_heard_s < 2 * self.timings.heartbeat_s:
+            return
+        rank = self._rank()
+        delay = min(rank * RANK_DELAY_RATIO, MAX_RANK_DELAY_RENEWALS)
+        if self._lease.version >= 0:
+            wait_s = self._lease.may_claim_in_s()
+            if wait_s > 0:
+                delay_s = wait_s + delay * self.timings.renew_s
+                self._contest_after_s = now_s + delay_s
+                return
+        try:
+            await self._contest()
+        except (PlatformUnavailable, WriteUnknown) as error:
+            logger.debug("lead: cannot contest the lease: {}", error.reason)
+            backoff = 1.0 + rank * BACKOFF_PER_RANK_RATIO
+            backoff_s = self._timer.jittered_s(backoff * self.timings.renew_s)
+            self._contest_after_s = now_s + backoff_s
+
+    def _rank(self) -> int:
+        members = tuple(vm.vm_id for vm in self.live_members())
+        order = rendezvous_order(f"lead-{self._cell}", members)
+        return order.index(self.vm.vm_id) if self.vm.vm_id in order else 0
+
+    async def _contest(self) -> None:
+        lead = await self._lease.read()
+        if lead is not None:
+            self.view.adopt_lead(lead)
+            if lead.holder_vm_id and lead.holder_vm_id != self.vm.vm_id:
+                await self.beat()
+                if self._timer.now_s() - self._trusted_heard_s < self.timings.renew_s:
+                    return
+        if not await self._lease.claim(lead):
+            return
+        self.view.adopt_lead(self._own_lead())
+        await self.beat()
+        with suppress(PlatformUnavailable, WriteUnknown):
+            await self._duty.step()
+        self._duty.push()
+
+    def _own_lead(self) -> LeadObject:
+        return LeadObject(
+            self.vm.vm_id, self.vm.incarnation, self.vm.peer, self._lease.epoch
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether a table with this process in it is known."""
+        return self.view.is_current(self.vm.vm_id, self.vm.incarnation)
+
+    def table(self) -> CellTable:
+        """Return the newest table."""
+        return self.view.table
+
+    def live_members(self) -> tuple[Vm, ...]:
+        """Return members that are neither leaving nor suspected."""
+        return tuple(
+            vm
+            for vm in self.view.table.members
+            if vm.state is VmState.LIVE and vm.vm_id not in self.view.suspected
+        )
+
+    def endpoint(self, endpoint_id: str) -> Endpoint | None:
+        """Return an endpoint of the settings."""
+        for endpoint in self._fleet.fleet().endpoints:
+            if endpoint.endpoint_id == endpoint_id:
+                return endpoint
+        return None
+
+    def endpoints_serving(self, name: str) -> tuple[Endpoint, ...]:
+        """Return endpoints of a model or service that are not leaving."""
+        return tuple(
+            endpoint
+            for endpoint in self._fleet.fleet().endpoints
+            if endpoint.name == name and not self.is_leaving(endpoint.endpoint_id)
+        )
+
+    def is_leaving(self, endpoint_id: str) -> bool:
+        """Whether any source has said that the endpoint leaves."""
+        return self.view.signs.is_leaving(endpoint_id)
+
+    def report_leaving(self, endpoint_id: str) -> None:
+        """Take the sign that an endpoint leaves and tell all members at once."""
+        self._report(endpoint_id, leaving=True)
+
+    def report_returned(self, endpoint_id: str) -> None:
+        """Take the sign that an endpoint which left takes work again."""
+        self._report(endpoint_id, leaving=False)
+
+    def _report(self, endpoint_id: str, leaving: bool) -> None:
+        sign = self.view.signs.set(endpoint_id, leaving)
+        if sign is None:
+            return
+        logger.info("member: endpoint {} leaving: {}", endpoint_id, leaving)
+        self.view.changed()
+        for vm in self.view.table.members:
+            if vm.vm_id == self.vm.vm_id:
+                continue
+            task = asyncio.create_task(self._tell(vm.vm_id, sign))
+            self._notices.add(task)
+            task.add_done_callback(self._notices.discard)
+
+    async def _tell(self, vm_id: str, sign: LeavingSign) -> None:
+        # A lost notice is made good by the next heartbeats.
+        with suppress(CodedError):
+            await self._peers.request(vm_id, sign, self.timings.request_timeout_s)
+
+    def keepers_for(self, endpoint_id: str) -> tuple[str, ...]:
+        """Return the assigned keeper, then substitutes for completions.
+
+        An assigned keeper that is suspected or leaving comes last.
+        """
+        live = tuple(vm.vm_id for vm in self.live_members())
+        order = list(rendezvous_order(endpoint_id, live))
+        assigned, _ = self.view.keeper(endpoint_id)
+        if not assigned:
+            return tuple(order)
+        if assigned not in order:
+            return (*order, assigned)
+        order.remove(assigned)
+        return (assigned, *order)
+
+    def fencing_number(self, endpoint_id: str) -> int | None:
+        """Return this VM's fencing number, None if it is not the keeper."""
+        keeper, number = self.view.keeper(endpoint_id)
+        return number if self.ready and keeper == self.vm.vm_id else None
+
+    def holds_keeper_lease(self, endpoint_id: str) -> bool:
+        """Whether this VM may surely give unfenced orders now."""
+        return self.fencing_number(endpoint_id) is not None and self.holds_lease()
+
+    def holds_lease(self) -> bool:
+        """Whether a trusted lead answered a heartbeat sent recently enough."""
+        return self.keeper_lease_left_s() > 0
+
+    def keeper_lease_left_s(self) -> float:
+        """Return for how long this VM may still give unfenced orders."""
+        if not holder_trusts(
+            self._timer.now_s(),
+            self._keeper_sent_s,
+            self.timings.lease_s,
+            self.timings.margin_s,
+        ):
+            return 0.0
+        return self._keeper_sent_s + self.timings.holder_s - self._timer.now_s()
+
+    def pair(self, shard: int) -> ShardPair | None:
+        """Return the newest known pair of a shard."""
+        return self.view.pairs.get(shard)
+
+    def is_lead(self) -> bool:
+        """Whether this VM holds the lead's lease and still trusts it."""
+        return self._lease.trusted()
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call `callback` after each change of the table or pairs."""
+        self.view.subscribe(callback)
--- /dev/null
+++ b/greengagetack/membership/lead.py
@@ -0,0 +1,320 @@
+"""greengagetack.membership.lead: the duties of a cell's lead."""
+
+import asyncio
+from dataclasses import dataclass, replace
+
+from loguru import logger
+
+from greengagetack.errors import CodedError
+from greengagetack.leases.lease import PlatformLease
+from greengagetack.membership.messages import (
+    CellNews,
+    Heartbeat,
+    HeartbeatAck,
+    NewPairs,
+)
+from greengagetack.membership.plan import TablePlan, plan_pairs, plan_table
+from greengagetack.membership.stored import (
+    PairsObject,
+    from_value,
+    pairs_path,
+    table_path,
+    to_value,
+)
+from greengagetack.membership.table import CellTable
+from greengagetack.membership.timings import CellTimings
+from greengagetack.membership.view import CellView
+from greengagetack.peers.node import PeerNode
+from greengagetack.platform.objects import ListedVm, ObjectStore
+from greengagetack.settings.view import SettingsView
+from greengagetack.timer import Timer
+from greengagetack.world import Vm, VmState
+
+__all__ = ["LeadDuty"]
+
+
+@dataclass(slots=True)
+class _Member:
+    """A member as the lead last heard of it."""
+
+    vm: Vm
+    heard_s: float
+    table_revision: int = 0
+    pairs_version: int = 0
+
+
+class LeadDuty:
+    """Hears heartbeats, writes the table and tells the members.
+
+    It answers heartbeats as long as its lease is not taken by another, trusted
+    or not; it writes and extends keepers' leases only while it trusts it.
+    """
+
+    def __init__(
+        self,
+        cell: str,
+        lease: PlatformLease,
+        view: CellView,
+        peers: PeerNode,
+        platform: ObjectStore,
+        settings: SettingsView,
+        timings: CellTimings,
+        timer: Timer,
+    ) -> None:
+        self._cell = cell
+        self._lease = lease
+        self._view = view
+        self._peers = peers
+        self._platform = platform
+        self._settings = settings
+        self._timings = timings
+        self._timer = timer
+        self._members: dict[str, _Member] = {}
+        self._retired: set[tuple[str, str]] = set()
+        self._vacated_s: dict[str, float] = {}
+        self._listed: dict[str, ListedVm] = {}
+        self._listed_leaving: set[str] = set()
+        self._has_table = False
+        self._polled_s = 0.0
+        self._settled_s = 0.0
+        self._pushed: CellNews | None = None
+        self._pushes: set[asyncio.Task[None]] = set()
+
+    async def take_over(self) -> None:
+        """Read the cell's objects and bump the table, so that older leads fail.
+
+        Raises
+        ------
+        CodedError
+            If the platform does not answer; it is tried again at the next step.
+        """
+        self._has_table = False
+        now_s = self._timer.now_s()
+        await self._read_table()
+        for vm in self._view.table.members:
+            self._members.setdefault(vm.vm_id, _Member(vm, now_s))
+        # The former lead may have extended leases until its own one ended.
+        self._vacated_s = {
+            endpoint.endpoint_id: now_s for endpoint in self._settings.fleet().endpoints
+        }
+        await self._read_pairs()
+        self._has_table = True
+        if not self._view.table.revision:
+            # The first table of a cell is written once its members are there.
+            self._settled_s = now_s + self._timings.settle_s
+
+    async def _read_table(self) -> None:
+        stored = await self._platform.read(table_path(self._cell))
+        if stored is None:
+            return
+        table = from_value(CellTable, stored.value)
+        if self._view.adopt_table(replace(table, revision=stored.version)):
+            self._view.changed()
+
+    async def _read_pairs(self) -> None:
+        stored = await self._platform.read(pairs_path(self._cell))
+        if stored is None:
+            return
+        pairs = from_value(PairsObject, stored.value).pairs
+        if self._view.adopt_pairs(NewPairs(stored.version, pairs)):
+            self._view.changed()
+
+    def hear(self, beat: Heartbeat) -> HeartbeatAck:
+        """Take a heartbeat and answer with what the member lacks."""
+        if not self._lease.held:
+            return HeartbeatAck(trusted=False)
+        identity = (beat.vm.vm_id, beat.vm.incarnation)
+        if identity in self._retired:
+            return HeartbeatAck(trusted=False)
+        # Taken before hearing: the answer extends the member's lease only if
+        # this VM was the lead when the heartbeat had already been sent.
+        trusted = self._lease.trusted()
+        known = self._members.get(beat.vm.vm_id)
+        if known and known.vm.incarnation != beat.vm.incarnation:
+            logger.info("lead: {} has restarted", beat.vm.vm_id)
+            self._retired.add((known.vm.vm_id, known.vm.incarnation))
+        if beat.vm.vm_id != self._view.vm.vm_id:
+            self._peers.learn_address(beat.vm.vm_id, beat.vm.peer)
+        self._members[beat.vm.vm_id] = _Member(
+            beat.vm, self._timer.now_s(), beat.table_revision, beat.pairs_version
+        )
+        if self._view.signs.merge(beat.signs):
+            self._view.changed()
+            self.push()
+        return HeartbeatAck(trusted, self._news_for(beat))
+
+    def _news_for(self, beat: Heartbeat) -> CellNews:
+        news = self._news()
+        if beat.table_revision >= self._view.table.revision:
+            news = replace(news, table=None)
+        if beat.pairs_version >= self._view.pairs_version:
+            news = replace(news, pairs=None)
+        return news
+
+    def _news(self) -> CellNews:
+        return CellNews(
+            lead_vm_id=self._view.vm.vm_id,
+            lead_epoch=self._lease.epoch,
+            lease_version=self._lease.version,
+            table=self._view.table if self._view.table.revision else None,
+            pairs_version=self._view.pairs_version,
+            pairs=tuple(self._view.pairs.values()),
+            signs=self._view.signs.all(),
+            suspected_vm_ids=self._suspected(),
+        )
+
+    def _suspected(self) -> tuple[str, ...]:
+        return self._silent_for(self._timings.suspect_s)
+
+    def _silent_for(self, limit_s: float) -> tuple[str, ...]:
+        now_s = self._timer.now_s()
+        silent = [
+            vm_id
+            for vm_id, member in self._members.items()
+            if now_s - member.heard_s >= limit_s
+        ]
+        return tuple(sorted(silent))
+
+    async def step(self) -> None:
+        """Do one round of the lead's work.
+
+        Raises
+        ------
+        CodedError
+            If the platform does not answer; the next round tries again.
+        """
+        try:
+            if self._lease.trusted():
+                await self._step_trusted()
+        finally:
+            if self._lease.held:
+                self._tell_changes()
+
+    async def _step_trusted(self) -> None:
+        if not self._has_table:
+            await self.take_over()
+        now_s = self._timer.now_s()
+        if now_s - self._polled_s >= self._timings.poll_s:
+            self._polled_s = now_s
+            await self._poll()
+        if now_s < self._settled_s:
+            return
+        await self._write_table()
+        await self._write_pairs()
+
+    async def _poll(self) -> None:
+        listed = await self._platform.vms()
+        self._listed = {vm.vm_id: vm for vm in listed}
+        leaving = {vm.vm_id for vm in listed if vm.state is VmState.LEAVING}
+        for endpoint in self._settings.fleet().endpoints:
+            if not endpoint.vm_id:
+                continue
+            if endpoint.vm_id in leaving:
+                self._view.signs.set(endpoint.endpoint_id, True)
+                continue
+            if endpoint.vm_id in self._listed_leaving:
+                self._view.signs.set(endpoint.endpoint_id, False)
+        self._listed_leaving = leaving
+        await self._read_pairs()
+
+    async def _write_table(self) -> None:
+        self._drop_silent_members()
+        before = self._view.table
+        revision = before.revision + 1
+        plan = plan_table(
+            before,
+            self._plan_input(revision),
+        )
+        if plan.table == before or not self._lease.trusted():
+            return
+        try:
+            version = await self._platform.write(
+                table_path(self._cell), to_value(plan.table), before.revision
+            )
+        except CodedError:
+            # The write may be in force: go on only from what the platform has.
+            self._has_table = False
+            raise
+        now_s = self._timer.now_s()
+        for endpoint_id in plan.vacated_endpoint_ids:
+            self._vacated_s[endpoint_id] = now_s
+        self._view.adopt_table(replace(plan.table, revision=version))
+        self._view.changed()
+
+    def _plan_input(self, revision: int) -> TablePlan:
+        now_s = self._timer.now_s()
+        waiting = frozenset(
+            endpoint_id
+            for endpoint_id, since_s in self._vacated_s.items()
+            if now_s - since_s < self._timings.observer_s
+        )
+        return TablePlan(
+            cell=self._cell,
+            revision=revision,
+            lead_vm_id=self._view.vm.vm_id,
+            lead_epoch=self._lease.epoch,
+            members=tuple(self._members[vm_id].vm for vm_id in sorted(self._members)),
+            endpoints=self._settings.fleet().endpoints,
+            leaving_endpoint_ids=self._view.signs.leaving_ids(),
+            waiting_endpoint_ids=waiting,
+        )
+
+    def _drop_silent_members(self) -> None:
+        for vm_id in self._silent_for(self._timings.observer_s):
+            member = self._members.pop(vm_id)
+            self._retired.add((vm_id, member.vm.incarnation))
+            logger.warning("lead: {} is silent and leaves the table", vm_id)
+
+    async def _write_pairs(self) -> None:
+        pairs = plan_pairs(
+            self._view.pairs,
+            self._view.table.members,
+            self._settings.fleet().shard_count,
+        )
+        if not pairs or not self._lease.trusted():
+            return
+        stored = (*self._view.pairs.values(), *pairs)
+        version = await self._platform.write(
+            pairs_path(self._cell),
+            to_value(PairsObject(stored)),
+            self._view.pairs_version,
+        )
+        self._view.adopt_pairs(NewPairs(version, pairs))
+        self._view.changed()
+
+    def _tell_changes(self) -> None:
+        news = self._news()
+        quiet = replace(news, lease_version=0)
+        if quiet == self._pushed:
+            return
+        self._pushed = quiet
+        if self._view.adopt_news(news):
+            self._view.changed()
+        self.push()
+
+    def push(self) -> None:
+        """Send the newest news to all members at once."""
+        news = self._news()
+        for vm_id in self._members:
+            if vm_id == self._view.vm.vm_id:
+                continue
+            task = asyncio.create_task(self._push_to(vm_id, news))
+            self._pushes.add(task)
+            task.add_done_callback(self._pushes.discard)
+
+    async def _push_to(self, vm_id: str, news: CellNews) -> None:
+        try:
+            await self._peers.request(vm_id, news, self._timings.request_timeout_s)
+        except CodedError as error:
+            logger.debug("lead: could not tell {}: {}", vm_id, error.reason)
+
+    def forget(self) -> None:
+        """Drop all that only a lead knows, once another VM leads."""
+        self._members.clear()
+        self._has_table = False
+        self._pushed = None
+
+    def close(self) -> None:
+        """Stop telling members."""
+        for task in list(self._pushes):
+            task.cancel()
--- /dev/null
+++ b/greengagetack/membership/store.py
@@ -0,0 +1,374 @@
+"""greengagetack.membership.store: the shards that this VM owns or backs up."""
+
+from collections.abc import AsyncIterator, Callable
+
+from loguru import logger
+
+from greengagetack.errors import CodedError, OwnerUnavailable
+from greengagetack.membership.directory import CellDirectory
+from greengagetack.membership.messages import NewPairs
+from greengagetack.membership.promises import GivenPromises, HeldPromises
+from greengagetack.membership.records import ShardRecords, chunked
+from greengagetack.membership.replicator import Replicator
+from greengagetack.membership.shard_messages import (
+    CopyShard,
+    FetchShard,
+    PromiseGrant,
+    PromisesGranted,
+    PutRecords,
+    RecordsPut,
+    RenewPromises,
+    ShardRecordsChunk,
+)
+from greengagetack.membership.shards import Record, ShardRole
+from greengagetack.membership.table import ShardPair, shard_of_key
+from greengagetack.peers.messages import Done
+from greengagetack.peers.node import PeerNode
+from greengagetack.platform.objects import ObjectStore
+from greengagetack.settings.view import SettingsView
+from greengagetack.timer import Subscription, Timer
+
+__all__ = ["ReplicatedShards"]
+
+RoleCallback = Callable[[int, ShardRole], None]
+
+MERGED_KINDS = frozenset({"job"})
+
+
+class ReplicatedShards:
+    """Implements `ShardStore` by a primary and a backup copy per shard.
+
+    `role` is safe with two: while the owner is silent, its backup says OWNER
+    too, so that jobs go on without a promise and without the platform. Only
+    `may_act` is exclusive.
+
+    Parameters
+    ----------
+    directory : CellDirectory
+        Table and pairs of the cell.
+    peers : PeerNode
+        Links to the other members.
+    settings : SettingsView
+        Gives the number of shards, which never changes in a deployment.
+    timer : Timer
+        Clock and wake-ups.
+    platform : ObjectStore
+        Holds the pairs.
+    """
+
+    def __init__(
+        self,
+        directory: CellDirectory,
+        peers: PeerNode,
+        settings: SettingsView,
+        timer: Timer,
+        platform: ObjectStore,
+    ) -> None:
+        self._directory = directory
+        self._view = directory.view
+        self._vm = directory.vm
+        self._timings = directory.timings
+        self._peers = peers
+        self._settings = settings
+        self._timer = timer
+        self._platform = platform
+        self._shards: dict[int, ShardRecords] = {}
+        self.held = HeldPromises(self._timings, timer)
+        self.given = GivenPromises(self._timings, timer)
+        self._synced: dict[int, int] = {}
+        self._copying: dict[int, int] = {}
+        self._acted: set[int] = set()
+        self._roles: dict[int, ShardRole] = {}
+        self._callbacks: list[RoleCallback] = []
+        self._replicator = Replicator(
+            peers, self._timings, self._note_copied, self._note_failed
+        )
+        self._subscriptions: list[Subscription] = []
+
+    async def start(self) -> None:
+        """Serve owners and backups and start to renew promises."""
+        self._peers.handle(RenewPromises, self._serve_renewal)
+        self._peers.handle(PutRecords, self._serve_put)
+        self._peers.handle(CopyShard, self._serve_copy)
+        self._peers.handle(FetchShard, self._serve_fetch)
+        self._directory.subscribe(self._note_roles)
+        self._subscriptions = [
+            self._timer.subscribe(self._timings.renew_s, self.renew, "promises"),
+        ]
+
+    async def close(self) -> None:
+        """Stop all tasks of this part."""
+        for subscription in self._subscriptions:
+            subscription.cancel()
+        self._replicator.close()
+
+    def shard_of(self, key: str) -> int:
+        """Return the shard of a key."""
+        return shard_of_key(key, self._settings.fleet().shard_count)
+
+    def epoch(self, shard: int) -> int:
+        """Return the newest known epoch of the shard, 0 if there is none."""
+        pair = self._view.pairs.get(shard)
+        return pair.epoch if pair else 0
+
+    def fresh_epoch(self, shard: int) -> int:
+        """Return the newest epoch that began without all records, 0 if none did."""
+        pair = self._view.pairs.get(shard)
+        return pair.fresh_epoch if pair else 0
+
+    def epoch_started_fresh(self, shard: int) -> bool:
+        """Whether records of earlier epochs may have been lost.
+
+        It stays true in later epochs: only a key first seen in `fresh_epoch` or
+        later can have no lost record.
+        """
+        return self.fresh_epoch(shard) > 0
+
+    def owns(self, pair: ShardPair) -> bool:
+        """Whether this process is the pair's owner."""
+        return (pair.owner_vm_id, pair.owner_incarnation) == self._identity
+
+    def backs_up(self, pair: ShardPair) -> bool:
+        """Whether this process is the pair's backup."""
+        return (pair.backup_vm_id, pair.backup_incarnation) == self._identity
+
+    @property
+    def _identity(self) -> tuple[str, str]:
+        return (self._vm.vm_id, self._vm.incarnation)
+
+    def role(self, shard: int) -> ShardRole:
+        """Return what this VM is for the shard now.
+
+        A backup whose owner is silent is OWNER too, for class 1 duties.
+        """
+        pair = self._view.pairs.get(shard)
+        if pair is None:
+            return ShardRole.NONE
+        if self.owns(pair):
+            return ShardRole.OWNER
+        if not self.backs_up(pair):
+            return ShardRole.NONE
+        return ShardRole.OWNER if self._owner_silent(pair) else ShardRole.BACKUP
+
+    def acts_for_jobs(self, shard: int) -> bool:
+        """Whether this VM carries on jobs of the shard.
+
+        Owner and backup may both do so for a while; jobs are safe with two.
+        """
+        return self.role(shard) is ShardRole.OWNER
+
+    def _owner_silent(self, pair: ShardPair) -> bool:
+        if not self._view.is_current(pair.owner_vm_id, pair.owner_incarnation):
+            return self._view.table.revision > 0
+        silent_s = self.given.silent_s(pair.shard, pair.epoch)
+        if silent_s is not None:
+            return silent_s >= self._timings.suspect_s
+        return pair.owner_vm_id in self._view.suspected
+
+    def may_act(self, shard: int) -> bool:
+        """Whether this VM surely is the only owner (class 3 duties).
+
+        With a backup it needs the backup's promise for this epoch. A cell of a
+        single VM has no backup; there the lead's trusted lease stands in.
+        """
+        pair = self._view.pairs.get(shard)
+        if pair is None or not self.owns(pair):
+            return False
+        if pair.backup_vm_id:
+            return self.held.trusted(shard, pair.epoch)
+        return self._directory.holds_lease() and not self.held.sealed(shard, pair.epoch)
+
+    def get(self, shard: int, kind: str, key: str) -> bytes | None:
+        """Return the value of a record, None without one."""
+        records = self._shards.get(shard)
+        return records.get(kind, key) if records else None
+
+    def records(self, shard: int, kind: str) -> tuple[Record, ...]:
+        """Return all records of a kind in a shard."""
+        records = self._shards.get(shard)
+        return records.of_kind(kind) if records else ()
+
+    def shard_records(self, shard: int) -> ShardRecords:
+        """Return the records of a shard, empty ones at first."""
+        return self._shards.setdefault(shard, ShardRecords())
+
+    async def put(
+        self, shard: int, kind: str, key: str, value: bytes, *, need_backup: bool
+    ) -> None:
+        """Write a record here and at the backup.
+
+        The record is visible here at once; with `need_backup` it is taken back
+        if the backup does not confirm it.
+
+        Raises
+        ------
+        OwnerUnavailable
+            If this VM does not act for the shard, or the backup is needed and
+            does not have the record.
+        """
+        pair = self._view.pairs.get(shard)
+        if pair is None or not self.acts_for_jobs(shard):
+            raise OwnerUnavailable(f"this VM does not own shard {shard}", 1.0)
+        owner = self.owns(pair)
+        alone = owner and not pair.backup_vm_id and self._single_vm()
+        synced = owner and self._synced.get(shard) == pair.epoch
+        if need_backup and not alone and not (synced and self.may_act(shard)):
+            raise OwnerUnavailable(
+                f"shard {shard} has no backup that could take the record", 1.0
+            )
+        records = self.shard_records(shard)
+        record = Record(shard, kind, key, value, records.sequence + 1)
+        former = records.find(kind, key)
+        records.apply(record)
+        if not owner:
+            self._acted.add(shard)
+            return
+        if not pair.backup_vm_id:
+            return
+        done = self._replicator.put(pair, record)
+        if not need_backup:
+            return
+        if not await done:
+            records.restore(record, former)
+            raise OwnerUnavailable(
+                f"the backup of shard {shard} did not confirm the record", 1.0
+            )
+
+    def _single_vm(self) -> bool:
+        return len(self._view.table.members) == 1
+
+    def subscribe(self, callback: RoleCallback) -> None:
+        """Call `callback` with a shard whose role changed here."""
+        self._callbacks.append(callback)
+
+    def _note_roles(self) -> None:
+        for shard in list(self._view.pairs):
+            role = self.role(shard)
+            if role is self._roles.get(shard, ShardRole.NONE):
+                continue
+            self._roles[shard] = role
+            logger.info("shards: {} of shard {}", role.value, shard)
+            for callback in self._callbacks:
+                callback(shard, role)
+
+    async def renew(self) -> None:
+        """Renew the promises of all shards owned here, one request per backup."""
+        by_backup: dict[str, list[ShardPair]] = {}
+        for pair in self._view.pairs.values():
+            if not self.owns(pair) or not pair.backup_vm_id:
+                continue
+            if not self.held.sealed(pair.shard, pair.epoch):
+                by_backup.setdefault(pair.backup_vm_id, []).append(pair)
+        for vm_id, pairs in by_backup.items():
+            await self._renew_at(vm_id, tuple(pairs))
+        self._note_roles()
+
+    async def _renew_at(self, vm_id: str, pairs: tuple[ShardPair, ...]) -> None:
+        sent_s = self._timer.now_s()
+        body = RenewPromises(self._vm.incarnation, pairs)
+        try:
+            answer = await self._peers.request(
+                vm_id, body, self._timings.request_timeout_s
+            )
+        except CodedError as error:
+            logger.debug("shards: {} gave no promise: {}", vm_id, error.reason)
+            return
+        if answer.newer and self._view.adopt_pairs(NewPairs(0, answer.newer)):
+            self._view.changed()
+        for grant in answer.grants:
+            await self._take_grant(grant, sent_s)
+
+    async def _take_grant(self, grant: PromiseGrant, sent_s: float) -> None:
+        self.held.grant(grant.shard, grant.epoch, sent_s)
+        pair = self._view.pairs[grant.shard]
+        if pair.epoch != grant.epoch or not self.owns(pair):
+            return
+        if grant.acted:
+            await self._merge_from(pair)
+            self._synced.pop(pair.shard, None)
+        if self._synced.get(pair.shard) == pair.epoch:
+            return
+        if self._copying.get(pair.shard) == pair.epoch:
+            return
+        self._copying[pair.shard] = pair.epoch
+        self._replicator.copy(pair, self.shard_records(pair.shard).all())
+
+    async def _merge_from(self, pair: ShardPair) -> None:
+        """Take job records that the backup wrote while this VM was silent."""
+        records = self.shard_records(pair.shard)
+        try:
+            async for chunk in self._peers.stream(
+                pair.backup_vm_id, FetchShard(pair.shard)
+            ):
+                for record in chunk.records:
+                    if record.kind in MERGED_KINDS:
+                        records.apply(record)
+        except CodedError as error:
+            logger.warning("shards: {} not merged: {}", pair.shard, error.reason)
+
+    def _note_copied(self, pair: ShardPair) -> None:
+        if self._copying.get(pair.shard) == pair.epoch:
+            del self._copying[pair.shard]
+            self._synced[pair.shard] = pair.epoch
+
+    def _note_failed(self, pair: ShardPair) -> None:
+        if self._copying.get(pair.shard) == pair.epoch:
+            del self._copying[pair.shard]
+        if self._synced.get(pair.shard) == pair.epoch:
+            del self._synced[pair.shard]
+
+    async def _serve_renewal(self, _: str, body: RenewPromises) -> PromisesGranted:
+        if self._view.adopt_pairs(NewPairs(0, body.pairs)):
+            self._view.changed()
+        grants: list[PromiseGrant] = []
+        newer: list[ShardPair] = []
+        for asked in body.pairs:
+            pair = self._view.pairs[asked.shard]
+            if pair != asked:
+                newer.append(pair)
+                continue
+            if not self.backs_up(pair) or not self.given.give(pair.shard, pair.epoch):
+                continue
+            acted = pair.shard in self._acted
+            grants.append(PromiseGrant(pair.shard, pair.epoch, acted))
+        return PromisesGranted(tuple(grants), tuple(newer))
+
+    def _takes_from(self, shard: int, epoch: int, incarnation: str) -> bool:
+        """Whether records of this owner's epoch may be taken."""
+        pair = self._view.pairs.get(shard)
+        return (
+            pair is not None
+            and pair.epoch == epoch
+            and pair.owner_incarnation == incarnation
+            and self.backs_up(pair)
+            and not self.given.sealed(shard, epoch)
+        )
+
+    async def _serve_put(self, _: str, body: PutRecords) -> RecordsPut:
+        refused: set[int] = set()
+        for item in body.records:
+            shard = item.record.shard
+            if not self._takes_from(shard, item.epoch, body.owner_incarnation):
+                refused.add(shard)
+                continue
+            self.shard_records(shard).apply(item.record)
+        return RecordsPut(tuple(sorted(refused)))
+
+    async def _serve_copy(self, _: str, body: CopyShard) -> Done:
+        if not self._takes_from(body.shard, body.epoch, body.owner_incarnation):
+            raise OwnerUnavailable(f"shard {body.shard} is in another epoch", 1.0)
+        records = self.shard_records(body.shard)
+        if body.first:
+            records.begin_copy()
+            self._acted.discard(body.shard)
+        for record in body.records:
+            records.apply(record)
+        if body.last and not records.finish_copy(body.epoch):
+            raise OwnerUnavailable(f"the copy of {body.shard} was cut off", 1.0)
+        return Done()
+
+    async def _serve_fetch(
+        self, _: str, body: FetchShard
+    ) -> AsyncIterator[ShardRecordsChunk]:
+        for part in chunked(self.shard_records(body.shard).all()):
+            yield ShardRecordsChunk(part)
--- a/greengagetack/membership/table.py
+++ b/greengagetack/membership/table.py
@@ -29,12 +29,20 @@
 
 @dataclass(frozen=True, slots=True)
 class ShardPair:
-    """Owner and backup of a shard in one epoch; `backup_vm_id` may be empty."""
+    """Owner and backup of a shard in one epoch; `backup_vm_id` may be empty.
+
+    A pair names processes, not only VMs: one that restarts has another
+    incarnation and is none of the two. `fresh_epoch` is the newest epoch that
+    began without all records of the earlier ones, 0 if there was none.
+    """
 
     shard: int
     epoch: int
     owner_vm_id: str
     backup_vm_id: str = ""
+    owner_incarnation: str = ""
+    backup_incarnation: str = ""
+    fresh_epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/greengagetack/membership/view.py
@@ -0,0 +1,132 @@
+"""greengagetack.membership.view: what this VM knows about its cell."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from loguru import logger
+
+from greengagetack.membership.leaving import LeavingSigns
+from greengagetack.membership.messages import CellNews, NewPairs
+from greengagetack.membership.stored import LeadObject
+from greengagetack.membership.table import CellTable, ShardPair
+from greengagetack.peers.node import PeerNode
+from greengagetack.world import Vm
+
+__all__ = ["CellView", "KnownLead"]
+
+
+@dataclass(frozen=True, slots=True)
+class KnownLead:
+    """The lead that this VM sends its heartbeats to."""
+
+    vm_id: str = ""
+    epoch: int = 0
+
+
+class CellView:
+    """The newest table, pairs, signs and lead; older news never replace newer.
+
+    Parameters
+    ----------
+    vm : Vm
+        This VM.
+    peers : PeerNode
+        Learns the members' addresses.
+    """
+
+    def __init__(self, vm: Vm, peers: PeerNode) -> None:
+        self.vm = vm
+        self.table = CellTable(vm.availability_zone)
+        self.pairs: dict[int, ShardPair] = {}
+        self.pairs_version = 0
+        self.signs = LeavingSigns()
+        self.suspected: frozenset[str] = frozenset()
+        self.lead = KnownLead()
+        self._members: dict[str, Vm] = {}
+        self._keepers: dict[str, tuple[str, int]] = {}
+        self._peers = peers
+        self._callbacks: list[Callable[[], None]] = []
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call `callback` after each change."""
+        self._callbacks.append(callback)
+
+    def changed(self) -> None:
+        """Tell the subscribers that something changed."""
+        for callback in self._callbacks:
+            try:
+                callback()
+            except Exception as error:
+                logger.opt(exception=error).error("member: a subscriber failed")
+
+    def member(self, vm_id: str) -> Vm | None:
+        """Return a member of the newest table, None if it is none."""
+        return self._members.get(vm_id)
+
+    def is_current(self, vm_id: str, incarnation: str) -> bool:
+        """Whether the table has the VM in this incarnation."""
+        member = self._members.get(vm_id)
+        return member is not None and member.incarnation == incarnation
+
+    def keeper(self, endpoint_id: str) -> tuple[str, int]:
+        """Return an endpoint's keeper and fencing number, ("", 0) without one."""
+        return self._keepers.get(endpoint_id, ("", 0))
+
+    def adopt_lead(self, lead: LeadObject) -> None:
+        """Take what the platform says about the lead."""
+        if lead.epoch < self.lead.epoch or not lead.holder_vm_id:
+            return
+        self._peers.learn_address(lead.holder_vm_id, lead.peer)
+        self._set_lead(lead.holder_vm_id, lead.epoch)
+
+    def _set_lead(self, vm_id: str, epoch: int) -> None:
+        if epoch < self.lead.epoch or (vm_id, epoch) == (
+            self.lead.vm_id,
+            self.lead.epoch,
+        ):
+            return
+        self.lead = KnownLead(vm_id, epoch)
+        logger.info("member: {} leads the cell, epoch {}", vm_id, epoch)
+
+    def adopt_table(self, table: CellTable) -> bool:
+        """Take a table if it is newer, and return whether it was."""
+        if table.revision <= self.table.revision:
+            return False
+        self.table = table
+        self._members = {vm.vm_id: vm for vm in table.members}
+        self._keepers = {
+            keeper.endpoint_id: (keeper.keeper_vm_id, keeper.fencing_number)
+            for keeper in table.keepers
+        }
+        for vm in table.members:
+            if vm.vm_id != self.vm.vm_id:
+                self._peers.learn_address(vm.vm_id, vm.peer)
+        self.signs.merge_table(table.leaving_endpoint_ids)
+        return True
+
+    def adopt_pairs(self, news: NewPairs) -> bool:
+        """Take pairs that are newer than the known ones, by shard."""
+        changed = False
+        for pair in news.pairs:
+            known = self.pairs.get(pair.shard)
+            if known is not None and known.epoch >= pair.epoch:
+                continue
+            self.pairs[pair.shard] = pair
+            changed = True
+        self.pairs_version = max(self.pairs_version, news.version)
+        return changed
+
+    def adopt_news(self, news: CellNews) -> bool:
+        """Take all that is newer in the lead's news, and return whether any was."""
+        if news.lead_epoch < self.lead.epoch:
+            return False
+        before = (self.lead, self.suspected)
+        self._set_lead(news.lead_vm_id, news.lead_epoch)
+        self.suspected = frozenset(news.suspected_vm_ids)
+        changed = before != (self.lead, self.suspected)
+        if news.table is not None:
+            changed |= self.adopt_table(news.table)
+        if news.pairs is not None:
+            changed |= self.adopt_pairs(NewPairs(news.pairs_version, news.pairs))
+        changed |= self.signs.merge(news.signs)
+        return changed
--- /dev/null
+++ b/greengagetack/platform/client.py
@@ -0,0 +1,281 @@
+"""greengagetack.platform.client: the object API and VM list over HTTP."""
+
+import asyncio
+import uuid
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import quote
+
+import aiosonic
+import msgspec
+from aiosonic.exceptions import AiosonicError
+from aiosonic.timeout import Timeouts
+from loguru import logger
+
+from greengagetack.errors import InvalidRequest, PlatformUnavailable
+from greengagetack.platform.objects import (
+    ListedVm,
+    ObjectConflict,
+    PlatformObject,
+    WatchAnswer,
+    WriteUnknown,
+)
+
+__all__ = ["PlatformClient"]
+
+CALL_TIMEOUT_S = 2.0
+RETRY_AFTER_S = 1.0
+WRITE_ATTEMPTS = 2
+MAX_VALUE_BYTES = 1_000_000
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 412
+HTTP_TOO_LARGE = 413
+REFUSED_STATUSES = frozenset({429, 503})
+PUT_STATUSES = REFUSED_STATUSES | {
+    HTTP_OK,
+    HTTP_NOT_FOUND,
+    HTTP_CONFLICT,
+    HTTP_TOO_LARGE,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    status: int
+    body: bytes
+    retry_after_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Written:
+    path: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class _VmList:
+    vms: tuple[ListedVm, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _Put:
+    change_id: str
+    value: Any
+
+
+class _AnswerLost(Exception):
+    """The request may have been carried out, but no answer came."""
+
+
+class PlatformClient:
+    """Implements `ObjectStore` over HTTP, see ``docs/INTERFACES.md``.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of the platform.
+    token : str or None
+        Bearer token, None if the platform asks for none.
+    timeout_s : float
+        Longest time of one call without its waiting time.
+    """
+
+    def __init__(
+        self, url: str, token: str | None = None, timeout_s: float = CALL_TIMEOUT_S
+    ) -> None:
+        self._url = url.rstrip("/")
+        self._headers = {"Authorization": f"Bearer {token}"} if token else {}
+        self._timeout_s = timeout_s
+        self._http = aiosonic.HTTPClient()
+
+    async def read(self, path: str) -> PlatformObject | None:
+        """Return an object, None if it does not exist.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If the platform does not answer or refuses for now.
+        """
+        answer = await self._get(f"/objects/{_quoted(path)}")
+        if answer.status == HTTP_NOT_FOUND:
+            return None
+        return msgspec.json.decode(answer.body, type=PlatformObject)
+
+    async def write(self, path: str, value: Any, expected_version: int) -> int:
+        """Write if the version is `expected_version` (0 = must not exist).
+
+        A lost answer is followed by a read that looks for this write's change
+        identifier. Only if the object still has its former version, the same
+        change is sent once more; the platform takes it at most once, because
+        both attempts name the same former version.
+
+        Raises
+        ------
+        ObjectConflict
+            If another writer was first.
+        WriteUnknown
+            If it cannot be told whether the write took or will take effect.
+        PlatformUnavailable
+            If the platform refused the write; it did not take effect.
+        InvalidRequest
+            If the value is larger than the platform takes.
+        """
+        change_id = uuid.uuid4().hex
+        body = msgspec.json.encode(_Put(change_id, value))
+        if len(body) > MAX_VALUE_BYTES:
+            raise InvalidRequest(f"{path} has {len(body)} bytes, over the limit")
+        for attempt in range(WRITE_ATTEMPTS):
+            lost_before = attempt > 0
+            try:
+                answer = await self._put(path, body, expected_version)
+            except _AnswerLost as lost:
+                logger.warning("platform: lost the answer of writing {}", path)
+                version = await self._read_back(path, change_id, expected_version, lost)
+                if version is not None:
+                    return version
+                continue
+            if answer.status == HTTP_OK:
+                return msgspec.json.decode(answer.body, type=_Written).version
+            if answer.status == HTTP_TOO_LARGE:
+                raise InvalidRequest(f"the platform refused the size of {path}")
+            if answer.status in REFUSED_STATUSES:
+                if lost_before:
+                    raise WriteUnknown(
+                        f"the first answer of writing {path} was lost",
+                        answer.retry_after_s,
+                    )
+                raise _refusal(path, answer)
+            if answer.status == HTTP_CONFLICT:
+                current = msgspec.json.decode(answer.body, type=PlatformObject)
+                return _own_version(current, change_id, expected_version, lost_before)
+            raise ObjectConflict(f"the platform has no object {path} any more")
+        raise WriteUnknown(f"writing {path} got no answer", RETRY_AFTER_S)
+
+    async def list(self, prefix: str) -> WatchAnswer:
+        """Return all objects under a prefix with the current revision."""
+        answer = await self._get(f"/objects?prefix={quote(prefix, safe='')}")
+        return msgspec.json.decode(answer.body, type=WatchAnswer)
+
+    async def watch(self, prefix: str, after: int, timeout_s: float) -> WatchAnswer:
+        """Wait up to `timeout_s` for changes under a prefix after a revision."""
+        query = f"prefix={quote(prefix, safe='')}&after={after}&timeout_s={timeout_s:g}"
+        answer = await self._get(f"/watch?{query}", waits_s=timeout_s)
+        return msgspec.json.decode(answer.body, type=WatchAnswer)
+
+    async def vms(self) -> tuple[ListedVm, ...]:
+        """Return the VM list, which lags behind reality."""
+        answer = await self._get("/vms")
+        return msgspec.json.decode(answer.body, type=_VmList).vms
+
+    async def close(self) -> None:
+        """Close all connections to the platform."""
+        await self._http.aclose()
+
+    async def _get(self, path: str, waits_s: float = 0.0) -> _Answer:
+        try:
+            answer = await self._call("GET", path, {}, None, waits_s)
+        except _AnswerLost as lost:
+            raise PlatformUnavailable(str(lost), RETRY_AFTER_S) from lost
+        if answer.status in (HTTP_OK, HTTP_NOT_FOUND):
+            return answer
+        raise _refusal(path, answer)
+
+    async def _put(self, path: str, body: bytes, expected_version: int) -> _Answer:
+        headers = {"Content-Type": "application/json"}
+        if expected_version:
+            headers["If-Match"] = f'"{expected_version}"'
+        else:
+            headers["If-None-Match"] = "*"
+        answer = await self._call("PUT", f"/objects/{_quoted(path)}", headers, body)
+        if answer.status in PUT_STATUSES:
+            return answer
+        # Another failure says nothing about the effect of the write.
+        raise _AnswerLost(f"PUT {path}: status {answer.status}")
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes | None,
+        waits_s: float = 0.0,
+    ) -> _Answer:
+        limit_s = self._timeout_s + waits_s
+        timeouts = Timeouts(
+            sock_connect=self._timeout_s, sock_read=limit_s, request_timeout=limit_s
+        )
+        try:
+            async with asyncio.timeout(limit_s):
+                response = await self._http.request(
+                    self._url + path,
+                    method,
+                    headers={**self._headers, **headers},
+                    # The library repeats a dropped PUT unless its body is an
+                    # iterator; a write must never be repeated unseen.
+                    data=None if body is None else _parts(body),
+                    timeouts=timeouts,
+                )
+                content = await response.content()
+        except (AiosonicError, OSError, TimeoutError) as error:
+            raise _AnswerLost(f"{method} {path}: {error!r}") from error
+        retry_after_s = _retry_after_s(response.headers.get("Retry-After"))
+        return _Answer(response.status_code, content, retry_after_s)
+
+    async def _read_back(
+        self, path: str, change_id: str, expected_version: int, lost: _AnswerLost
+    ) -> int | None:
+        try:
+            current = await self.read(path)
+        except PlatformUnavailable as error:
+            raise WriteUnknown(
+                f"{lost}; reading {path} back failed: {error.reason}",
+                error.retry_after_s,
+            ) from error
+        version = current.version if current else 0
+        if version == expected_version:
+            return None
+        if current is None:
+            raise WriteUnknown(f"{path} vanished while it was written", RETRY_AFTER_S)
+        return _own_version(current, change_id, expected_version, True)
+
+
+def _own_version(
+    current: PlatformObject, change_id: str, expected_version: int, lost_before: bool
+) -> int:
+    """Return the version that holds this change, or raise if it is another's."""
+    if current.change_id == change_id:
+        return current.version
+    if lost_before and current.version != expected_version + 1:
+        # The change may have been in force and replaced since.
+        raise WriteUnknown(
+            f"{current.path} is at version {current.version} already", RETRY_AFTER_S
+        )
+    raise ObjectConflict(
+        f"{current.path} is at version {current.version}, not {expected_version}"
+    )
+
+
+def _refusal(path: str, answer: _Answer) -> PlatformUnavailable:
+    known = answer.status in REFUSED_STATUSES
+    reason = "refused for now" if known else "answered unexpectedly"
+    return PlatformUnavailable(
+        f"the platform {reason}: {path} got {answer.status}", answer.retry_after_s
+    )
+
+
+def _retry_after_s(header: str | None) -> float:
+    try:
+        return float(header) if header else RETRY_AFTER_S
+    except ValueError:
+        return RETRY_AFTER_S
+
+
+def _quoted(path: str) -> str:
+    return quote(path.strip("/"), safe="/")
+
+
+def _parts(body: bytes) -> Iterator[bytes]:
+    yield body
