--- /dev/null
+++ b/greengagetack/daemons/protocol.py
@@ -0,0 +1,141 @@
+"""greengagetack.daemons.protocol: uvicorn's HTTP protocol with bounds on headers."""
+
+import asyncio
+from typing import Any
+
+import uvicorn
+from loguru import logger
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from greengagetack.daemons.responses import error_body, error_headers
+from greengagetack.errors import (
+    CodedError,
+    InvalidRequest,
+    RequestTooLarge,
+    RequestTooSlow,
+)
+
+__all__ = ["BoundedHttpProtocol", "bounded_config"]
+
+HEADER_TIMEOUT_S = 10.0
+KEEP_ALIVE_S = 65
+MAX_HEADER_BYTES = 65_536
+MAX_CONNECTIONS = 20_000
+REASON_PHRASES = {400: "Bad Request", 408: "Request Timeout", 413: "Content Too Large"}
+
+
+class BoundedHttpProtocol(HttpToolsProtocol):
+    """Refuses heads of requests that come too slowly or grow too large.
+
+    A sender that closes its side in the middle of a request gets an error and
+    nothing is run; one that closes it afterwards is taken to have left.
+    """
+
+    _head_timer: asyncio.TimerHandle | None = None
+    _head_bytes = 0
+
+    def connection_made(self, transport: Any) -> None:
+        """Start the time of the first request's head."""
+        super().connection_made(transport)
+        self._start_head_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Release the timer."""
+        self._stop_head_timer()
+        super().connection_lost(exc)
+
+    def _start_head_timer(self) -> None:
+        self._head_bytes = 0
+        if self._head_timer is None:
+            self._head_timer = self.loop.call_later(
+                HEADER_TIMEOUT_S, self._on_head_timeout
+            )
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _on_head_timeout(self) -> None:
+        self._head_timer = None
+        if self.transport.is_closing():
+            return
+        if not self._head_bytes:
+            self.transport.close()
+            return
+        self._refuse(RequestTooSlow(f"headers took over {HEADER_TIMEOUT_S:g} s"))
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes; refuse a head that has too many."""
+        if self.transport.is_closing():
+            return
+        self._head_bytes += len(data)
+        super().data_received(data)
+        is_head_open = self._head_timer is not None
+        if is_head_open and self._head_bytes > MAX_HEADER_BYTES:
+            self._refuse(RequestTooLarge(f"headers may have {MAX_HEADER_BYTES} bytes"))
+
+    def on_message_begin(self) -> None:
+        """Start the time of a request's head."""
+        super().on_message_begin()
+        received_bytes = self._head_bytes
+        self._start_head_timer()
+        self._head_bytes = received_bytes
+
+    def on_headers_complete(self) -> None:
+        """End the time of a request's head."""
+        self._stop_head_timer()
+        super().on_headers_complete()
+
+    def on_response_complete(self) -> None:
+        """Forget the former request's bytes."""
+        self._head_bytes = 0
+        super().on_response_complete()
+
+    def eof_received(self) -> None:
+        """Answer a sender that closed its side in the middle of a request."""
+        cycle = self.cycle
+        in_body = cycle is not None and cycle.more_body and not cycle.response_started
+        in_head = self._head_timer is not None and self._head_bytes > 0
+        if in_head or in_body:
+            self._refuse(InvalidRequest("the connection ended within the request"))
+
+    def send_400_response(self, msg: str) -> None:
+        """Answer bytes that are no HTTP."""
+        self._refuse(InvalidRequest(msg))
+
+    def _refuse(self, error: CodedError) -> None:
+        logger.debug("entry: refused a connection: {}", error.reason)
+        self._stop_head_timer()
+        cycle = self.cycle
+        if cycle is not None and not cycle.response_complete:
+            cycle.disconnected = True
+            cycle.message_event.set()
+        body = error_body(error, "-")
+        headers = error_headers(error)
+        headers["content-length"] = str(len(body))
+        headers["connection"] = "close"
+        phrase = REASON_PHRASES.get(error.http_status, "Error")
+        lines = [f"HTTP/1.1 {error.http_status} {phrase}"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        head = "\r\n".join(lines) + "\r\n\r\n"
+        if not self.transport.is_closing():
+            self.transport.write(head.encode() + body)
+            self.transport.close()
+
+
+def bounded_config(app: Any, **options: Any) -> uvicorn.Config:
+    """Return uvicorn's configuration with all bounds of the HTTP side."""
+    return uvicorn.Config(
+        app,
+        http=BoundedHttpProtocol,
+        ws="none",
+        lifespan="off",
+        access_log=False,
+        log_config=None,
+        timeout_keep_alive=KEEP_ALIVE_S,
+        limit_concurrency=MAX_CONNECTIONS,
+        server_header=False,
+        proxy_headers=False,
+        **options,
+    )
--- a/greengagetack/documents.py
+++ b/greengagetack/documents.py
@@ -28,6 +28,7 @@
 ]
 
 MAX_DEPTH = 32
+MAX_INTEGER = 2**63 - 1
 MAX_COMMENTED_BYTES = 256 * 1024
 MAX_SHOWN_PROBLEMS = 50
 NAME_SIMILARITY_RATIO = 0.6
@@ -64,6 +65,10 @@
         super().__init__(reason, retry_after_s)
         self.problems = problems
 
+    def details(self) -> Any:
+        """Return the problems for the receiver."""
+        return {"problems": self.problems} if self.problems else None
+
     @classmethod
     def from_problems(cls, problems: typing.Sequence[Problem]) -> "InvalidDocument":
         """Return the error that lists `problems`."""
@@ -91,6 +96,10 @@
     return value
 
 
+def _refuse_constant(name: str) -> Any:
+    raise ValueError(f"{name} is no JSON number")
+
+
 def parse_json(text: str | bytes) -> Any:
     """Return the plain value of strict JSON text.
 
@@ -102,7 +111,9 @@
     """
     decoded = _decode(text)
     try:
-        value = json.loads(decoded, object_pairs_hook=_unique_pairs)
+        value = json.loads(
+            decoded, object_pairs_hook=_unique_pairs, parse_constant=_refuse_constant
+        )
     except _DuplicateKey as error:
         raise _duplicate_key_error(decoded, error.key) from None
     except json.JSONDecodeError as error:
@@ -111,7 +122,7 @@
         ) from None
     except (RecursionError, ValueError) as error:
         raise InvalidDocument(f"the text is no JSON: {error}") from None
-    _check_depth(value)
+    _check_values(value)
     return value
 
 
@@ -138,7 +149,7 @@
         raise InvalidDocument("the text is nested too deeply") from None
     except ValueError as error:
         raise _commented_text_error(decoded, str(error)) from None
-    _check_depth(value)
+    _check_values(value)
     return value
 
 
@@ -173,21 +184,31 @@
     return InvalidDocument(f"the key {key!r} stands twice in one object{shown}")
 
 
-def _check_depth(value: Any) -> None:
+def _check_values(value: Any) -> None:
     level = [value]
     for _ in range(MAX_DEPTH + 1):
         deeper: list[Any] = []
         for item in level:
             if isinstance(item, dict):
+                deeper.extend(item)
                 deeper.extend(item.values())
             if isinstance(item, list):
                 deeper.extend(item)
+            if isinstance(item, str) and not item.isascii():
+                _check_text(item)
         if not deeper:
             return
         level = deeper
     raise InvalidDocument(f"values may be nested {MAX_DEPTH} deep")
 
 
+def _check_text(item: str) -> None:
+    try:
+        item.encode()
+    except UnicodeEncodeError:
+        raise InvalidDocument("a text holds half of a surrogate pair") from None
+
+
 def convert_document(value: Any, document_type: type[T], path: str = "") -> T:
     """Return the frozen data class that a plain value describes.
 
@@ -293,6 +314,8 @@
 def _leaf_problems(value: Any, expected: Any, path: str) -> list[Problem]:
     if isinstance(value, float) and not math.isfinite(value):
         return [Problem(path, "a finite number is expected")]
+    if isinstance(value, int) and abs(value) > MAX_INTEGER:
+        return [Problem(path, f"a whole number is at most {MAX_INTEGER}")]
     if isinstance(expected, type) and issubclass(expected, enum.Enum):
         names = [str(member.value) for member in expected]
         if value not in names:
--- a/greengagetack/errors.py
+++ b/greengagetack/errors.py
@@ -1,6 +1,7 @@
 """greengagetack.errors: exceptions with codes, reasons and remedies."""
 
 import enum
+from typing import Any
 
 __all__ = [
     "ERROR_TYPES",
@@ -50,6 +51,10 @@
         self.reason = reason
         self.retry_after_s = retry_after_s
 
+    def details(self) -> Any:
+        """Return what else the receiver gets in JSON, None for nothing."""
+        return None
+
 
 ERROR_TYPES: dict[str, type[CodedError]] = {CodedError.code: CodedError}
 
