--- a/features/support/__init__.py
+++ b/features/support/__init__.py
@@ -1,1 +1,1 @@
-"""features.support: helpers of the features."""
+"""features.support: fakes and helpers of the features."""
