--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""features.support: helpers of the features."""
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -81,13 +81,16 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def _accept(
+    def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        task = asyncio.current_task()
-        if task is not None:
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
         if self.refuse:
             writer.transport.abort()
             return
