Join all parts into a daemon and serve the whole path

Cause: the parts ran only against fakes. Ruled out: a role list that names each inner part (users name entry, keeper, owner and lead; keyed calls start with the owner).

--- /dev/null
+++ b/greengagetack/daemons/assembly.py
@@ -0,0 +1,127 @@
+"""greengagetack.daemons.assembly: builds a daemon of its parts and runs them."""
+
+import enum
+import socket
+from dataclasses import replace
+from pathlib import Path
+
+from loguru import logger
+
+from greengagetack.daemons.parts import PARTS
+from greengagetack.daemons.role import ROLES, Role, Services
+from greengagetack.membership.directory import CellDirectory
+from greengagetack.membership.store import ReplicatedShards
+from greengagetack.observability.metrics import Metrics
+from greengagetack.observability.traces import configure_traces
+from greengagetack.peers.node import PeerNode
+from greengagetack.platform.client import PlatformClient
+from greengagetack.routing.frontdoor import FrontDoor
+from greengagetack.settings.schema import VmSettings
+from greengagetack.settings.store import SettingsStore
+from greengagetack.timer import Timer
+from greengagetack.world import Address
+
+__all__ = ["Daemon", "Readiness"]
+
+
+class Readiness(enum.StrEnum):
+    """What the balancer should know about a daemon."""
+
+    STARTING = "starting"
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class Daemon:
+    """One process with its services and roles.
+
+    Parameters
+    ----------
+    settings : VmSettings
+        The settings file.
+    peer, http : Address
+        Where the daemon really listens.
+    incarnation : str
+        Differs after each start.
+    """
+
+    def __init__(
+        self, settings: VmSettings, peer: Address, http: Address, incarnation: str
+    ) -> None:
+        vm = replace(settings, peer=peer, http=http)
+        timer = Timer()
+        peers = PeerNode(vm.vm_id, incarnation, timer)
+        platform = PlatformClient(vm.platform_url, _platform_token(vm))
+        store = SettingsStore()
+        self._directory = CellDirectory(vm, incarnation, peers, platform, store, timer)
+        self._shards = ReplicatedShards(self._directory, peers, store, timer, platform)
+        self._platform = platform
+        self._draining = False
+        self.services = Services(
+            vm=vm,
+            timer=timer,
+            peers=peers,
+            platform=platform,
+            settings=store,
+            directory=self._directory,
+            shards=self._shards,
+            metrics=Metrics(),
+            spans=configure_traces(vm.vm_id),
+            front_door=FrontDoor(),
+        )
+        self.services.front_door.connect(self.services)
+        self.roles = self._make_roles()
+
+    def _make_roles(self) -> tuple[Role, ...]:
+        chosen = self.services.vm.roles
+        roles: list[Role] = []
+        for name, role_type in ROLES.items():
+            started_by = name if role_type.started_by is None else role_type.started_by
+            if not started_by or started_by in chosen:
+                roles.append(role_type(self.services))
+        return tuple(roles)
+
+    async def start(self, peer_listener: socket.socket) -> None:
+        """Start all parts, then accept links."""
+        logger.debug("daemon: {} parts are registered", len(PARTS))
+        await self._directory.start()
+        await self._shards.start()
+        for part in self.roles:
+            await part.start()
+        await self.services.peers.start(peer_listener)
+        logger.info("daemon: listens for peers on {}", self.services.vm.peer)
+
+    def readiness(self) -> Readiness:
+        """Return what the balancer should know."""
+        if self._draining:
+            return Readiness.DRAINING
+        if self.services.settings.ready and self.services.directory.ready:
+            return Readiness.READY
+        return Readiness.STARTING
+
+    async def announce_leaving(self) -> None:
+        """Turn readiness off and hand the endpoints kept here over."""
+        self._draining = True
+        await self._directory.drain()
+
+    async def drain(self) -> None:
+        """Finish what is in flight and hand over what is owned."""
+        for part in reversed(self.roles):
+            await part.drain()
+
+    async def close(self) -> None:
+        """Release everything."""
+        for part in reversed(self.roles):
+            await part.close()
+        self.services.front_door.close()
+        await self._shards.close()
+        await self._directory.close()
+        await self.services.peers.close()
+        await self._platform.close()
+        self.services.timer.close()
+
+
+def _platform_token(vm: VmSettings) -> str | None:
+    if vm.platform_token_file is None:
+        return None
+    return Path(vm.platform_token_file).read_text().strip()
--- /dev/null
+++ b/greengagetack/daemons/parts.py
@@ -0,0 +1,27 @@
+"""greengagetack.daemons.parts: imports every part so that it registers itself."""
+
+import greengagetack.calls.owner
+import greengagetack.daemons.lead
+import greengagetack.entry.completions
+import greengagetack.entry.jobs
+import greengagetack.entry.operations
+import greengagetack.entry.plain
+import greengagetack.entry.role
+import greengagetack.keeper.role
+import greengagetack.rollouts.owner
+import greengagetack.settings.sync
+
+__all__ = ["PARTS"]
+
+PARTS = (
+    greengagetack.calls.owner,
+    greengagetack.daemons.lead,
+    greengagetack.entry.completions,
+    greengagetack.entry.jobs,
+    greengagetack.entry.operations,
+    greengagetack.entry.plain,
+    greengagetack.entry.role,
+    greengagetack.keeper.role,
+    greengagetack.rollouts.owner,
+    greengagetack.settings.sync,
+)
--- a/greengagetack/entry/completions.py
+++ b/greengagetack/entry/completions.py
@@ -13,8 +13,10 @@
 from starlette.routing import BaseRoute
 
 from greengagetack.daemons.auth import Principal
+from greengagetack.daemons.limits import read_json
+from greengagetack.daemons.responses import error_body
 from greengagetack.daemons.role import Services, http_routes
-from greengagetack.entry.http import error_body, read_body, team_of, team_route
+from greengagetack.entry.http import team_of, team_route
 from greengagetack.errors import CodedError, Forbidden, InvalidRequest, NotFound
 from greengagetack.keeper.messages import Chunk, Complete, Completed, Work
 from greengagetack.observability.logs import REQUEST_ID
@@ -92,12 +94,12 @@
 
     async def text(self, request: Request, principal: Principal) -> Response:
         """Serve ``POST /v1/completions``."""
-        body = await read_body(request, CompletionBody)
+        body = await read_json(request, CompletionBody)
         return await self._answer(request, principal, body, is_chat=False)
 
     async def chat(self, request: Request, principal: Principal) -> Response:
         """Serve ``POST /v1/chat/completions``."""
-        body = _plain_body(await read_body(request, ChatBody))
+        body = _plain_body(await read_json(request, ChatBody))
         return await self._answer(request, principal, body, is_chat=True)
 
     async def _answer(
@@ -185,7 +187,7 @@
                     yield _event(item, body, is_chat)
             except CodedError as error:
                 logger.warning("entry: stream ended with {}", error.code)
-                yield _data(error_body(error))
+                yield _frame(error_body(error, REQUEST_ID.get()))
                 return
         yield b"data: [DONE]\n\n"
 
@@ -212,8 +214,8 @@
         raise Forbidden(f"/model: team {team!r} may not use {model!r}")
 
 
-def _data(value: Any) -> bytes:
-    return b"data: " + json.dumps(value).encode() + b"\n\n"
+def _frame(content: bytes) -> bytes:
+    return b"data: " + content + b"\n\n"
 
 
 def _event(
@@ -235,7 +237,7 @@
         value["offset_tokens"] = item.offset_tokens
         value["token_count"] = item.token_count
         value["weight_version"] = item.weight_version
-    return _data(value)
+    return _frame(json.dumps(value).encode())
 
 
 def _whole_answer(
--- a/greengagetack/entry/jobs.py
+++ b/greengagetack/entry/jobs.py
@@ -9,9 +9,10 @@
 from starlette.routing import BaseRoute
 
 from greengagetack.daemons.auth import Principal
+from greengagetack.daemons.limits import read_json
 from greengagetack.daemons.role import Services, http_routes
 from greengagetack.entry.completions import check_model
-from greengagetack.entry.http import read_body, team_of, team_route
+from greengagetack.entry.http import team_of, team_route
 from greengagetack.entry.owners import ask_owner_or_backup
 from greengagetack.errors import InvalidRequest, NotFound
 from greengagetack.rollouts.delivery import MAX_WAIT_S
@@ -30,6 +31,7 @@
 
 MAX_GROUPS_PER_FETCH = 4_096
 LIST_TIMEOUT_S = 2.0
+MAX_STEP_BYTES = 7_000_000
 FETCH_MARGIN_S = 5.0
 
 
@@ -76,7 +78,7 @@
     async def create(self, request: Request, principal: Principal) -> Response:
         """Serve ``POST /v1/jobs/{job}/steps/{step}``."""
         team = team_of(request, principal)
-        body = await read_body(request, StepBody)
+        body = await read_json(request, StepBody, MAX_STEP_BYTES)
         check_model(self._services, team, body.model)
         spec = StepSpec(
             team=team,
@@ -121,7 +123,7 @@
     async def fetch(self, request: Request, principal: Principal) -> Response:
         """Serve ``POST /v1/jobs/{job}/steps/{step}/fetch``."""
         team = team_of(request, principal)
-        body = await read_body(request, FetchBody)
+        body = await read_json(request, FetchBody)
         expand_ranges(body.held)
         if not 0 < body.max_groups <= MAX_GROUPS_PER_FETCH:
             raise InvalidRequest(f"/max_groups: 1 to {MAX_GROUPS_PER_FETCH}")
--- a/greengagetack/entry/plain.py
+++ b/greengagetack/entry/plain.py
@@ -8,6 +8,7 @@
 from greengagetack.calls.keyed import record_key
 from greengagetack.calls.messages import KeyedCall
 from greengagetack.daemons.auth import Principal
+from greengagetack.daemons.limits import read_body
 from greengagetack.daemons.role import Services, http_routes
 from greengagetack.entry.http import team_of, team_route
 from greengagetack.entry.owners import ask_only_owner
@@ -22,6 +23,7 @@
 KEY_HEADER = "idempotency-key"
 FIRST_ATTEMPT_HEADER = "x-first-attempt"
 MAX_KEY_LENGTH = 200
+MAX_BODY_BYTES = 4_000_000
 OWNER_MARGIN_S = 2.0
 
 # Headers that concern one connection, or only the caller and the entry.
@@ -95,7 +97,7 @@
             method=request.method,
             path=path,
             headers=_forwarded(request.headers.items()),
-            body=await request.body(),
+            body=await read_body(request, MAX_BODY_BYTES),
             time_left_s=service.timeout_s,
         )
 
