--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -9,7 +9,7 @@
 from greengagetack.daemons.auth import NewToken, new_token
 from standins.processes import Process, ProcessGroup
 
-__all__ = ["Deployment", "DeploymentPlan", "EnginePlan", "ServicePlan"]
+__all__ = ["Deployment", "DeploymentPlan", "EnginePlan", "ServicePlan", "send_json"]
 
 HTTP_TIMEOUT_S = 10.0
 CELL = "cell-1"
