Serve the settings calls over HTTP

Change: reading works from what is in force, through outages; a change is checked whole, based on a named version, written by conditional update and pushed at once; a conflict shows both versions; token hashes are shown shortened; budgets and weights are changed by operators alone.

--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from features.support.loops import BackgroundLoop
 from features.support.settings_cell import SettingsCell, wait_until
 from features.support.settings_documents import fleet_value
 from greengagetack.membership.table import rendezvous_order
@@ -21,7 +22,7 @@
 
 
 def run(context: Context, work: Any) -> Any:
-    return context.loop.run_until_complete(work)
+    return context.loop.run(work)
 
 
 def value_of(version: int) -> dict[str, Any]:
@@ -30,7 +31,7 @@
 
 @given("a settings cell of {count:d} members")
 def step_cell(context: Context, count: int) -> None:
-    context.loop = asyncio.new_event_loop()
+    context.loop = BackgroundLoop()
     context.add_cleanup(context.loop.close)
     run(context, _start_cell(context, count))
     context.add_cleanup(lambda: run(context, context.cell.close()))
--- a/features/support/settings_cell.py
+++ b/features/support/settings_cell.py
@@ -5,8 +5,15 @@
 from dataclasses import dataclass
 from typing import Any
 
+import uvicorn
+from starlette.applications import Starlette
+
+import greengagetack.settings.http  # noqa: F401 - registers its routes
 from features.support.memory_platform import MemoryPlatform
-from greengagetack.daemons.role import Services
+from greengagetack.daemons.limits import LimitsMiddleware
+from greengagetack.daemons.protocol import bounded_config
+from greengagetack.daemons.responses import EXCEPTION_HANDLERS
+from greengagetack.daemons.role import ROUTE_SOURCES, Services
 from greengagetack.membership.shards import ShardStore
 from greengagetack.membership.table import CellTable
 from greengagetack.observability.metrics import Metrics
@@ -60,7 +67,8 @@
     role: SettingsRole
     peers: PeerNode
     timer: Timer
-    first_version: int = 0
+    http: Address = LOOPBACK
+    server: uvicorn.Server | None = None
 
 
 class SettingsCell:
@@ -71,6 +79,7 @@
         self.directory = FixedDirectory()
         self.members: dict[str, Member] = {}
         self._starts = 0
+        self._servers: list[asyncio.Task[None]] = []
 
     async def start(self, vm_id: str) -> Member:
         """Start a member, anew with an empty memory if it ran before."""
@@ -104,9 +113,26 @@
         await member.role.start()
         return member
 
+    async def serve_http(self, vm_id: str) -> Address:
+        """Serve the registered routes of a member and return where."""
+        member = self.members[vm_id]
+        routes = [
+            route for source in ROUTE_SOURCES for route in source(member.services)
+        ]
+        app = Starlette(routes=routes, exception_handlers=EXCEPTION_HANDLERS)
+        listener = listening_socket(LOOPBACK)
+        member.http = Address(*listener.getsockname())
+        member.server = uvicorn.Server(bounded_config(LimitsMiddleware(app)))
+        task = asyncio.create_task(member.server.serve(sockets=[listener]))
+        self._servers.append(task)
+        await wait_until(lambda: member.server and member.server.started)
+        return member.http
+
     async def stop(self, vm_id: str, suspect: bool = True) -> None:
         """End a member at once; the others suspect it unless told otherwise."""
         member = self.members.pop(vm_id)
+        if member.server is not None:
+            member.server.should_exit = True
         await member.role.close()
         member.timer.close()
         await member.peers.close()
@@ -117,6 +143,7 @@
         """End all members."""
         for vm_id in list(self.members):
             await self.stop(vm_id)
+        await asyncio.gather(*self._servers, return_exceptions=True)
         await settle()
 
     def versions(self, path: str) -> dict[str, int]:
--- /dev/null
+++ b/greengagetack/settings/http.py
@@ -0,0 +1,201 @@
+"""greengagetack.settings.http: the settings calls towards operators and teams."""
+
+import re
+from typing import Any
+
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import BaseRoute, Route
+
+from greengagetack.daemons.auth import (
+    Principal,
+    authenticate,
+    require_operator,
+    require_team,
+)
+from greengagetack.daemons.limits import read_body
+from greengagetack.daemons.responses import json_response
+from greengagetack.daemons.role import Services, http_routes
+from greengagetack.documents import parse_json
+from greengagetack.errors import InvalidRequest, NotFound
+from greengagetack.settings.answers import (
+    AppliedAnswer,
+    CheckAnswer,
+    HistoryAnswer,
+    SettingsList,
+    WrittenAnswer,
+    answer_from_object,
+)
+from greengagetack.settings.changes import find_changes, redacted
+from greengagetack.settings.messages import (
+    AskApplied,
+    MemberVersions,
+    PushSettings,
+    SettingsSpread,
+    SpreadSettings,
+)
+from greengagetack.settings.objects import (
+    FLEET_PATH,
+    SettingsObject,
+    settings_path,
+    team_of_path,
+)
+from greengagetack.settings.store import SettingsStore
+from greengagetack.settings.view import SettingsView
+from greengagetack.settings.writer import SettingsWriter, check_document
+
+__all__ = ["SettingsCalls", "settings_routes"]
+
+MAX_SETTINGS_BYTES = 900_000
+MAX_WAIT_S = 30.0
+
+_VERSION_TAG = re.compile(r'"(0|[1-9][0-9]{0,17})"')
+
+
+class SettingsCalls:
+    """Answers the settings calls of one daemon."""
+
+    def __init__(self, services: Services) -> None:
+        store = services.settings
+        if not isinstance(store, SettingsStore):
+            raise TypeError("the settings calls need a SettingsStore")
+        self._store = store
+        self._peers = services.peers
+        self._writer = SettingsWriter(services.platform, services.timer)
+
+    async def list(self, request: Request) -> Response:
+        """Answer with the subtrees that the sender may read."""
+        principal = _authenticate(request, self._store)
+        visible = [
+            one for one in self._store.versions() if _may_touch(principal, one.path)
+        ]
+        return json_response(SettingsList(tuple(visible)))
+
+    async def show(self, request: Request) -> Response:
+        """Answer with the version in force here; works through an outage."""
+        _, path = self._checked_path(request)
+        known = self._store.get(path)
+        if known is None:
+            raise NotFound(f"there are no settings under {path}")
+        return _tagged(answer_from_object(known), known.version)
+
+    async def write(self, request: Request) -> Response:
+        """Accept a change and push it to all members."""
+        principal, path = self._checked_path(request)
+        expected_version = _expected_version(request)
+        wait_s = _wait_s(request)
+        value = await _read_value(request)
+        written = await self._writer.write(path, value, expected_version, principal)
+        spread = await self._spread(written, wait_s)
+        answer = WrittenAnswer(
+            path, written.version, spread.confirmed_vm_ids, spread.missing_vm_ids
+        )
+        return _tagged(answer, written.version)
+
+    async def _spread(self, written: SettingsObject, wait_s: float) -> SettingsSpread:
+        body = SpreadSettings(PushSettings.from_object(written), wait_s)
+        spread = await self._peers.request(self._peers.vm_id, body)
+        assert isinstance(spread, SettingsSpread)
+        return spread
+
+    async def check(self, request: Request) -> Response:
+        """Check a document without writing it."""
+        _, path = self._checked_path(request)
+        value = await _read_value(request)
+        check_document(path, value)
+        known = self._store.get(path)
+        before = redacted(known.value) if known is not None else {}
+        changes = find_changes(before, redacted(value), path)
+        version = self._store.version(path)
+        return json_response(CheckAnswer(path, version, tuple(changes)))
+
+    async def history(self, request: Request) -> Response:
+        """Answer with the versions that the platform keeps, newest first."""
+        _, path = self._checked_path(request)
+        current = await self._writer.read(path)
+        if current is None:
+            raise NotFound(f"there are no settings under {path}")
+        versions = [answer_from_object(current)]
+        for entry in current.history:
+            former = SettingsObject(
+                path, entry.version, entry.value, entry.author, entry.changed_at_s
+            )
+            versions.append(answer_from_object(former))
+        return json_response(HistoryAnswer(path, tuple(versions)))
+
+    async def applied(self, request: Request) -> Response:
+        """Answer with what each member of the cell has in force."""
+        require_operator(_authenticate(request, self._store))
+        members = []
+        async for answer in self._peers.stream(self._peers.vm_id, AskApplied()):
+            if isinstance(answer, MemberVersions):
+                members.append(answer)
+        return json_response(AppliedAnswer(tuple(members)))
+
+    def _checked_path(self, request: Request) -> tuple[Principal, str]:
+        principal = _authenticate(request, self._store)
+        path = settings_path(request.path_params["path"])
+        if path == FLEET_PATH:
+            require_operator(principal)
+        else:
+            require_team(principal, team_of_path(path))
+        return principal, path
+
+
+def _authenticate(request: Request, view: SettingsView) -> Principal:
+    return authenticate(request.headers.get("authorization"), view)
+
+
+def _may_touch(principal: Principal, path: str) -> bool:
+    return principal.is_operator or team_of_path(path) == principal.team
+
+
+def _tagged(answer: Any, version: int) -> Response:
+    return json_response(answer, headers={"etag": f'"{version}"'})
+
+
+def _expected_version(request: Request) -> int:
+    if request.headers.get("if-none-match") == "*":
+        return 0
+    tag = request.headers.get("if-match")
+    if tag is None:
+        raise InvalidRequest(
+            'If-Match: "VERSION" is required, or If-None-Match: * for a new path'
+        )
+    found = _VERSION_TAG.fullmatch(tag.strip())
+    if found is None:
+        raise InvalidRequest('If-Match is not a version in quotes, such as "3"')
+    return int(found.group(1))
+
+
+def _wait_s(request: Request) -> float:
+    text = request.query_params.get("wait_s", "0")
+    try:
+        wait_s = float(text)
+    except ValueError:
+        raise InvalidRequest("wait_s is no number") from None
+    if not 0 <= wait_s <= MAX_WAIT_S:
+        raise InvalidRequest(f"wait_s is not between 0 and {MAX_WAIT_S:g}")
+    return wait_s
+
+
+async def _read_value(request: Request) -> Any:
+    body = await read_body(request, MAX_SETTINGS_BYTES)
+    if not body:
+        raise InvalidRequest("a JSON body is expected; there is none")
+    return parse_json(body)
+
+
+@http_routes
+def settings_routes(services: Services) -> list[BaseRoute]:
+    """Return the routes of the settings calls."""
+    calls = SettingsCalls(services)
+    path = "{path:path}"
+    return [
+        Route("/v1/settings", calls.list, methods=["GET"]),
+        Route(f"/v1/settings/{path}", calls.show, methods=["GET"]),
+        Route(f"/v1/settings/{path}", calls.write, methods=["PUT"]),
+        Route(f"/v1/settings-check/{path}", calls.check, methods=["POST"]),
+        Route(f"/v1/settings-history/{path}", calls.history, methods=["GET"]),
+        Route("/v1/settings-applied", calls.applied, methods=["GET"]),
+    ]
