--- a/greengagetack/cli/__init__.py
+++ b/greengagetack/cli/__init__.py
@@ -1,1 +1,1 @@
-"""greengagetack.cli: the command line."""
+"""greengagetack.cli: the command line ``greengagetack``."""
--- /dev/null
+++ b/greengagetack/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""greengagetack.cli.commands: one module per command; each registers itself."""
--- /dev/null
+++ b/greengagetack/cli/commands/serve.py
@@ -0,0 +1,27 @@
+"""greengagetack.cli.commands.serve: ``greengagetack serve``."""
+
+import importlib
+
+import click
+
+from greengagetack.cli.exits import shows_errors
+from greengagetack.cli.registry import command
+
+__all__ = ["serve"]
+
+
+@command
+@click.command()
+@click.option(
+    "--settings",
+    "settings_path",
+    required=True,
+    type=click.Path(dir_okay=False),
+    help="Settings file of this daemon (JSON with comments).",
+)
+@shows_errors
+def serve(settings_path: str) -> None:
+    """Run a daemon until SIGTERM, then finish what is in flight."""
+    # Imported here, because the other commands start faster without it.
+    daemon = importlib.import_module("greengagetack.daemons.main")
+    daemon.run(settings_path)
--- a/greengagetack/daemons/limits.py
+++ b/greengagetack/daemons/limits.py
@@ -72,7 +72,7 @@
             exchange.request_id = _request_id(scope)
             _check_head(scope, self._limits)
             REQUEST_ID.set(exchange.request_id)
-            scope.setdefault("state", {})["request_id"] = exchange.request_id
+            _name_request(scope, exchange.request_id)
             await self._app(scope, exchange.receive, exchange.send)
         except CodedError as error:
             await exchange.answer(scope, error)
@@ -99,6 +99,16 @@
     return given[0]
 
 
+def _name_request(scope: Scope, request_id: str) -> None:
+    """Give all handlers the same identifier, also if the sender named none."""
+    others = [
+        (name, value)
+        for name, value in scope["headers"]
+        if name != REQUEST_ID_HEADER.encode()
+    ]
+    scope["headers"] = [*others, (REQUEST_ID_HEADER.encode(), request_id.encode())]
+
+
 def _check_head(scope: Scope, limits: HttpLimits) -> None:
     headers = scope["headers"]
     if len(headers) > limits.header_count:
