--- a/features/support/__init__.py
+++ b/features/support/__init__.py
@@ -1,1 +1,1 @@
-"""features.support: helpers of the feature steps."""
+"""features.support: fakes and helpers of the features."""
--- a/greengagetack/membership/directory.py
+++ b/greengagetack/membership/directory.py
@@ -8,8 +8,8 @@
 from loguru import logger
 
 from greengagetack.errors import CodedError, PlatformUnavailable
+from greengagetack.leases.decisions import lease_expires_s
 from greengagetack.leases.lease import PlatformLease
-from greengagetack.leases.rules import holder_trusts
 from greengagetack.membership.lead import LeadDuty
 from greengagetack.membership.messages import (
     CellNews,
@@ -79,7 +79,7 @@
             settings.peer,
             settings.http,
         )
-        self._cell = settings.cell
+        self.cell = settings.cell
         self._peers = peers
         self._fleet = fleet
         self._timer = timer
@@ -265,7 +265,7 @@
 
     def _rank(self) -> int:
         members = tuple(vm.vm_id for vm in self.live_members())
-        order = rendezvous_order(f"lead-{self._cell}", members)
+        order = rendezvous_order(f"lead-{self.cell}", members)
         return order.index(self.vm.vm_id) if self.vm.vm_id in order else 0
 
     async def _contest(self) -> None:
@@ -381,14 +381,10 @@
 
     def keeper_lease_left_s(self) -> float:
         """Return for how long this VM may still give unfenced orders."""
-        if not holder_trusts(
-            self._timer.now_s(),
-            self._keeper_sent_s,
-            self.timings.lease_s,
-            self.timings.margin_s,
-        ):
-            return 0.0
-        return self._keeper_sent_s + self.timings.holder_s - self._timer.now_s()
+        until_s = lease_expires_s(
+            self._keeper_sent_s, self.timings.lease_s, self.timings.margin_s
+        )
+        return max(0.0, until_s - self._timer.now_s())
 
     def pair(self, shard: int) -> ShardPair | None:
         """Return the newest known pair of a shard."""
--- a/greengagetack/membership/lead.py
+++ b/greengagetack/membership/lead.py
@@ -254,7 +254,9 @@
             lead_vm_id=self._view.vm.vm_id,
             lead_epoch=self._lease.epoch,
             members=tuple(self._members[vm_id].vm for vm_id in sorted(self._members)),
-            endpoints=self._settings.fleet().endpoints,
+            endpoints=self._settings.fleet().endpoints
+            if self._settings.ready
+            else None,
             leaving_endpoint_ids=self._view.signs.leaving_ids(),
             waiting_endpoint_ids=waiting,
         )
@@ -266,17 +268,24 @@
             logger.warning("lead: {} is silent and leaves the table", vm_id)
 
     async def _write_pairs(self) -> None:
-        pairs = plan_pairs(
-            self._view.pairs,
-            self._view.table.members,
-            self._settings.fleet().shard_count,
+        if not self._settings.ready:
+            return
+        known = self._view.pairs
+        new = plan_pairs(
+            known, self._view.table.members, self._settings.fleet().shard_count
+        )
+        lost = self._lost.replacements(
+            known, self._view.table, frozenset(self._listed), self._timer.now_s()
         )
-        if not pairs or not self._lease.trusted():
+        if not (new or lost) or not self._lease.trusted():
             return
-        stored = (*self._view.pairs.values(), *pairs)
+        stored = {**known, **{pair.shard: pair for pair in (*new, *lost)}}
+        for pair in lost:
+            logger.warning("lead: both of shard {} are gone, it moves", pair.shard)
+        pairs = tuple(stored.values())
         version = await self._platform.write(
             pairs_path(self._cell),
-            to_value(PairsObject(stored)),
+            to_value(PairsObject(pairs)),
             self._view.pairs_version,
         )
         self._view.adopt_pairs(NewPairs(version, pairs))
--- a/greengagetack/membership/store.py
+++ b/greengagetack/membership/store.py
@@ -7,6 +7,7 @@
 from greengagetack.errors import CodedError, OwnerUnavailable
 from greengagetack.membership.directory import CellDirectory
 from greengagetack.membership.messages import NewPairs
+from greengagetack.membership.pair_duty import PairDuty, PairFacts
 from greengagetack.membership.promises import GivenPromises, HeldPromises
 from greengagetack.membership.records import ShardRecords, chunked
 from greengagetack.membership.replicator import Replicator
@@ -32,6 +33,7 @@
 
 RoleCallback = Callable[[int, ShardRole], None]
 
+DRAIN_LEASES = 6.0
 MERGED_KINDS = frozenset({"job"})
 
 
@@ -83,6 +85,10 @@
         self._replicator = Replicator(
             peers, self._timings, self._note_copied, self._note_failed
         )
+        self._answered: dict[int, tuple[int, float]] = {}
+        self._pair_duty = PairDuty(
+            directory.cell, directory, peers, platform, self.held, self.given, timer
+        )
         self._subscriptions: list[Subscription] = []
 
     async def start(self) -> None:
@@ -94,7 +100,51 @@
         self._directory.subscribe(self._note_roles)
         self._subscriptions = [
             self._timer.subscribe(self._timings.renew_s, self.renew, "promises"),
+            self._timer.subscribe(self._timings.renew_s, self._step_pairs, "pairs"),
+        ]
+
+    async def drain(self) -> None:
+        """Leave all pairs, so that each shard keeps an owner and a backup.
+
+        Returns after `DRAIN_LEASES` leases at the latest; what is left then is
+        taken over by the others once this VM is gone.
+        """
+        self._pair_duty.draining = True
+        limit_s = self._timer.now_s() + DRAIN_LEASES * self._timings.lease_s
+        while self._timer.now_s() < limit_s and self._hands_over():
+            await self._timer.sleep(self._timings.renew_s)
+
+    def _hands_over(self) -> bool:
+        """Whether a pair names this VM and somebody else could replace it."""
+        others = [
+            vm for vm in self._directory.live_members() if vm.vm_id != self._vm.vm_id
         ]
+        own = [p for p in self._view.pairs.values() if self.owns(p) or self.backs_up(p)]
+        return bool(own and others)
+
+    async def _step_pairs(self) -> None:
+        facts: dict[int, PairFacts] = {}
+        for shard, pair in self._view.pairs.items():
+            if self.owns(pair):
+                synced = self._synced.get(shard) == pair.epoch
+                facts[shard] = PairFacts(True, synced, self._unanswered_s(pair))
+                continue
+            if self.backs_up(pair):
+                complete = self.shard_records(shard).complete_epoch == pair.epoch
+                facts[shard] = PairFacts(False, complete)
+        try:
+            await self._pair_duty.step(facts)
+        except CodedError as error:
+            logger.debug("shards: pairs unchanged: {}", error.reason)
+
+    def _unanswered_s(self, pair: ShardPair) -> float:
+        """Return since when the backup has not answered in this epoch."""
+        now_s = self._timer.now_s()
+        epoch, since_s = self._answered.get(pair.shard, (0, 0.0))
+        if epoch != pair.epoch:
+            since_s = now_s
+            self._answered[pair.shard] = (pair.epoch, since_s)
+        return now_s - since_s
 
     async def close(self) -> None:
         """Stop all tasks of this part."""
@@ -280,6 +330,7 @@
 
     async def _take_grant(self, grant: PromiseGrant, sent_s: float) -> None:
         self.held.grant(grant.shard, grant.epoch, sent_s)
+        self._answered[grant.shard] = (grant.epoch, self._timer.now_s())
         pair = self._view.pairs[grant.shard]
         if pair.epoch != grant.epoch or not self.owns(pair):
             return
