--- a/greengagetack/membership/lead.py
+++ b/greengagetack/membership/lead.py
@@ -7,6 +7,7 @@
 
 from greengagetack.errors import CodedError
 from greengagetack.leases.lease import PlatformLease
+from greengagetack.membership.lost_pairs import LostPairs
 from greengagetack.membership.messages import (
     CellNews,
     Heartbeat,
@@ -21,7 +22,7 @@
     table_path,
     to_value,
 )
-from greengagetack.membership.table import CellTable
+from greengagetack.membership.table import CellTable, ShardPair
 from greengagetack.membership.timings import CellTimings
 from greengagetack.membership.view import CellView
 from greengagetack.peers.node import PeerNode
@@ -75,6 +76,7 @@
         self._listed: dict[str, ListedVm] = {}
         self._listed_leaving: set[str] = set()
         self._has_table = False
+        self._lost = LostPairs(timings.observer_s)
         self._polled_s = 0.0
         self._settled_s = 0.0
         self._pushed: CellNews | None = None
@@ -274,9 +276,12 @@
         new = plan_pairs(
             known, self._view.table.members, self._settings.fleet().shard_count
         )
-        lost = self._lost.replacements(
-            known, self._view.table, frozenset(self._listed), self._timer.now_s()
-        )
+        lost: tuple[ShardPair, ...] = ()
+        if self._view.vm.vm_id in self._listed:
+            # A list without this VM says nothing about the others either.
+            lost = self._lost.replacements(
+                known, self._view.table, frozenset(self._listed), self._timer.now_s()
+            )
         if not (new or lost) or not self._lease.trusted():
             return
         stored = {**known, **{pair.shard: pair for pair in (*new, *lost)}}
@@ -320,6 +325,9 @@
     def forget(self) -> None:
         """Drop all that only a lead knows, once another VM leads."""
         self._members.clear()
+        self._listed = {}
+        self._polled_s = 0.0
+        self._lost.clear()
         self._has_table = False
         self._pushed = None
 
