--- a/greengagetack/leases/lease.py
+++ b/greengagetack/leases/lease.py
@@ -6,7 +6,11 @@
 from transitions import Machine
 
 from greengagetack.errors import PlatformUnavailable
-from greengagetack.leases.rules import holder_trusts, observer_may_claim
+from greengagetack.leases.decisions import (
+    lease_expires_s,
+    may_act,
+    may_take_lease,
+)
 from greengagetack.membership.stored import LeadObject, from_value, to_value
 from greengagetack.membership.timings import CellTimings
 from greengagetack.platform.objects import (
@@ -94,12 +98,9 @@
 
     def trusted(self) -> bool:
         """Whether this VM surely holds the lease now."""
-        return self.held and holder_trusts(
-            self._timer.now_s(),
-            self._sent_s,
-            self._timings.lease_s,
-            self._timings.margin_s,
-        )
+        times = self._timings
+        until_s = lease_expires_s(self._sent_s, times.lease_s, times.margin_s)
+        return self.held and may_act(self._timer.now_s(), until_s)
 
     def note_version(self, version: int) -> None:
         """Take note of a version that another member has seen."""
@@ -160,11 +161,8 @@
             If the platform does not answer.
         """
         free = lead is None or not lead.holder_vm_id or self._names_me(lead)
-        if not free and not observer_may_claim(
-            self._timer.now_s(),
-            self._seen.since_s,
-            self._timings.lease_s,
-            self._timings.margin_s,
+        if not may_take_lease(
+            self._timer.now_s(), self._seen.since_s, self._timings.observer_s, free
         ):
             return False
         self.trigger("try_claim")  # type: ignore[attr-defined]
