--- a/features/support/fake_engine.py
+++ b/features/support/fake_engine.py
@@ -57,6 +57,8 @@
         self.refuse = False
         self.leaving = False
         self.salt = ""
+        self.answer_delay_s = 0.0
+        self.answer_version: int | None = None
         self.cache_answers: list[dict[str, Any]] = []
         self.address = Address("127.0.0.1", 0)
         self._server: asyncio.Server | None = None
@@ -111,6 +113,7 @@
         body = json.loads(await reader.readexactly(length)) if length else {}
         if path == "/v1/completions":
             return await self._complete(body, writer)
+        await asyncio.sleep(self.answer_delay_s)
         status, answer = self._short(method, path, body)
         await self._answer(writer, status, answer)
         return True
@@ -142,6 +145,8 @@
             if run is not None:
                 run.cancelled = True
             return 200, {"cancelled": run is not None}
+        if path.startswith("/named/"):
+            return 200, {"path": path}
         if path.startswith("/cache/events"):
             answer = {"next": 0, "events": []}
             return 200, self.cache_answers.pop(0) if self.cache_answers else answer
@@ -232,7 +237,7 @@
             "choices": [{"index": 0, "text": token_text(run.prompt, run.seed, index)}],
             "offset_tokens": index,
             "token_count": 1,
-            "weight_version": run.versions[index],
+            "weight_version": self.answer_version or run.versions[index],
         }
         return json.dumps(event)
 
