--- a/features/steps/engines_steps.py
+++ b/features/steps/engines_steps.py
@@ -6,9 +6,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.support.fake_engine import token_text
 from features.support.fake_service import FakeService
-from features.support.keeper_world import KeeperWorld
+from features.support.keeper_world import assert_whole, start_world
 from features.support.loops import run_on_loop, start_loop
 from greengagetack.engines import make_adapter
 from greengagetack.engines.http import EndpointHttp
@@ -20,31 +19,6 @@
 from greengagetack.world import Endpoint, EndpointKind
 
 
-def start_world(context: Context, **options: Any) -> None:
-    """Make keepers and engines for a scenario."""
-    start_loop(context)
-    context.world = KeeperWorld()
-    context.add_cleanup(lambda: run_on_loop(context, context.world.close()))
-    run_on_loop(context, context.world.start(**options))
-    context.engine = context.world.engines["e1"]
-
-
-def whole_text(count: int, prompt: str = "hello", seed: int = 7) -> str:
-    """Return the text of a completion without faults."""
-    return "".join(token_text(prompt, seed, index) for index in range(count))
-
-
-def assert_whole(answer: Any, count: int) -> None:
-    """Check that an answer has each token once and its end."""
-    assert answer.error is None, answer.error
-    assert answer.text == whole_text(count), answer.text
-    position = answer.chunks[0].offset_tokens
-    for chunk in answer.chunks:
-        assert chunk.offset_tokens == position
-        position += chunk.token_count
-    assert answer.completed.token_count == count
-
-
 @given("a keeper before {count:d} engine")
 @given("a keeper before {count:d} engines")
 def step_keeper(context: Context, count: int) -> None:
--- a/features/support/keeper_world.py
+++ b/features/support/keeper_world.py
@@ -5,8 +5,11 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from features.support.fake_engine import FakeEngine
+from behave.runner import Context
+
+from features.support.fake_engine import FakeEngine, token_text
 from features.support.fakes import FakeCell, FakeDirectory, FakeSettings, FakeShards
+from features.support.loops import run_on_loop, start_loop
 from greengagetack.daemons.role import Services
 from greengagetack.errors import CodedError
 from greengagetack.keeper.messages import Chunk, Complete, Completed, Work
@@ -217,3 +220,28 @@
         for engine in self.engines.values():
             await engine.crash()
         self.timer.close()
+
+
+def start_world(context: Context, **options: Any) -> None:
+    """Make keepers and engines for a scenario."""
+    start_loop(context)
+    context.world = KeeperWorld()
+    context.add_cleanup(lambda: run_on_loop(context, context.world.close()))
+    run_on_loop(context, context.world.start(**options))
+    context.engine = context.world.engines["e1"]
+
+
+def whole_text(count: int, prompt: str = "hello", seed: int = 7) -> str:
+    """Return the text of a completion without faults."""
+    return "".join(token_text(prompt, seed, index) for index in range(count))
+
+
+def assert_whole(answer: Any, count: int) -> None:
+    """Check that an answer has each token once and its end."""
+    assert answer.error is None, answer.error
+    assert answer.text == whole_text(count), answer.text
+    position = answer.chunks[0].offset_tokens
+    for chunk in answer.chunks:
+        assert chunk.offset_tokens == position
+        position += chunk.token_count
+    assert answer.completed.token_count == count
