--- a/features/standins.feature
+++ b/features/standins.feature
@@ -60,6 +60,7 @@
     When a client leaves a stream of 200 tokens after <left> and resumes from <from>
     Then the resumed stream starts at token <from> and the text is whole
     And the engine stand-in generated 200 tokens in all
+    And the engine stand-in was sent the request 2 times
 
     Examples:
       | left | from |
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -563,3 +563,10 @@
 @then("it ended with code 0")
 def step_ended(context: Context) -> None:
     assert context.exit_code == 0
+
+
+@then("the engine stand-in was sent the request {times:d} times")
+def step_submissions(context: Context, times: int) -> None:
+    (run,) = read_log(context, "engine")["runs"]
+    assert run["submissions"] == times
+    assert run["label"] == "work"
--- a/standins/batching.py
+++ b/standins/batching.py
@@ -70,6 +70,7 @@
         self.forgotten: list[Run] = []
         self.running: list[Run] = []
         self.tokens_generated = 0
+        self.refused = 0
         self.slot_seconds = 0.0
         self._queue: list[tuple[int, int, Run]] = []
         self._arrivals = itertools.count()
@@ -87,11 +88,13 @@
         """
         run = self.runs.get(request.request_id)
         if run is not None and run.state is not RunState.CANCELLED:
+            run.submissions += 1
             return run
         if run is None:
             length = answer_length(request.prompt, request.seed, request.max_tokens)
             run = Run(request, length, time.time())
             self.runs[request.request_id] = run
+        run.submissions += 1
         self._enqueue(run)
         return run
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -129,6 +129,7 @@
         known = body.request_id in self.batch.runs
         refused = self._refuse(body, known)
         if refused is not None:
+            self.batch.refused += 1
             return refused
         run = self.batch.submit(self._run_request(body))
         if body.stream:
@@ -253,6 +254,7 @@
         return json_answer(
             {
                 "tokens_generated": self.batch.tokens_generated,
+                "refused": self.batch.refused,
                 "slot_seconds": self.batch.slot_seconds,
                 "runs": [run.record() for run in runs],
                 "orders": self.weights.records,
@@ -296,6 +298,7 @@
 
 @click.command()
 @click.option("--port", default=0, help="0 lets the system choose.")
+@click.option("--latency-s", default=0.0, help="One-way time added to calls.")
 @click.option("--model", "models", multiple=True, default=["model"])
 @click.option("--version", default=1, help="Weight version at the start.")
 @click.option("--fencing", type=click.Choice(["checked", "ignored"]), default="checked")
@@ -315,6 +318,7 @@
 @click.option("--seed", default=0)
 def main(
     port: int,
+    latency_s: float,
     models: tuple[str, ...],
     version: int,
     fencing: str,
@@ -329,7 +333,7 @@
         options.activate_s / options.time_scale,
         weight_fetch(platform_url),
     )
-    run_stand_in(EngineStandIn(options, weights).app(), "engine", port)
+    run_stand_in(EngineStandIn(options, weights).app(), "engine", port, latency_s)
 
 
 if __name__ == "__main__":
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -248,16 +248,17 @@
 
 @click.command()
 @click.option("--port", default=0, help="0 lets the system choose.")
+@click.option("--latency-s", default=0.0, help="One-way time added to calls.")
 @click.option("--reads-per-s", default=0.0, help="0 means without a limit.")
 @click.option("--writes-per-s", default=0.0, help="0 means without a limit.")
 @click.option("--weights-per-s", default=0.0, help="0 means without a limit.")
 @click.option("--weights-duration-s", default=0.0, help="Time of one fetch.")
 @click.option("--weights-bytes", default=1_024, help="Size of one answer.")
 @click.option("--vm-lag-s", default=0.0, help="Age of the VM list shown.")
-def main(port: int, **options: Any) -> None:
+def main(port: int, latency_s: float, **options: Any) -> None:
     """Run the platform stand-in."""
     stand_in = PlatformStandIn(PlatformOptions(**options))
-    run_stand_in(stand_in.app(), "platform", port)
+    run_stand_in(stand_in.app(), "platform", port, latency_s)
 
 
 if __name__ == "__main__":
--- a/standins/runs.py
+++ b/standins/runs.py
@@ -53,7 +53,11 @@
 
 
 class RunRecord(msgspec.Struct, frozen=True):
-    """A request as the log shows it."""
+    """A request as the log shows it.
+
+    `submissions` counts how often it was sent, `label` is the prompt's first
+    word.
+    """
 
     request_id: str
     model: str
@@ -67,6 +71,8 @@
     arrived_at_s: float
     started_at_s: float
     ended_at_s: float
+    submissions: int
+    label: str
 
 
 class Run:
@@ -94,6 +100,7 @@
         self.started_at_s = 0.0
         self.ended_at_s = 0.0
         self.owed_tokens = 0.0
+        self.submissions = 0
         self._changed = asyncio.Event()
 
     @property
@@ -161,6 +168,8 @@
             self.arrived_at_s,
             self.started_at_s,
             self.ended_at_s,
+            self.submissions,
+            (self.request.prompt.split(maxsplit=1) or [""])[0],
         )
 
 
--- a/standins/server.py
+++ b/standins/server.py
@@ -57,11 +57,29 @@
     await server.serve(sockets=[listener])
 
 
-def run_stand_in(app: Any, name: str, port: int) -> None:
-    """Serve `app` on loopback until SIGTERM; port 0 lets the system choose."""
+def run_stand_in(app: Any, name: str, port: int, latency_s: float = 0.0) -> None:
+    """Serve `app` on loopback until SIGTERM; port 0 lets the system choose.
+
+    `latency_s` is the one-way time to the stand-in; each call waits for the
+    round trip before it is served.
+    """
+    if latency_s > 0:
+        app = delayed(app, 2 * latency_s)
     asyncio.run(serve(app, name, port))
 
 
+def delayed(app: Any, delay_s: float) -> Any:
+    """Return an application that serves calls after a delay."""
+
+    async def serve_later(scope: Any, receive: Any, send: Any) -> None:
+        is_call = scope["type"] == "http"
+        if is_call and not scope["path"].startswith("/control/"):
+            await asyncio.sleep(delay_s)
+        await app(scope, receive, send)
+
+    return serve_later
+
+
 def json_answer(
     body: Any, status: int = 200, headers: dict[str, str] | None = None
 ) -> Response:
--- a/standins/service.py
+++ b/standins/service.py
@@ -125,9 +125,10 @@
 
 @click.command()
 @click.option("--port", default=0, help="0 lets the system choose.")
-def main(port: int) -> None:
+@click.option("--latency-s", default=0.0, help="One-way time added to calls.")
+def main(port: int, latency_s: float) -> None:
     """Run the booking stand-in."""
-    run_stand_in(BookingStandIn().app(), "service", port)
+    run_stand_in(BookingStandIn().app(), "service", port, latency_s)
 
 
 if __name__ == "__main__":
