--- /dev/null
+++ b/bench/workload.py
@@ -0,0 +1,108 @@
+"""bench.workload: seeded work of trainers and callers and its ideal time."""
+
+import random
+from dataclasses import dataclass
+from typing import Any
+
+from bench.shapes import ENGINE
+from standins.tokens import count_prompt_tokens
+
+__all__ = ["CALLER_TEAM", "MODEL", "TRAINER_TEAMS", "StepWork", "WorkSize", "make_step"]
+
+MODEL = "summaries"
+TRAINER_TEAMS = ("alpha", "beta")
+CALLER_TEAM = "vans"
+PROMPT_WORDS = 48
+
+
+@dataclass(frozen=True, slots=True)
+class WorkSize:
+    """Size of a training step; lengths are log-normal with stragglers."""
+
+    steps: int = 2
+    groups: int = 20
+    samples_per_group: int = 4
+    median_tokens: int = 110
+    spread: float = 0.5
+    stragglers: int = 0
+    straggler_tokens: int = 1_100
+    train_s: float = 0.5
+    max_staleness_versions: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class StepWork:
+    """The prompts of one step and the token counts of its samples by group."""
+
+    team: str
+    step: int
+    seed: int
+    prompts: tuple[str, ...]
+    lengths: tuple[tuple[int, ...], ...]
+
+    @property
+    def tokens(self) -> int:
+        """Tokens of all samples."""
+        return sum(sum(group) for group in self.lengths)
+
+    def ideal_s(self, tokens_per_s: float) -> float:
+        """Return a time that no scheduler can beat.
+
+        It is the larger of the work divided by the capacity and the longest
+        sample alone on an idle engine.
+        """
+        longest = max(max(group) for group in self.lengths)
+        prefill_s = count_prompt_tokens(self.prompts[0]) / (
+            ENGINE.prefill_tokens_per_s * ENGINE.time_scale
+        )
+        alone_s = prefill_s + longest / ENGINE.sequence_tokens_per_s
+        return max(self.tokens / tokens_per_s, alone_s)
+
+    def body(self, size: WorkSize, trainer_version: int) -> dict[str, Any]:
+        """Return the JSON that creates the step."""
+        groups = [
+            {"group_id": group_id, "prompt": prompt}
+            for group_id, prompt in enumerate(self.prompts)
+        ]
+        return {
+            "model": MODEL,
+            "trainer_version": trainer_version,
+            "groups": groups,
+            "samples_per_group": size.samples_per_group,
+            "max_tokens": 4 * size.straggler_tokens,
+            "max_staleness_versions": size.max_staleness_versions,
+            "seed": self.seed,
+            "scorer": "scorer",
+        }
+
+
+def make_step(team: str, step: int, size: WorkSize, seed: int) -> StepWork:
+    """Return the work of a step, a pure function of its arguments.
+
+    The lengths stand in the prompt for the engine stand-in alone: the seed of
+    a sample picks its own.
+    """
+    chance = random.Random(f"{team}/{step}/{seed}")
+    lengths = []
+    for _ in range(size.groups):
+        group = []
+        for _ in range(size.samples_per_group):
+            drawn = size.median_tokens * chance.lognormvariate(0.0, size.spread)
+            group.append(max(8, int(drawn)))
+        lengths.append(group)
+    for group in chance.sample(lengths, size.stragglers):
+        group[chance.randrange(size.samples_per_group)] = size.straggler_tokens
+    prompts = []
+    for group_id, group in enumerate(lengths):
+        directive = ",".join(str(length) for length in group)
+        words = [team, f"step{step}", f"group{group_id}", f"[len={directive}]"]
+        words += [f"note{chance.randrange(1000)}" for _ in range(PROMPT_WORDS)]
+        prompts.append(" ".join(words))
+    return StepWork(
+        team,
+        step,
+        # A multiple of the group size, so that each member has its own length.
+        size.samples_per_group * (seed * 1_000 + step + 1),
+        tuple(prompts),
+        tuple(tuple(group) for group in lengths),
+    )
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -175,22 +175,23 @@
         self.processes.append(process)
         return process
 
+    def launch_stand_in(self, kind: str, *arguments: object, name: str = "") -> Process:
+        """Start ``standins.<kind>`` on a free port."""
+        name = name or f"{kind}-{len(self.processes)}"
+        return self.launch(name, f"standins.{kind}", "--port", 0, *arguments)
+
     def stand_in(self, kind: str, *arguments: object, name: str = "") -> Process:
         """Start ``standins.<kind>`` on a free port and wait until it is ready."""
-        process = self.launch(
-            name or f"{kind}-{len(self.processes)}",
-            f"standins.{kind}",
-            "--port",
-            0,
-            *arguments,
-        )
-        return process.wait_ready()
+        return self.launch_stand_in(kind, *arguments, name=name).wait_ready()
+
+    def launch_daemon(self, settings_path: Path, name: str = "") -> Process:
+        """Start a daemon with a settings file."""
+        name = name or settings_path.stem
+        return self.launch(name, DAEMON_MODULE, "--settings", settings_path)
 
     def daemon(self, settings_path: Path, name: str = "") -> Process:
         """Start a daemon with a settings file and wait until it is ready."""
-        name = name or settings_path.stem
-        process = self.launch(name, DAEMON_MODULE, "--settings", settings_path)
-        return process.wait_ready()
+        return self.launch_daemon(settings_path, name).wait_ready()
 
     def close(self) -> None:
         """End every process that was started here."""
--- a/standins/tokens.py
+++ b/standins/tokens.py
@@ -15,7 +15,7 @@
     "token_text",
 ]
 
-LENGTH_DIRECTIVE = re.compile(r"\[len=(\d+)\]")
+LENGTH_DIRECTIVE = re.compile(r"\[len=(\d+(?:,\d+)*)\]")
 MEDIAN_TOKENS = 48
 TAIL_EXPONENT = 1.6
 MAX_DRAWN_TOKENS = 2_048
@@ -48,12 +48,14 @@
 def answer_length(prompt: str, seed: int, max_tokens: int) -> int:
     """Return the number of tokens of an answer.
 
-    A directive such as ``[len=123]`` in the prompt sets it; otherwise it is
-    drawn from a heavy-tailed distribution by the hash of prompt and seed.
+    A directive such as ``[len=123]`` in the prompt sets it, and of several as in
+    ``[len=123,45]`` the seed picks one. Otherwise the length is drawn from a
+    heavy-tailed distribution by the hash of prompt and seed.
     """
     directive = LENGTH_DIRECTIVE.search(prompt)
     if directive is not None:
-        return max(1, min(max_tokens, int(directive.group(1))))
+        lengths = directive.group(1).split(",")
+        return max(1, min(max_tokens, int(lengths[seed % len(lengths)])))
     draw = (xxhash.xxh64_intdigest(f"{seed}/{prompt}".encode()) + 1) / (HASH_RANGE + 1)
     drawn = MEDIAN_TOKENS * (2.0 * draw) ** (-1.0 / TAIL_EXPONENT)
     return max(1, min(max_tokens, MAX_DRAWN_TOKENS, int(drawn)))
