Let serve report a faulty settings file as a coded error

Cause: the daemon printed the error itself and the command line ended with 0. Ruled out: a second check of the file in the command line. Change: run raises; main prints.

--- a/greengagetack/daemons/main.py
+++ b/greengagetack/daemons/main.py
@@ -73,16 +73,17 @@
     logger.info("daemon: stopped")
 
 
-def run(path: str) -> int:
-    """Run the daemon of a settings file until SIGTERM; return the exit code."""
-    try:
-        settings = load_vm_settings(path)
-    except CodedError as error:
-        print(f"{error.code}: {error.reason}\n{error.remedy}", file=sys.stderr)
-        return USAGE_EXIT_CODE
+def run(path: str) -> None:
+    """Run the daemon of a settings file until SIGTERM.
+
+    Raises
+    ------
+    InvalidSettings
+        If the file has faults; the error lists all of them.
+    """
+    settings = load_vm_settings(path)
     configure_logs(settings.vm_id, settings.log.level, settings.log.as_json)
     asyncio.run(_serve(settings))
-    return 0
 
 
 def main() -> int:
@@ -91,7 +92,12 @@
     if len(arguments) != 2 or arguments[0] != "--settings":
         print("usage: python -m greengagetack.daemons.main --settings FILE")
         return USAGE_EXIT_CODE
-    return run(arguments[1])
+    try:
+        run(arguments[1])
+    except CodedError as error:
+        print(f"{error.code}: {error.reason}\n{error.remedy}", file=sys.stderr)
+        return USAGE_EXIT_CODE
+    return 0
 
 
 if __name__ == "__main__":
--- a/greengagetack/peers/node.py
+++ b/greengagetack/peers/node.py
@@ -229,6 +229,9 @@
                         return frame.body if is_hello else None
         except (OSError, TimeoutError, FrameError):
             return None
+        except asyncio.CancelledError:
+            # The stream server's own callback fails on a cancelled task.
+            return None
         return None
 
     async def close(self) -> None:
