--- a/greengagetack/cli/commands/serve.py
+++ b/greengagetack/cli/commands/serve.py
@@ -6,6 +6,7 @@
 
 from greengagetack.cli.exits import shows_errors
 from greengagetack.cli.registry import command
+from greengagetack.settings.parse import load_vm_settings
 
 __all__ = ["serve"]
 
@@ -22,6 +23,7 @@
 @shows_errors
 def serve(settings_path: str) -> None:
     """Run a daemon until SIGTERM, then finish what is in flight."""
+    load_vm_settings(settings_path)
     # Imported here, because the other commands start faster without it.
     daemon = importlib.import_module("greengagetack.daemons.main")
-    daemon.run(settings_path)
+    raise SystemExit(daemon.run(settings_path))
--- a/greengagetack/daemons/assembly.py
+++ b/greengagetack/daemons/assembly.py
@@ -14,6 +14,7 @@
 from greengagetack.observability.metrics import Metrics
 from greengagetack.observability.traces import configure_traces
 from greengagetack.peers.node import PeerNode
+from greengagetack.peers.tls import peer_tls
 from greengagetack.platform.client import PlatformClient
 from greengagetack.routing.frontdoor import FrontDoor
 from greengagetack.settings.schema import VmSettings
@@ -50,7 +51,8 @@
     ) -> None:
         vm = replace(settings, peer=peer, http=http)
         timer = Timer()
-        peers = PeerNode(vm.vm_id, incarnation, timer)
+        tls = peer_tls(vm.tls)
+        peers = PeerNode(vm.vm_id, incarnation, timer, tls.server, tls.client)
         platform = PlatformClient(vm.platform_url, _platform_token(vm))
         store = SettingsStore()
         self._directory = CellDirectory(vm, incarnation, peers, platform, store, timer)
--- /dev/null
+++ b/greengagetack/peers/tls.py
@@ -0,0 +1,58 @@
+"""greengagetack.peers.tls: contexts for mutual TLS on peer links."""
+
+import ssl
+from dataclasses import dataclass
+
+from greengagetack.errors import CodedError, register_error
+from greengagetack.settings.schema import TlsSettings
+
+__all__ = ["BadTlsFiles", "PeerTls", "peer_tls"]
+
+
+@register_error
+class BadTlsFiles(CodedError):
+    """A certificate, key or authority file can't be used."""
+
+    code = "bad_tls_files"
+    http_status = 400
+    remedy = "Check the files that /tls in the daemon's settings names."
+
+
+@dataclass(frozen=True, slots=True)
+class PeerTls:
+    """Contexts for accepted and for opened links, both None for plain links."""
+
+    server: ssl.SSLContext | None = None
+    client: ssl.SSLContext | None = None
+
+
+def peer_tls(settings: TlsSettings | None) -> PeerTls:
+    """Return the contexts that a daemon's settings ask for.
+
+    Both sides show a certificate of the same authority, over TLS 1.3. Names are not
+    checked, because daemons are met by IP numbers that change; whoever holds a key
+    of the authority is a daemon.
+
+    Raises
+    ------
+    BadTlsFiles
+        If a file is missing or does not fit.
+    """
+    if settings is None:
+        return PeerTls()
+    server = _context(ssl.PROTOCOL_TLS_SERVER, settings)
+    client = _context(ssl.PROTOCOL_TLS_CLIENT, settings)
+    return PeerTls(server, client)
+
+
+def _context(protocol: int, settings: TlsSettings) -> ssl.SSLContext:
+    context = ssl.SSLContext(protocol)
+    context.minimum_version = ssl.TLSVersion.TLSv1_3
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_REQUIRED
+    try:
+        context.load_cert_chain(settings.certificate_file, settings.key_file)
+        context.load_verify_locations(settings.authority_file)
+    except (OSError, ssl.SSLError) as error:
+        raise BadTlsFiles(f"the files of /tls can't be used: {error}") from None
+    return context
