--- a/greengagetack/membership/lead.py
+++ b/greengagetack/membership/lead.py
@@ -7,6 +7,7 @@
 
 from greengagetack.errors import CodedError
 from greengagetack.leases.lease import PlatformLease
+from greengagetack.membership.lost_pairs import LostPairs
 from greengagetack.membership.messages import (
     CellNews,
     Heartbeat,
@@ -21,7 +22,7 @@
     table_path,
     to_value,
 )
-from greengagetack.membership.table import CellTable
+from greengagetack.membership.table import CellTable, ShardPair
 from greengagetack.membership.timings import CellTimings
 from greengagetack.membership.view import CellView
 from greengagetack.peers.node import PeerNode
@@ -75,6 +76,7 @@
         self._listed: dict[str, ListedVm] = {}
         self._listed_leaving: set[str] = set()
         self._has_table = False
+        self._lost = LostPairs(timings.observer_s)
         self._polled_s = 0.0
         self._settled_s = 0.0
         self._pushed: CellNews | None = None
@@ -254,7 +256,9 @@
             lead_vm_id=self._view.vm.vm_id,
             lead_epoch=self._lease.epoch,
             members=tuple(self._members[vm_id].vm for vm_id in sorted(self._members)),
-            endpoints=self._settings.fleet().endpoints,
+            endpoints=self._settings.fleet().endpoints
+            if self._settings.ready
+            else None,
             leaving_endpoint_ids=self._view.signs.leaving_ids(),
             waiting_endpoint_ids=waiting,
         )
@@ -266,17 +270,27 @@
             logger.warning("lead: {} is silent and leaves the table", vm_id)
 
     async def _write_pairs(self) -> None:
-        pairs = plan_pairs(
-            self._view.pairs,
-            self._view.table.members,
-            self._settings.fleet().shard_count,
+        if not self._settings.ready:
+            return
+        known = self._view.pairs
+        new = plan_pairs(
+            known, self._view.table.members, self._settings.fleet().shard_count
         )
-        if not pairs or not self._lease.trusted():
+        lost: tuple[ShardPair, ...] = ()
+        if self._view.vm.vm_id in self._listed:
+            # A list without this VM says nothing about the others either.
+            lost = self._lost.replacements(
+                known, self._view.table, frozenset(self._listed), self._timer.now_s()
+            )
+        if not (new or lost) or not self._lease.trusted():
             return
-        stored = (*self._view.pairs.values(), *pairs)
+        stored = {**known, **{pair.shard: pair for pair in (*new, *lost)}}
+        for pair in lost:
+            logger.warning("lead: both of shard {} are gone, it moves", pair.shard)
+        pairs = tuple(stored.values())
         version = await self._platform.write(
             pairs_path(self._cell),
-            to_value(PairsObject(stored)),
+            to_value(PairsObject(pairs)),
             self._view.pairs_version,
         )
         self._view.adopt_pairs(NewPairs(version, pairs))
@@ -311,6 +325,9 @@
     def forget(self) -> None:
         """Drop all that only a lead knows, once another VM leads."""
         self._members.clear()
+        self._listed = {}
+        self._polled_s = 0.0
+        self._lost.clear()
         self._has_table = False
         self._pushed = None
 
--- a/greengagetack/platform/client.py
+++ b/greengagetack/platform/client.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from greengagetack.errors import InvalidRequest, PlatformUnavailable
+from greengagetack.leases.decisions import WriteResult, resolve_lost_write
 from greengagetack.platform.objects import (
     ListedVm,
     ObjectConflict,
@@ -150,7 +151,12 @@
                 raise _refusal(path, answer)
             if answer.status == HTTP_CONFLICT:
                 current = msgspec.json.decode(answer.body, type=PlatformObject)
-                return _own_version(current, change_id, expected_version, lost_before)
+                result = WriteResult.CONFLICT
+                if lost_before:
+                    result = resolve_lost_write(
+                        current.version, current.change_id, expected_version, change_id
+                    )
+                return _version_of(result, current, expected_version)
             raise ObjectConflict(f"the platform has no object {path} any more")
         raise WriteUnknown(f"writing {path} got no answer", RETRY_AFTER_S)
 
@@ -234,27 +240,29 @@
                 f"{lost}; reading {path} back failed: {error.reason}",
                 error.retry_after_s,
             ) from error
-        version = current.version if current else 0
-        if version == expected_version:
-            return None
         if current is None:
-            raise WriteUnknown(f"{path} vanished while it was written", RETRY_AFTER_S)
-        return _own_version(current, change_id, expected_version, True)
+            current = PlatformObject(path, 0, "", None)
+        result = resolve_lost_write(
+            current.version, current.change_id, expected_version, change_id
+        )
+        if result is WriteResult.NOT_APPLIED:
+            return None
+        return _version_of(result, current, expected_version)
 
 
-def _own_version(
-    current: PlatformObject, change_id: str, expected_version: int, lost_before: bool
+def _version_of(
+    result: WriteResult, current: PlatformObject, expected_version: int
 ) -> int:
-    """Return the version that holds this change, or raise if it is another's."""
-    if current.change_id == change_id:
+    """Return the version that holds the write, or raise what became of it."""
+    if result is WriteResult.APPLIED:
         return current.version
-    if lost_before and current.version != expected_version + 1:
-        # The change may have been in force and replaced since.
-        raise WriteUnknown(
-            f"{current.path} is at version {current.version} already", RETRY_AFTER_S
+    if result is WriteResult.CONFLICT:
+        raise ObjectConflict(
+            f"{current.path} is at version {current.version}, not {expected_version}"
         )
-    raise ObjectConflict(
-        f"{current.path} is at version {current.version}, not {expected_version}"
+    # The write may have been in force and replaced since.
+    raise WriteUnknown(
+        f"{current.path} is at version {current.version} already", RETRY_AFTER_S
     )
 
 
