--- a/greengagetack/cli/api.py
+++ b/greengagetack/cli/api.py
@@ -11,7 +11,7 @@
 
 import aiosonic
 import click
-from aiosonic.exceptions import AiosonicError
+from aiosonic.exceptions import AiosonicError, BaseTimeout
 from aiosonic.timeout import Timeouts
 
 from greengagetack.cli.exits import (
@@ -26,6 +26,7 @@
 
 CONNECT_TIMEOUT_S = 5.0
 CALL_TIMEOUT_S = 40.0
+LOST_ANSWER_ERRORS = (OSError, EOFError, TimeoutError, AiosonicError, BaseTimeout)
 TOKEN_VARIABLE = "GREENGAGETACK_TOKEN"
 
 
@@ -90,7 +91,7 @@
                     self._server + path, method, fields, data=data, timeouts=timeouts
                 )
                 body = await response.content()
-            except (OSError, AiosonicError, TimeoutError) as error:
+            except LOST_ANSWER_ERRORS as error:
                 raise CommandFailed(_unreachable(self._server, method, error)) from None
         return ApiAnswer(response.status_code, _parsed(body))
 
--- a/greengagetack/daemons/parts.py
+++ b/greengagetack/daemons/parts.py
@@ -9,6 +9,7 @@
 import greengagetack.entry.role
 import greengagetack.keeper.role
 import greengagetack.rollouts.owner
+import greengagetack.settings.http
 import greengagetack.settings.sync
 
 __all__ = ["PARTS"]
@@ -23,5 +24,6 @@
     greengagetack.entry.role,
     greengagetack.keeper.role,
     greengagetack.rollouts.owner,
+    greengagetack.settings.http,
     greengagetack.settings.sync,
 )
--- a/greengagetack/settings/http.py
+++ b/greengagetack/settings/http.py
@@ -5,18 +5,14 @@
 
 from starlette.requests import Request
 from starlette.responses import Response
-from starlette.routing import BaseRoute, Route
+from starlette.routing import BaseRoute
 
-from greengagetack.daemons.auth import (
-    Principal,
-    authenticate,
-    require_operator,
-    require_team,
-)
+from greengagetack.daemons.auth import Principal, require_operator, require_team
 from greengagetack.daemons.limits import read_body
 from greengagetack.daemons.responses import json_response
 from greengagetack.daemons.role import Services, http_routes
 from greengagetack.documents import parse_json
+from greengagetack.entry.http import team_route
 from greengagetack.errors import InvalidRequest, NotFound
 from greengagetack.settings.answers import (
     AppliedAnswer,
@@ -41,7 +37,6 @@
     team_of_path,
 )
 from greengagetack.settings.store import SettingsStore
-from greengagetack.settings.view import SettingsView
 from greengagetack.settings.writer import SettingsWriter, check_document
 
 __all__ = ["SettingsCalls", "settings_routes"]
@@ -63,25 +58,24 @@
         self._peers = services.peers
         self._writer = SettingsWriter(services.platform, services.timer)
 
-    async def list(self, request: Request) -> Response:
+    async def list(self, request: Request, principal: Principal) -> Response:
         """Answer with the subtrees that the sender may read."""
-        principal = _authenticate(request, self._store)
         visible = [
             one for one in self._store.versions() if _may_touch(principal, one.path)
         ]
         return json_response(SettingsList(tuple(visible)))
 
-    async def show(self, request: Request) -> Response:
+    async def show(self, request: Request, principal: Principal) -> Response:
         """Answer with the version in force here; works through an outage."""
-        _, path = self._checked_path(request)
+        path = _checked_path(request, principal)
         known = self._store.get(path)
         if known is None:
             raise NotFound(f"there are no settings under {path}")
         return _tagged(answer_from_object(known), known.version)
 
-    async def write(self, request: Request) -> Response:
+    async def write(self, request: Request, principal: Principal) -> Response:
         """Accept a change and push it to all members."""
-        principal, path = self._checked_path(request)
+        path = _checked_path(request, principal)
         expected_version = _expected_version(request)
         wait_s = _wait_s(request)
         value = await _read_value(request)
@@ -98,9 +92,9 @@
         assert isinstance(spread, SettingsSpread)
         return spread
 
-    async def check(self, request: Request) -> Response:
+    async def check(self, request: Request, principal: Principal) -> Response:
         """Check a document without writing it."""
-        _, path = self._checked_path(request)
+        path = _checked_path(request, principal)
         value = await _read_value(request)
         check_document(path, value)
         known = self._store.get(path)
@@ -109,9 +103,9 @@
         version = self._store.version(path)
         return json_response(CheckAnswer(path, version, tuple(changes)))
 
-    async def history(self, request: Request) -> Response:
+    async def history(self, request: Request, principal: Principal) -> Response:
         """Answer with the versions that the platform keeps, newest first."""
-        _, path = self._checked_path(request)
+        path = _checked_path(request, principal)
         current = await self._writer.read(path)
         if current is None:
             raise NotFound(f"there are no settings under {path}")
@@ -123,27 +117,24 @@
             versions.append(answer_from_object(former))
         return json_response(HistoryAnswer(path, tuple(versions)))
 
-    async def applied(self, request: Request) -> Response:
+    async def applied(self, request: Request, principal: Principal) -> Response:
         """Answer with what each member of the cell has in force."""
-        require_operator(_authenticate(request, self._store))
+        require_operator(principal)
         members = []
         async for answer in self._peers.stream(self._peers.vm_id, AskApplied()):
             if isinstance(answer, MemberVersions):
                 members.append(answer)
         return json_response(AppliedAnswer(tuple(members)))
 
-    def _checked_path(self, request: Request) -> tuple[Principal, str]:
-        principal = _authenticate(request, self._store)
-        path = settings_path(request.path_params["path"])
-        if path == FLEET_PATH:
-            require_operator(principal)
-        else:
-            require_team(principal, team_of_path(path))
-        return principal, path
-
 
-def _authenticate(request: Request, view: SettingsView) -> Principal:
-    return authenticate(request.headers.get("authorization"), view)
+def _checked_path(request: Request, principal: Principal) -> str:
+    """Return the settings path of a request that its sender may touch."""
+    path = settings_path(request.path_params["path"])
+    if path == FLEET_PATH:
+        require_operator(principal)
+    else:
+        require_team(principal, team_of_path(path))
+    return path
 
 
 def _may_touch(principal: Principal, path: str) -> bool:
@@ -192,10 +183,10 @@
     calls = SettingsCalls(services)
     path = "{path:path}"
     return [
-        Route("/v1/settings", calls.list, methods=["GET"]),
-        Route(f"/v1/settings/{path}", calls.show, methods=["GET"]),
-        Route(f"/v1/settings/{path}", calls.write, methods=["PUT"]),
-        Route(f"/v1/settings-check/{path}", calls.check, methods=["POST"]),
-        Route(f"/v1/settings-history/{path}", calls.history, methods=["GET"]),
-        Route("/v1/settings-applied", calls.applied, methods=["GET"]),
+        team_route(services, "/v1/settings", calls.list, "GET"),
+        team_route(services, f"/v1/settings/{path}", calls.show, "GET"),
+        team_route(services, f"/v1/settings/{path}", calls.write, "PUT"),
+        team_route(services, f"/v1/settings-check/{path}", calls.check, "POST"),
+        team_route(services, f"/v1/settings-history/{path}", calls.history, "GET"),
+        team_route(services, "/v1/settings-applied", calls.applied, "GET"),
     ]
