Try the cell's failures: lead, platform, restart, leaving endpoints, drain

Cause: no failure was tried yet. Change: features with frozen, cut off and killed members; one step of the lead at a time (a claim and the lead's round wrote the table together and refused each other).

--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -1,22 +1,40 @@
 """features.steps.membership_steps: members, lead and table of a cell."""
 
 import asyncio
+import time
 from collections import Counter
+from collections.abc import Coroutine
 from dataclasses import replace
+from typing import Any
 
-from behave import given, then, when
+from behave import given, step, then, when
 from behave.runner import Context
 
-from features.support.cell import Cell, make_endpoints
-from greengagetack.world import Fencing
+from features.support.cell import Cell, Member, make_endpoints
+from greengagetack.platform.objects import ListedVm
+from greengagetack.world import Fencing, VmState
 
+LEAVING_ENDPOINT = "e1"
+KNOWN_WITHIN_S = 3.0
 
-def start_cell(context: Context, count: int, endpoints: int, fencing: Fencing) -> None:
-    loop = asyncio.new_event_loop()
-    context.loop = loop
+
+def run(context: Context, work: Coroutine) -> Any:
+    return context.loop.run_until_complete(work)
+
+
+def until(context: Context, condition: Any) -> None:
+    run(context, context.cell.until(condition))
+
+
+def start_cell(
+    context: Context, count: int, endpoints: int, fencing: Fencing, shards: int = 4
+) -> None:
+    context.loop = asyncio.new_event_loop()
     context.cell = Cell()
     fleet = replace(
-        context.cell.settings.fleet(), endpoints=make_endpoints(endpoints, fencing)
+        context.cell.settings.fleet(),
+        endpoints=make_endpoints(endpoints, fencing),
+        shard_count=shards,
     )
     context.cell.settings.set_fleet(fleet)
 
@@ -24,12 +42,12 @@
         for number in range(count):
             await context.cell.start(f"vm{number}")
 
-    loop.run_until_complete(start())
+    run(context, start())
 
     def clean_up() -> None:
-        loop.run_until_complete(context.cell.close())
-        loop.run_until_complete(asyncio.sleep(0.05))
-        loop.close()
+        run(context, context.cell.close())
+        run(context, asyncio.sleep(0.02))
+        context.loop.close()
 
     context.add_cleanup(clean_up)
 
@@ -39,9 +57,30 @@
     start_cell(context, count, endpoints, Fencing.CHECKED)
 
 
+@given(
+    "a cell of {count:d} members with {endpoints:d} endpoints "
+    "that ignore fencing numbers"
+)
+def step_unfenced_cell(context: Context, count: int, endpoints: int) -> None:
+    start_cell(context, count, endpoints, Fencing.IGNORED)
+
+
 @when("the cell is ready")
 def step_ready(context: Context) -> None:
-    context.loop.run_until_complete(context.cell.until(context.cell.ready))
+    until(context, context.cell.ready)
+    context.former = context.cell.leads()[0]
+    context.former_table = context.former.directory.table()
+
+
+@then("the cell is ready again")
+def step_ready_again(context: Context) -> None:
+    run(context, asyncio.sleep(context.cell.timings.observer_s))
+    until(context, context.cell.ready)
+
+
+@then("nothing in the cell had two holders")
+def step_no_breach(context: Context) -> None:
+    assert not context.cell.breaches, context.cell.breaches[:5]
 
 
 @then("the cell has exactly one lead")
@@ -51,10 +90,15 @@
 
 @then("each endpoint of the cell has a live keeper")
 def step_keepers(context: Context) -> None:
-    for member in context.cell.members.values():
-        for endpoint in context.cell.settings.fleet().endpoints:
-            first = member.directory.keepers_for(endpoint.endpoint_id)[0]
-            assert first in context.cell.members, first
+    def all_kept() -> bool:
+        for member in context.cell.members.values():
+            for endpoint in context.cell.settings.fleet().endpoints:
+                keepers = member.directory.keepers_for(endpoint.endpoint_id)
+                if not keepers or keepers[0] not in context.cell.members:
+                    return False
+        return True
+
+    until(context, all_kept)
 
 
 @then("no member keeps more than {most:d} endpoints")
@@ -64,14 +108,285 @@
     assert max(kept.values()) <= most, kept
 
 
-@then("each shard has an owner and {backups}")
-def step_pairs(context: Context, backups: str) -> None:
-    directory = context.cell.leads()[0].directory
+def pairs_whole(cell: Cell, far: bool) -> bool:
+    """Whether each shard has a live owner and a live backup, far if asked."""
+    leads = cell.leads()
+    if not leads:
+        return False
+    directory = leads[0].directory
     zones = {vm.vm_id: vm.availability_zone for vm in directory.table().members}
-    for shard in range(context.cell.settings.fleet().shard_count):
+    for shard in range(cell.settings.fleet().shard_count):
         pair = directory.pair(shard)
-        assert pair is not None
-        if backups == "no backup":
-            assert pair.backup_vm_id == ""
-            continue
-        assert zones[pair.owner_vm_id] != zones[pair.backup_vm_id], pair
+        if pair is None or pair.owner_vm_id not in cell.members:
+            return False
+        if pair.backup_vm_id not in cell.members:
+            return False
+        if far and zones[pair.owner_vm_id] == zones[pair.backup_vm_id]:
+            return False
+    return True
+
+
+@then("each shard has an owner and no backup")
+def step_pairs_alone(context: Context) -> None:
+    directory = context.cell.leads()[0].directory
+    for shard in range(context.cell.settings.fleet().shard_count):
+        assert directory.pair(shard).backup_vm_id == ""
+
+
+@then("each shard has an owner and a backup in another zone")
+def step_pairs(context: Context) -> None:
+    until(context, lambda: pairs_whole(context.cell, far=True))
+
+
+async def freeze_past_lease(cell: Cell, member: Member) -> None:
+    member.freeze()
+    await asyncio.sleep(3 * cell.timings.observer_s)
+    member.wake()
+
+
+async def harm(context: Context, member: Member, fault: str) -> None:
+    cell = context.cell
+    others = frozenset(cell.members) - {member.vm_id}
+    if fault in ("killed", "killed without replacement"):
+        await cell.crash(member.vm_id)
+    elif fault == "frozen past its lease":
+        await freeze_past_lease(cell, member)
+    elif fault == "frozen while it writes":
+        cell.platform.delay_s = cell.timings.renew_s / 2
+        await asyncio.sleep(cell.timings.renew_s)
+        await freeze_past_lease(cell, member)
+        cell.platform.delay_s = 0.0
+    elif fault == "cut off from the platform":
+        member.port.down = True
+        await asyncio.sleep(3 * cell.timings.observer_s)
+        member.port.down = False
+    elif fault == "cut off from all members":
+        member.peers.cut = others
+        for vm_id in others:
+            cell.members[vm_id].peers.cut = frozenset({member.vm_id})
+        member.port.down = True
+        await asyncio.sleep(3 * cell.timings.observer_s)
+        member.peers.cut = frozenset()
+        for vm_id in others:
+            cell.members[vm_id].peers.cut = frozenset()
+        member.port.down = False
+    elif fault == "drained":
+        await drain(cell, member)
+    else:
+        raise AssertionError(fault)
+
+
+async def drain(cell: Cell, member: Member) -> None:
+    await asyncio.gather(member.directory.drain(), member.shards.drain())
+    await cell.crash(member.vm_id)
+    cell.list_vms()
+
+
+@when("the cell's lead is {fault}")
+def step_lead_fails(context: Context, fault: str) -> None:
+    run(context, harm(context, context.former, fault))
+
+
+@then("another member leads the cell with a higher epoch")
+def step_other_lead(context: Context) -> None:
+    def changed() -> bool:
+        leads = context.cell.leads()
+        if len(leads) != 1 or leads[0] is context.former:
+            return False
+        return leads[0].directory.view.lead.epoch > context.former_table.lead_epoch
+
+    until(context, changed)
+    until(context, context.cell.ready)
+
+
+@then("a former lead that is back knows the new one")
+def step_former_knows(context: Context) -> None:
+    if context.former.vm_id not in context.cell.members:
+        return
+    new = context.cell.leads()[0].vm_id
+    until(context, lambda: context.former.directory.view.lead.vm_id == new)
+    assert not context.former.directory.is_lead()
+
+
+@when("{count:d} writes of the lead take effect without an answer")
+def step_lost_writes(context: Context, count: int) -> None:
+    context.former.port.unknown_writes = count
+    until(context, lambda: context.former.port.unknown_writes == 0)
+
+
+@when("a member that does not lead restarts")
+def step_restart(context: Context) -> None:
+    lead = context.former.vm_id
+    vm_id = next(name for name in context.cell.members if name != lead)
+    context.restarted = vm_id
+
+    async def restart() -> None:
+        await context.cell.crash(vm_id)
+        await context.cell.start(vm_id)
+
+    run(context, restart())
+
+
+@then("the endpoints of the restarted member have higher fencing numbers")
+def step_higher_numbers(context: Context) -> None:
+    before = context.former_table.keepers
+    now = {
+        keeper.endpoint_id: keeper.fencing_number
+        for keeper in context.cell.leads()[0].directory.table().keepers
+    }
+    moved = [k for k in before if k.keeper_vm_id == context.restarted]
+    assert moved
+    for keeper in moved:
+        assert now[keeper.endpoint_id] > keeper.fencing_number, keeper
+
+
+@when("the platform of the cell is {state}")
+def step_platform_state(context: Context, state: str) -> None:
+    context.cell.platform.down = state == "down"
+    if state == "down":
+        run(context, asyncio.sleep(context.cell.timings.lease_s))
+
+
+def other_than_lead(context: Context) -> Member:
+    lead = context.former.vm_id
+    return next(m for name, m in context.cell.members.items() if name != lead)
+
+
+@step("{source} says that an endpoint leaves")
+def step_leaves(context: Context, source: str) -> None:
+    member = other_than_lead(context)
+    context.said_s = time.monotonic()
+    if source == "any member":
+
+        async def report() -> None:
+            member.directory.report_leaving(LEAVING_ENDPOINT)
+
+        run(context, report())
+        return
+    if source == "a member cut off":
+        lead = context.former.vm_id
+        member.peers.cut = frozenset(context.cell.members) - {member.vm_id, lead}
+
+        async def report_cut() -> None:
+            member.directory.report_leaving(LEAVING_ENDPOINT)
+
+        run(context, report_cut())
+        return
+    host = ListedVm("host1", "zone-1", VmState.LEAVING)
+    context.cell.platform.listed_vms += (host,)
+
+
+@step("all members know within 3 s that the endpoint leaves")
+def step_known_leaving(context: Context) -> None:
+    def known() -> bool:
+        return all(
+            member.directory.is_leaving(LEAVING_ENDPOINT)
+            for member in context.cell.members.values()
+        )
+
+    until(context, known)
+    assert time.monotonic() - context.said_s < KNOWN_WITHIN_S
+    for member in context.cell.members.values():
+        serving = member.directory.endpoints_serving("model")
+        assert LEAVING_ENDPOINT not in {e.endpoint_id for e in serving}
+
+
+@when("another member says that the endpoint is back")
+def step_back(context: Context) -> None:
+    async def report() -> None:
+        context.former.directory.report_returned(LEAVING_ENDPOINT)
+
+    context.said_s = time.monotonic()
+    run(context, report())
+
+
+@then("all members know within 3 s that the endpoint is back")
+def step_known_back(context: Context) -> None:
+    def known() -> bool:
+        return not any(
+            member.directory.is_leaving(LEAVING_ENDPOINT)
+            for member in context.cell.members.values()
+        )
+
+    until(context, known)
+    assert time.monotonic() - context.said_s < KNOWN_WITHIN_S
+
+
+def leased(cell: Cell) -> bool:
+    """Whether each endpoint has one keeper that holds its lease."""
+    for endpoint in cell.settings.fleet().endpoints:
+        name = endpoint.endpoint_id
+        if not any(m.directory.holds_keeper_lease(name) for m in cell.members.values()):
+            return False
+    return True
+
+
+@when("every endpoint has a keeper with a lease")
+def step_leased(context: Context) -> None:
+    until(context, lambda: leased(context.cell))
+    context.former_table = context.cell.leads()[0].directory.table()
+
+
+@then("nobody leads the cell or holds a keeper's lease after a while")
+def step_nobody(context: Context) -> None:
+    def nobody() -> bool:
+        members = context.cell.members.values()
+        names = [e.endpoint_id for e in context.cell.settings.fleet().endpoints]
+        return not context.cell.leads() and not any(
+            m.directory.holds_keeper_lease(name) for m in members for name in names
+        )
+
+    until(context, nobody)
+
+
+@then("the table of the cell is the same as before")
+def step_same_table(context: Context) -> None:
+    for member in context.cell.members.values():
+        assert member.directory.table() == context.former_table
+
+
+@then("after the platform's return the cell has a lead and keepers with leases")
+def step_platform_back(context: Context) -> None:
+    context.cell.platform.down = False
+    until(context, context.cell.ready)
+    until(context, lambda: leased(context.cell))
+
+
+@then("the dead member is the last choice for its endpoints")
+def step_last_choice(context: Context) -> None:
+    dead = context.former.vm_id
+    kept = [
+        keeper.endpoint_id
+        for keeper in context.former_table.keepers
+        if keeper.keeper_vm_id == dead
+    ]
+    assert kept
+
+    def last() -> bool:
+        return all(
+            member.directory.keepers_for(name)[-1] == dead
+            and len(member.directory.keepers_for(name)) > 1
+            for member in context.cell.members.values()
+            for name in kept
+        )
+
+    until(context, last)
+
+
+@when("a keeper that does not lead is {fault}")
+def step_keeper_fails(context: Context, fault: str) -> None:
+    context.harmed = other_than_lead(context)
+    run(context, harm(context, context.harmed, fault))
+
+
+@then("every endpoint has a keeper with a lease again, by another member")
+def step_leased_again(context: Context) -> None:
+    def moved() -> bool:
+        if not leased(context.cell):
+            return False
+        leads = context.cell.leads()
+        return bool(leads) and (
+            leads[0].directory.table().revision > context.former_table.revision
+        )
+
+    until(context, moved)
--- a/features/support/cell.py
+++ b/features/support/cell.py
@@ -2,18 +2,22 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import AsyncGenerator, Callable
+from contextlib import aclosing
 from dataclasses import dataclass, field
+from typing import Any
 
 from features.support.platform_fake import MemoryPlatform, PlatformPort
+from greengagetack.errors import PeerLost
 from greengagetack.membership.directory import CellDirectory
 from greengagetack.membership.store import ReplicatedShards
 from greengagetack.membership.timings import CellTimings
 from greengagetack.peers.node import PeerNode, listening_socket
+from greengagetack.platform.objects import ListedVm
 from greengagetack.settings.schema import FleetSettings, TeamSettings, VmSettings
 from greengagetack.settings.view import SettingsVersion
 from greengagetack.timer import Timer
-from greengagetack.world import Address, Endpoint, EndpointKind, Fencing
+from greengagetack.world import Address, Endpoint, EndpointKind, Fencing, VmState
 
 __all__ = ["SHORT_TIMINGS", "Cell", "FixedSettings", "Member", "make_endpoints"]
 
@@ -80,17 +84,53 @@
         await self.awake.wait()
 
 
+class FaultyNode(PeerNode):
+    """Links of a VM that can be frozen, or cut off from single other VMs."""
+
+    awake: asyncio.Event
+    cut: frozenset[str] = frozenset()
+
+    async def stream(
+        self, vm_id: str, body: Any, progress_timeout_s: float = 5.0
+    ) -> AsyncGenerator[Any, None]:
+        """Send unless the way is cut; take answers only while awake."""
+        if vm_id in self.cut:
+            await asyncio.sleep(progress_timeout_s)
+            raise PeerLost(f"{vm_id} is cut off")
+        async with aclosing(super().stream(vm_id, body, progress_timeout_s)) as items:
+            async for item in items:
+                await self.awake.wait()
+                yield item
+
+    async def _dispatch(
+        self, sender_vm_id: str, body: Any
+    ) -> AsyncGenerator[Any, None]:
+        await self.awake.wait()
+        async with aclosing(super()._dispatch(sender_vm_id, body)) as items:
+            async for item in items:
+                await self.awake.wait()
+                yield item
+
+
 @dataclass
 class Member:
     """One member with all its parts."""
 
     vm_id: str
     timer: PausedTimer
-    peers: PeerNode
+    peers: FaultyNode
     port: PlatformPort
     directory: CellDirectory
     shards: ReplicatedShards
 
+    def freeze(self) -> None:
+        """Let nothing of this member run until `wake`; its clock goes on."""
+        self.timer.awake.clear()
+
+    def wake(self) -> None:
+        """Let the member go on where it was frozen."""
+        self.timer.awake.set()
+
     async def stop(self) -> None:
         """End the member as a crash would: no word to anybody."""
         self.timer.close()
@@ -111,6 +151,27 @@
     members: dict[str, Member] = field(default_factory=dict)
     zones: int = 3
     starts: itertools.count = field(default_factory=lambda: itertools.count(1))
+    breaches: list[str] = field(default_factory=list)
+    watcher: asyncio.Task | None = None
+
+    async def watch(self) -> None:
+        """Note each moment with two exclusive holders of anything."""
+        while True:
+            await asyncio.sleep(POLL_S / 4)
+            members = list(self.members.values())
+            self._expect_one("lead", [m for m in members if m.directory.is_lead()])
+            for shard in range(self.settings.fleet().shard_count):
+                acting = [m for m in members if m.shards.may_act(shard)]
+                self._expect_one(f"owner of shard {shard}", acting)
+            for endpoint in self.settings.fleet().endpoints:
+                name = endpoint.endpoint_id
+                holders = [m for m in members if m.directory.holds_keeper_lease(name)]
+                self._expect_one(f"keeper of {name}", holders)
+
+    def _expect_one(self, duty: str, holders: list[Member]) -> None:
+        if len(holders) > 1:
+            names = ", ".join(member.vm_id for member in holders)
+            self.breaches.append(f"{duty}: {names}")
 
     async def start(self, vm_id: str) -> Member:
         """Start a member, again with a new incarnation if it ran before."""
@@ -121,8 +182,10 @@
         address = Address(*listener.getsockname())
         zone = f"zone-{int(vm_id.removeprefix('vm')) % self.zones}"
         vm = VmSettings(vm_id, zone, "cell-a", "", address, address)
-        peers = PeerNode(vm_id, incarnation, timer)
+        peers = FaultyNode(vm_id, incarnation, timer)
+        peers.awake = timer.awake
         port = self.platform.port()
+        port.awake = timer.awake
         directory = CellDirectory(
             vm, incarnation, peers, port, self.settings, timer, self.timings
         )
@@ -133,14 +196,26 @@
         directory.stand_for_lead()
         member = Member(vm_id, timer, peers, port, directory, shards)
         self.members[vm_id] = member
+        self.list_vms()
+        if self.watcher is None:
+            self.watcher = asyncio.create_task(self.watch())
         return member
 
+    def list_vms(self) -> None:
+        """Let the VM list show the members that run now."""
+        self.platform.listed_vms = tuple(
+            ListedVm(vm.vm_id, vm.availability_zone, VmState.LIVE)
+            for vm in (member.directory.vm for member in self.members.values())
+        )
+
     async def crash(self, vm_id: str) -> None:
         """End a member without a word."""
         await self.members.pop(vm_id).stop()
 
     async def close(self) -> None:
         """End all members."""
+        if self.watcher is not None:
+            self.watcher.cancel()
         for vm_id in list(self.members):
             await self.crash(vm_id)
         await asyncio.sleep(0)
--- a/features/support/platform_fake.py
+++ b/features/support/platform_fake.py
@@ -39,17 +39,19 @@
 class PlatformPort:
     """One VM's `ObjectStore`, with faults of its own.
 
-    `lose_answers` is how many of the next writes take effect without an
-    answer; `unknown` makes their read-back fail as well.
+    `unknown_writes` is how many of the next writes take effect without an
+    answer, with a read-back that fails as well; `awake` freezes all calls.
     """
 
     def __init__(self, platform: MemoryPlatform) -> None:
         self.platform = platform
         self.down = False
-        self.lose_answers = 0
         self.unknown_writes = 0
+        self.awake = asyncio.Event()
+        self.awake.set()
 
     async def _reach(self) -> None:
+        await self.awake.wait()
         if self.platform.delay_s:
             await asyncio.sleep(self.platform.delay_s)
         if self.down or self.platform.down:
@@ -75,6 +77,7 @@
         )
         self.platform.objects[path] = stored
         self.platform.history.append(stored)
+        await self.awake.wait()
         if self.unknown_writes:
             self.unknown_writes -= 1
             raise WriteUnknown(f"writing {path} got no answer", 1.0)
--- a/greengagetack/membership/directory.py
+++ b/greengagetack/membership/directory.py
@@ -280,9 +280,10 @@
             return
         self.view.adopt_lead(self._own_lead())
         await self.beat()
-        with suppress(PlatformUnavailable, WriteUnknown):
-            await self._duty.step()
         self._duty.push()
+        with suppress(CodedError):
+            # The next round of the lead tries again.
+            await self._duty.step()
 
     def _own_lead(self) -> LeadObject:
         return LeadObject(
--- a/greengagetack/membership/lead.py
+++ b/greengagetack/membership/lead.py
@@ -81,6 +81,7 @@
         self._settled_s = 0.0
         self._pushed: CellNews | None = None
         self._pushes: set[asyncio.Task[None]] = set()
+        self._stepping = asyncio.Lock()
 
     async def take_over(self) -> None:
         """Read the cell's objects and bump the table, so that older leads fail.
@@ -186,8 +187,9 @@
             If the platform does not answer; the next round tries again.
         """
         try:
-            if self._lease.trusted():
-                await self._step_trusted()
+            async with self._stepping:
+                if self._lease.trusted():
+                    await self._step_trusted()
         finally:
             if self._lease.held:
                 self._tell_changes()
