--- a/greengagetack/calls/owner.py
+++ b/greengagetack/calls/owner.py
@@ -44,7 +44,7 @@
         self.services.peers.handle(KeyedCall, self._serve)
         self.services.timer.subscribe(SWEEP_INTERVAL_S, self._sweep, "calls sweep")
 
-    async def drain(self) -> None:
+    async def prepare_handover(self) -> None:
         """Refuse new calls and wait for those in flight."""
         self._draining = True
         await self._idle.wait()
--- a/greengagetack/daemons/assembly.py
+++ b/greengagetack/daemons/assembly.py
@@ -52,6 +52,7 @@
         vm = replace(settings, peer=peer, http=http)
         timer = Timer()
         tls = peer_tls(vm.tls)
+        tls = peer_tls(vm.tls)
         peers = PeerNode(vm.vm_id, incarnation, timer, tls.server, tls.client)
         platform = PlatformClient(vm.platform_url, _platform_token(vm))
         store = SettingsStore()
@@ -101,13 +102,19 @@
             return Readiness.READY
         return Readiness.STARTING
 
-    async def announce_leaving(self) -> None:
-        """Turn readiness off and hand the endpoints kept here over."""
+    async def hand_over(self) -> None:
+        """Turn readiness off, then hand over endpoints and shards.
+
+        Jobs go on here until another VM owns their shard.
+        """
         self._draining = True
         await self._directory.drain()
+        for part in self.roles:
+            await part.prepare_handover()
+        await self._shards.drain()
 
     async def drain(self) -> None:
-        """Finish what is in flight and hand over what is owned."""
+        """Finish what is in flight."""
         for part in reversed(self.roles):
             await part.drain()
 
--- a/greengagetack/daemons/main.py
+++ b/greengagetack/daemons/main.py
@@ -65,7 +65,7 @@
     print(json.dumps(ready), flush=True)
     await stop.wait()
     logger.info("daemon: stopping")
-    await daemon.announce_leaving()
+    await daemon.hand_over()
     server.should_exit = True
     await serving
     await daemon.drain()
--- a/greengagetack/daemons/role.py
+++ b/greengagetack/daemons/role.py
@@ -64,8 +64,11 @@
     async def start(self) -> None:
         """Register message handlers and subscribe to timers."""
 
+    async def prepare_handover(self) -> None:
+        """Finish what must end before the shards of this VM are handed over."""
+
     async def drain(self) -> None:
-        """Finish what is in flight and hand over what is owned."""
+        """Finish what is in flight."""
 
     async def close(self) -> None:
         """Release sockets and tasks."""
--- a/greengagetack/rollouts/owner.py
+++ b/greengagetack/rollouts/owner.py
@@ -77,6 +77,7 @@
         self._drained = True
         for step in self._steps.values():
             await step.runner.stop(cancel_requests=False)
+            step.runner.notify()
         self._steps.clear()
 
     async def close(self) -> None:
