--- a/features/cli.feature
+++ b/features/cli.feature
@@ -108,5 +108,5 @@
       | trace van-7    | │  └─ engine                                             |
       | trace van-7    | └─ owner                                                 |
       | trace van-7    | request van-7: 4 spans on 2 daemons                      |
-      | endpoints      | e1           engine                                       |
+      | endpoints      | e1        engine  -       -                                       |
       | teams usage    | quetzal                                                  |
--- a/greengagetack/cli/commands/endpoints.py
+++ b/greengagetack/cli/commands/endpoints.py
@@ -1,5 +1,7 @@
 """greengagetack.cli.commands.endpoints: ``greengagetack endpoints``."""
 
+from typing import Any
+
 import click
 
 from greengagetack.cli.api import Api, server_command
@@ -8,6 +10,35 @@
 
 __all__ = ["endpoints"]
 
+COLUMNS = (
+    Column("endpoint"),
+    Column("kind"),
+    Column("serves"),
+    Column("zone"),
+    Column("keeper"),
+    Column("state"),
+    Column("weights", True),
+    Column("running", True),
+    Column("waiting", True),
+    Column("slots", True),
+    Column("tokens/s", True),
+    Column("wait s", True),
+)
+FIELDS = (
+    "endpoint_id",
+    "kind",
+    "name",
+    "availability_zone",
+    "keeper_vm_id",
+    "state",
+    "weight_version",
+    "running",
+    "waiting",
+    "slots",
+    "tokens_per_s",
+    "expected_wait_s",
+)
+
 
 @command
 @click.command()
@@ -18,13 +49,11 @@
     if as_json:
         print_json(answer)
         return
-    rows = answer["endpoints"]
-    if not rows:
+    if not answer["endpoints"]:
         click.echo("no endpoints")
         return
-    names = list(rows[0])
-    columns = [
-        Column(name.replace("_", " "), isinstance(rows[0][name], int | float))
-        for name in names
-    ]
-    print_table(columns, [[row.get(name) for name in names] for row in rows])
+    print_table(COLUMNS, [_row(endpoint) for endpoint in answer["endpoints"]])
+
+
+def _row(endpoint: dict[str, Any]) -> list[Any]:
+    return [endpoint.get(name) for name in FIELDS]
--- a/greengagetack/daemons/parts.py
+++ b/greengagetack/daemons/parts.py
@@ -3,6 +3,7 @@
 import greengagetack.calls.owner
 import greengagetack.daemons.lead
 import greengagetack.entry.completions
+import greengagetack.entry.endpoints
 import greengagetack.entry.jobs
 import greengagetack.entry.operations
 import greengagetack.entry.plain
@@ -18,6 +19,7 @@
     greengagetack.calls.owner,
     greengagetack.daemons.lead,
     greengagetack.entry.completions,
+    greengagetack.entry.endpoints,
     greengagetack.entry.jobs,
     greengagetack.entry.operations,
     greengagetack.entry.plain,
