--- a/greengagetack/membership/directory.py
+++ b/greengagetack/membership/directory.py
@@ -102,6 +102,7 @@
         self._trusted_heard_s = -self.timings.observer_s
         self._keeper_sent_s = -self.timings.lease_s
         self._contest_after_s = 0.0
+        self._lead_gone = False
         self._subscriptions: list[Subscription] = []
         self._notices: set[asyncio.Task[None]] = set()
 
@@ -175,10 +176,17 @@
             self._check_lead_silence()
             return
         if ack.news is None:
-            self._check_lead_silence()
+            self._note_lead_gone()
             return
         self._take_ack(ack, sent_s)
 
+    def _note_lead_gone(self) -> None:
+        """Contest the lease at once: its holder says that it does not lead."""
+        self._lead_heard_s = self._timer.now_s()
+        if not self._lead_gone:
+            self._lead_gone = True
+            self._contest_after_s = self._timer.now_s() + self._rank_delay_s()
+
     def _take_ack(self, ack: HeartbeatAck, sent_s: float) -> None:
         news = ack.news
         if news is None or news.lead_epoch < self.view.lead.epoch:
@@ -247,22 +255,25 @@
             return
         if now_s - self._trusted_heard_s < 2 * self.timings.heartbeat_s:
             return
-        rank = self._rank()
-        delay = min(rank * RANK_DELAY_RATIO, MAX_RANK_DELAY_RENEWALS)
-        if self._lease.version >= 0:
+        if self._lease.version >= 0 and not self._lead_gone:
             wait_s = self._lease.may_claim_in_s()
             if wait_s > 0:
-                delay_s = wait_s + delay * self.timings.renew_s
-                self._contest_after_s = now_s + delay_s
+                self._contest_after_s = now_s + wait_s + self._rank_delay_s()
                 return
+        self._lead_gone = False
         try:
             await self._contest()
         except (PlatformUnavailable, WriteUnknown) as error:
             logger.debug("lead: cannot contest the lease: {}", error.reason)
-            backoff = 1.0 + rank * BACKOFF_PER_RANK_RATIO
+            backoff = 1.0 + self._rank() * BACKOFF_PER_RANK_RATIO
             backoff_s = self._timer.jittered_s(backoff * self.timings.renew_s)
             self._contest_after_s = now_s + backoff_s
 
+    def _rank_delay_s(self) -> float:
+        """Return how long this VM lets others go first."""
+        delay = min(self._rank() * RANK_DELAY_RATIO, MAX_RANK_DELAY_RENEWALS)
+        return self._timer.jittered_s(delay * self.timings.renew_s)
+
     def _rank(self) -> int:
         members = tuple(vm.vm_id for vm in self.live_members())
         order = rendezvous_order(f"lead-{self.cell}", members)
--- a/greengagetack/membership/pair_duty.py
+++ b/greengagetack/membership/pair_duty.py
@@ -1,6 +1,6 @@
 """greengagetack.membership.pair_duty: changes the pairs that this VM is in."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from loguru import logger
 
@@ -131,12 +131,19 @@
             reason = self._reason(self._view.pairs[shard], fact)
             if reason is None:
                 continue
-            if successor(
-                self._view.pairs[shard], reason, self._usable(reason, shard), True
-            ):
+            if self._successor(self._view.pairs[shard], reason, True) is not None:
                 wanted[shard] = reason
         return wanted
 
+    def _successor(
+        self, pair: ShardPair, reason: ChangeReason, complete: bool
+    ) -> ShardPair | None:
+        new = successor(pair, reason, self._usable(reason, pair), complete)
+        if new is None or new.backup_vm_id or pair.backup_vm_id:
+            return new
+        # Still nobody else to be the backup: nothing would change.
+        return None if reason is ChangeReason.NEW_BACKUP else new
+
     def _reason(self, pair: ShardPair, fact: PairFacts) -> ChangeReason | None:
         if not fact.owns:
             current = self._view.is_current(pair.owner_vm_id, pair.owner_incarnation)
@@ -152,13 +159,12 @@
             return None
         return ChangeReason.NEW_BACKUP
 
-    def _usable(self, reason: ChangeReason, shard: int) -> tuple[Vm, ...]:
+    def _usable(self, reason: ChangeReason, pair: ShardPair) -> tuple[Vm, ...]:
         """Return the members that may serve in the next pair, this VM among them."""
         own = self._view.member(self._view.vm.vm_id)
         members = [vm for vm in self._directory.live_members() if vm != own]
         if own is not None:
             members.append(own)
-        pair = self._view.pairs[shard]
         if reason is not ChangeReason.NEW_BACKUP:
             return tuple(members)
         # A backup that does not answer is not chosen again as it is.
@@ -219,16 +225,24 @@
             if change.state != "waited":
                 continue
             fact = facts.get(shard)
-            # An owner that stays has all its records; so has a full backup.
-            complete = change.reason is ChangeReason.NEW_BACKUP or (
-                fact is not None and fact.complete
-            )
-            usable = self._usable(change.reason, shard)
-            pair = successor(change.pair, change.reason, usable, complete)
+            complete = fact is not None and fact.complete
+            pair = self._written_pair(change, complete)
             if pair is not None:
                 new[shard] = pair
         return new
 
+    def _written_pair(self, change: PairChange, complete: bool) -> ShardPair | None:
+        """Return what the change writes, from who is usable by now."""
+        kept = change.reason is ChangeReason.NEW_BACKUP
+        new = self._successor(change.pair, change.reason, complete or kept)
+        if new is None and change.reason is ChangeReason.HAND_OVER:
+            # The backup went away after the seal: this owner has to go on.
+            return self._successor(change.pair, ChangeReason.NEW_BACKUP, True)
+        if new is None and kept:
+            # The sealed epoch has to end, with the same members if need be.
+            return replace(change.pair, epoch=change.pair.epoch + 1)
+        return new
+
     async def _read_pairs(self) -> tuple[int, tuple[ShardPair, ...]]:
         stored = await self._platform.read(pairs_path(self._cell))
         if stored is None:
--- a/greengagetack/membership/store.py
+++ b/greengagetack/membership/store.py
@@ -126,8 +126,8 @@
         facts: dict[int, PairFacts] = {}
         for shard, pair in self._view.pairs.items():
             if self.owns(pair):
-                synced = self._synced.get(shard) == pair.epoch
-                facts[shard] = PairFacts(True, synced, self._unanswered_s(pair))
+                unanswered_s = self._unanswered_s(pair)
+                facts[shard] = PairFacts(True, self.has_backup(shard), unanswered_s)
                 continue
             if self.backs_up(pair):
                 complete = self.shard_records(shard).complete_epoch == pair.epoch
@@ -228,6 +228,13 @@
             return self.held.trusted(shard, pair.epoch)
         return self._directory.holds_lease() and not self.held.sealed(shard, pair.epoch)
 
+    def has_backup(self, shard: int) -> bool:
+        """Whether this VM owns the shard and its backup has a full copy."""
+        pair = self._view.pairs.get(shard)
+        if pair is None or not self.owns(pair):
+            return False
+        return self._synced.get(shard) == pair.epoch
+
     def get(self, shard: int, kind: str, key: str) -> bytes | None:
         """Return the value of a record, None without one."""
         records = self._shards.get(shard)
@@ -261,8 +268,8 @@
             raise OwnerUnavailable(f"this VM does not own shard {shard}", 1.0)
         owner = self.owns(pair)
         alone = owner and not pair.backup_vm_id and self._single_vm()
-        synced = owner and self._synced.get(shard) == pair.epoch
-        if need_backup and not alone and not (synced and self.may_act(shard)):
+        ready = self.has_backup(shard) and self.may_act(shard)
+        if need_backup and not alone and not ready:
             raise OwnerUnavailable(
                 f"shard {shard} has no backup that could take the record", 1.0
             )
@@ -305,9 +312,7 @@
         """Renew the promises of all shards owned here, one request per backup."""
         by_backup: dict[str, list[ShardPair]] = {}
         for pair in self._view.pairs.values():
-            if not self.owns(pair) or not pair.backup_vm_id:
-                continue
-            if not self.held.sealed(pair.shard, pair.epoch):
+            if self.owns(pair) and pair.backup_vm_id:
                 by_backup.setdefault(pair.backup_vm_id, []).append(pair)
         for vm_id, pairs in by_backup.items():
             await self._renew_at(vm_id, tuple(pairs))
@@ -329,8 +334,10 @@
             await self._take_grant(grant, sent_s)
 
     async def _take_grant(self, grant: PromiseGrant, sent_s: float) -> None:
-        self.held.grant(grant.shard, grant.epoch, sent_s)
         self._answered[grant.shard] = (grant.epoch, self._timer.now_s())
+        if not self.held.sealed(grant.shard, grant.epoch):
+            # In a sealed epoch the request only tells that the owner lives.
+            self.held.grant(grant.shard, grant.epoch, sent_s)
         pair = self._view.pairs[grant.shard]
         if pair.epoch != grant.epoch or not self.owns(pair):
             return
