--- /dev/null
+++ b/model/pair.py
@@ -0,0 +1,271 @@
+"""model.pair: owner and backup of a shard, with the platform down at any time.
+
+Three VMs share one shard. The owner acts while its backup's promise holds; one
+of the two seals the epoch, waits until no promise is outstanding and writes the
+next pair. Epochs are kept as ranks (0 is the platform's present one), so their
+number has no bound. A paused VM is one that takes no step while time passes, and
+an outage is time without a step of the platform. An answer that takes time is
+covered by one heard at once, as the holder counts from sending.
+"""
+
+import itertools
+from collections.abc import Iterator
+from functools import cache
+from typing import ClassVar, NamedTuple
+
+from greengagetack.leases.decisions import (
+    accept_version,
+    may_act,
+    may_write_next_pair,
+    next_pair,
+)
+from greengagetack.membership.table import ShardPair
+from model.specification import Guard, Predicate, Specification, Step, specification
+
+__all__ = ["PairSpecification"]
+
+VMS = range(3)
+LEASE_TICKS = 2
+DRIFT_TICKS = 1
+MARGIN_TICKS = 1
+NEVER = -DRIFT_TICKS
+UNKNOWN = 9
+NOBODY = (-1, -1)
+PAIR = (0, 1)
+
+ONE_OWNER = "at most one VM acts for a shard"
+
+Pair = tuple[int, int]
+
+
+class Member(NamedTuple):
+    """One VM: the pair it knows, the promise it holds and those it gave."""
+
+    rank: int = UNKNOWN
+    pair: Pair = NOBODY
+    sealed: bool = False
+    held: int = NEVER
+    given: int = 0
+    answer_due: bool = False
+    write: Pair = NOBODY
+
+
+class State(NamedTuple):
+    """A VM lost for good, -1 without one, and all VMs; the pair is 0/1."""
+
+    dead: int
+    vms: tuple[Member, Member, Member]
+
+
+@specification
+class PairSpecification(Specification):
+    """Seal, wait, write; promises between owner and backup."""
+
+    name = "pair"
+    may_die: ClassVar[tuple[int, ...]] = ()
+    may_restart: ClassVar[bool] = True
+    guards = (
+        Guard("margin before expiry", ONE_OWNER),
+        Guard("seal before waiting", ONE_OWNER),
+        Guard("wait for outstanding promises", ONE_OWNER),
+        Guard("wait before the write, not after it", ONE_OWNER),
+        Guard("takeover through the platform", ONE_OWNER),
+        Guard("no change by an outsider", ONE_OWNER),
+        Guard("promise counted from sending", ONE_OWNER),
+        Guard("promises only in the backup's own epoch", ONE_OWNER),
+        Guard("restart waits out the longest promise", ONE_OWNER),
+        Guard("restart counts as sealed", ONE_OWNER),
+        Guard("restart reads at the platform first", ONE_OWNER),
+        Guard("older pair refused", ONE_OWNER),
+    )
+
+    def initial(self) -> State:
+        """Return pair 0/1, known to all."""
+        member = Member(rank=0, pair=PAIR)
+        return State(-1, (member, member, member))
+
+    def acts(self, state: State, vm: int) -> bool:
+        """Whether a VM believes that it is the owner, at its clock's slowest."""
+        member = state.vms[vm]
+        if member.pair[0] != vm or member.sealed:
+            return False
+        if not self.has("wait before the write, not after it") and member.given:
+            return False
+        margin = MARGIN_TICKS if self.has("margin before expiry") else 0
+        return may_act(0, member.held + DRIFT_TICKS, margin)
+
+    def properties(self) -> dict[str, Predicate]:
+        """Return the safety properties."""
+        return {ONE_OWNER: lambda s: sum(self.acts(s, vm) for vm in VMS) <= 1}
+
+    def goal(self, state: State) -> bool:
+        """Whether a live VM acts for the shard."""
+        return any(self.acts(state, vm) for vm in VMS if vm != state.dead)
+
+    def steps(self, state: State) -> Iterator[Step]:
+        """Yield time, the platform's steps and those of each VM."""
+        yield "time passes", _tick(state)
+        for vm in VMS:
+            member = state.vms[vm]
+            if member.write != NOBODY:
+                label = f"the platform takes vm{vm}'s pair; numbers change"
+                yield label, _written(state, vm)
+            if vm == state.dead:
+                continue
+            if self.may_restart:
+                yield f"vm{vm} restarts", _replace(state, vm, self._restarted(member))
+            if state.dead < 0 and vm in self.may_die:
+                dead = _replace(state, vm, Member(write=member.write))
+                yield f"vm{vm} dies", dead._replace(dead=vm)
+            yield from self._learn(state, vm)
+            yield from self._promises(state, vm)
+            yield from self._change(state, vm)
+
+    def _learn(self, state: State, vm: int) -> Iterator[Step]:
+        """Yield what a VM may read at the platform or hear from another VM."""
+        rank = state.vms[vm].rank
+        if accept_version(-rank, 0):
+            yield f"vm{vm} reads the pair", self._known(state, vm, 0, PAIR)
+        if rank == UNKNOWN and self.has("restart reads at the platform first"):
+            return
+        for peer in VMS:
+            other = state.vms[peer]
+            if peer in (vm, state.dead) or other.rank in (rank, UNKNOWN):
+                continue
+            if accept_version(-rank, -other.rank) or not self.has("older pair refused"):
+                known = self._known(state, vm, other.rank, other.pair)
+                yield f"vm{vm} hears the pair of vm{peer}", known
+
+    def _known(self, state: State, vm: int, rank: int, pair: Pair) -> State:
+        member = state.vms[vm]
+        first = member.rank == UNKNOWN and vm in pair
+        sealed = first and self.has("restart counts as sealed")
+        known = member._replace(
+            rank=rank, pair=pair, sealed=sealed, held=NEVER, answer_due=False
+        )
+        return _dense(_replace(state, vm, known))
+
+    def _promises(self, state: State, vm: int) -> Iterator[Step]:
+        """Yield the asking, giving and receiving of an owner's promise."""
+        member = state.vms[vm]
+        if member.pair[0] != vm or member.sealed:
+            return
+        if member.answer_due:
+            late = member._replace(held=LEASE_TICKS, answer_due=False)
+            yield f"vm{vm} hears the promise late", _replace(state, vm, late)
+        backup = member.pair[1]
+        giver = state.vms[backup]
+        if backup == state.dead or giver.sealed or giver.rank == UNKNOWN:
+            return
+        own_epoch = giver.rank == member.rank
+        if not own_epoch and self.has("promises only in the backup's own epoch"):
+            return
+        given = _replace(state, backup, giver._replace(given=LEASE_TICKS))
+        holder = member._replace(held=LEASE_TICKS)
+        yield f"vm{backup} promises, vm{vm} hears it", _replace(given, vm, holder)
+        if not self.has("promise counted from sending"):
+            waiting = member._replace(answer_due=True)
+            yield f"vm{backup} promises vm{vm}", _replace(given, vm, waiting)
+
+    def _change(self, state: State, vm: int) -> Iterator[Step]:
+        """Yield sealing and writing the next pair."""
+        member = state.vms[vm]
+        inside = vm in member.pair
+        if inside and not member.sealed and self.has("seal before waiting"):
+            sealed = member._replace(sealed=True, held=NEVER, answer_due=False)
+            yield f"vm{vm} seals", _replace(state, vm, sealed)
+        if not self._may_write(vm, member):
+            return
+        if inside and not self.has("takeover through the platform"):
+            alone = member._replace(pair=(vm, vm), sealed=False, held=LEASE_TICKS)
+            yield f"vm{vm} takes over alone", _replace(state, vm, alone)
+        if member.rank != 0 or member.write != NOBODY:
+            return
+        for pair in _successors(member.pair):
+            sent = _replace(state, vm, member._replace(write=pair))
+            yield f"vm{vm} sends the pair {pair[0]}/{pair[1]}", sent
+
+    def _restarted(self, member: Member) -> Member:
+        """Return a new incarnation; a write of its former self may still arrive.
+
+        It waits as if it had given the longest promise when it started.
+        """
+        waits = self.has("restart waits out the longest promise")
+        return Member(given=LEASE_TICKS if waits else 0, write=member.write)
+
+    def _may_write(self, vm: int, member: Member) -> bool:
+        pair = _as_shard_pair(member.pair)
+        until = max(member.given, member.held)
+        waits = self.has("wait for outstanding promises")
+        if not waits or not self.has("wait before the write, not after it"):
+            until = 0
+        sealed = member.sealed or not self.has("seal before waiting")
+        writer = vm
+        if not self.has("no change by an outsider") and vm not in member.pair:
+            writer, sealed = member.pair[1], True
+        sealed_epoch = pair.epoch if sealed else 0
+        return may_write_next_pair(pair, str(writer), sealed_epoch, 0, until)
+
+
+@cache
+def _as_shard_pair(pair: Pair) -> ShardPair:
+    return ShardPair(0, 1, str(pair[0]), str(pair[1]))
+
+
+@cache
+def _successors(pair: Pair) -> tuple[Pair, ...]:
+    """Return every pair that may follow, by who is thought usable."""
+    found: set[Pair] = set()
+    for usable in itertools.permutations([str(vm) for vm in VMS], 2):
+        successor = next_pair(_as_shard_pair(pair), usable)
+        if successor is not None:
+            found.add((int(successor.owner_vm_id), int(successor.backup_vm_id)))
+    return tuple(sorted(found))
+
+
+def _replace(state: State, vm: int, member: Member) -> State:
+    vms = list(state.vms)
+    vms[vm] = member
+    return state._replace(vms=(vms[0], vms[1], vms[2]))
+
+
+def _written(state: State, vm: int) -> State:
+    """Return the state after a write: other writes in flight now fail.
+
+    The VMs are renumbered, so that the new pair is 0/1; states that differ only
+    by the numbers of the VMs count once.
+    """
+    owner, backup = state.vms[vm].write
+    order = (owner, backup, 3 - owner - backup)
+    numbers = {-1: -1} | {old: new for new, old in enumerate(order)}
+    members = [
+        member._replace(
+            rank=member.rank if member.rank == UNKNOWN else member.rank + 1,
+            pair=(numbers[member.pair[0]], numbers[member.pair[1]]),
+            write=NOBODY,
+        )
+        for member in (state.vms[old] for old in order)
+    ]
+    changed = State(numbers[state.dead], (members[0], members[1], members[2]))
+    return _dense(changed)
+
+
+def _dense(state: State) -> State:
+    """Renumber the epochs that anyone still knows without gaps."""
+    ranks = sorted({m.rank for m in state.vms if m.rank not in (0, UNKNOWN)})
+    numbers = {rank: number for number, rank in enumerate(ranks, start=1)}
+    numbers[0] = 0
+    numbers[UNKNOWN] = UNKNOWN
+    members = [member._replace(rank=numbers[member.rank]) for member in state.vms]
+    return state._replace(vms=(members[0], members[1], members[2]))
+
+
+def _tick(state: State) -> State:
+    members = [
+        member._replace(
+            held=max(member.held - 1, NEVER),
+            given=max(member.given - 1, 0),
+        )
+        for member in state.vms
+    ]
+    return state._replace(vms=(members[0], members[1], members[2]))
