Let an owner that sealed its epoch write the next pair at once

Cause: a planned stop waited out the promise that the stopping owner itself held, though its seal had ended it. Ruled out: a shorter promise (it would cost more renewals in calm). Change: only promises that the writer gave are waited out, as the model has it (model.pair drops the held promise at the seal and checks one owner at most). Conclusion: planned hand-overs no longer pay for failures.

--- a/greengagetack/leases/decisions.py
+++ b/greengagetack/leases/decisions.py
@@ -159,9 +159,9 @@
     now_s : float
         The writer's clock.
     promises_until_s : float
-        End of the last promise that the writer gave (backup) or holds (owner).
-        A writer that restarted does not know it and passes its start plus the
-        longest promise.
+        End of the last promise that the writer gave. One that it holds itself
+        ended with the seal. A writer that restarted does not know what it gave
+        and passes its start plus the longest promise.
     """
     if writer_vm_id not in (pair.owner_vm_id, pair.backup_vm_id):
         return False
--- a/greengagetack/membership/pair_duty.py
+++ b/greengagetack/membership/pair_duty.py
@@ -186,14 +186,14 @@
         return self._held
 
     def _waited(self, change: PairChange) -> bool:
-        promises = self._promises(change)
+        # A promise that this VM holds itself ended with the seal.
         shard = change.pair.shard
         return may_write_next_pair(
             change.pair,
             self._view.vm.vm_id,
-            promises.sealed_epoch(shard),
+            self._promises(change).sealed_epoch(shard),
             self._timer.now_s(),
-            promises.until_s(shard),
+            self._given.until_s(shard),
         )
 
     async def _write(self, facts: dict[int, PairFacts]) -> None:
