Try bad input on real daemons; forward paths to services as sent

Cause: the path of a call to a plain service was sent on decoded, so that status/a%20b was refused by the service and status/7%3Fx=1 changed its meaning. Change: path and query go on as the caller encoded them; parts that are . or .. are refused. Deep nesting is named as such.

--- /dev/null
+++ b/features/support/deployments.py
@@ -0,0 +1,94 @@
+"""features.support.deployments: real processes that a feature's scenarios share."""
+
+import time
+import urllib.request
+from dataclasses import dataclass
+from typing import Any
+from urllib.error import URLError
+
+from bench.deployment import (
+    Deployment,
+    DeploymentPlan,
+    EnginePlan,
+    ServicePlan,
+    send_json,
+)
+from greengagetack.world import Address
+from standins.processes import ProcessGroup
+
+__all__ = ["Effects", "address_of", "effects_of", "shared_deployment"]
+
+READY_TIMEOUT_S = 40.0
+TEAMS = ("quetzal", "kestrelmoor")
+
+_STARTED: list[Deployment] = []
+
+
+@dataclass(frozen=True)
+class Effects:
+    """Everything that a request could have changed or run."""
+
+    settings: tuple[tuple[str, int], ...]
+    engine_runs: int
+    service_runs: int
+    steps: tuple[tuple[str, int], ...]
+
+
+def shared_deployment() -> Deployment:
+    """Return a deployment of two daemons, started once and ended with the run."""
+    if not _STARTED:
+        # The group ends its processes when Python exits.
+        group = ProcessGroup()
+        plan = DeploymentPlan(
+            ("a", "b"), (EnginePlan("a"),), (ServicePlan("a"),), TEAMS
+        )
+        deployment = Deployment(plan, group)
+        deployment.start()
+        _wait_ready(deployment)
+        _STARTED.append(deployment)
+    return _STARTED[0]
+
+
+def _wait_ready(deployment: Deployment) -> None:
+    deadline_s = time.monotonic() + READY_TIMEOUT_S
+    for url in deployment.entries():
+        while not _is_ready(url):
+            if time.monotonic() > deadline_s:
+                raise AssertionError(f"{url} is not ready")
+            time.sleep(0.05)
+
+
+def _is_ready(url: str) -> bool:
+    try:
+        with urllib.request.urlopen(f"{url}/readyz", timeout=2.0) as response:
+            return bool(response.status == 200)
+    except (URLError, OSError):
+        return False
+
+
+def address_of(url: str) -> Address:
+    """Return the address of a base URL."""
+    host, _, port = url.removeprefix("http://").partition(":")
+    return Address(host, int(port))
+
+
+def effects_of(deployment: Deployment) -> Effects:
+    """Return what has been changed or run so far, seen from outside."""
+    platform = deployment.platform.url
+    listed: Any = send_json(f"{platform}/objects?prefix=settings/")
+    settings = sorted((one["path"], one["version"]) for one in listed["objects"])
+    engines = [
+        send_json(f"{one.url}/control/log") for one in deployment.engines.values()
+    ]
+    services = [
+        send_json(f"{one.url}/control/log") for one in deployment.services.values()
+    ]
+    entry = deployment.entries()[0]
+    headers = deployment.operator_headers()
+    jobs: Any = send_json(f"{entry}/v1/jobs", headers=headers)
+    return Effects(
+        tuple(settings),
+        sum(len(log["runs"]) for log in engines),
+        sum(len(log["runs"]) for log in services),
+        tuple((step["job"], step["step"]) for step in jobs["steps"]),
+    )
--- a/greengagetack/documents.py
+++ b/greengagetack/documents.py
@@ -28,6 +28,7 @@
 ]
 
 MAX_DEPTH = 32
+TOO_DEEP = f"values may be nested {MAX_DEPTH} deep"
 MAX_INTEGER = 2**63 - 1
 MAX_COMMENTED_BYTES = 256 * 1024
 MAX_SHOWN_PROBLEMS = 50
@@ -120,7 +121,9 @@
         raise InvalidDocument(
             f"line {error.lineno} column {error.colno}: {error.msg}"
         ) from None
-    except (RecursionError, ValueError) as error:
+    except RecursionError:
+        raise InvalidDocument(TOO_DEEP) from None
+    except ValueError as error:
         raise InvalidDocument(f"the text is no JSON: {error}") from None
     _check_values(value)
     return value
@@ -134,7 +137,7 @@
     try:
         return parse_json(text)
     except InvalidDocument as error:
-        if error.reason.startswith("the key"):
+        if error.reason == TOO_DEEP or error.reason.startswith("the key"):
             raise
     decoded = _decode(text)
     # The parser for comments takes about 20 s a megabyte.
@@ -146,7 +149,7 @@
     try:
         value = json5.loads(decoded, allow_duplicate_keys=False)
     except RecursionError:
-        raise InvalidDocument("the text is nested too deeply") from None
+        raise InvalidDocument(TOO_DEEP) from None
     except ValueError as error:
         raise _commented_text_error(decoded, str(error)) from None
     _check_values(value)
@@ -199,7 +202,7 @@
         if not deeper:
             return
         level = deeper
-    raise InvalidDocument(f"values may be nested {MAX_DEPTH} deep")
+    raise InvalidDocument(TOO_DEEP)
 
 
 def _check_text(item: str) -> None:
--- a/greengagetack/entry/plain.py
+++ b/greengagetack/entry/plain.py
@@ -1,5 +1,7 @@
 """greengagetack.entry.plain: calls to plain services under ``/services``."""
 
+from urllib.parse import unquote
+
 import xxhash
 from starlette.requests import Request
 from starlette.responses import Response
@@ -56,6 +58,22 @@
     return tuple(kept)
 
 
+def _path_as_sent(request: Request) -> str:
+    """Return path and query below the service, encoded as the caller sent them.
+
+    Raises
+    ------
+    InvalidRequest
+        If a part of the path is ``.`` or ``..``, which could leave the base URL.
+    """
+    _, _, _, path = request.scope["raw_path"].decode("ascii").split("/", 3)
+    for part in path.split("/"):
+        if unquote(part) in (".", ".."):
+            raise InvalidRequest("a path to a service may not hold '.' or '..'")
+    query = request.scope["query_string"].decode("ascii")
+    return f"/{path}?{query}" if query else f"/{path}"
+
+
 class _PlainCalls:
     """Answers calls to plain services."""
 
@@ -86,9 +104,7 @@
     async def _to_call(
         self, request: Request, team: str, service: ServiceSettings
     ) -> CallService:
-        path = "/" + request.path_params["path"]
-        if request.url.query:
-            path = f"{path}?{request.url.query}"
+        path = _path_as_sent(request)
         return CallService(
             endpoint_id="",
             request_id=REQUEST_ID.get(),
