Move shards to members that join, one at a time and only in calm

Cause: a VM that joined never owned a shard. Ruled out: sealing for balance without asking the platform first: the scenario 'The platform is down and owner and backup go on' failed with it (an outage stopped a shard), so the platform is read before the seal here as well.

--- a/features/shards.feature
+++ b/features/shards.feature
@@ -96,6 +96,25 @@
     Then all shards can act again in a later epoch of shard 0
     And the new epoch of shard 0 is marked as begun without all records
 
+  Scenario: The owner drains and its backup announces its leaving after the seal
+    Given a cell of 5 members whose 4 shards can act
+    When each shard's owner puts 20 records that need the backup
+    And the owner of shard 0 drains and the backup too once the epoch is sealed
+    Then all shards can act again in a later epoch of shard 0
+    And each shard's owner has all confirmed records
+    And no shard began an epoch without all records
+    And nothing in the cell had two holders
+
+  Scenario: Shards move to members that join
+    Given a cell of 2 members whose 6 shards can act
+    When each shard's owner puts 20 records that need the backup
+    And 1 members join the cell
+    Then no member owns more than 2 shards after a while
+    And all shards can act again
+    And each shard's owner has all confirmed records
+    And no shard began an epoch without all records
+    And nothing in the cell had two holders
+
   Scenario: A cell grows from one member to six and shrinks to three
     Given a cell of 1 members whose 8 shards can act
     When each shard's owner puts 20 records that need the backup
--- a/features/steps/shards_steps.py
+++ b/features/steps/shards_steps.py
@@ -1,6 +1,7 @@
 """features.steps.shards_steps: owners, backups and their records."""
 
 import asyncio
+from collections import Counter
 from contextlib import suppress
 
 from behave import given, step, then, when
@@ -296,3 +297,26 @@
         )
 
     run(context, leave())
+
+
+@when("the owner of shard 0 drains and the backup too once the epoch is sealed")
+def step_drain_both(context: Context) -> None:
+    cell = context.cell
+    owner, backup = owner_of(cell, 0), backup_of(cell, 0)
+    epoch = newest_pair(cell, 0).epoch
+
+    async def drain_both() -> None:
+        first = asyncio.create_task(drain(cell, owner))
+        await cell.until(lambda: owner.shards.held.sealed(0, epoch))
+        await asyncio.gather(first, drain(cell, backup))
+
+    run(context, drain_both())
+
+
+@then("no member owns more than {most:d} shards after a while")
+def step_share(context: Context, most: int) -> None:
+    def shared() -> bool:
+        pairs = [newest_pair(context.cell, shard) for shard in shards_of(context.cell)]
+        return max(Counter(pair.owner_vm_id for pair in pairs).values()) <= most
+
+    until(context, shared)
--- a/greengagetack/membership/pair_change.py
+++ b/greengagetack/membership/pair_change.py
@@ -35,13 +35,19 @@
 
 
 class PairChange:
-    """One change of a pair: sealed, then waited out, and only then written."""
+    """One change of a pair: sealed, then waited out, and only then written.
+
+    `backup_vm_id` is the wanted new backup, empty for the best one.
+    """
 
     state: str
 
-    def __init__(self, pair: ShardPair, reason: ChangeReason) -> None:
+    def __init__(
+        self, pair: ShardPair, reason: ChangeReason, backup_vm_id: str = ""
+    ) -> None:
         self.pair = pair
         self.reason = reason
+        self.backup_vm_id = backup_vm_id
         _MACHINE.add_model(self)
 
     def advance(self, trigger: str) -> None:
--- a/greengagetack/membership/pair_duty.py
+++ b/greengagetack/membership/pair_duty.py
@@ -14,6 +14,7 @@
     is_usable,
     successor,
 )
+from greengagetack.membership.plan import plan_move
 from greengagetack.membership.promises import GivenPromises, HeldPromises, Promises
 from greengagetack.membership.stored import (
     PairsObject,
@@ -31,6 +32,7 @@
 
 WRITE_ATTEMPTS = 4
 UNREACHABLE_LEASES = 2.0
+BALANCE_LEASES = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +93,7 @@
         self._given = given
         self._timer = timer
         self._changes: dict[int, PairChange] = {}
+        self._busy_s = timer.now_s()
         self.draining = False
 
     async def step(self, facts: dict[int, PairFacts]) -> None:
@@ -112,6 +115,7 @@
             wanted = self._wanted(facts)
         for shard, reason in wanted.items():
             self._seal(self._view.pairs[shard], reason)
+        await self._step_balance(facts)
         for change in self._changes.values():
             if change.state == "sealed" and self._waited(change):
                 change.advance("wait_out")
@@ -171,8 +175,31 @@
         bad = (pair.backup_vm_id, pair.backup_incarnation)
         return tuple(vm for vm in members if (vm.vm_id, vm.incarnation) != bad)
 
-    def _seal(self, pair: ShardPair, reason: ChangeReason) -> None:
-        change = PairChange(pair, reason)
+    async def _step_balance(self, facts: dict[int, PairFacts]) -> None:
+        """Start to move one shard away if this VM owns more than its share."""
+        now_s = self._timer.now_s()
+        calm_s = BALANCE_LEASES * self._directory.timings.lease_s
+        if self._changes or not all(fact.complete for fact in facts.values()):
+            self._busy_s = now_s
+        if self.draining or now_s - self._busy_s < calm_s:
+            return
+        own = {shard for shard, fact in facts.items() if fact.owns}
+        move = plan_move(self._view.pairs, self._directory.live_members(), own)
+        if move is None:
+            return
+        pair = self._view.pairs[move.shard]
+        await self._read_pairs()
+        if self._view.pairs[move.shard] != pair:
+            return
+        if pair.backup_vm_id == move.to_vm_id:
+            self._seal(pair, ChangeReason.HAND_OVER)
+            return
+        self._seal(pair, ChangeReason.NEW_BACKUP, move.to_vm_id)
+
+    def _seal(
+        self, pair: ShardPair, reason: ChangeReason, backup_vm_id: str = ""
+    ) -> None:
+        change = PairChange(pair, reason, backup_vm_id)
         self._promises(change).seal(pair.shard, pair.epoch)
         change.advance("seal")
         self._changes[pair.shard] = change
@@ -234,6 +261,12 @@
     def _written_pair(self, change: PairChange, complete: bool) -> ShardPair | None:
         """Return what the change writes, from who is usable by now."""
         kept = change.reason is ChangeReason.NEW_BACKUP
+        if change.backup_vm_id:
+            members = self._usable(change.reason, change.pair)
+            names = (change.pair.owner_vm_id, change.backup_vm_id)
+            chosen = tuple(vm for vm in members if vm.vm_id in names)
+            if len(chosen) == len(names):
+                return successor(change.pair, change.reason, chosen, True)
         new = self._successor(change.pair, change.reason, complete or kept)
         if new is None and change.reason is ChangeReason.HAND_OVER:
             # The backup went away after the seal: this owner has to go on.
--- a/greengagetack/membership/plan.py
+++ b/greengagetack/membership/plan.py
@@ -1,5 +1,7 @@
 """greengagetack.membership.plan: the next table and the pairs of new shards."""
 
+import math
+from collections import Counter
 from dataclasses import dataclass, replace
 
 from greengagetack.membership.assignment import assign_keepers
@@ -16,6 +18,8 @@
     "TablePlan",
     "backup_order",
     "choose_backup",
+    "ShardMove",
+    "plan_move",
     "plan_pairs",
     "plan_table",
 ]
@@ -151,3 +155,35 @@
         (near if same else far).append(vm.vm_id)
     key = f"shard-{shard}"
     return (*rendezvous_order(key, tuple(far)), *rendezvous_order(key, tuple(near)))
+
+
+@dataclass(frozen=True, slots=True)
+class ShardMove:
+    """A shard and the VM that is to own it."""
+
+    shard: int
+    to_vm_id: str
+
+
+def plan_move(
+    pairs: dict[int, ShardPair], live: tuple[Vm, ...], own: set[int]
+) -> ShardMove | None:
+    """Return a shard to give away, None if this VM owns no more than its share.
+
+    The share is the number of shards over the number of live members, rounded
+    up. The receiver is the member that owns least, and less than its share by
+    more than the move would change.
+    """
+    names = tuple(vm.vm_id for vm in live)
+    if not names or not own:
+        return None
+    owned = Counter(pair.owner_vm_id for pair in pairs.values())
+    share = math.ceil(len(pairs) / len(names))
+    if len(own) <= share:
+        return None
+    least = min(owned[name] for name in names)
+    if least + 1 >= len(own):
+        return None
+    shard = min(own)
+    poorest = tuple(name for name in names if owned[name] == least)
+    return ShardMove(shard, rendezvous_order(f"shard-{shard}", poorest)[0])
