Bound each team's tokens and concurrent requests over all keepers

Cause: a team's share was fair at each engine but not bounded over the fleet. Ruled out: granting while ownership is not sure (two owners could grant the same tokens), waiting for the platform before a grant (an outage would stop all teams), counting the unreported slices of a lost keeper as free. Change: slices of a budget handed out by the shard's owner and recorded at its backup, a ceiling told to the platform in the background for the case that both are lost, permits for concurrent requests, usage and forecast over HTTP and as metrics, warning and hard stop with a time to come back.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -1,54 +1,105 @@
-Feature: HTTP input is bounded and errors have one form
+Feature: Every team's share stays bounded and visible
 
-  Scenario Outline: Input that breaks a bound gets a coded error and changes nothing
-    Given an HTTP server with small limits
-    When limits meet <input>
-    Then limits answer <status> with code <code> and nothing is taken
+  Scenario Outline: The sum of slices never exceeds the bound
+    When 4 keepers spend a bound of <bound> tokens under <faults> with seed <seed>
+    Then in no period more than the bound was spent
+    And without faults at least <used> percent of the bound was spent
 
     Examples:
-      | input                          | status | code              |
-      | malformed JSON                 | 400    | invalid_document  |
-      | an empty body                  | 400    | invalid_request   |
-      | a duplicate key                | 400    | invalid_document  |
-      | an unknown key                 | 400    | invalid_document  |
-      | a number as text               | 400    | invalid_document  |
-      | a huge number                  | 400    | invalid_document  |
-      | not a number                   | 400    | invalid_document  |
-      | half a surrogate pair          | 400    | invalid_document  |
-      | bytes that are no UTF-8        | 400    | invalid_document  |
-      | deep nesting                   | 400    | invalid_document  |
-      | very deep nesting              | 400    | invalid_document  |
-      | a declared oversized body      | 413    | request_too_large |
-      | a chunked oversized body       | 413    | request_too_large |
-      | too many headers               | 413    | request_too_large |
-      | endless headers                | 413    | request_too_large |
-      | a long path                    | 413    | request_too_large |
-      | a long query                   | 413    | request_too_large |
-      | a slow body                    | 408    | request_too_slow  |
-      | a trickling body               | 408    | request_too_slow  |
-      | slow headers                   | 408    | request_too_slow  |
-      | a connection half-closed in the body | 400 | invalid_request |
-      | a connection half-closed in the head | 400 | invalid_request |
-      | bytes that are no HTTP         | 400    | invalid_request   |
-      | a negative length              | 400    | invalid_request   |
-      | a bad request identifier       | 400    | invalid_request   |
-      | an unknown path                | 404    | not_found         |
-      | an unknown method              | 405    | invalid_request   |
-      | a handler that fails           | 500    | internal_error    |
-      | a handler that is busy         | 429    | overloaded        |
-
-  Scenario: A good request is taken and named
-    Given an HTTP server with small limits
-    When limits meet a good body
-    Then limits answer 200 and one body is taken
-    And limits name the request as its sender did
-
-  Scenario: A refusal tells when to come back
-    Given an HTTP server with small limits
-    When limits meet a handler that is busy
-    Then limits answer with Retry-After 3 and a remedy
-
-  Scenario: A refused sender can use its connection again
-    Given an HTTP server with small limits
-    When limits meet malformed JSON and then a good body on one connection
-    Then limits answer 200 and one body is taken
+      | bound | faults                        | seed | used |
+      | 1000  | no faults                     | 1    | 90   |
+      | 20000 | no faults                     | 2    | 98   |
+      | 1000  | keepers dying                 | 3    | 0    |
+      | 8000  | keepers dying                 | 4    | 0    |
+      | 8000  | lost answers                  | 5    | 0    |
+      | 8000  | owners failing over           | 6    | 0    |
+      | 8000  | everything                    | 7    | 0    |
+      | 8000  | everything                    | 8    | 0    |
+
+  Scenario: A team gets up to its bound and is then told when to come back
+    Given keepers and a team with 300 tokens per period
+    When the team asks for 20 completions of 20 tokens at both keepers
+    Then the engines have generated at most 300 tokens, and at least 240
+    And the rest was refused with budget_exhausted, not run, and a time to come back
+
+  Scenario: What a request did not use is given back
+    Given keepers and a team with 1000 tokens per period
+    When a caller leaves a request of 900 tokens after 5
+    Then the team can soon ask for 500 tokens more
+
+  Scenario: What a dead keeper may have spent counts as spent
+    Given keepers and a team with 2000 tokens per period
+    When keeper a has spent 20 tokens and dies with a slice
+    Then the other keeper can spend no more than the rest
+    And the usage counts the lost slice
+
+  Scenario Outline: Slices go on without the platform and stop without a sure owner
+    Given keepers and a team with 100000 tokens per period
+    And <state>
+    When a caller of that team asks for 20 tokens
+    Then the caller gets <result>
+
+    Examples:
+      | state                      | result            |
+      | the platform is down       | 20 tokens         |
+      | the owner is not sure      | owner_unavailable |
+      | the records were lost      | 20 tokens         |
+
+  Scenario: After the loss of all records the ceiling counts as spent
+    Given keepers and a team with 300 tokens per period
+    When the team has spent 200 tokens and all records are lost
+    Then no more than 100 further tokens are generated
+
+  Scenario Outline: A team's concurrent requests are bounded over all keepers
+    Given keepers and a team with <bound> concurrent requests
+    When the team asks for 20 completions of 20 tokens at once
+    Then at most <bound> were in flight at once and <served> at least were served
+    And those refused were refused with overloaded
+
+    Examples:
+      | bound | served |
+      | 1     | 1      |
+      | 6     | 3      |
+
+  Scenario Outline: A new owner of permits does not exceed what is held
+    When a new owner hears of <held> held permits of <bound>, <told>
+    Then another keeper that wants 10 gets <granted>
+
+    Examples:
+      | held | bound | told                         | granted |
+      | 4    | 10    | and all keepers have told    | 6       |
+      | 10   | 10    | and all keepers have told    | 0       |
+      | 4    | 10    | and some have not            | 0       |
+
+  Scenario Outline: The forecast follows the rate of late
+    When <spent> tokens are spent in the first <time> s of a period of 100 s
+    Then the forecast is <forecast> tokens
+
+    Examples:
+      | spent | time | forecast |
+      | 100   | 10   | 1000     |
+      | 400   | 20   | 2000     |
+      | 800   | 50   | 1600     |
+
+  Scenario Outline: A team near its bound is warned of
+    Given keepers and a team with 100 tokens per period
+    When the team has spent <spent> tokens
+    Then its usage soon shows <spent> spent tokens, with warning <warning> and exhausted <exhausted>
+
+    Examples:
+      | spent | warning | exhausted |
+      | 60    | off     | off       |
+      | 80    | on      | off       |
+      | 100   | on      | on        |
+
+  Scenario Outline: Usage over HTTP is shown to whom it concerns
+    Given keepers and a team with 1000 tokens per period
+    And the team has spent 20 tokens
+    When <sender> asks for the usage over HTTP
+    Then the answer is <status> with <teams>
+
+    Examples:
+      | sender            | status | teams            |
+      | the team          | 200    | t                |
+      | an operator       | 200    | flood, small, t  |
+      | a stranger        | 401    | nobody           |
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -1,183 +1,372 @@
-"""features.steps.limits_steps: bounds of HTTP input."""
+"""features.steps.limits_steps: slices, permits, budgets and their usage."""
 
-import http.client
+import asyncio
 import json
-from dataclasses import dataclass
+from contextlib import aclosing
 from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
 from starlette.applications import Starlette
-from starlette.requests import Request
-from starlette.responses import Response
-from starlette.routing import Route
-
-from features.support.raw_http import ServedApp, request_bytes, send_raw
-from greengagetack.daemons import protocol
-from greengagetack.daemons.limits import HttpLimits, LimitsMiddleware, read_json
-from greengagetack.daemons.responses import EXCEPTION_HANDLERS, json_response
-from greengagetack.errors import Overloaded
-
-SMALL = HttpLimits(
-    path_bytes=200,
-    query_bytes=200,
-    header_count=16,
-    header_bytes=2_000,
-    body_bytes=2_000,
-    body_pause_s=0.3,
-    body_s=0.6,
+
+from features.support.budget_run import BudgetRun
+from features.support.keeper_world import Answer, start_world
+from features.support.loops import run_on_loop
+from greengagetack.daemons.auth import hash_token
+from greengagetack.daemons.responses import EXCEPTION_HANDLERS
+from greengagetack.limits.forecast import SpendForecast
+from greengagetack.limits.messages import (
+    GetUsage,
+    HeldPermits,
+    SharePermits,
+    TeamUsage,
 )
-GOOD = b'{"name": "n", "count": 3}'
-NAMED = {"X-Request-Id": "van-7"}
-
-
-@dataclass(frozen=True)
-class Order:
-    """A message that the test server takes."""
-
-    name: str
-    count: int = 0
-    inner: Any = None
-
-
-@given("an HTTP server with small limits")
-def step_server(context: Context) -> None:
-    taken: list[Order] = []
-
-    async def take(request: Request) -> Response:
-        taken.append(await read_json(request, Order, 1_500))
-        return json_response({"ok": True})
-
-    async def fail(request: Request) -> Response:
-        raise KeyError("secret")
-
-    async def refuse(request: Request) -> Response:
-        raise Overloaded("the queue is full", 2.2)
-
-    routes = [
-        Route("/take", take, methods=["POST"]),
-        Route("/fail", fail),
-        Route("/busy", refuse),
-    ]
-    app = Starlette(routes=routes, exception_handlers=EXCEPTION_HANDLERS)
-    former_s = protocol.HEADER_TIMEOUT_S
-    protocol.HEADER_TIMEOUT_S = 0.5
-    context.add_cleanup(setattr, protocol, "HEADER_TIMEOUT_S", former_s)
-    context.taken = taken
-    context.served = ServedApp(LimitsMiddleware(app, SMALL))
-    context.add_cleanup(context.served.close)
-
-
-def chunked(total: int) -> bytes:
-    head = request_bytes(
-        "POST", "/take", b"", {"Transfer-Encoding": "chunked", "Content-Length": ""}
-    ).replace(b"Content-Length: \r\n", b"")
-    return head + b"%x\r\n" % total + b"x" * total + b"\r\n0\r\n\r\n"
-
-
-def posted(body: bytes) -> list[bytes]:
-    return [request_bytes("POST", "/take", body, NAMED)]
-
-
-def parts_of(kind: str) -> list[bytes]:
-    bodies = {
-        "a good body": GOOD,
-        "malformed JSON": b'{"name": ',
-        "an empty body": b"",
-        "a duplicate key": b'{"name": "a", "name": "b"}',
-        "an unknown key": b'{"name": "a", "cuont": 1}',
-        "a number as text": b'{"name": "a", "count": "1"}',
-        "a huge number": b'{"name": "a", "count": 1' + b"0" * 400 + b"}",
-        "not a number": b'{"name": "a", "count": NaN}',
-        "half a surrogate pair": b'{"name": "\\ud800"}',
-        "bytes that are no UTF-8": b'{"name": "\xff"}',
-        "deep nesting": b'{"name": "a", "inner": ' + b"[" * 40 + b"]" * 40 + b"}",
-        "very deep nesting": b"[" * 1_400,
-    }
-    if kind in bodies:
-        return posted(bodies[kind])
-    whole = request_bytes("POST", "/take", GOOD)
-    many = {f"X-{number}": "1" for number in range(30)}
-    requests = {
-        "a declared oversized body": [request_bytes("POST", "/take", b"x" * 3_000)],
-        "a chunked oversized body": [chunked(3_000)],
-        "too many headers": [request_bytes("POST", "/take", GOOD, many)],
-        "endless headers": [b"GET / HTTP/1.1\r\n"] + [b"A: " + b"x" * 20_000] * 8,
-        "a long path": [request_bytes("GET", "/" + "a" * 300)],
-        "a long query": [request_bytes("GET", "/busy?" + "a" * 300)],
-        "a slow body": [whole[:-5], whole[-5:]],
-        "a trickling body": [whole[:-20], *[b" "] * 20],
-        "slow headers": [whole[:10], whole[10:]],
-        "a connection half-closed in the body": [whole[:-5]],
-        "a connection half-closed in the head": [whole[:30]],
-        "bytes that are no HTTP": [b"\x16\x03\x01hello\r\n\r\n"],
-        "a negative length": [
-            request_bytes("POST", "/take", GOOD, {"Content-Length": "-5"})
-        ],
-        "a bad request identifier": [
-            request_bytes("POST", "/take", GOOD, {"X-Request-Id": "a b\tc"})
-        ],
-        "an unknown path": [request_bytes("GET", "/nothing")],
-        "an unknown method": [request_bytes("DELETE", "/take")],
-        "a handler that fails": [request_bytes("GET", "/fail")],
-        "a handler that is busy": [request_bytes("GET", "/busy")],
-    }
-    return requests[kind]
+from greengagetack.limits.owner import BudgetRole
+from greengagetack.limits.permits import PermitBook
+from greengagetack.limits.usage import usage_routes
+from greengagetack.settings.schema import BudgetSettings, TeamSettings
+
+LONG_PERIOD_S = 1e9
+
 
+@when("4 keepers spend a bound of {bound:d} tokens under {faults} with seed {seed:d}")
+def step_run(context: Context, bound: int, faults: str, seed: int) -> None:
+    context.bound = bound
+    context.run = BudgetRun(bound, faults, seed)
+    context.run.run()
 
-PAUSES_S = {"a slow body": 2.0, "a trickling body": 0.1, "slow headers": 3.0}
 
+@then("in no period more than the bound was spent")
+def step_within_bound(context: Context) -> None:
+    for period, spent in context.run.spent.items():
+        assert spent <= context.bound, (period, spent)
 
-@when("limits meet {kind} and then a good body on one connection")
-def step_meet_twice(context: Context, kind: str) -> None:
-    address = context.served.address
-    connection = http.client.HTTPConnection(address.host, address.port, timeout=20)
-    connection.request("POST", "/take", body=b"{")
-    assert connection.getresponse().read()
-    connection.request("POST", "/take", body=GOOD)
-    answer = connection.getresponse()
-    context.answer = type("Answer", (), {"status": answer.status})
-    answer.read()
-    connection.close()
 
+@then("without faults at least {used:d} percent of the bound was spent")
+def step_used(context: Context, used: int) -> None:
+    whole_periods = list(context.run.spent.values())[:-1]
+    for spent in whole_periods:
+        assert spent >= context.bound * used / 100, whole_periods
 
-@when("limits meet {kind}")
-def step_meet(context: Context, kind: str) -> None:
-    context.answer = send_raw(
-        context.served.address,
-        parts_of(kind),
-        PAUSES_S.get(kind, 0.0),
-        half_close="half-closed" in kind,
+
+def start_with_budget(context: Context, **bounds: Any) -> None:
+    """Make keepers, two engines and a team `t` with a budget."""
+    bounds.setdefault("period_s", LONG_PERIOD_S)
+    teams = (
+        TeamSettings("t", (hash_token("team-token"),), budget=BudgetSettings(**bounds)),
+        TeamSettings("flood"),
+        TeamSettings("small"),
     )
+    start_world(context, engine_count=2, teams=teams)
+
+
+@given("keepers and a team with {tokens:d} tokens per period")
+def step_budget(context: Context, tokens: int) -> None:
+    start_with_budget(context, tokens_per_period=tokens)
+
+
+@given("keepers and a team with {bound:d} concurrent requests")
+def step_concurrency(context: Context, bound: int) -> None:
+    context.bound = bound
+    start_with_budget(context, concurrent_requests=bound)
+    for engine in context.world.engines.values():
+        engine.token_s = 0.02
+
+
+async def ask_both(context: Context, count: int, tokens: int) -> list[Answer]:
+    """Ask each keeper in turn for its own engine's completions, one by one."""
+    answers = []
+    for number in range(count):
+        answers.append(await ask_one(context, number % 2, tokens))
+    return answers
+
+
+async def ask_one(context: Context, number: int, tokens: int) -> Answer:
+    """Ask keeper `a` or `b` for a completion."""
+    endpoint_id = ("e1", "e2")[number]
+    request = context.world.request(endpoint_id=endpoint_id, max_tokens=tokens)
+    return await context.world.ask(("a", "b")[number], request)
+
+
+def generated(answers: list[Answer]) -> int:
+    """Return how many tokens came."""
+    return sum(len(answer.chunks) for answer in answers)
+
+
+@when("the team asks for {count:d} completions of {tokens:d} tokens at both keepers")
+def step_ask_both(context: Context, count: int, tokens: int) -> None:
+    context.answers = run_on_loop(context, ask_both(context, count, tokens))
+
+
+@then("the engines have generated at most {most:d} tokens, and at least {least:d}")
+def step_generated(context: Context, most: int, least: int) -> None:
+    assert least <= generated(context.answers) <= most, generated(context.answers)
+
+
+@then("the rest was refused with budget_exhausted, not run, and a time to come back")
+def step_exhausted(context: Context) -> None:
+    errors = [answer.error for answer in context.answers if answer.error]
+    assert errors
+    for error in errors:
+        assert error.code == "budget_exhausted", error
+        assert error.outcome.value == "not_run"
+        assert error.retry_after_s > 0
+
+
+@when("a caller leaves a request of {tokens:d} tokens after {seen:d}")
+def step_leave(context: Context, tokens: int, seen: int) -> None:
+    run_on_loop(context, leave(context, tokens, seen))
+
+
+async def leave(context: Context, tokens: int, seen: int) -> None:
+    """Read a few tokens of a long request at keeper `a`, then go away."""
+    world = context.world
+    context.engine.token_s = 0.02
+    request = world.request(max_tokens=tokens)
+    stream = world.nodes["door"].stream("a", request, 20.0)
+    count = 0
+    async with aclosing(stream) as items:
+        async for _ in items:
+            count += 1
+            if count == seen:
+                break
+
+
+@then("the team can soon ask for {tokens:d} tokens more")
+def step_more(context: Context, tokens: int) -> None:
+    run_on_loop(context, until_served(context, tokens))
+
+
+async def until_served(context: Context, tokens: int) -> None:
+    """Ask keeper `b` until the returned tokens are there."""
+    context.world.engines["e2"].token_s = 0.001
+    end_s = context.world.timer.now_s() + 20.0
+    while True:
+        answer = await ask_one(context, 1, tokens)
+        if answer.error is None:
+            assert len(answer.chunks) == tokens
+            return
+        assert context.world.timer.now_s() < end_s, answer.error
+        await asyncio.sleep(0.1)
+
+
+@when("keeper a has spent {tokens:d} tokens and dies with a slice")
+def step_dies(context: Context, tokens: int) -> None:
+    run_on_loop(context, ask_one(context, 0, tokens))
+    run_on_loop(context, context.world.lose("a"))
+    context.before = usage(context)
+
+
+def usage(context: Context) -> TeamUsage:
+    """Return the team's usage as its owner knows it."""
+    node = context.world.nodes["door"]
+    answer: TeamUsage = run_on_loop(context, node.request("door", GetUsage("t")))
+    return answer
+
+
+@then("the other keeper can spend no more than the rest")
+def step_rest(context: Context) -> None:
+    lost = context.before.spent_tokens + context.before.granted_tokens
+    assert lost >= 20
+    answers = run_on_loop(context, spend_at_b(context))
+    assert generated(answers) <= 2000 - lost
+    assert generated(answers) >= 2000 - lost - 40, (generated(answers), lost)
+
+
+async def spend_at_b(context: Context) -> list[Answer]:
+    """Spend at keeper `b` until it is refused."""
+    answers: list[Answer] = []
+    context.world.engines["e2"].token_s = 0.0005
+    while not answers or answers[-1].error is None:
+        answers.append(await ask_one(context, 1, 40))
+    return answers
+
 
+@then("the usage counts the lost slice")
+def step_lost_counted(context: Context) -> None:
+    now = usage(context)
+    assert now.spent_tokens + now.granted_tokens <= 2000
+    assert now.granted_tokens > 0
 
-@then("limits answer {status:d} with code {code} and nothing is taken")
-def step_refused(context: Context, status: int, code: str) -> None:
-    answer = context.answer
-    assert answer.status == status, (answer.status, answer.body)
-    error = answer.json()["error"]
-    assert error["code"] == code, error
-    assert error["reason"] and error["remedy"], error
-    assert error["outcome"] == "not_run"
-    assert "secret" not in json.dumps(error)
-    assert context.taken == []
 
+@given("the platform is down")
+def step_platform_down(context: Context) -> None:
+    context.world.platform.down = True
+
+
+@given("the owner is not sure")
+def step_not_sure(context: Context) -> None:
+    context.world.services["door"].shards.acting = False
+
+
+@given("the records were lost")
+def step_fresh(context: Context) -> None:
+    context.world.services["door"].shards.fresh = True
+
+
+@when("a caller of that team asks for {tokens:d} tokens")
+def step_caller_asks(context: Context, tokens: int) -> None:
+    context.answer = run_on_loop(context, ask_one(context, 0, tokens))
+
+
+@then("the caller gets {result}")
+def step_caller_gets(context: Context, result: str) -> None:
+    error = context.answer.error
+    if result == "20 tokens":
+        assert error is None, error
+        assert len(context.answer.chunks) == 20
+        return
+    assert error is not None
+    assert (error.code, error.outcome.value) == (result, "not_run")
+    assert error.retry_after_s > 0
+
+
+@when("the team has spent {tokens:d} tokens and all records are lost")
+def step_all_lost(context: Context, tokens: int) -> None:
+    world = context.world
+    run_on_loop(context, ask_both(context, tokens // 20, 20))
+    shards = world.services["door"].shards
+    run_on_loop(context, world.until(lambda: bool(world.platform.call_count)))
+    shards.kept.clear()
+    shards.fresh = True
+    role = BudgetRole(world.services["door"])
+    run_on_loop(context, role.start())
+
+
+@then("no more than {tokens:d} further tokens are generated")
+def step_no_more(context: Context, tokens: int) -> None:
+    answers = run_on_loop(context, ask_both(context, 20, 20))
+    assert generated(answers) <= tokens, generated(answers)
+
+
+@when("the team asks for {count:d} completions of {tokens:d} tokens at once")
+def step_at_once(context: Context, count: int, tokens: int) -> None:
+    run_on_loop(context, ask_at_once(context, count, tokens))
+
+
+async def ask_at_once(context: Context, count: int, tokens: int) -> None:
+    """Ask both keepers at once, and watch how many are in flight."""
+    roles = context.world.roles.values()
+    context.most = 0
+
+    async def watch() -> None:
+        while True:
+            in_use = sum(role.spending._share("t").in_use for role in roles)
+            context.most = max(context.most, in_use)
+            await asyncio.sleep(0.001)
+
+    watching = asyncio.create_task(watch())
+    tasks = [ask_one(context, number % 2, tokens) for number in range(count)]
+    context.answers = await asyncio.gather(*tasks)
+    watching.cancel()
+
+
+@then("at most {bound:d} were in flight at once and {served:d} at least were served")
+def step_in_flight(context: Context, bound: int, served: int) -> None:
+    done = [answer for answer in context.answers if answer.error is None]
+    assert 0 < context.most <= bound, context.most
+    assert len(done) >= served
+
+
+@then("those refused were refused with {code}")
+def step_refused_with(context: Context, code: str) -> None:
+    errors = [answer.error for answer in context.answers if answer.error]
+    assert errors
+    assert {error.code for error in errors} == {code}
+
+
+@when("a new owner hears of {held:d} held permits of {bound:d}, {told}")
+def step_new_owner(context: Context, held: int, bound: int, told: str) -> None:
+    book = PermitBook(100.0)
+    book.confirm(HeldPermits("k1", held, held), 100.0)
+    if told == "and all keepers have told":
+        book.all_told()
+    context.share = book.share(SharePermits("t", "k2", 0, 0, 10), bound, 101.0)
+
+
+@then("another keeper that wants 10 gets {granted:d}")
+def step_granted(context: Context, granted: int) -> None:
+    assert context.share.permits == granted
+
+
+@when("{spent:d} tokens are spent in the first {time:d} s of a period of {period:d} s")
+def step_spend(context: Context, spent: int, time: int, period: int) -> None:
+    forecast = SpendForecast(float(period))
+    for second in range(time + 1):
+        forecast.observe(float(second), spent * second // time)
+    context.forecast = forecast.at_end(spent, float(period - time))
+
+
+@then("the forecast is {tokens:d} tokens")
+def step_forecast(context: Context, tokens: int) -> None:
+    assert abs(context.forecast - tokens) <= 0.05 * tokens, context.forecast
+
+
+@then(
+    "its usage soon shows {spent:d} spent tokens, "
+    "with warning {warning} and exhausted {exhausted}"
+)
+def step_warned(context: Context, spent: int, warning: str, exhausted: str) -> None:
+    end_s = context.world.timer.now_s() + 10.0
+    while (now := usage(context)).spent_tokens != spent:
+        assert context.world.timer.now_s() < end_s, now
+        run_on_loop(context, asyncio.sleep(0.1))
+    assert now.warning == (warning == "on"), now
+    assert now.exhausted == (exhausted == "on"), now
+
+
+@given("the team has spent {tokens:d} tokens")
+@when("the team has spent {tokens:d} tokens")
+def step_has_spent(context: Context, tokens: int) -> None:
+    for answer in run_on_loop(context, ask_both(context, tokens // 20, 20)):
+        assert answer.error is None, answer.error
+
+
+@when("{sender} asks for the usage over HTTP")
+def step_ask_usage(context: Context, sender: str) -> None:
+    tokens = {"the team": "team-token", "an operator": "operator-token"}
+    operator = (hash_token("operator-token"),)
+    world = context.world
+    world.settings.change(operator_token_hashes=operator)
+    app = Starlette(
+        routes=usage_routes(world.services["door"]),
+        exception_handlers=EXCEPTION_HANDLERS,
+    )
+    context.response = run_on_loop(
+        context, get(app, "/v1/teams/usage", tokens.get(sender, "wrong"))
+    )
+
+
+async def get(app: Starlette, path: str, token: str) -> Any:
+    """Send a GET request to an application on this loop."""
+    sent: list[Any] = []
+    scope = {
+        "type": "http",
+        "method": "GET",
+        "path": path,
+        "query_string": b"",
+        "headers": [(b"authorization", f"Bearer {token}".encode())],
+    }
 
-@then("limits answer 200 and one body is taken")
-def step_taken(context: Context) -> None:
-    assert context.answer.status == 200
-    assert context.taken == [Order("n", 3)]
+    async def receive() -> Any:
+        return {"type": "http.request", "body": b"", "more_body": False}
 
+    async def send(event: Any) -> None:
+        sent.append(event)
 
-@then("limits name the request as its sender did")
-def step_named(context: Context) -> None:
-    assert context.answer.headers["x-request-id"] == "van-7"
+    await app(scope, receive, send)
+    return sent
 
 
-@then("limits answer with Retry-After {seconds} and a remedy")
-def step_retry(context: Context, seconds: str) -> None:
-    assert context.answer.headers["retry-after"] == seconds
-    error = context.answer.json()["error"]
-    assert error["retry_after_s"] == 2.2
-    assert error["remedy"]
-    assert error["request_id"] == context.answer.headers["x-request-id"]
+@then("the answer is {status:d} with {teams}")
+def step_usage_answer(context: Context, status: int, teams: str) -> None:
+    start, body = context.response[0], context.response[1]
+    assert start["status"] == status, start
+    if status != 200:
+        return
+    answer = json.loads(body["body"])
+    shown = sorted(item["team"] for item in answer["teams"])
+    assert ", ".join(shown) == teams, answer
+    own = next(item for item in answer["teams"] if item["team"] == "t")
+    assert own["bound_tokens"] == 1000
+    assert own["spent_tokens"] + own["granted_tokens"] >= 20
--- a/features/support/fakes.py
+++ b/features/support/fakes.py
@@ -168,6 +168,10 @@
         """Return what the test set, for the owner."""
         return self.acting and self.role(shard) is ShardRole.OWNER
 
+    def acts_for_jobs(self, shard: int) -> bool:
+        """Return what the test set, for the owner."""
+        return self.may_act(shard)
+
     def get(self, shard: int, kind: str, key: str) -> bytes | None:
         """Return a record."""
         return self.kept.get((shard, kind, key))
--- a/features/support/keeper_world.py
+++ b/features/support/keeper_world.py
@@ -8,13 +8,22 @@
 from behave.runner import Context
 
 from features.support.fake_engine import FakeEngine, token_text
-from features.support.fakes import FakeCell, FakeDirectory, FakeSettings, FakeShards
+from features.support.fakes import (
+    SHARD_COUNT,
+    FakeCell,
+    FakeDirectory,
+    FakeSettings,
+    FakeShards,
+)
 from features.support.loops import run_on_loop, start_loop
+from features.support.memory_platform import MemoryPlatform
 from greengagetack.daemons.role import Services
 from greengagetack.errors import CodedError
 from greengagetack.keeper.messages import Chunk, Complete, Completed, Work
 from greengagetack.keeper.role import KeeperRole
+from greengagetack.limits.owner import BudgetRole
 from greengagetack.limits.retries import RetryBudgets
+from greengagetack.membership.table import ShardPair
 from greengagetack.observability.metrics import Metrics
 from greengagetack.observability.traces import SpanStore
 from greengagetack.peers.node import PeerNode, listening_socket
@@ -35,6 +44,7 @@
 STEP_S = 0.01
 ROUTING = RoutingSettings(ejection_s=0.5)
 ADMISSION = AdmissionSettings()
+TEAMS = tuple(TeamSettings(team) for team in ("t", "flood", "small"))
 
 
 @dataclass
@@ -68,13 +78,14 @@
         self.services: dict[str, Services] = {}
         self.roles: dict[str, KeeperRole] = {}
         self.settings = FakeSettings(FleetSettings(), ())
+        self.platform = MemoryPlatform()
         self._count = 0
 
     async def start(
         self,
         engine_count: int = 1,
         slots: int = 4,
-        teams: tuple[TeamSettings, ...] = (),
+        teams: tuple[TeamSettings, ...] = TEAMS,
         routing: RoutingSettings = ROUTING,
         admission: AdmissionSettings = ADMISSION,
         fencing: Fencing = Fencing.CHECKED,
@@ -106,6 +117,10 @@
         for number, endpoint in enumerate(endpoints):
             order = ("a", "b") if number % 2 == 0 else ("b", "a")
             self.cell.keepers[endpoint.endpoint_id] = order
+        for shard in range(SHARD_COUNT):
+            self.cell.pairs[shard] = ShardPair(shard, 1, "door")
+        self.budgets = BudgetRole(self.services["door"])
+        await self.budgets.start()
         for vm_id in ("a", "b"):
             self.roles[vm_id] = KeeperRole(self.services[vm_id])
             await self.roles[vm_id].start()
@@ -129,7 +144,7 @@
             vm=settings,
             timer=self.timer,
             peers=node,
-            platform=None,  # type: ignore[arg-type]
+            platform=self.platform,
             settings=self.settings,
             directory=FakeDirectory(vm_id, self.cell),
             shards=FakeShards(vm_id, self.cell),
--- a/greengagetack/daemons/parts.py
+++ b/greengagetack/daemons/parts.py
@@ -8,6 +8,8 @@
 import greengagetack.entry.plain
 import greengagetack.entry.role
 import greengagetack.keeper.role
+import greengagetack.limits.owner
+import greengagetack.limits.usage
 import greengagetack.rollouts.owner
 import greengagetack.settings.sync
 
@@ -22,6 +24,8 @@
     greengagetack.entry.plain,
     greengagetack.entry.role,
     greengagetack.keeper.role,
+    greengagetack.limits.owner,
+    greengagetack.limits.usage,
     greengagetack.rollouts.owner,
     greengagetack.settings.sync,
 )
--- a/greengagetack/keeper/gate.py
+++ b/greengagetack/keeper/gate.py
@@ -154,14 +154,15 @@
         if known is not None:
             return self._join(known, request)
         await self.versions.ensure_known()
+        await self._spending.admit(request)
         known = self._held.find(request)
         if known is not None:
             return self._join(known, request)
         self._check_open()
         self._check_version(request)
         self._check_queue(request)
-        self._spending.reserve(request)
         generation = Generation(request, self._services.timer.now_s())
+        self._spending.take_permit(generation)
         self._held.keep(generation, self)
         self._queue.push(generation, self._weight(request.team))
         self.used_at_s = generation.arrived_s
@@ -276,6 +277,7 @@
         timer = self._services.timer
         request = generation.request
         self._check_version(request)
+        await self._spending.reserve(generation)
         generation.started_s = timer.now_s()
         last_s = generation.started_s
         self.prefixes.used(request.prompt)
--- a/greengagetack/keeper/role.py
+++ b/greengagetack/keeper/role.py
@@ -28,7 +28,7 @@
 )
 from greengagetack.keeper.monitor import EngineMonitor
 from greengagetack.keeper.service_gate import ServiceGate
-from greengagetack.keeper.spending import Spending, UnboundedSpending
+from greengagetack.limits.spending import SliceSpending
 from greengagetack.observability.traces import span
 from greengagetack.peers.messages import Done
 from greengagetack.world import Endpoint, EndpointKind
@@ -50,7 +50,7 @@
     def __init__(self, services: Services) -> None:
         super().__init__(services)
         self.held = HeldAnswers()
-        self.spending: Spending = UnboundedSpending()
+        self.spending = SliceSpending(services)
         self.gates: dict[str, EngineGate] = {}
         self.service_gates: dict[str, ServiceGate] = {}
         self.draining = False
@@ -67,6 +67,7 @@
         peers.handle(ListHeldRequests, self._list_held)
         peers.handle(ReleaseHeld, self._release)
         peers.handle(CallService, self._call)
+        self.spending.start()
         self.services.timer.subscribe(WATCH_INTERVAL_S, self._watch, "keeper watch")
         self.services.directory.subscribe(self._keep_assigned)
         self.services.settings.subscribe(self._keep_assigned)
@@ -235,6 +236,7 @@
         end_s = timer.now_s() + DRAIN_COLLECT_S
         while self._uncollected() and timer.now_s() < end_s:
             await timer.sleep(DRAIN_STEP_S)
+        await self.spending.return_all()
 
     def _all_gates(self) -> list[EngineGate | ServiceGate]:
         return [*self.gates.values(), *self.service_gates.values()]
--- a/greengagetack/keeper/spending.py
+++ b/greengagetack/keeper/spending.py
@@ -5,30 +5,20 @@
 from greengagetack.keeper.generation import Generation
 from greengagetack.keeper.messages import Complete
 
-__all__ = ["Spending", "UnboundedSpending"]
+__all__ = ["Spending"]
 
 
 class Spending(Protocol):
-    """Bounds the tokens that each team spends here."""
+    """Bounds the tokens and the concurrent requests of each team here."""
 
-    def reserve(self, request: Complete) -> None:
-        """Set the request's tokens aside.
+    async def admit(self, request: Complete) -> None:
+        """Raise a coded error if the team's bounds leave no room."""
 
-        Raises
-        ------
-        BudgetExhausted
-            If the team's bound leaves too few.
-        """
+    def take_permit(self, generation: Generation) -> None:
+        """Count a request that is being queued, or raise `Overloaded`."""
 
-    def settle(self, generation: Generation) -> None:
-        """Count the tokens used and give the rest back."""
-
-
-class UnboundedSpending:
-    """Spending without bounds."""
-
-    def reserve(self, request: Complete) -> None:
-        """Admit every request."""
+    async def reserve(self, generation: Generation) -> None:
+        """Set a request's tokens aside, or raise `BudgetExhausted`."""
 
     def settle(self, generation: Generation) -> None:
-        """Count nothing."""
+        """Count the tokens used, and free the rest and the permit."""
--- /dev/null
+++ b/greengagetack/limits/purse.py
@@ -0,0 +1,140 @@
+"""greengagetack.limits.purse: the slices of one team at one keeper."""
+
+from dataclasses import dataclass
+
+from greengagetack.limits.messages import Slice, SliceReport
+
+__all__ = ["Purse", "Reservation"]
+
+END_MARGIN_S = 0.5
+RATE_SMOOTHING = 0.3
+
+
+@dataclass(slots=True)
+class HeldSlice:
+    """A slice while this keeper may spend it."""
+
+    slice_id: str
+    tokens: int
+    ends_s: float
+    reserved_tokens: int = 0
+    spent_tokens: int = 0
+    reported_tokens: int = 0
+    used_at_s: float = 0.0
+
+    @property
+    def free_tokens(self) -> int:
+        """Tokens that are neither spent nor set aside."""
+        return self.tokens - self.reserved_tokens - self.spent_tokens
+
+
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """Tokens of slices that are set aside for one request."""
+
+    parts: tuple[tuple[str, int], ...]
+
+    @property
+    def tokens(self) -> int:
+        """All tokens set aside."""
+        return sum(tokens for _, tokens in self.parts)
+
+
+class Purse:
+    """Sets tokens of slices aside, and tells what has become of each slice.
+
+    A slice takes no new reservation after its end, counted from when it was
+    asked for; it is reported as done once all its reservations are settled.
+    """
+
+    def __init__(self) -> None:
+        self._slices: dict[str, HeldSlice] = {}
+        self._done: dict[str, SliceReport] = {}
+        self._spent_since = 0
+        self._rate_at_s = 0.0
+        self.tokens_per_s = 0.0
+
+    def add(self, item: Slice, asked_at_s: float) -> None:
+        """Take a slice that was asked for at `asked_at_s`."""
+        ends_s = asked_at_s + item.life_s - END_MARGIN_S
+        self._slices[item.slice_id] = HeldSlice(
+            item.slice_id, item.tokens, ends_s, used_at_s=asked_at_s
+        )
+
+    def give_up(self, slice_id: str) -> None:
+        """Give back a slice that was asked for and perhaps never answered."""
+        if slice_id not in self._slices:
+            self._done[slice_id] = SliceReport(slice_id, 0, True)
+
+    def free_tokens(self, now_s: float) -> int:
+        """Return the tokens that can still be set aside."""
+        return sum(
+            item.free_tokens for item in self._slices.values() if item.ends_s > now_s
+        )
+
+    def reserve(self, tokens: int, now_s: float) -> Reservation | None:
+        """Set tokens aside, None if there are too few."""
+        if self.free_tokens(now_s) < tokens:
+            return None
+        parts: list[tuple[str, int]] = []
+        left = tokens
+        for item in self._slices.values():
+            if item.ends_s <= now_s or not item.free_tokens:
+                continue
+            taken = min(left, item.free_tokens)
+            item.reserved_tokens += taken
+            item.used_at_s = now_s
+            parts.append((item.slice_id, taken))
+            left -= taken
+            if not left:
+                break
+        return Reservation(tuple(parts))
+
+    def settle(self, reservation: Reservation, spent_tokens: int) -> None:
+        """Count what a request has spent and free the rest."""
+        left = min(spent_tokens, reservation.tokens)
+        for slice_id, tokens in reservation.parts:
+            item = self._slices[slice_id]
+            item.reserved_tokens -= tokens
+            spent = min(left, tokens)
+            item.spent_tokens += spent
+            left -= spent
+        self._spent_since += spent_tokens
+
+    def observe_rate(self, now_s: float) -> None:
+        """Update the rate of spend; to be called at intervals."""
+        if self._rate_at_s and now_s > self._rate_at_s:
+            rate = self._spent_since / (now_s - self._rate_at_s)
+            self.tokens_per_s += (rate - self.tokens_per_s) * RATE_SMOOTHING
+        self._rate_at_s = now_s
+        self._spent_since = 0
+
+    def close_slices(self, now_s: float, idle_s: float) -> None:
+        """Give up slices that have ended, are spent or have long been idle."""
+        for item in list(self._slices.values()):
+            if item.reserved_tokens:
+                continue
+            idle = now_s - item.used_at_s >= idle_s
+            if item.free_tokens and item.ends_s > now_s and not idle:
+                continue
+            del self._slices[item.slice_id]
+            report = SliceReport(item.slice_id, item.spent_tokens, True)
+            self._done[item.slice_id] = report
+
+    def due_reports(self) -> tuple[SliceReport, ...]:
+        """Return what the owner does not know yet."""
+        reports = list(self._done.values())
+        for item in self._slices.values():
+            if item.spent_tokens != item.reported_tokens:
+                reports.append(SliceReport(item.slice_id, item.spent_tokens, False))
+        return tuple(reports)
+
+    def reported(self, reports: tuple[SliceReport, ...]) -> None:
+        """Note that the owner has taken reports."""
+        for report in reports:
+            if report.final:
+                self._done.pop(report.slice_id, None)
+                continue
+            item = self._slices.get(report.slice_id)
+            if item is not None:
+                item.reported_tokens = report.spent_tokens
--- /dev/null
+++ b/greengagetack/limits/usage.py
@@ -0,0 +1,69 @@
+"""greengagetack.limits.usage: the teams' budgets over HTTP."""
+
+import asyncio
+from dataclasses import dataclass
+
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import BaseRoute
+
+from greengagetack.daemons.auth import Principal
+from greengagetack.daemons.responses import json_response
+from greengagetack.daemons.role import Services, http_routes
+from greengagetack.entry.http import team_route
+from greengagetack.entry.owners import ask_only_owner
+from greengagetack.errors import CodedError
+from greengagetack.limits.messages import GetUsage, TeamUsage
+
+__all__ = ["UnknownUsage", "UsageAnswer", "collect_usage"]
+
+ASK_TIMEOUT_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class UnknownUsage:
+    """A team whose budget cannot be shown now, and why."""
+
+    team: str
+    code: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class UsageAnswer:
+    """Body of ``GET /v1/teams/usage``."""
+
+    teams: tuple[TeamUsage, ...]
+    unknown: tuple[UnknownUsage, ...]
+
+
+async def collect_usage(services: Services, teams: tuple[str, ...]) -> UsageAnswer:
+    """Ask the owner of each team's budget."""
+    answers = await asyncio.gather(*(_ask(services, team) for team in teams))
+    known = [answer for answer in answers if isinstance(answer, TeamUsage)]
+    unknown = [answer for answer in answers if isinstance(answer, UnknownUsage)]
+    return UsageAnswer(tuple(known), tuple(unknown))
+
+
+async def _ask(services: Services, team: str) -> TeamUsage | UnknownUsage:
+    try:
+        answer = await ask_only_owner(services, team, GetUsage(team), ASK_TIMEOUT_S)
+    except CodedError as error:
+        return UnknownUsage(team, error.code, error.reason)
+    if isinstance(answer, TeamUsage):
+        return answer
+    return UnknownUsage(team, "not_found", "the owner gave no answer")
+
+
+@http_routes
+def usage_routes(services: Services) -> list[BaseRoute]:
+    """Return the route that shows a team its own budget, an operator all."""
+
+    async def usage(request: Request, principal: Principal) -> Response:
+        if principal.is_operator:
+            teams = tuple(sorted(item.team for item in services.settings.teams()))
+        else:
+            teams = (principal.team,)
+        return json_response(await collect_usage(services, teams))
+
+    return [team_route(services, "/v1/teams/usage", usage, "GET")]
