--- a/greengagetack/daemons/parts.py
+++ b/greengagetack/daemons/parts.py
@@ -9,6 +9,8 @@
 import greengagetack.entry.plain
 import greengagetack.entry.role
 import greengagetack.keeper.role
+import greengagetack.limits.owner
+import greengagetack.limits.usage
 import greengagetack.rollouts.owner
 import greengagetack.settings.http
 import greengagetack.settings.sync
@@ -25,6 +27,8 @@
     greengagetack.entry.plain,
     greengagetack.entry.role,
     greengagetack.keeper.role,
+    greengagetack.limits.owner,
+    greengagetack.limits.usage,
     greengagetack.rollouts.owner,
     greengagetack.settings.http,
     greengagetack.settings.sync,
