--- a/model/__main__.py
+++ b/model/__main__.py
@@ -1,9 +1,10 @@
 """model.__main__: command line of the model checker."""
 
 import importlib
+import os
 import pkgutil
 import sys
-import time
+from concurrent.futures import ProcessPoolExecutor
 
 import model
 from model.checker import (
@@ -16,6 +17,8 @@
 
 __all__ = ["main"]
 
+MAX_WORKERS = 4
+
 
 def load_specifications() -> None:
     """Import all modules of the package, so that they register themselves."""
@@ -39,36 +42,53 @@
 def show_mutant(result: MutantResult) -> None:
     """Print the verdict on a mutant with its shortest trace."""
     verdict = "refuted" if result.refuted else "SURVIVES"
-    print(f"{verdict}  {result.spec} without {result.guard!r}: {result.broken}")
+    print(
+        f"{verdict}  {result.spec} without {result.guard!r}: {result.broken} "
+        f"({result.states:,} states)"
+    )
     for number, step in enumerate(result.trace):
         print(f"    {number:2} {step.label}  {step.changes}")
 
 
+def check_properties(name: str) -> tuple[PropertyResult, ...]:
+    """Check the specification of a name."""
+    load_specifications()
+    return check_specification(SPECIFICATIONS[name]())
+
+
+def check_guard(name: str, index: int) -> MutantResult:
+    """Check the specification of a name without one of its guards."""
+    load_specifications()
+    spec_type = SPECIFICATIONS[name]
+    return check_mutant(spec_type, spec_type.guards[index])
+
+
 def main(arguments: list[str]) -> int:
     """Check the specifications named, all without a name, and their mutants."""
     load_specifications()
     names = arguments or sorted(SPECIFICATIONS)
-    properties: list[PropertyResult] = []
-    mutants: list[MutantResult] = []
-    for name in names:
-        spec_type = SPECIFICATIONS[name]
-        started_s = time.monotonic()
-        for result in check_specification(spec_type()):
-            show_property(result)
-            properties.append(result)
-        for guard in spec_type.guards:
-            mutant = check_mutant(spec_type, guard)
-            show_mutant(mutant)
-            mutants.append(mutant)
-        print(f"       {name}: {time.monotonic() - started_s:.1f} s", flush=True)
-    holding = sum(result.holds for result in properties)
-    refuted = sum(result.refuted for result in mutants)
-    print(
-        f"{holding} properties hold, {refuted} of {len(mutants)} mutants refuted",
-        flush=True,
-    )
-    complete = holding == len(properties) and refuted == len(mutants)
-    return 0 if complete and properties else 1
+    holding = 0
+    refuted = 0
+    complete = bool(names)
+    with ProcessPoolExecutor(min(MAX_WORKERS, os.cpu_count() or 1)) as pool:
+        checks = {name: pool.submit(check_properties, name) for name in names}
+        mutants = {
+            (name, index): pool.submit(check_guard, name, index)
+            for name in names
+            for index in range(len(SPECIFICATIONS[name].guards))
+        }
+        for name in names:
+            for result in checks[name].result():
+                show_property(result)
+                holding += result.holds
+                complete = complete and result.holds
+            for index in range(len(SPECIFICATIONS[name].guards)):
+                mutant = mutants[name, index].result()
+                show_mutant(mutant)
+                refuted += mutant.refuted
+                complete = complete and mutant.refuted
+    print(f"{holding} properties hold, {refuted} of {len(mutants)} mutants refuted")
+    return 0 if complete else 1
 
 
 if __name__ == "__main__":
--- a/model/delivery.py
+++ b/model/delivery.py
@@ -238,14 +238,12 @@
         yield f"an answer with batch {number} is lost", state._replace(answers=others)
         if number != state.asked and self.has("batch matched by its number"):
             return
-        yield (
-            f"the trainer takes batch {number}",
-            state._replace(
-                asked=min(state.asked + 1, len(GROUPS)),
-                answers=others,
-                counts=_counted(state.counts, groups),
-            ),
+        taken = state._replace(
+            asked=min(state.asked + 1, len(GROUPS)),
+            counts=_counted(state.counts, groups),
         )
+        yield f"the trainer takes batch {number}", taken._replace(answers=others)
+        yield f"the trainer takes batch {number}, a copy is still on its way", taken
 
 
 def _counted(counts: tuple[int, int], groups: Groups) -> tuple[int, int]:
--- a/model/lead.py
+++ b/model/lead.py
@@ -2,8 +2,9 @@
 
 Two VMs write one lease object by conditional update. Answers get lost, copies
 of a write arrive late, even after their sender has restarted, and time passes
-while a VM takes no step, which is how a paused VM is described. Versions are
-kept as their distance to the object's present one, so nothing grows.
+while a VM takes no step, which is how a paused VM is described; an outage is time
+without a step of the platform. Versions are kept as their distance to the
+object's present one, so nothing grows.
 """
 
 from collections.abc import Iterator
@@ -46,12 +47,11 @@
 
 
 class State(NamedTuple):
-    """The lease object, the platform and both VMs."""
+    """The lease object, a VM lost for good (-1 without one), and both VMs."""
 
     holder: int
     released: bool
     change: int
-    up: bool
     dead: int
     members: tuple[Member, Member]
 
@@ -73,7 +73,7 @@
 
     def initial(self) -> State:
         """Return a free lease object and two VMs that know nothing."""
-        return State(-1, True, -1, True, -1, (Member(), Member()))
+        return State(-1, True, -1, -1, (Member(), Member()))
 
     def acts(self, member: Member) -> bool:
         """Whether a VM believes that it is lead, at its clock's slowest."""
@@ -98,10 +98,8 @@
     def steps(self, state: State) -> Iterator[Step]:
         """Yield time, the platform's steps and those of each VM."""
         yield "time passes", _tick(state)
-        yield from _platform_steps(state)
         for vm in range(len(state.members)):
-            if state.up:
-                yield from self._applied_writes(state, vm)
+            yield from self._applied_writes(state, vm)
             if state.dead != vm:
                 yield from self._member_steps(state, vm)
 
@@ -111,9 +109,8 @@
         if state.dead < 0:
             dead = _replace(state, vm, _restarted(member))
             yield f"vm{vm} dies", dead._replace(dead=vm)
-        if state.up and not member.write:
-            yield from self._read(state, vm)
         if not member.write:
+            yield from self._read(state, vm)
             yield from self._new_writes(state, vm)
             return
         yield from self._answers(state, vm)
@@ -171,8 +168,7 @@
         if not self.has("read-back after a lost answer"):
             yield f"vm{vm} takes it as written", self._settled(state, vm, True)
             return
-        if state.up:
-            yield from self._read_back(state, vm)
+        yield from self._read_back(state, vm)
 
     def _read_back(self, state: State, vm: int) -> Iterator[Step]:
         member = state.members[vm]
@@ -255,10 +251,3 @@
         for member in state.members
     )
     return state._replace(members=(members[0], members[1]))
-
-
-def _platform_steps(state: State) -> Iterator[Step]:
-    if state.up:
-        yield "the platform goes down", state._replace(up=False)
-    else:
-        yield "the platform comes back", state._replace(up=True)
--- a/model/pair.py
+++ b/model/pair.py
@@ -20,9 +20,16 @@
     next_pair,
 )
 from greengagetack.membership.table import ShardPair
-from model.specification import Guard, Predicate, Specification, Step, specification
+from model.specification import (
+    PROGRESS,
+    Guard,
+    Predicate,
+    Specification,
+    Step,
+    specification,
+)
 
-__all__ = ["PairSpecification"]
+__all__ = ["PairLossSpecification", "PairSpecification"]
 
 VMS = range(3)
 LEASE_TICKS = 2
@@ -64,7 +71,7 @@
     name = "pair"
     may_die: ClassVar[tuple[int, ...]] = ()
     may_restart: ClassVar[bool] = True
-    guards = (
+    guards: ClassVar[tuple[Guard, ...]] = (
         Guard("margin before expiry", ONE_OWNER),
         Guard("seal before waiting", ONE_OWNER),
         Guard("wait for outstanding promises", ONE_OWNER),
@@ -170,6 +177,8 @@
     def _change(self, state: State, vm: int) -> Iterator[Step]:
         """Yield sealing and writing the next pair."""
         member = state.vms[vm]
+        if member.pair[1] == vm and not self.has("backup may change the pair"):
+            return
         inside = vm in member.pair
         if inside and not member.sealed and self.has("seal before waiting"):
             sealed = member._replace(sealed=True, held=NEVER, answer_due=False)
@@ -195,7 +204,7 @@
 
     def _may_write(self, vm: int, member: Member) -> bool:
         pair = _as_shard_pair(member.pair)
-        until = max(member.given, member.held)
+        until = max(member.given, member.held, 0)
         waits = self.has("wait for outstanding promises")
         if not waits or not self.has("wait before the write, not after it"):
             until = 0
@@ -207,6 +216,20 @@
         return may_write_next_pair(pair, str(writer), sealed_epoch, 0, until)
 
 
+@specification
+class PairLossSpecification(PairSpecification):
+    """The same with one VM lost for good instead of restarts.
+
+    A lost VM takes no step, so that it adds nothing to safety; but the others
+    must still be able to go on.
+    """
+
+    name = "pair-loss"
+    may_die = tuple(VMS)
+    may_restart = False
+    guards = (Guard("backup may change the pair", PROGRESS),)
+
+
 @cache
 def _as_shard_pair(pair: Pair) -> ShardPair:
     return ShardPair(0, 1, str(pair[0]), str(pair[1]))
--- a/model/writes.py
+++ b/model/writes.py
@@ -15,6 +15,7 @@
 
 ONCE = "a change takes effect at most once"
 TRUE_SUCCESS = "a change reported as written took effect"
+NOT_LOST = "no accepted change is overwritten unseen"
 TRUE_CONFLICT = "a change reported as lost to another never takes effect"
 MOST_COPIES = 2
 
@@ -36,6 +37,7 @@
     version: int
     change: int
     up: bool
+    overwritten: bool
     effects: tuple[int, int]
     writers: tuple[Writer, Writer]
 
@@ -48,18 +50,19 @@
     guards = (
         Guard("read-back after a lost answer", ONCE),
         Guard("change identifier compared", TRUE_SUCCESS),
-        Guard("conditional update", ONCE),
+        Guard("conditional update", NOT_LOST),
         Guard("refusal judged by its change identifier", TRUE_CONFLICT),
         Guard("hidden traces stay undecided", TRUE_CONFLICT),
     )
 
     def initial(self) -> State:
         """Return an object of version 1 that neither writer has read."""
-        return State(1, -1, True, (0, 0), (Writer(), Writer()))
+        return State(1, -1, True, False, (0, 0), (Writer(), Writer()))
 
     def properties(self) -> dict[str, Predicate]:
         """Return the safety properties."""
         return {
+            NOT_LOST: lambda s: not s.overwritten,
             ONCE: lambda s: max(s.effects) <= 1,
             TRUE_SUCCESS: lambda s: all(
                 s.effects[i] >= 1
@@ -119,7 +122,10 @@
         effects[i] += 1
         taken = _replace(state, i, done._replace(answer="ok"))
         return f"the platform takes w{i}", taken._replace(
-            version=state.version + 1, change=i, effects=(effects[0], effects[1])
+            version=state.version + 1,
+            change=i,
+            overwritten=state.overwritten or not current,
+            effects=(effects[0], effects[1]),
         )
 
     def _answered(self, state: State, i: int) -> State:
