--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""features.support: fakes and helpers of the features."""
--- /dev/null
+++ b/greengagetack/entry/http.py
@@ -0,0 +1,79 @@
+"""greengagetack.entry.http: what all HTTP handlers share."""
+
+from collections.abc import Awaitable, Callable
+
+from loguru import logger
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import BaseRoute, Route
+
+from greengagetack.daemons.auth import Principal, authenticate
+from greengagetack.daemons.responses import error_response
+from greengagetack.daemons.role import Services
+from greengagetack.errors import CodedError, InvalidRequest, NotReady
+from greengagetack.observability.traces import attached, span
+
+__all__ = ["Handler", "team_of", "team_route"]
+
+NOT_READY_RETRY_S = 1.0
+TEAM_HEADER = "x-team"
+
+Handler = Callable[[Request, Principal], Awaitable[Response]]
+
+
+def team_of(request: Request, principal: Principal) -> str:
+    """Return the team that a request acts for.
+
+    An operator names it in the ``X-Team`` header.
+
+    Raises
+    ------
+    InvalidRequest
+        If an operator's request names no team.
+    """
+    if not principal.is_operator:
+        return principal.team
+    team = request.headers.get(TEAM_HEADER, "")
+    if not team:
+        raise InvalidRequest("an operator names the team in the X-Team header")
+    return team
+
+
+def team_route(
+    services: Services, path: str, handler: Handler, *methods: str
+) -> BaseRoute:
+    """Return a route whose handler gets the authenticated principal.
+
+    Each request is one span under the sender's ``traceparent``.
+    """
+
+    async def answer(request: Request) -> Response:
+        with (
+            attached(request.headers.get("traceparent", "")),
+            span(f"entry {request.method} {path}") as current,
+        ):
+            principal = _principal_of(request, services)
+            current.set_attribute("team", principal.name)
+            return await handler(request, principal)
+
+    async def serve(request: Request) -> Response:
+        started_s = services.timer.now_s()
+        try:
+            response = await answer(request)
+        except CodedError as error:
+            logger.info("entry: {} {} refused: {}", request.method, path, error.code)
+            response = error_response(error)
+        duration_s = services.timer.now_s() - started_s
+        services.metrics.observe_s("entry_request_seconds", duration_s, path=path)
+        services.metrics.add(
+            "entry_requests_total", path=path, status=str(response.status_code)
+        )
+        return response
+
+    return Route(path, serve, methods=list(methods))
+
+
+def _principal_of(request: Request, services: Services) -> Principal:
+    if not services.settings.ready or not services.directory.ready:
+        raise NotReady("settings or membership are not known yet", NOT_READY_RETRY_S)
+    return authenticate(request.headers.get("authorization"), services.settings)
