Keep earlier output when a test run writes to a file

Cause: behave opened /dev/stdout anew and cut off what the checks before had printed to the same file. Ruled out: appending (behave opens its files for writing). Change: the progress formatter writes to standard output itself. Conclusion: one log holds all checks.

--- a/features/run.py
+++ b/features/run.py
@@ -59,17 +59,16 @@
     """Run behave and return 0 if only known scenarios failed."""
     with tempfile.TemporaryDirectory() as folder:
         report_path = Path(folder) / "report.json"
+        # The formatter without a file of its own writes to standard output.
         run_behave(
             [
-                "--format",
-                "progress",
-                "--outfile",
-                "/dev/stdout",
                 "--no-color",
                 "--format",
                 "json",
                 "--outfile",
                 str(report_path),
+                "--format",
+                "progress",
                 *(arguments or [str(ROOT / "features")]),
             ]
         )
