--- a/features/support/cell.py
+++ b/features/support/cell.py
@@ -14,7 +14,12 @@
 from greengagetack.membership.timings import CellTimings
 from greengagetack.peers.node import PeerNode, listening_socket
 from greengagetack.platform.objects import ListedVm
-from greengagetack.settings.schema import FleetSettings, TeamSettings, VmSettings
+from greengagetack.settings.schema import (
+    DataFolderSettings,
+    FleetSettings,
+    TeamSettings,
+    VmSettings,
+)
 from greengagetack.settings.view import SettingsVersion
 from greengagetack.timer import Timer
 from greengagetack.world import Address, Endpoint, EndpointKind, Fencing, VmState
@@ -150,6 +155,7 @@
     timings: CellTimings = SHORT_TIMINGS
     members: dict[str, Member] = field(default_factory=dict)
     zones: int = 3
+    data_folder: DataFolderSettings | None = None
     starts: itertools.count = field(default_factory=lambda: itertools.count(1))
     breaches: list[str] = field(default_factory=list)
     watcher: asyncio.Task | None = None
@@ -189,7 +195,9 @@
         directory = CellDirectory(
             vm, incarnation, peers, port, self.settings, timer, self.timings
         )
-        shards = ReplicatedShards(directory, peers, self.settings, timer, port)
+        shards = ReplicatedShards(
+            directory, peers, self.settings, timer, port, self.data_folder
+        )
         await peers.start(listener)
         await directory.start()
         await shards.start()
--- a/greengagetack/membership/store.py
+++ b/greengagetack/membership/store.py
@@ -22,10 +22,13 @@
     ShardRecordsChunk,
 )
 from greengagetack.membership.shards import Record, ShardRole
+from greengagetack.membership.snapshot_duty import BASE_KINDS, SnapshotDuty
+from greengagetack.membership.snapshots import ShardSnapshot
 from greengagetack.membership.table import ShardPair, shard_of_key
 from greengagetack.peers.messages import Done
 from greengagetack.peers.node import PeerNode
 from greengagetack.platform.objects import ObjectStore
+from greengagetack.settings.schema import DataFolderSettings
 from greengagetack.settings.view import SettingsView
 from greengagetack.timer import Subscription, Timer
 
@@ -34,7 +37,6 @@
 RoleCallback = Callable[[int, ShardRole], None]
 
 DRAIN_LEASES = 6.0
-MERGED_KINDS = frozenset({"job"})
 
 
 class ReplicatedShards:
@@ -56,6 +58,8 @@
         Clock and wake-ups.
     platform : ObjectStore
         Holds the pairs.
+    data_folder : DataFolderSettings or None
+        Where snapshots are kept, None for no snapshots.
     """
 
     def __init__(
@@ -65,6 +69,7 @@
         settings: SettingsView,
         timer: Timer,
         platform: ObjectStore,
+        data_folder: DataFolderSettings | None = None,
     ) -> None:
         self._directory = directory
         self._view = directory.view
@@ -89,10 +94,20 @@
         self._pair_duty = PairDuty(
             directory.cell, directory, peers, platform, self.held, self.given, timer
         )
+        self._record_epochs: dict[int, int] = {}
+        self._restored: dict[int, int] = {}
+        self.snapshots = SnapshotDuty(
+            data_folder,
+            self._vm.vm_id,
+            self._vm.incarnation,
+            self._collect_snapshot,
+            timer,
+        )
         self._subscriptions: list[Subscription] = []
 
     async def start(self) -> None:
         """Serve owners and backups and start to renew promises."""
+        await self.snapshots.start()
         self._peers.handle(RenewPromises, self._serve_renewal)
         self._peers.handle(PutRecords, self._serve_put)
         self._peers.handle(CopyShard, self._serve_copy)
@@ -113,6 +128,23 @@
         limit_s = self._timer.now_s() + DRAIN_LEASES * self._timings.lease_s
         while self._timer.now_s() < limit_s and self._hands_over():
             await self._timer.sleep(self._timings.renew_s)
+        self._seal_alone()
+
+    def _seal_alone(self) -> None:
+        """End the epochs of shards without a backup, so that nothing newer comes."""
+        for pair in self._view.pairs.values():
+            if self.owns(pair) and not pair.backup_vm_id:
+                self.held.seal(pair.shard, pair.epoch)
+
+    def _collect_snapshot(self) -> tuple[ShardSnapshot, ...]:
+        items: list[ShardSnapshot] = []
+        for shard, pair in self._view.pairs.items():
+            if not self.owns(pair) and not self.backs_up(pair):
+                continue
+            final = not pair.backup_vm_id and self.held.sealed(shard, pair.epoch)
+            records = self.shard_records(shard).all()
+            items.append(ShardSnapshot(pair, final, records))
+        return tuple(items)
 
     def _hands_over(self) -> bool:
         """Whether a pair names this VM and somebody else could replace it."""
@@ -151,6 +183,7 @@
         for subscription in self._subscriptions:
             subscription.cancel()
         self._replicator.close()
+        await self.snapshots.close()
 
     def shard_of(self, key: str) -> int:
         """Return the shard of a key."""
@@ -170,9 +203,11 @@
         """Whether records of earlier epochs may have been lost.
 
         It stays true in later epochs: only a key first seen in `fresh_epoch` or
-        later can have no lost record.
+        later can have no lost record. It is false where a snapshot gave all
+        records back, see `greengagetack.membership.snapshots`.
         """
-        return self.fresh_epoch(shard) > 0
+        fresh_epoch = self.fresh_epoch(shard)
+        return fresh_epoch > 0 and self._restored.get(shard) != fresh_epoch
 
     def owns(self, pair: ShardPair) -> bool:
         """Whether this process is the pair's owner."""
@@ -268,8 +303,8 @@
             raise OwnerUnavailable(f"this VM does not own shard {shard}", 1.0)
         owner = self.owns(pair)
         alone = owner and not pair.backup_vm_id and self._single_vm()
-        ready = self.has_backup(shard) and self.may_act(shard)
-        if need_backup and not alone and not ready:
+        ready = self.may_act(shard) and (alone or self.has_backup(shard))
+        if need_backup and not ready:
             raise OwnerUnavailable(
                 f"shard {shard} has no backup that could take the record", 1.0
             )
@@ -299,7 +334,8 @@
         self._callbacks.append(callback)
 
     def _note_roles(self) -> None:
-        for shard in list(self._view.pairs):
+        for shard, pair in list(self._view.pairs.items()):
+            self._note_epoch(pair)
             role = self.role(shard)
             if role is self._roles.get(shard, ShardRole.NONE):
                 continue
@@ -308,6 +344,28 @@
             for callback in self._callbacks:
                 callback(shard, role)
 
+    def _note_epoch(self, pair: ShardPair) -> None:
+        """Drop records that an epoch without this VM may have outdated."""
+        shard = pair.shard
+        if not self.owns(pair) and not self.backs_up(pair):
+            self._shards.pop(shard, None)
+            self._acted.discard(shard)
+            return
+        former = self._record_epochs.get(shard, 0)
+        if former == pair.epoch:
+            return
+        self._record_epochs[shard] = pair.epoch
+        if former + 1 < pair.epoch:
+            self._shards.pop(shard, None)
+        if self.owns(pair) and pair.fresh_epoch == pair.epoch:
+            self._restore(pair)
+
+    def _restore(self, pair: ShardPair) -> None:
+        if self.snapshots.nothing_newer(pair):
+            self._restored[pair.shard] = pair.epoch
+        for record in self.snapshots.take(pair):
+            self.shard_records(pair.shard).apply(record)
+
     async def renew(self) -> None:
         """Renew the promises of all shards owned here, one request per backup."""
         by_backup: dict[str, list[ShardPair]] = {}
@@ -359,7 +417,7 @@
                 pair.backup_vm_id, FetchShard(pair.shard)
             ):
                 for record in chunk.records:
-                    if record.kind in MERGED_KINDS:
+                    if record.kind in BASE_KINDS:
                         records.apply(record)
         except CodedError as error:
             logger.warning("shards: {} not merged: {}", pair.shard, error.reason)
