--- /dev/null
+++ b/features/steps/limits_steps.py
@@ -0,0 +1,372 @@
+"""features.steps.limits_steps: slices, permits, budgets and their usage."""
+
+import asyncio
+import json
+from contextlib import aclosing
+from typing import Any
+
+from behave import given, then, when
+from behave.runner import Context
+from starlette.applications import Starlette
+
+from features.support.budget_run import BudgetRun
+from features.support.keeper_world import Answer, start_world
+from features.support.loops import run_on_loop
+from greengagetack.daemons.auth import hash_token
+from greengagetack.daemons.responses import EXCEPTION_HANDLERS
+from greengagetack.limits.forecast import SpendForecast
+from greengagetack.limits.messages import (
+    GetUsage,
+    HeldPermits,
+    SharePermits,
+    TeamUsage,
+)
+from greengagetack.limits.owner import BudgetRole
+from greengagetack.limits.permits import PermitBook
+from greengagetack.limits.usage import usage_routes
+from greengagetack.settings.schema import BudgetSettings, TeamSettings
+
+LONG_PERIOD_S = 1e9
+
+
+@when("4 keepers spend a bound of {bound:d} tokens under {faults} with seed {seed:d}")
+def step_run(context: Context, bound: int, faults: str, seed: int) -> None:
+    context.bound = bound
+    context.run = BudgetRun(bound, faults, seed)
+    context.run.run()
+
+
+@then("in no period more than the bound was spent")
+def step_within_bound(context: Context) -> None:
+    for period, spent in context.run.spent.items():
+        assert spent <= context.bound, (period, spent)
+
+
+@then("without faults at least {used:d} percent of the bound was spent")
+def step_used(context: Context, used: int) -> None:
+    whole_periods = list(context.run.spent.values())[:-1]
+    for spent in whole_periods:
+        assert spent >= context.bound * used / 100, whole_periods
+
+
+def start_with_budget(context: Context, **bounds: Any) -> None:
+    """Make keepers, two engines and a team `t` with a budget."""
+    bounds.setdefault("period_s", LONG_PERIOD_S)
+    teams = (
+        TeamSettings("t", (hash_token("team-token"),), budget=BudgetSettings(**bounds)),
+        TeamSettings("flood"),
+        TeamSettings("small"),
+    )
+    start_world(context, engine_count=2, teams=teams)
+
+
+@given("keepers and a team with {tokens:d} tokens per period")
+def step_budget(context: Context, tokens: int) -> None:
+    start_with_budget(context, tokens_per_period=tokens)
+
+
+@given("keepers and a team with {bound:d} concurrent requests")
+def step_concurrency(context: Context, bound: int) -> None:
+    context.bound = bound
+    start_with_budget(context, concurrent_requests=bound)
+    for engine in context.world.engines.values():
+        engine.token_s = 0.02
+
+
+async def ask_both(context: Context, count: int, tokens: int) -> list[Answer]:
+    """Ask each keeper in turn for its own engine's completions, one by one."""
+    answers = []
+    for number in range(count):
+        answers.append(await ask_one(context, number % 2, tokens))
+    return answers
+
+
+async def ask_one(context: Context, number: int, tokens: int) -> Answer:
+    """Ask keeper `a` or `b` for a completion."""
+    endpoint_id = ("e1", "e2")[number]
+    request = context.world.request(endpoint_id=endpoint_id, max_tokens=tokens)
+    return await context.world.ask(("a", "b")[number], request)
+
+
+def generated(answers: list[Answer]) -> int:
+    """Return how many tokens came."""
+    return sum(len(answer.chunks) for answer in answers)
+
+
+@when("the team asks for {count:d} completions of {tokens:d} tokens at both keepers")
+def step_ask_both(context: Context, count: int, tokens: int) -> None:
+    context.answers = run_on_loop(context, ask_both(context, count, tokens))
+
+
+@then("the engines have generated at most {most:d} tokens, and at least {least:d}")
+def step_generated(context: Context, most: int, least: int) -> None:
+    assert least <= generated(context.answers) <= most, generated(context.answers)
+
+
+@then("the rest was refused with budget_exhausted, not run, and a time to come back")
+def step_exhausted(context: Context) -> None:
+    errors = [answer.error for answer in context.answers if answer.error]
+    assert errors
+    for error in errors:
+        assert error.code == "budget_exhausted", error
+        assert error.outcome.value == "not_run"
+        assert error.retry_after_s > 0
+
+
+@when("a caller leaves a request of {tokens:d} tokens after {seen:d}")
+def step_leave(context: Context, tokens: int, seen: int) -> None:
+    run_on_loop(context, leave(context, tokens, seen))
+
+
+async def leave(context: Context, tokens: int, seen: int) -> None:
+    """Read a few tokens of a long request at keeper `a`, then go away."""
+    world = context.world
+    context.engine.token_s = 0.02
+    request = world.request(max_tokens=tokens)
+    stream = world.nodes["door"].stream("a", request, 20.0)
+    count = 0
+    async with aclosing(stream) as items:
+        async for _ in items:
+            count += 1
+            if count == seen:
+                break
+
+
+@then("the team can soon ask for {tokens:d} tokens more")
+def step_more(context: Context, tokens: int) -> None:
+    run_on_loop(context, until_served(context, tokens))
+
+
+async def until_served(context: Context, tokens: int) -> None:
+    """Ask keeper `b` until the returned tokens are there."""
+    context.world.engines["e2"].token_s = 0.001
+    end_s = context.world.timer.now_s() + 20.0
+    while True:
+        answer = await ask_one(context, 1, tokens)
+        if answer.error is None:
+            assert len(answer.chunks) == tokens
+            return
+        assert context.world.timer.now_s() < end_s, answer.error
+        await asyncio.sleep(0.1)
+
+
+@when("keeper a has spent {tokens:d} tokens and dies with a slice")
+def step_dies(context: Context, tokens: int) -> None:
+    run_on_loop(context, ask_one(context, 0, tokens))
+    run_on_loop(context, context.world.lose("a"))
+    context.before = usage(context)
+
+
+def usage(context: Context) -> TeamUsage:
+    """Return the team's usage as its owner knows it."""
+    node = context.world.nodes["door"]
+    answer: TeamUsage = run_on_loop(context, node.request("door", GetUsage("t")))
+    return answer
+
+
+@then("the other keeper can spend no more than the rest")
+def step_rest(context: Context) -> None:
+    lost = context.before.spent_tokens + context.before.granted_tokens
+    assert lost >= 20
+    answers = run_on_loop(context, spend_at_b(context))
+    assert generated(answers) <= 2000 - lost
+    assert generated(answers) >= 2000 - lost - 40, (generated(answers), lost)
+
+
+async def spend_at_b(context: Context) -> list[Answer]:
+    """Spend at keeper `b` until it is refused."""
+    answers: list[Answer] = []
+    context.world.engines["e2"].token_s = 0.0005
+    while not answers or answers[-1].error is None:
+        answers.append(await ask_one(context, 1, 40))
+    return answers
+
+
+@then("the usage counts the lost slice")
+def step_lost_counted(context: Context) -> None:
+    now = usage(context)
+    assert now.spent_tokens + now.granted_tokens <= 2000
+    assert now.granted_tokens > 0
+
+
+@given("the platform is down")
+def step_platform_down(context: Context) -> None:
+    context.world.platform.down = True
+
+
+@given("the owner is not sure")
+def step_not_sure(context: Context) -> None:
+    context.world.services["door"].shards.acting = False
+
+
+@given("the records were lost")
+def step_fresh(context: Context) -> None:
+    context.world.services["door"].shards.fresh = True
+
+
+@when("a caller of that team asks for {tokens:d} tokens")
+def step_caller_asks(context: Context, tokens: int) -> None:
+    context.answer = run_on_loop(context, ask_one(context, 0, tokens))
+
+
+@then("the caller gets {result}")
+def step_caller_gets(context: Context, result: str) -> None:
+    error = context.answer.error
+    if result == "20 tokens":
+        assert error is None, error
+        assert len(context.answer.chunks) == 20
+        return
+    assert error is not None
+    assert (error.code, error.outcome.value) == (result, "not_run")
+    assert error.retry_after_s > 0
+
+
+@when("the team has spent {tokens:d} tokens and all records are lost")
+def step_all_lost(context: Context, tokens: int) -> None:
+    world = context.world
+    run_on_loop(context, ask_both(context, tokens // 20, 20))
+    shards = world.services["door"].shards
+    run_on_loop(context, world.until(lambda: bool(world.platform.call_count)))
+    shards.kept.clear()
+    shards.fresh = True
+    role = BudgetRole(world.services["door"])
+    run_on_loop(context, role.start())
+
+
+@then("no more than {tokens:d} further tokens are generated")
+def step_no_more(context: Context, tokens: int) -> None:
+    answers = run_on_loop(context, ask_both(context, 20, 20))
+    assert generated(answers) <= tokens, generated(answers)
+
+
+@when("the team asks for {count:d} completions of {tokens:d} tokens at once")
+def step_at_once(context: Context, count: int, tokens: int) -> None:
+    run_on_loop(context, ask_at_once(context, count, tokens))
+
+
+async def ask_at_once(context: Context, count: int, tokens: int) -> None:
+    """Ask both keepers at once, and watch how many are in flight."""
+    roles = context.world.roles.values()
+    context.most = 0
+
+    async def watch() -> None:
+        while True:
+            in_use = sum(role.spending._share("t").in_use for role in roles)
+            context.most = max(context.most, in_use)
+            await asyncio.sleep(0.001)
+
+    watching = asyncio.create_task(watch())
+    tasks = [ask_one(context, number % 2, tokens) for number in range(count)]
+    context.answers = await asyncio.gather(*tasks)
+    watching.cancel()
+
+
+@then("at most {bound:d} were in flight at once and {served:d} at least were served")
+def step_in_flight(context: Context, bound: int, served: int) -> None:
+    done = [answer for answer in context.answers if answer.error is None]
+    assert 0 < context.most <= bound, context.most
+    assert len(done) >= served
+
+
+@then("those refused were refused with {code}")
+def step_refused_with(context: Context, code: str) -> None:
+    errors = [answer.error for answer in context.answers if answer.error]
+    assert errors
+    assert {error.code for error in errors} == {code}
+
+
+@when("a new owner hears of {held:d} held permits of {bound:d}, {told}")
+def step_new_owner(context: Context, held: int, bound: int, told: str) -> None:
+    book = PermitBook(100.0)
+    book.confirm(HeldPermits("k1", held, held), 100.0)
+    if told == "and all keepers have told":
+        book.all_told()
+    context.share = book.share(SharePermits("t", "k2", 0, 0, 10), bound, 101.0)
+
+
+@then("another keeper that wants 10 gets {granted:d}")
+def step_granted(context: Context, granted: int) -> None:
+    assert context.share.permits == granted
+
+
+@when("{spent:d} tokens are spent in the first {time:d} s of a period of {period:d} s")
+def step_spend(context: Context, spent: int, time: int, period: int) -> None:
+    forecast = SpendForecast(float(period))
+    for second in range(time + 1):
+        forecast.observe(float(second), spent * second // time)
+    context.forecast = forecast.at_end(spent, float(period - time))
+
+
+@then("the forecast is {tokens:d} tokens")
+def step_forecast(context: Context, tokens: int) -> None:
+    assert abs(context.forecast - tokens) <= 0.05 * tokens, context.forecast
+
+
+@then(
+    "its usage soon shows {spent:d} spent tokens, "
+    "with warning {warning} and exhausted {exhausted}"
+)
+def step_warned(context: Context, spent: int, warning: str, exhausted: str) -> None:
+    end_s = context.world.timer.now_s() + 10.0
+    while (now := usage(context)).spent_tokens != spent:
+        assert context.world.timer.now_s() < end_s, now
+        run_on_loop(context, asyncio.sleep(0.1))
+    assert now.warning == (warning == "on"), now
+    assert now.exhausted == (exhausted == "on"), now
+
+
+@given("the team has spent {tokens:d} tokens")
+@when("the team has spent {tokens:d} tokens")
+def step_has_spent(context: Context, tokens: int) -> None:
+    for answer in run_on_loop(context, ask_both(context, tokens // 20, 20)):
+        assert answer.error is None, answer.error
+
+
+@when("{sender} asks for the usage over HTTP")
+def step_ask_usage(context: Context, sender: str) -> None:
+    tokens = {"the team": "team-token", "an operator": "operator-token"}
+    operator = (hash_token("operator-token"),)
+    world = context.world
+    world.settings.change(operator_token_hashes=operator)
+    app = Starlette(
+        routes=usage_routes(world.services["door"]),
+        exception_handlers=EXCEPTION_HANDLERS,
+    )
+    context.response = run_on_loop(
+        context, get(app, "/v1/teams/usage", tokens.get(sender, "wrong"))
+    )
+
+
+async def get(app: Starlette, path: str, token: str) -> Any:
+    """Send a GET request to an application on this loop."""
+    sent: list[Any] = []
+    scope = {
+        "type": "http",
+        "method": "GET",
+        "path": path,
+        "query_string": b"",
+        "headers": [(b"authorization", f"Bearer {token}".encode())],
+    }
+
+    async def receive() -> Any:
+        return {"type": "http.request", "body": b"", "more_body": False}
+
+    async def send(event: Any) -> None:
+        sent.append(event)
+
+    await app(scope, receive, send)
+    return sent
+
+
+@then("the answer is {status:d} with {teams}")
+def step_usage_answer(context: Context, status: int, teams: str) -> None:
+    start, body = context.response[0], context.response[1]
+    assert start["status"] == status, start
+    if status != 200:
+        return
+    answer = json.loads(body["body"])
+    shown = sorted(item["team"] for item in answer["teams"])
+    assert ", ".join(shown) == teams, answer
+    own = next(item for item in answer["teams"] if item["team"] == "t")
+    assert own["bound_tokens"] == 1000
+    assert own["spent_tokens"] + own["granted_tokens"] >= 20
--- a/features/support/keeper_world.py
+++ b/features/support/keeper_world.py
@@ -5,16 +5,29 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from features.support.fake_engine import FakeEngine
-from features.support.fakes import FakeCell, FakeDirectory, FakeSettings, FakeShards
+from behave.runner import Context
+
+from features.support.fake_engine import FakeEngine, token_text
+from features.support.fakes import (
+    SHARD_COUNT,
+    FakeCell,
+    FakeDirectory,
+    FakeSettings,
+    FakeShards,
+)
+from features.support.loops import run_on_loop, start_loop
+from features.support.memory_platform import MemoryPlatform
 from greengagetack.daemons.role import Services
 from greengagetack.errors import CodedError
 from greengagetack.keeper.messages import Chunk, Complete, Completed, Work
 from greengagetack.keeper.role import KeeperRole
+from greengagetack.limits.owner import BudgetRole
 from greengagetack.limits.retries import RetryBudgets
+from greengagetack.membership.table import ShardPair
 from greengagetack.observability.metrics import Metrics
 from greengagetack.observability.traces import SpanStore
 from greengagetack.peers.node import PeerNode, listening_socket
+from greengagetack.routing.frontdoor import FrontDoor
 from greengagetack.routing.relay import Relay, Restarted
 from greengagetack.routing.router import Router
 from greengagetack.settings.schema import (
@@ -31,6 +44,7 @@
 STEP_S = 0.01
 ROUTING = RoutingSettings(ejection_s=0.5)
 ADMISSION = AdmissionSettings()
+TEAMS = tuple(TeamSettings(team) for team in ("t", "flood", "small"))
 
 
 @dataclass
@@ -64,13 +78,14 @@
         self.services: dict[str, Services] = {}
         self.roles: dict[str, KeeperRole] = {}
         self.settings = FakeSettings(FleetSettings(), ())
+        self.platform = MemoryPlatform()
         self._count = 0
 
     async def start(
         self,
         engine_count: int = 1,
         slots: int = 4,
-        teams: tuple[TeamSettings, ...] = (),
+        teams: tuple[TeamSettings, ...] = TEAMS,
         routing: RoutingSettings = ROUTING,
         admission: AdmissionSettings = ADMISSION,
         fencing: Fencing = Fencing.CHECKED,
@@ -102,6 +117,10 @@
         for number, endpoint in enumerate(endpoints):
             order = ("a", "b") if number % 2 == 0 else ("b", "a")
             self.cell.keepers[endpoint.endpoint_id] = order
+        for shard in range(SHARD_COUNT):
+            self.cell.pairs[shard] = ShardPair(shard, 1, "door")
+        self.budgets = BudgetRole(self.services["door"])
+        await self.budgets.start()
         for vm_id in ("a", "b"):
             self.roles[vm_id] = KeeperRole(self.services[vm_id])
             await self.roles[vm_id].start()
@@ -125,12 +144,13 @@
             vm=settings,
             timer=self.timer,
             peers=node,
-            platform=None,  # type: ignore[arg-type]
+            platform=self.platform,
             settings=self.settings,
             directory=FakeDirectory(vm_id, self.cell),
             shards=FakeShards(vm_id, self.cell),
             metrics=Metrics(),
             spans=SpanStore(vm_id),
+            front_door=FrontDoor(),
         )
 
     def request(self, **fields: Any) -> Complete:
@@ -217,3 +237,28 @@
         for engine in self.engines.values():
             await engine.crash()
         self.timer.close()
+
+
+def start_world(context: Context, **options: Any) -> None:
+    """Make keepers and engines for a scenario."""
+    start_loop(context)
+    context.world = KeeperWorld()
+    context.add_cleanup(lambda: run_on_loop(context, context.world.close()))
+    run_on_loop(context, context.world.start(**options))
+    context.engine = context.world.engines["e1"]
+
+
+def whole_text(count: int, prompt: str = "hello", seed: int = 7) -> str:
+    """Return the text of a completion without faults."""
+    return "".join(token_text(prompt, seed, index) for index in range(count))
+
+
+def assert_whole(answer: Any, count: int) -> None:
+    """Check that an answer has each token once and its end."""
+    assert answer.error is None, answer.error
+    assert answer.text == whole_text(count), answer.text
+    position = answer.chunks[0].offset_tokens
+    for chunk in answer.chunks:
+        assert chunk.offset_tokens == position
+        position += chunk.token_count
+    assert answer.completed.token_count == count
--- /dev/null
+++ b/greengagetack/daemons/parts.py
@@ -0,0 +1,35 @@
+"""greengagetack.daemons.parts: imports every part so that it registers itself."""
+
+import greengagetack.calls.owner
+import greengagetack.daemons.lead
+import greengagetack.entry.completions
+import greengagetack.entry.endpoints
+import greengagetack.entry.jobs
+import greengagetack.entry.operations
+import greengagetack.entry.plain
+import greengagetack.entry.role
+import greengagetack.keeper.role
+import greengagetack.limits.owner
+import greengagetack.limits.usage
+import greengagetack.rollouts.owner
+import greengagetack.settings.http
+import greengagetack.settings.sync
+
+__all__ = ["PARTS"]
+
+PARTS = (
+    greengagetack.calls.owner,
+    greengagetack.daemons.lead,
+    greengagetack.entry.completions,
+    greengagetack.entry.endpoints,
+    greengagetack.entry.jobs,
+    greengagetack.entry.operations,
+    greengagetack.entry.plain,
+    greengagetack.entry.role,
+    greengagetack.keeper.role,
+    greengagetack.limits.owner,
+    greengagetack.limits.usage,
+    greengagetack.rollouts.owner,
+    greengagetack.settings.http,
+    greengagetack.settings.sync,
+)
