--- a/greengagetack/daemons/assembly.py
+++ b/greengagetack/daemons/assembly.py
@@ -57,7 +57,9 @@
         platform = PlatformClient(vm.platform_url, _platform_token(vm))
         store = SettingsStore()
         self._directory = CellDirectory(vm, incarnation, peers, platform, store, timer)
-        self._shards = ReplicatedShards(self._directory, peers, store, timer, platform)
+        self._shards = ReplicatedShards(
+            self._directory, peers, store, timer, platform, vm.data_folder
+        )
         self._platform = platform
         self._draining = False
         self.services = Services(
