--- a/features/steps/leases_steps.py
+++ b/features/steps/leases_steps.py
@@ -24,6 +24,7 @@
     time_s = 1_000.0
 
     def now_s(self) -> float:
+        """Return the time that the test has set."""
         return self.time_s
 
 
@@ -37,6 +38,7 @@
         self.lost = ""
 
     async def write(self, path: str, value: Any, expected_version: int) -> int:
+        """Write, after the call's time has passed; the answer may be lost."""
         self.clock.time_s += self.call_s
         if self.lost == "not in force":
             raise WriteUnknown("no answer", 1.0)
@@ -46,6 +48,7 @@
         return version
 
     async def read(self, path: str) -> PlatformObject | None:
+        """Read, unless reading back fails too."""
         if self.lost == "in force but cannot be read":
             raise PlatformUnavailable("down", 1.0)
         return await super().read(path)
