Measure what a cell costs by members and shards

Cause: no slope of membership, leases or shards was known. Change: bench.capacity with many members in one process, lines, residuals and a prediction of the largest size that is printed before it runs.

--- /dev/null
+++ b/bench/capacity/__main__.py
@@ -0,0 +1,139 @@
+"""bench.capacity.__main__: measures slopes and predicts the largest size."""
+
+import subprocess
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+from loguru import logger
+
+from bench.capacity.agreement import (
+    CalmCost,
+    LossCost,
+    measure_calm,
+    measure_lead_loss,
+)
+from bench.capacity.fit import Series
+
+__all__ = ["main"]
+
+MEMBER_SIZES = (3, 10, 30, 100)
+SHARD_SIZES = (16, 64, 256, 1024)
+SHARD_MEMBERS = 6
+TARGET_MEMBERS = 95
+
+
+@dataclass(frozen=True, slots=True)
+class Quantity:
+    """A column of the results."""
+
+    name: str
+    unit: str
+    value: Callable[[CalmCost], float]
+
+
+QUANTITIES = (
+    Quantity("table object", "bytes", lambda cost: cost.table_bytes),
+    Quantity("lead sends", "bytes/s", lambda cost: cost.lead_sent_bytes_per_s),
+    Quantity("member sends", "bytes/s", lambda cost: cost.member_sent_bytes_per_s),
+    Quantity("processor, all members", "ms/s", lambda cost: cost.cpu_ms_per_s),
+    Quantity("platform reads", "1/s", lambda cost: cost.platform_reads_per_s),
+    Quantity("platform writes", "1/s", lambda cost: cost.platform_writes_per_s),
+    Quantity("resident, all members", "KB", lambda cost: cost.resident_kb),
+)
+
+
+def run_apart(kind: str, *arguments: int) -> bytes:
+    """Measure in a process of its own, so that memory starts from nothing."""
+    command = [sys.executable, "-m", "bench.capacity", kind, *map(str, arguments)]
+    return subprocess.run(command, check=True, capture_output=True).stdout
+
+
+def calm(members: int, shards: int) -> CalmCost:
+    """Measure a cell in calm in a process of its own."""
+    return msgspec.json.decode(run_apart("calm", members, shards), type=CalmCost)
+
+
+def loss(members: int) -> LossCost:
+    """Measure the loss of a lead in a process of its own."""
+    return msgspec.json.decode(run_apart("loss", members), type=LossCost)
+
+
+def print_slopes(
+    title: str, sizes: tuple[int, ...], costs: list[CalmCost], target: int | None
+) -> None:
+    """Print each quantity's points, line and prediction of the largest size."""
+    print(f"\n## {title}\n")
+    for quantity in QUANTITIES:
+        values = tuple(quantity.value(cost) for cost in costs)
+        series = Series(
+            quantity.name, quantity.unit, tuple(float(n) for n in sizes), values
+        )
+        smaller = series.without_largest().line()
+        line = series.line()
+        points = ", ".join(
+            f"{size:g}: {value:.4g}" for size, value in zip(sizes, values, strict=True)
+        )
+        print(f"{quantity.name} [{quantity.unit}]: {points}")
+        print(
+            f"  line {line.offset:.4g} + {line.slope:.4g} n, "
+            f"largest residual {line.max_residual:.3g}"
+        )
+        print(
+            f"  predicted for {sizes[-1]} from the smaller ones "
+            f"{smaller.at(sizes[-1]):.4g}, measured {values[-1]:.4g}"
+        )
+        if target is not None:
+            print(f"  at {target}: {line.at(target):.4g}")
+
+
+def print_prediction(sizes: tuple[int, ...], costs: list[CalmCost]) -> None:
+    """Print what the smaller sizes predict, before the largest one runs."""
+    for quantity in QUANTITIES:
+        values = tuple(quantity.value(cost) for cost in costs)
+        sizes_run = tuple(float(size) for size in sizes[: len(values)])
+        line = Series(quantity.name, quantity.unit, sizes_run, values).line()
+        predicted = line.at(sizes[-1])
+        print(f"  {quantity.name}: {predicted:.4g} {quantity.unit}", flush=True)
+
+
+def measure_sizes(
+    title: str, sizes: tuple[int, ...], measure: Callable[[int], CalmCost]
+) -> list[CalmCost]:
+    """Measure the smaller sizes, print the prediction, then run the largest."""
+    costs = [measure(size) for size in sizes[:-1]]
+    print(f"\nprediction for {title} {sizes[-1]}, before it runs:")
+    print_prediction(sizes, costs)
+    costs.append(measure(sizes[-1]))
+    return costs
+
+
+def main(arguments: list[str]) -> int:
+    """Run one measurement, or all of them without arguments."""
+    logger.remove()
+    if arguments[:1] == ["calm"]:
+        cost = measure_calm(int(arguments[1]), int(arguments[2]))
+        print(msgspec.json.encode(cost).decode())
+        return 0
+    if arguments[:1] == ["loss"]:
+        print(msgspec.json.encode(measure_lead_loss(int(arguments[1]))).decode())
+        return 0
+    print("Many members in one process each; a process of its own per size.")
+    costs = measure_sizes("members", MEMBER_SIZES, lambda size: calm(size, 16))
+    print_slopes("Members of a cell, 16 shards", MEMBER_SIZES, costs, TARGET_MEMBERS)
+    costs = measure_sizes("shards", SHARD_SIZES, lambda size: calm(SHARD_MEMBERS, size))
+    print_slopes(f"Shards, {SHARD_MEMBERS} members", SHARD_SIZES, costs, None)
+    print("\n## Loss of the lead\n")
+    for size in MEMBER_SIZES:
+        cost_of_loss = loss(size)
+        print(
+            f"{size} members: new lead after {cost_of_loss.new_lead_s:.2f} s, "
+            f"whole after {cost_of_loss.whole_s:.2f} s, platform reads "
+            f"{cost_of_loss.platform_reads}, writes {cost_of_loss.platform_writes}"
+        )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
