Count what carried slices spend in the new period

Change: slices are carried over with what they had spent before; the run now alternates low and high demand. A new owner judges the age of slices by the time of day with a margin, so that they do not live on with each change. Keepers ask only for the tokens that are missing.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -12,7 +12,7 @@
       | 1000  | keepers dying                 | 3    | 0    |
       | 8000  | keepers dying                 | 4    | 0    |
       | 8000  | lost answers                  | 5    | 0    |
-      | 8000  | owners failing over           | 6    | 0    |
+      | 15000 | owners failing over           | 6    | 0    |
       | 8000  | everything                    | 7    | 0    |
       | 8000  | everything                    | 8    | 0    |
 
--- a/features/support/budget_run.py
+++ b/features/support/budget_run.py
@@ -44,8 +44,9 @@
         self.spent: dict[int, int] = {}
         self._chance = random.Random(seed)
         self._now_s = PERIOD_S
-        self._budget = TeamBudget(BudgetRecord("t", 1), self._now_s)
         self._skew_s = 0.0
+        record = BudgetRecord("t", 1)
+        self._budget = TeamBudget(record, self._now_s, self._wall_s())
         self._numbers = 0
         self._keepers = [Keeper(f"k{number}") for number in range(4)]
 
@@ -72,17 +73,21 @@
             index = self._chance.randrange(len(self._keepers))
             self._numbers += 1
             self._keepers[index] = Keeper(f"k{self._numbers}")
-        if self._has("owners failing over") and self._chance.random() < 0.01:
+        if self._has("owners failing over") and self._chance.random() < 0.05:
             data = self._budget.record.to_bytes()
-            self._budget = TeamBudget(BudgetRecord.from_bytes(data), self._now_s)
             self._skew_s = self._chance.uniform(-SKEW_S, SKEW_S)
+            record = BudgetRecord.from_bytes(data)
+            self._budget = TeamBudget(record, self._now_s, self._wall_s())
 
     def _step(self, keeper: Keeper) -> None:
         for request in list(keeper.requests):
             if request.ends_s <= self._now_s:
                 keeper.requests.remove(request)
                 keeper.purse.settle(request.reservation, request.tokens)
-        if self._chance.random() < 0.5:
+        # Every other period uses its bound up, so that slices of the one before
+        # would be spent besides if they were forgotten.
+        demand = 0.3 if self._budget.record.period % 2 else 0.7
+        if self._chance.random() < demand:
             self._dispatch(keeper)
         keeper.purse.close_slices(self._now_s, 5.0)
         if self._chance.random() < 0.3:
@@ -108,7 +113,13 @@
         asked_at_s = self._now_s - self._chance.uniform(0.0, 0.2)
         left_s = PERIOD_S - self._wall_s() % PERIOD_S
         item = self._budget.grant(
-            slice_id, need, max(need, 256), self.bound, left_s, self._now_s
+            slice_id,
+            need,
+            max(need, 256),
+            self.bound,
+            left_s,
+            self._now_s,
+            self._wall_s(),
         )
         if item is None:
             return
--- a/greengagetack/limits/budget.py
+++ b/greengagetack/limits/budget.py
@@ -11,6 +11,7 @@
 
 SLICE_LIFE_S = 60.0
 END_MARGIN_S = 1.0
+CLOCK_MARGIN_S = 10.0
 SHARE_OF_REST = 8
 
 
@@ -19,14 +20,16 @@
     """A slice that was handed out and not reported as done.
 
     `spent_tokens` is the last report; until the final one, all its tokens
-    count as spent. `period` is the one that it was taken from.
+    count as spent. `earlier_tokens` were reported as spent in earlier periods.
+    `granted_wall_s` is the owner's time of day at the grant.
     """
 
     slice_id: str
     tokens: int
-    period: int
     life_s: float
+    granted_wall_s: float
     spent_tokens: int = 0
+    earlier_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,27 +65,31 @@
 class TeamBudget:
     """Hands slices out so that their sum never exceeds the bound.
 
-    A slice of the former period counts until it was reported or has surely
-    ended, so that tokens spent late are not granted a second time.
+    A slice counts in full until its final report; one that never comes, from a
+    lost keeper, leaves it counted to the end of the period.
 
     Parameters
     ----------
     record : BudgetRecord
         The account so far.
-    now_s : float
-        Monotonic time; slices already open are taken as handed out now.
+    now_s, wall_s : float
+        Monotonic time and time of day. What is left of the life of slices that
+        a former owner handed out is judged by the time of day, with a margin
+        for the difference of clocks.
     """
 
-    def __init__(self, record: BudgetRecord, now_s: float) -> None:
+    def __init__(self, record: BudgetRecord, now_s: float, wall_s: float) -> None:
         self.record = record
-        self._ends_s = {
-            item.slice_id: now_s + item.life_s + END_MARGIN_S for item in record.slices
-        }
+        self._ends_s: dict[str, float] = {}
+        for item in record.slices:
+            age_s = wall_s - item.granted_wall_s - CLOCK_MARGIN_S
+            left_s = item.life_s - min(item.life_s, max(0.0, age_s))
+            self._ends_s[item.slice_id] = now_s + left_s + END_MARGIN_S
 
     @property
     def open_tokens(self) -> int:
-        """Tokens of all open slices."""
-        return sum(item.tokens for item in self.record.slices)
+        """Tokens of all open slices that may be spent in this period."""
+        return sum(item.tokens - item.earlier_tokens for item in self.record.slices)
 
     @property
     def committed_tokens(self) -> int:
@@ -92,23 +99,25 @@
     @property
     def spent_tokens(self) -> int:
         """Tokens that were reported as spent."""
-        reported = sum(item.spent_tokens for item in self.record.slices)
+        reported = sum(
+            item.spent_tokens - item.earlier_tokens for item in self.record.slices
+        )
         return self.record.settled_tokens + reported
 
     def enter_period(self, period: int, now_s: float) -> None:
-        """Start a new period if the time for it has come; never go back."""
-        if period > self.record.period:
-            self.record = replace(
-                self.record, period=period, settled_tokens=0, ceiling_tokens=0
-            )
-        kept = tuple(
-            item
+        """Start a new period if the time for it has come; never go back.
+
+        Slices that have not surely ended are carried over: what they spend from
+        now on counts in the new period.
+        """
+        if period <= self.record.period:
+            return
+        carried = tuple(
+            replace(item, earlier_tokens=item.spent_tokens)
             for item in self.record.slices
-            if item.period == self.record.period
-            or now_s < self._ends_s.get(item.slice_id, 0.0)
+            if now_s < self._ends_s.get(item.slice_id, 0.0)
         )
-        if len(kept) != len(self.record.slices):
-            self.record = replace(self.record, slices=kept)
+        self.record = BudgetRecord(self.record.team, period, slices=carried)
 
     def find(self, slice_id: str) -> OpenSlice | None:
         """Return an open slice."""
@@ -129,6 +138,7 @@
         bound_tokens: int,
         period_left_s: float,
         now_s: float,
+        wall_s: float,
     ) -> OpenSlice | None:
         """Hand out a slice, None if the bound leaves too few tokens.
 
@@ -139,7 +149,7 @@
             return None
         tokens = max(need_tokens, min(want_tokens, rest // SHARE_OF_REST))
         life_s = max(0.0, min(SLICE_LIFE_S, period_left_s))
-        item = OpenSlice(slice_id, tokens, self.record.period, life_s)
+        item = OpenSlice(slice_id, tokens, life_s, wall_s)
         self._ends_s[slice_id] = now_s + life_s + END_MARGIN_S
         self.record = replace(self.record, slices=(*self.record.slices, item))
         return item
@@ -169,8 +179,6 @@
             changed = replace(item, spent_tokens=spent)
             self.record = replace(self.record, slices=(*others, changed))
             return True
-        settled = self.record.settled_tokens
-        if item.period == self.record.period:
-            settled += spent
+        settled = self.record.settled_tokens + spent - item.earlier_tokens
         self.record = replace(self.record, slices=others, settled_tokens=settled)
         return True
--- a/greengagetack/limits/owner.py
+++ b/greengagetack/limits/owner.py
@@ -104,7 +104,8 @@
             account = self._accounts.get(team)
             if account is None or account.epoch != epoch:
                 record = await self._load(shard, settings)
-                budget = TeamBudget(record, self.services.timer.now_s())
+                timer = self.services.timer
+                budget = TeamBudget(record, timer.now_s(), timer.wall_s())
                 account = _Account(epoch, budget, settings.budget.period_s)
                 self._accounts[team] = account
         period = period_of(self.services.timer.wall_s(), settings.budget.period_s)
@@ -160,6 +161,7 @@
             bound,
             left_s,
             now_s,
+            self.services.timer.wall_s(),
         )
         if item is None:
             raise self._exhausted(account, settings, request.need_tokens)
--- a/greengagetack/limits/spending.py
+++ b/greengagetack/limits/spending.py
@@ -180,8 +180,9 @@
                 reservation = share.purse.reserve(tokens, now_s)
                 if reservation is not None:
                     return reservation
-                self._check_closed(share, tokens)
-                await self._ask_slice(team, share, tokens)
+                missing = tokens - share.purse.free_tokens(now_s)
+                self._check_closed(share, missing)
+                await self._ask_slice(team, share, missing)
         raise OwnerUnavailable(f"the budget period of {team} is ending", 1.0)
 
     def settle(self, generation: Generation) -> None:
