--- a/greengagetack/daemons/assembly.py
+++ b/greengagetack/daemons/assembly.py
@@ -14,6 +14,7 @@
 from greengagetack.observability.metrics import Metrics
 from greengagetack.observability.traces import configure_traces
 from greengagetack.peers.node import PeerNode
+from greengagetack.peers.tls import peer_tls
 from greengagetack.platform.client import PlatformClient
 from greengagetack.routing.frontdoor import FrontDoor
 from greengagetack.settings.schema import VmSettings
@@ -50,7 +51,9 @@
     ) -> None:
         vm = replace(settings, peer=peer, http=http)
         timer = Timer()
-        peers = PeerNode(vm.vm_id, incarnation, timer)
+        tls = peer_tls(vm.tls)
+        tls = peer_tls(vm.tls)
+        peers = PeerNode(vm.vm_id, incarnation, timer, tls.server, tls.client)
         platform = PlatformClient(vm.platform_url, _platform_token(vm))
         store = SettingsStore()
         self._directory = CellDirectory(vm, incarnation, peers, platform, store, timer)
@@ -99,13 +102,19 @@
             return Readiness.READY
         return Readiness.STARTING
 
-    async def announce_leaving(self) -> None:
-        """Turn readiness off and hand the endpoints kept here over."""
+    async def hand_over(self) -> None:
+        """Turn readiness off, then hand over endpoints and shards.
+
+        Jobs go on here until another VM owns their shard.
+        """
         self._draining = True
         await self._directory.drain()
+        for part in self.roles:
+            await part.prepare_handover()
+        await self._shards.drain()
 
     async def drain(self) -> None:
-        """Finish what is in flight and hand over what is owned."""
+        """Finish what is in flight."""
         for part in reversed(self.roles):
             await part.drain()
 
--- a/greengagetack/daemons/parts.py
+++ b/greengagetack/daemons/parts.py
@@ -3,6 +3,7 @@
 import greengagetack.calls.owner
 import greengagetack.daemons.lead
 import greengagetack.entry.completions
+import greengagetack.entry.endpoints
 import greengagetack.entry.jobs
 import greengagetack.entry.operations
 import greengagetack.entry.plain
@@ -11,6 +12,7 @@
 import greengagetack.limits.owner
 import greengagetack.limits.usage
 import greengagetack.rollouts.owner
+import greengagetack.settings.http
 import greengagetack.settings.sync
 
 __all__ = ["PARTS"]
@@ -19,6 +21,7 @@
     greengagetack.calls.owner,
     greengagetack.daemons.lead,
     greengagetack.entry.completions,
+    greengagetack.entry.endpoints,
     greengagetack.entry.jobs,
     greengagetack.entry.operations,
     greengagetack.entry.plain,
@@ -27,5 +30,6 @@
     greengagetack.limits.owner,
     greengagetack.limits.usage,
     greengagetack.rollouts.owner,
+    greengagetack.settings.http,
     greengagetack.settings.sync,
 )
