Count a used-up bound where requests end

Cause: tokens in flight over a period's end count in the next one, so the share by dispatch stayed at 95.8 percent and the scenario failed.

--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -46,7 +46,7 @@
 def step_used(context: Context, used: int) -> None:
     # Only every other period has enough demand.
     for period in (2, 4):
-        spent = context.run.spent[period]
+        spent = context.run.settled[period]
         assert spent >= context.bound * used / 100, (period, spent)
 
 
--- a/features/support/budget_run.py
+++ b/features/support/budget_run.py
@@ -34,14 +34,16 @@
 class BudgetRun:
     """Steps keepers and the owner through time and counts what is dispatched.
 
-    Tokens count in the period that the owner is in when they are dispatched;
-    owners' clocks differ, but the period never goes back.
+    `spent` counts tokens in the period that the owner is in when they are
+    dispatched, `settled` in the one when their request ends. Owners' clocks
+    differ, but the period never goes back.
     """
 
     def __init__(self, bound: int, faults: str, seed: int) -> None:
         self.bound = bound
         self.faults = faults
         self.spent: dict[int, int] = {}
+        self.settled: dict[int, int] = {}
         self._chance = random.Random(seed)
         self._now_s = PERIOD_S
         self._skew_s = 0.0
@@ -84,6 +86,9 @@
             if request.ends_s <= self._now_s:
                 keeper.requests.remove(request)
                 keeper.purse.settle(request.reservation, request.tokens)
+                period = self._budget.record.period
+                settled = self.settled.get(period, 0) + request.tokens
+                self.settled[period] = settled
         # Every other period uses its bound up, so that slices of the one before
         # would be spent besides if they were forgotten.
         demand = 0.3 if self._budget.record.period % 2 else 0.7
