--- a/bench/soak_load.py
+++ b/bench/soak_load.py
@@ -79,7 +79,8 @@
                 aiosonic.HTTPClient() as http,
             ):
                 return await send(http, url, method, headers, body)
-        except TimeoutError:
+        except (TimeoutError, ValueError):
+            # The library raises ValueError for a chunked answer that is cut.
             return HttpAnswer(LOST, {}, b"")
 
 
@@ -371,7 +372,7 @@
     found: list[tuple[str, int]] = []
     for line in text.splitlines():
         name, _, rest = line.partition("{")
-        if not name.endswith("settings_version"):
+        if line.startswith("#") or not name.endswith("settings_version"):
             continue
         labels, _, value = rest.partition("}")
         path = labels.partition('path="')[2].partition('"')[0]
