--- a/bench/site.py
+++ b/bench/site.py
@@ -45,6 +45,7 @@
     shape: Shape
     policy: str
     seed: int
+    engine_options: tuple[str, ...] = ()
     platform: Process | None = None
     engines: list[Process] = field(default_factory=list)
     services: list[Process] = field(default_factory=list)
@@ -84,6 +85,7 @@
                     f"--platform-url={self.platform.url}",
                     f"--seed={index}",
                     *ENGINE.options(),
+                    *self.engine_options,
                 )
             )
         for process in [self.scorer, *self.services, *self.engines]:
@@ -222,6 +224,19 @@
         self.saved_logs[index] = await self.call(engine, "GET", "/control/log")
         await asyncio.to_thread(engine.kill)
 
+    async def unfinished_steps(self) -> list[str]:
+        """Return what is known about steps that are not whole."""
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        lines = []
+        for daemon in self.daemons:
+            if not daemon.running:
+                lines.append(f"{daemon.name} does not run: {daemon.stderr_tail(3)}")
+        running = [daemon for daemon in self.daemons if daemon.running]
+        with suppress(AiosonicError, OSError, EOFError, SiteFailed):
+            shown = await self.call(running[0], "GET", "/v1/jobs", None, headers)
+            lines.append(f"jobs: {json.dumps(shown)[:1500]}")
+        return lines
+
     async def engine_logs(self) -> list[Any]:
         """Return the logs of all engines, killed ones too."""
         logs = []
