Try slow samples at another endpoint within a waste bound

Cause: a sample on an endpoint that hangs or crawls holds up its whole step; ejection keeps new work away, but not what already runs there. Ruled out: hedging by age alone (a long sample at the usual pace is not slow); a hedge under the same request identifier (its keeper would join the slow one). Change: an attempt knows its pace; once nothing waits for dispatch, one that is straggler_factor times slower than usual gets a second attempt elsewhere, if what it has made fits hedge_waste_ratio; the loser is cancelled and counted. Cancels and releases go to the keeper concerned instead of all members. Figures: 16 new scenarios; a step with a hung endpoint ends with no token wasted (0 tokens made) or 1 (1 token made); before it waited for its deadline.

--- /dev/null
+++ b/features/hedging.feature
@@ -0,0 +1,40 @@
+Feature: A slow sample is tried elsewhere within the waste bound
+
+  Scenario Outline: An attempt with <tokens> tokens after <age> s is hedged: <hedged>
+    Given samples usually take 0.02 s per token
+    And a step has made 1000 tokens and wasted <wasted>
+    When an attempt has made <tokens> tokens after <age> s
+    Then it is hedged: <hedged>
+
+    Examples:
+      | tokens | age  | wasted | hedged |
+      | 100    | 2.0  | 0      | no     |
+      | 100    | 5.9  | 0      | no     |
+      | 100    | 6.1  | 0      | no     |
+      | 10     | 0.5  | 0      | no     |
+      | 10     | 0.7  | 0      | yes    |
+      | 10     | 0.7  | 10     | yes    |
+      | 10     | 0.7  | 11     | no     |
+      | 0      | 0.4  | 0      | no     |
+      | 0      | 0.5  | 0      | yes    |
+      | 0      | 0.5  | 20     | yes    |
+      | 0      | 0.5  | 21     | no     |
+      | 500    | 10.0 | 0      | no     |
+
+  Scenario: Nothing is hedged before the usual pace is known
+    Given samples have not been seen yet
+    And a step has made 1000 tokens and wasted 0
+    When an attempt has made 0 tokens after 60.0 s
+    Then it is hedged: no
+
+  Scenario Outline: A step with an endpoint that <fault> is completed by a hedge
+    Given a step of 6 groups of 1 samples and an endpoint that <fault>
+    When the step runs
+    Then each sample is finished once and at most <wasted> tokens are wasted
+    And <cancelled> slow attempts were cancelled
+
+    Examples:
+      | fault                    | wasted | cancelled |
+      | hangs before a token     | 0      | 1         |
+      | hangs after 1 tokens     | 1      | 1         |
+      | works                    | 0      | 0         |
--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -12,6 +12,7 @@
 from greengagetack.keeper.messages import Chunk, Complete, Completed
 from greengagetack.rollouts.delivery import deliver
 from greengagetack.rollouts.groupset import expand_ranges, to_ranges
+from greengagetack.rollouts.hedging import HedgeLimits
 from greengagetack.rollouts.messages import FetchedGroups, FetchGroups
 from greengagetack.rollouts.orders import get_order
 from greengagetack.rollouts.records import StepRecords
@@ -29,13 +30,17 @@
     """Never makes a sample."""
 
     async def complete(
-        self, request: Complete
+        self, request: Complete, exclude: frozenset[str] = frozenset()
     ) -> AsyncGenerator[Chunk | Completed, None]:
         """Wait for ever."""
         await asyncio.Event().wait()
         yield Chunk(0, 0, "", 0)
 
-    async def release(self, request_id: str, endpoint_id: str) -> None:
+    def endpoint_of(self, request_id: str) -> str:
+        """Return none."""
+        return ""
+
+    async def release(self, request_id: str) -> None:
         """Do nothing."""
 
     async def cancel(self, request_id: str) -> None:
@@ -79,6 +84,7 @@
         lambda: 0,
         Timer(1),
         lambda: FAR_DEADLINE_S,
+        HedgeLimits(0.02, 3.0),
     )
 
 
--- a/greengagetack/rollouts/owner.py
+++ b/greengagetack/rollouts/owner.py
@@ -17,6 +17,7 @@
 from greengagetack.peers.messages import Done
 from greengagetack.rollouts.completions import RoutedCompletions
 from greengagetack.rollouts.delivery import deliver
+from greengagetack.rollouts.hedging import HedgeLimits
 from greengagetack.rollouts.messages import (
     CancelStep,
     CreateStep,
@@ -131,9 +132,8 @@
         timer = self.services.timer
         age_s = max(0.0, timer.wall_s() - record.created_wall_s)
         deadline_s = timer.now_s() + spec.deadline_s - age_s
-        state = StepState(
-            spec, get_order(self.services.settings.fleet().rollouts.order)
-        )
+        rollouts = self.services.settings.fleet().rollouts
+        state = StepState(spec, get_order(rollouts.order))
         for sample in self._records.samples(spec):
             state.finish(sample)
         runner = StepRunner(
@@ -144,6 +144,7 @@
             self._concurrency_of(spec.model),
             timer,
             lambda: deadline_s - timer.now_s(),
+            HedgeLimits(rollouts.hedge_waste_ratio, rollouts.straggler_factor),
         )
         return _RunningStep(record, runner, deadline_s)
 
--- a/greengagetack/rollouts/runner.py
+++ b/greengagetack/rollouts/runner.py
@@ -1,50 +1,30 @@
 """greengagetack.rollouts.runner: makes the samples of one step."""
 
 import asyncio
-from collections.abc import AsyncGenerator, Awaitable, Callable
-from contextlib import aclosing
-from functools import partial
-from typing import Protocol
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 from loguru import logger
 
 from greengagetack.errors import CodedError
-from greengagetack.keeper.messages import Chunk, Complete, Completed, Work
-from greengagetack.observability.logs import REQUEST_ID
-from greengagetack.observability.traces import span
+from greengagetack.keeper.messages import Complete, Work
+from greengagetack.rollouts.attempt import Completions, SampleAttempt
+from greengagetack.rollouts.hedging import HedgeLimits, PaceBook, may_hedge
 from greengagetack.rollouts.records import StepRecords
 from greengagetack.rollouts.spec import FinishedSample, SampleId, StepSpec, step_key
 from greengagetack.rollouts.state import StepState
-from greengagetack.rollouts.versions import ranges_of_chunks
-from greengagetack.routing.relay import Restarted
 from greengagetack.timer import Timer
 
-__all__ = ["Completions", "Scoring", "StepRunner"]
+__all__ = ["Scoring", "StepRunner"]
 
 DEFAULT_RETRY_S = 0.5
 MAX_RETRY_S = 5.0
+WAKE_UP_S = 0.5
 LAST_MEMBERS_PRIORITY = 10
 SEED_FACTOR = 1_000_003
-
-
-def _count_tokens(chunks: list[Chunk]) -> int:
-    return sum(chunk.token_count for chunk in chunks)
-
-
-class Completions(Protocol):
-    """Routes a completion to an endpoint and relays it."""
-
-    def complete(
-        self, request: Complete
-    ) -> AsyncGenerator[Chunk | Completed | Restarted, None]:
-        """Yield the chunks of a completion, then its end."""
-
-    async def release(self, request_id: str, endpoint_id: str) -> None:
-        """Tell the endpoint's keeper that the answer is kept safely."""
-
-    async def cancel(self, request_id: str) -> None:
-        """Stop a request wherever it runs."""
-
+SEED_PER_GROUP = 1_000
+HEDGE_SUFFIX = "/hedge"
+STALE_CODE = "stale_version"
 
 Scoring = Callable[[StepSpec, tuple[FinishedSample, ...]], Awaitable[dict[int, float]]]
 
@@ -68,6 +48,8 @@
         Clock.
     time_left_s : callable
         Returns the seconds to the step's deadline.
+    hedging : HedgeLimits
+        When slow samples are tried elsewhere as well.
     """
 
     def __init__(
@@ -79,6 +61,7 @@
         concurrency: Callable[[], int],
         timer: Timer,
         time_left_s: Callable[[], float],
+        hedging: HedgeLimits,
     ) -> None:
         self.state = state
         self._records = records
@@ -88,7 +71,9 @@
         self._timer = timer
         self._time_left_s = time_left_s
         self._changed = asyncio.Event()
-        self._tasks: dict[SampleId, asyncio.Task[None]] = {}
+        self._hedging = hedging
+        self._paces = PaceBook()
+        self._attempts: dict[SampleId, dict[SampleAttempt, asyncio.Task[None]]] = {}
         self._scoring_tasks: dict[int, asyncio.Task[None]] = {}
         self._waiters: set[asyncio.Event] = set()
         self._main: asyncio.Task[None] | None = None
@@ -105,9 +90,10 @@
                 break
             self._score_whole_groups()
             self._dispatch()
+            self._hedge_slow_samples()
             self._changed.clear()
             try:
-                async with asyncio.timeout(MAX_RETRY_S):
+                async with asyncio.timeout(WAKE_UP_S):
                     await self._changed.wait()
             except TimeoutError:
                 continue
@@ -119,13 +105,15 @@
             if sample_id is None:
                 return
             attempt = self.state.start(sample_id)
-            task = asyncio.create_task(self._make(sample_id, attempt))
-            self._tasks[sample_id] = task
-            task.add_done_callback(partial(self._forget, sample_id))
+            self._start(sample_id, self._request(sample_id, attempt), frozenset())
 
-    def _forget(self, sample_id: SampleId, task: asyncio.Task[None]) -> None:
-        if self._tasks.get(sample_id) is task:
-            del self._tasks[sample_id]
+    def _start(
+        self, sample_id: SampleId, request: Complete, exclude: frozenset[str]
+    ) -> None:
+        running = self._attempts.setdefault(sample_id, {})
+        now_s = self._timer.now_s()
+        attempt = SampleAttempt(sample_id, request, now_s, is_hedge=bool(running))
+        running[attempt] = asyncio.create_task(self._make(attempt, exclude))
 
     def _request(self, sample_id: SampleId, attempt: int) -> Complete:
         spec = self.state.spec
@@ -140,7 +128,7 @@
             model=spec.model,
             prompt=self.state.prompt_of(sample_id),
             max_tokens=spec.max_tokens,
-            seed=spec.seed * SEED_FACTOR + sample_id.group_id * 1_000 + index,
+            seed=spec.seed * SEED_FACTOR + sample_id.group_id * SEED_PER_GROUP + index,
             time_left_s=max(0.0, self._time_left_s()),
             oldest_version=self.state.oldest_allowed,
             priority=LAST_MEMBERS_PRIORITY if last_members else 0,
@@ -149,66 +137,101 @@
             attempt=attempt,
         )
 
-    async def _make(self, sample_id: SampleId, attempt: int) -> None:
-        request = self._request(sample_id, attempt)
-        REQUEST_ID.set(request.request_id)
-        chunks: list[Chunk] = []
-        endpoint_id = ""
+    def _hedge_slow_samples(self) -> None:
+        """Try slow samples at other endpoints once nothing waits for dispatch."""
+        if self.state.pending:
+            return
+        now_s = self._timer.now_s()
+        usual_pace_s = self._paces.median_s()
+        at_risk = 0
+        for sample_id, running in list(self._attempts.items()):
+            if len(running) != 1:
+                continue
+            (slow,) = running
+            slow_enough = may_hedge(
+                slow.tokens,
+                now_s - slow.started_s,
+                usual_pace_s,
+                self.state.wasted_tokens + at_risk,
+                self.state.tokens,
+                self._hedging,
+            )
+            if slow_enough and self._hedge(sample_id, slow):
+                at_risk += slow.tokens
+
+    def _hedge(self, sample_id: SampleId, slow: SampleAttempt) -> bool:
+        endpoint_id = self._completions.endpoint_of(slow.request.request_id)
+        if not endpoint_id:
+            return False
+        logger.info("rollout: sample at {} is slow; hedged", endpoint_id)
+        request = replace(
+            slow.request,
+            request_id=f"{slow.request.request_id}{HEDGE_SUFFIX}",
+            time_left_s=max(0.0, self._time_left_s()),
+            endpoint_id="",
+        )
+        self._start(sample_id, request, frozenset({endpoint_id}))
+        return True
+
+    async def _make(self, attempt: SampleAttempt, exclude: frozenset[str]) -> None:
         try:
-            with span("owner sample", team=request.team):
-                async with aclosing(self._completions.complete(request)) as items:
-                    async for item in items:
-                        if isinstance(item, Chunk):
-                            chunks.append(item)
-                            continue
-                        if isinstance(item, Restarted):
-                            self.state.add_waste(_count_tokens(chunks))
-                            chunks.clear()
-                            continue
-                        endpoint_id = item.load.endpoint_id
+            await attempt.run(self._completions, exclude)
         except CodedError as error:
-            await self._retry_later(sample_id, chunks, error)
+            await self._end_failed(attempt, error)
             return
-        except asyncio.CancelledError:
-            self.state.put_back(sample_id, remake=False)
-            raise
-        await self._keep(request, sample_id, attempt, chunks, endpoint_id)
+        finally:
+            self.state.add_waste(attempt.restarted_tokens)
+        await self._end_whole(attempt)
 
-    async def _keep(
-        self,
-        request: Complete,
-        sample_id: SampleId,
-        attempt: int,
-        chunks: list[Chunk],
-        endpoint_id: str,
-    ) -> None:
-        sample = FinishedSample(
-            group_id=sample_id.group_id,
-            index=sample_id.index,
-            text="".join(chunk.text for chunk in chunks),
-            token_count=_count_tokens(chunks),
-            versions=ranges_of_chunks(chunks),
-            endpoint_id=endpoint_id,
-            attempt=attempt,
-        )
+    async def _end_whole(self, attempt: SampleAttempt) -> None:
+        self._forget(attempt)
+        sample = attempt.sample()
+        self._paces.note(attempt.tokens, self._timer.now_s() - attempt.started_s)
         if self.state.finish(sample):
-            await self._records.put_sample(self.state.spec, sample)
-        await self._completions.release(request.request_id, endpoint_id)
+            await self._keep(sample)
+        await self._stop_others(attempt.sample_id)
+        await self._completions.release(attempt.request.request_id)
         self.notify()
 
-    async def _retry_later(
-        self, sample_id: SampleId, chunks: list[Chunk], error: CodedError
-    ) -> None:
-        remake = error.code == "stale_version"
-        lost_tokens = _count_tokens(chunks) if remake else 0
+    async def _keep(self, sample: FinishedSample) -> None:
+        try:
+            await self._records.put_sample(self.state.spec, sample)
+        except CodedError as error:
+            # The sample stays here; a later owner makes it again at worst.
+            logger.warning("rollout: sample not recorded: {}", error.reason)
+
+    async def _end_failed(self, attempt: SampleAttempt, error: CodedError) -> None:
+        """Go on with another attempt of the sample, or put it back after a while."""
         logger.info("rollout: sample failed with {}: {}", error.code, error.reason)
+        sample_id = attempt.sample_id
+        if len(self._attempts.get(sample_id, {})) > 1:
+            self._forget(attempt)
+            await self._completions.cancel(attempt.request.request_id)
+            return
+        remake = error.code == STALE_CODE
+        lost_tokens = attempt.tokens if remake else 0
         retry_s = min(error.retry_after_s or DEFAULT_RETRY_S, MAX_RETRY_S)
         try:
             await self._timer.sleep(self._timer.jittered_s(retry_s))
         finally:
+            self._forget(attempt)
             self.state.put_back(sample_id, remake=remake, lost_tokens=lost_tokens)
         self.notify()
 
+    def _forget(self, attempt: SampleAttempt) -> None:
+        running = self._attempts.get(attempt.sample_id, {})
+        running.pop(attempt, None)
+        if not running:
+            self._attempts.pop(attempt.sample_id, None)
+
+    async def _stop_others(self, sample_id: SampleId) -> None:
+        """Stop what is left of a sample; its tokens so far are wasted."""
+        for attempt, task in list(self._attempts.get(sample_id, {}).items()):
+            self.state.add_waste(attempt.tokens)
+            self._forget(attempt)
+            task.cancel()
+            await self._completions.cancel(attempt.request.request_id)
+
     def _score_whole_groups(self) -> None:
         for group_id in self.state.whole_unscored_groups():
             if group_id in self._scoring_tasks:
@@ -232,18 +255,13 @@
     async def set_held(self, held: frozenset[int]) -> None:
         """Take what the trainer holds and stop work that it needs no more."""
         for sample_id in self.state.set_held(held):
-            await self._stop_sample(sample_id)
+            await self._give_up(sample_id)
 
-    async def _stop_sample(self, sample_id: SampleId) -> None:
-        task = self._tasks.get(sample_id)
-        if task is None:
+    async def _give_up(self, sample_id: SampleId) -> None:
+        if sample_id not in self._attempts:
             return
-        task.cancel()
-        spec = self.state.spec
-        job_id = step_key(spec.team, spec.job, spec.step)
-        await self._completions.cancel(
-            f"{job_id}/{sample_id.group_id}/{sample_id.index}"
-        )
+        self.state.put_back(sample_id, remake=False)
+        await self._stop_others(sample_id)
 
     async def drop_stale(self) -> None:
         """Make finished samples beyond the staleness bound again."""
@@ -275,10 +293,11 @@
         """Stop dispatching; with `cancel_requests` stop the engines' work too."""
         if self._main is not None:
             self._main.cancel()
-        for sample_id, task in list(self._tasks.items()):
+        for sample_id in list(self._attempts):
             if cancel_requests:
-                await self._stop_sample(sample_id)
-            else:
+                await self._give_up(sample_id)
+                continue
+            for task in self._attempts.pop(sample_id).values():
                 task.cancel()
         for scoring in self._scoring_tasks.values():
             scoring.cancel()
--- a/greengagetack/routing/relay.py
+++ b/greengagetack/routing/relay.py
@@ -1,6 +1,6 @@
 """greengagetack.routing.relay: a completion from wherever it can be had."""
 
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing, suppress
 from dataclasses import dataclass, replace
 
@@ -47,11 +47,14 @@
 class _Attempt:
     """Where a completion is now and what has been received of it."""
 
-    def __init__(self, request: Complete, end_s: float) -> None:
+    def __init__(
+        self, request: Complete, end_s: float, exclude: frozenset[str]
+    ) -> None:
         self.request = request
         self.end_s = end_s
         self.sequence = TokenSequence(request.offset_tokens, check_versions=False)
-        self.excluded: set[str] = set()
+        self.never = exclude
+        self.excluded: set[str] = set(exclude)
         self.routed: RoutedEndpoint | None = None
         self.keeper_switches = 0
         self.moves = 0
@@ -96,7 +99,12 @@
         self._budgets = budgets
 
     async def complete(
-        self, request: Complete, *, may_restart: bool = False
+        self,
+        request: Complete,
+        *,
+        may_restart: bool = False,
+        exclude: frozenset[str] = frozenset(),
+        on_routed: Callable[[RoutedEndpoint], None] | None = None,
     ) -> AsyncGenerator[Chunk | Completed | Restarted, None]:
         """Yield the chunks of a completion, then its end.
 
@@ -107,6 +115,10 @@
             already known to be held, or be empty.
         may_restart : bool
             Whether the consumer can drop what it has received.
+        exclude : frozenset of str
+            Endpoints that must not be used.
+        on_routed : callable or None
+            Is told where the completion is, before each try.
 
         Raises
         ------
@@ -114,7 +126,7 @@
             With what is known about the effect, and when to come back.
         """
         end_s = self._services.timer.now_s() + request.time_left_s
-        attempt = _Attempt(request, end_s)
+        attempt = _Attempt(request, end_s, exclude)
         if request.endpoint_id:
             attempt.routed = self._at(request.endpoint_id)
         while True:
@@ -123,6 +135,8 @@
                     attempt.routed = await self._choose(attempt)
             except CodedError as error:
                 raise attempt.without_false_promise(error) from error
+            if on_routed is not None:
+                on_routed(attempt.routed)
             try:
                 async with aclosing(self._stream(attempt)) as items:
                     async for item in items:
@@ -242,7 +256,7 @@
             raise error
         attempt.sequence = TokenSequence(0, check_versions=False)
         attempt.request = replace(request, attempt=request.attempt + 1, offset_tokens=0)
-        attempt.excluded.clear()
+        attempt.excluded = set(attempt.never)
         return True
 
     def _may_move(self, team: str, error: CodedError) -> bool:
