Send members only what they lack; spread new shards evenly

Cause: each change sent the whole table and all pairs to all members, heartbeats carried all they say each second, and a new cell's uneven shards moved around. Ruled out: rarer heartbeats (they would delay the suspicion of a dead member). Change: heartbeats by digest, table differences, pairs after a version; pairs read every fifth poll only, as writers tell the lead; even first owners. A fault found on the way: a view began with the zone as its cell's name.

--- a/greengagetack/membership/directory.py
+++ b/greengagetack/membership/directory.py
@@ -17,11 +17,14 @@
     HeartbeatAck,
     LeavingSign,
     NewPairs,
+    Pulse,
+    PulseAck,
+    vm_digest,
 )
 from greengagetack.membership.stored import LeadObject, lead_path
 from greengagetack.membership.table import CellTable, ShardPair, rendezvous_order
 from greengagetack.membership.timings import CellTimings
-from greengagetack.membership.view import CellView
+from greengagetack.membership.view import CellView, KnownLead
 from greengagetack.peers.messages import Done
 from greengagetack.peers.node import PeerNode
 from greengagetack.platform.objects import ObjectStore, WriteUnknown
@@ -83,7 +86,7 @@
         self._peers = peers
         self._fleet = fleet
         self._timer = timer
-        self.view = CellView(self.vm, peers)
+        self.view = CellView(settings.cell, self.vm, peers)
         self._lease = PlatformLease(
             platform, lead_path(settings.cell), self.vm, self.timings, timer
         )
@@ -103,12 +106,14 @@
         self._keeper_sent_s = -self.timings.lease_s
         self._contest_after_s = 0.0
         self._lead_gone = False
+        self._whole_beat: tuple[KnownLead, Vm] | None = None
         self._subscriptions: list[Subscription] = []
         self._notices: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Serve the cell's messages and start the heartbeats."""
         self._peers.handle(Heartbeat, self._serve_heartbeat)
+        self._peers.handle(Pulse, self._serve_pulse)
         self._peers.handle(CellNews, self._serve_news)
         self._peers.handle(LeavingSign, self._serve_sign)
         self._peers.handle(NewPairs, self._serve_pairs)
@@ -160,6 +165,8 @@
         lead = self.view.lead
         if not lead.vm_id:
             return
+        if self._whole_beat == (lead, self.vm) and await self._pulse(lead.vm_id):
+            return
         sent_s = self._timer.now_s()
         beat = Heartbeat(
             self.vm,
@@ -178,8 +185,39 @@
         if ack.news is None:
             self._note_lead_gone()
             return
+        self._whole_beat = (lead, self.vm)
         self._take_ack(ack, sent_s)
 
+    async def _pulse(self, lead_vm_id: str) -> bool:
+        """Send a short heartbeat; False if the lead needs a whole one."""
+        view = self.view
+        pulse = Pulse(
+            vm_digest(self.vm),
+            view.table.revision,
+            view.pairs_version,
+            view.news_digest(),
+        )
+        sent_s = self._timer.now_s()
+        try:
+            ack = await self._peers.request(
+                lead_vm_id, pulse, self.timings.request_timeout_s
+            )
+        except CodedError as error:
+            logger.debug("member: no answer from the lead: {}", error.reason)
+            self._check_lead_silence()
+            return True
+        if not ack.known or view.lead.vm_id != lead_vm_id:
+            return False
+        self._lead_heard_s = self._timer.now_s()
+        if ack.trusted:
+            self._note_trusted(ack.lease_version, sent_s)
+        return True
+
+    def _note_trusted(self, lease_version: int, sent_s: float) -> None:
+        self._trusted_heard_s = self._timer.now_s()
+        self._lease.note_version(lease_version)
+        self._keeper_sent_s = max(self._keeper_sent_s, sent_s)
+
     def _note_lead_gone(self) -> None:
         """Contest the lease at once: its holder says that it does not lead."""
         self._lead_heard_s = self._timer.now_s()
@@ -191,13 +229,10 @@
         news = ack.news
         if news is None or news.lead_epoch < self.view.lead.epoch:
             return
-        now_s = self._timer.now_s()
-        self._lead_heard_s = now_s
+        self._lead_heard_s = self._timer.now_s()
         self._take_news(news)
         if ack.trusted:
-            self._trusted_heard_s = now_s
-            self._lease.note_version(news.lease_version)
-            self._keeper_sent_s = max(self._keeper_sent_s, sent_s)
+            self._note_trusted(news.lease_version, sent_s)
 
     def _take_news(self, news: CellNews) -> None:
         self._lease.note_epoch(news.lead_epoch)
@@ -216,6 +251,9 @@
     async def _serve_heartbeat(self, _: str, beat: Heartbeat) -> HeartbeatAck:
         return self._duty.hear(beat)
 
+    async def _serve_pulse(self, vm_id: str, pulse: Pulse) -> PulseAck:
+        return self._duty.hear_pulse(vm_id, pulse)
+
     async def _serve_news(self, _: str, news: CellNews) -> Done:
         if news.lead_epoch >= self.view.lead.epoch:
             self._lead_heard_s = self._timer.now_s()
--- a/greengagetack/membership/lead.py
+++ b/greengagetack/membership/lead.py
@@ -1,7 +1,7 @@
 """greengagetack.membership.lead: the duties of a cell's lead."""
 
 import asyncio
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from loguru import logger
 
@@ -9,11 +9,14 @@
 from greengagetack.leases.lease import PlatformLease
 from greengagetack.membership.lost_pairs import LostPairs
 from greengagetack.membership.messages import (
-    CellNews,
     Heartbeat,
     HeartbeatAck,
     NewPairs,
+    Pulse,
+    PulseAck,
+    vm_digest,
 )
+from greengagetack.membership.news import HeardMember, NewsSender
 from greengagetack.membership.plan import TablePlan, plan_pairs, plan_table
 from greengagetack.membership.stored import (
     PairsObject,
@@ -29,19 +32,12 @@
 from greengagetack.platform.objects import ListedVm, ObjectStore
 from greengagetack.settings.view import SettingsView
 from greengagetack.timer import Timer
-from greengagetack.world import Vm, VmState
+from greengagetack.world import VmState
 
 __all__ = ["LeadDuty"]
 
-
-@dataclass(slots=True)
-class _Member:
-    """A member as the lead last heard of it."""
-
-    vm: Vm
-    heard_s: float
-    table_revision: int = 0
-    pairs_version: int = 0
+# Writers tell the lead of new pairs; reading them only repairs a lost notice.
+PAIRS_POLLS = 5.0
 
 
 class LeadDuty:
@@ -70,7 +66,7 @@
         self._settings = settings
         self._timings = timings
         self._timer = timer
-        self._members: dict[str, _Member] = {}
+        self._members: dict[str, HeardMember] = {}
         self._retired: set[tuple[str, str]] = set()
         self._vacated_s: dict[str, float] = {}
         self._listed: dict[str, ListedVm] = {}
@@ -78,9 +74,9 @@
         self._has_table = False
         self._lost = LostPairs(timings.observer_s)
         self._polled_s = 0.0
+        self._pairs_polled_s = 0.0
         self._settled_s = 0.0
-        self._pushed: CellNews | None = None
-        self._pushes: set[asyncio.Task[None]] = set()
+        self._sender = NewsSender(lease, view, peers, timings)
         self._stepping = asyncio.Lock()
 
     async def take_over(self) -> None:
@@ -95,7 +91,7 @@
         now_s = self._timer.now_s()
         await self._read_table()
         for vm in self._view.table.members:
-            self._members.setdefault(vm.vm_id, _Member(vm, now_s))
+            self._members.setdefault(vm.vm_id, HeardMember(vm, now_s))
         # The former lead may have extended leases until its own one ended.
         self._vacated_s = {
             endpoint.endpoint_id: now_s for endpoint in self._settings.fleet().endpoints
@@ -138,33 +134,36 @@
             self._retired.add((known.vm.vm_id, known.vm.incarnation))
         if beat.vm.vm_id != self._view.vm.vm_id:
             self._peers.learn_address(beat.vm.vm_id, beat.vm.peer)
-        self._members[beat.vm.vm_id] = _Member(
+        self._members[beat.vm.vm_id] = HeardMember(
             beat.vm, self._timer.now_s(), beat.table_revision, beat.pairs_version
         )
         if self._view.signs.merge(beat.signs):
             self._view.changed()
             self.push()
-        return HeartbeatAck(trusted, self._news_for(beat))
-
-    def _news_for(self, beat: Heartbeat) -> CellNews:
-        news = self._news()
-        if beat.table_revision >= self._view.table.revision:
-            news = replace(news, table=None)
-        if beat.pairs_version >= self._view.pairs_version:
-            news = replace(news, pairs=None)
-        return news
-
-    def _news(self) -> CellNews:
-        return CellNews(
-            lead_vm_id=self._view.vm.vm_id,
-            lead_epoch=self._lease.epoch,
-            lease_version=self._lease.version,
-            table=self._view.table if self._view.table.revision else None,
-            pairs_version=self._view.pairs_version,
-            pairs=tuple(self._view.pairs.values()),
-            signs=self._view.signs.all(),
-            suspected_vm_ids=self._suspected(),
+        news = self._sender.news_for(
+            beat.table_revision, beat.pairs_version, self._suspected()
         )
+        return HeartbeatAck(trusted, news)
+
+    def hear_pulse(self, vm_id: str, pulse: Pulse) -> PulseAck:
+        """Take a short heartbeat if all that it stands for is known and equal."""
+        member = self._members.get(vm_id)
+        if member is None or not self._lease.held:
+            return PulseAck(known=False)
+        trusted = self._lease.trusted()
+        if (vm_digest(member.vm), *self._digests()) != (
+            pulse.vm_digest,
+            pulse.table_revision,
+            pulse.pairs_version,
+            pulse.news_digest,
+        ):
+            return PulseAck(known=False)
+        member.heard_s = self._timer.now_s()
+        return PulseAck(True, trusted, self._lease.version)
+
+    def _digests(self) -> tuple[int, int, int]:
+        view = self._view
+        return (view.table.revision, view.pairs_version, view.news_digest())
 
     def _suspected(self) -> tuple[str, ...]:
         return self._silent_for(self._timings.suspect_s)
@@ -201,6 +200,9 @@
         if now_s - self._polled_s >= self._timings.poll_s:
             self._polled_s = now_s
             await self._poll()
+        if now_s - self._pairs_polled_s >= PAIRS_POLLS * self._timings.poll_s:
+            self._pairs_polled_s = now_s
+            await self._read_pairs()
         if now_s < self._settled_s:
             return
         await self._write_table()
@@ -219,7 +221,6 @@
             if endpoint.vm_id in self._listed_leaving:
                 self._view.signs.set(endpoint.endpoint_id, False)
         self._listed_leaving = leaving
-        await self._read_pairs()
 
     async def _write_table(self) -> None:
         self._drop_silent_members()
@@ -242,7 +243,9 @@
         now_s = self._timer.now_s()
         for endpoint_id in plan.vacated_endpoint_ids:
             self._vacated_s[endpoint_id] = now_s
-        self._view.adopt_table(replace(plan.table, revision=version))
+        table = replace(plan.table, revision=version)
+        self._sender.note_table(before, table)
+        self._view.adopt_table(table)
         self._view.changed()
 
     def _plan_input(self, revision: int) -> TablePlan:
@@ -299,41 +302,30 @@
         self._view.changed()
 
     def _tell_changes(self) -> None:
-        news = self._news()
-        quiet = replace(news, lease_version=0)
-        if quiet == self._pushed:
+        suspected = self._suspected()
+        if not self._sender.changed(suspected):
             return
-        self._pushed = quiet
-        if self._view.adopt_news(news):
+        own = self._sender.news_for(
+            self._view.table.revision, self._view.pairs_version, suspected
+        )
+        if self._view.adopt_news(own):
             self._view.changed()
         self.push()
 
     def push(self) -> None:
         """Send the newest news to all members at once."""
-        news = self._news()
-        for vm_id in self._members:
-            if vm_id == self._view.vm.vm_id:
-                continue
-            task = asyncio.create_task(self._push_to(vm_id, news))
-            self._pushes.add(task)
-            task.add_done_callback(self._pushes.discard)
-
-    async def _push_to(self, vm_id: str, news: CellNews) -> None:
-        try:
-            await self._peers.request(vm_id, news, self._timings.request_timeout_s)
-        except CodedError as error:
-            logger.debug("lead: could not tell {}: {}", vm_id, error.reason)
+        self._sender.push(self._members.values(), self._suspected())
 
     def forget(self) -> None:
         """Drop all that only a lead knows, once another VM leads."""
         self._members.clear()
         self._listed = {}
         self._polled_s = 0.0
+        self._pairs_polled_s = 0.0
         self._lost.clear()
         self._has_table = False
-        self._pushed = None
+        self._sender.forget()
 
     def close(self) -> None:
         """Stop telling members."""
-        for task in list(self._pushes):
-            task.cancel()
+        self._sender.close()
--- a/greengagetack/membership/pair_duty.py
+++ b/greengagetack/membership/pair_duty.py
@@ -242,8 +242,10 @@
                 continue
             for shard in new:
                 self._changes[shard].advance("write")
-            self._adopt(NewPairs(version, pairs))
-            await self._tell(tuple(new.values()), NewPairs(version, pairs))
+            changed = tuple(new.values())
+            news = NewPairs(version, changed, version - 1)
+            self._adopt(news)
+            await self._tell(changed, news)
             return
 
     def _successors(self, facts: dict[int, PairFacts]) -> dict[int, ShardPair]:
--- a/greengagetack/membership/plan.py
+++ b/greengagetack/membership/plan.py
@@ -113,17 +113,25 @@
 def plan_pairs(
     known: dict[int, ShardPair], members: tuple[Vm, ...], shard_count: int
 ) -> tuple[ShardPair, ...]:
-    """Return pairs in their first epoch for the shards that have none yet."""
+    """Return pairs in their first epoch for the shards that have none yet.
+
+    Owners and backups are spread evenly: each new shard goes to the members that
+    own or back up least, by rendezvous order among those.
+    """
     live = tuple(vm for vm in members if vm.state is VmState.LIVE)
     if not live:
         return ()
-    pairs: list[ShardPair] = []
+    owned = Counter(pair.owner_vm_id for pair in known.values())
+    backed = Counter(pair.backup_vm_id for pair in known.values())
     by_id = {vm.vm_id: vm for vm in live}
+    pairs: list[ShardPair] = []
     for shard in range(shard_count):
         if shard in known:
             continue
-        owner = by_id[rendezvous_order(f"shard-{shard}", tuple(by_id))[0]]
-        backup = choose_backup(shard, owner, live)
+        order = rendezvous_order(f"shard-{shard}", tuple(by_id))
+        owner = by_id[min(order, key=owned.__getitem__)]
+        backup = _even_backup(shard, owner, live, backed)
+        owned[owner.vm_id] += 1
         pairs.append(
             ShardPair(
                 shard,
@@ -134,9 +142,23 @@
                 backup.incarnation if backup else "",
             )
         )
+        backed[pairs[-1].backup_vm_id] += 1
     return tuple(pairs)
 
 
+def _even_backup(
+    shard: int, owner: Vm, live: tuple[Vm, ...], backed: Counter[str]
+) -> Vm | None:
+    """Return the backup that backs up least, in another zone if there is one."""
+    by_id = {vm.vm_id: vm for vm in live}
+    order = [by_id[name] for name in backup_order(shard, owner, live)]
+    far = [vm for vm in order if vm.availability_zone != owner.availability_zone]
+    candidates = far or order
+    if not candidates:
+        return None
+    return min(candidates, key=lambda vm: backed[vm.vm_id])
+
+
 def choose_backup(shard: int, owner: Vm, members: tuple[Vm, ...]) -> Vm | None:
     """Return the best backup for an owner, None if there is no other member."""
     order = backup_order(shard, owner, members)
--- a/greengagetack/membership/view.py
+++ b/greengagetack/membership/view.py
@@ -3,12 +3,15 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import msgspec
+import xxhash
 from loguru import logger
 
 from greengagetack.membership.leaving import LeavingSigns
 from greengagetack.membership.messages import CellNews, NewPairs
 from greengagetack.membership.stored import LeadObject
 from greengagetack.membership.table import CellTable, ShardPair
+from greengagetack.membership.table_change import apply_change
 from greengagetack.peers.node import PeerNode
 from greengagetack.world import Vm
 
@@ -28,17 +31,20 @@
 
     Parameters
     ----------
+    cell : str
+        Name of the cell.
     vm : Vm
         This VM.
     peers : PeerNode
         Learns the members' addresses.
     """
 
-    def __init__(self, vm: Vm, peers: PeerNode) -> None:
+    def __init__(self, cell: str, vm: Vm, peers: PeerNode) -> None:
         self.vm = vm
-        self.table = CellTable(vm.availability_zone)
+        self.table = CellTable(cell)
         self.pairs: dict[int, ShardPair] = {}
         self.pairs_version = 0
+        self._pair_versions: dict[int, int] = {}
         self.signs = LeavingSigns()
         self.suspected: frozenset[str] = frozenset()
         self.lead = KnownLead()
@@ -107,15 +113,35 @@
     def adopt_pairs(self, news: NewPairs) -> bool:
         """Take pairs that are newer than the known ones, by shard."""
         changed = False
+        # Pairs learnt apart count with the next version, whichever that is.
+        version = news.version or self.pairs_version + 1
         for pair in news.pairs:
             known = self.pairs.get(pair.shard)
             if known is not None and known.epoch >= pair.epoch:
                 continue
             self.pairs[pair.shard] = pair
+            self._pair_versions[pair.shard] = version
             changed = True
-        self.pairs_version = max(self.pairs_version, news.version)
+        if self.pairs_version >= news.base_version:
+            self.pairs_version = max(self.pairs_version, news.version)
         return changed
 
+    def pairs_after(self, version: int) -> tuple[ShardPair, ...]:
+        """Return the pairs that changed after a version of the platform's object."""
+        return tuple(
+            pair
+            for shard, pair in self.pairs.items()
+            if self._pair_versions[shard] > version
+        )
+
+    def news_digest(self) -> int:
+        """Return a digest of the signs and suspicions, the same on all members."""
+        signs = sorted(
+            (sign.endpoint_id, sign.sequence, sign.leaving) for sign in self.signs.all()
+        )
+        parts = (signs, sorted(self.suspected))
+        return xxhash.xxh32_intdigest(msgspec.msgpack.encode(parts))
+
     def adopt_news(self, news: CellNews) -> bool:
         """Take all that is newer in the lead's news, and return whether any was."""
         if news.lead_epoch < self.lead.epoch:
@@ -124,9 +150,12 @@
         self._set_lead(news.lead_vm_id, news.lead_epoch)
         self.suspected = frozenset(news.suspected_vm_ids)
         changed = before != (self.lead, self.suspected)
-        if news.table is not None:
-            changed |= self.adopt_table(news.table)
-        if news.pairs is not None:
-            changed |= self.adopt_pairs(NewPairs(news.pairs_version, news.pairs))
+        table = news.table
+        if news.table_change is not None:
+            table = apply_change(self.table, news.table_change)
+        if table is not None:
+            changed |= self.adopt_table(table)
+        pairs = NewPairs(news.pairs_version, news.pairs, news.pairs_base)
+        changed |= self.adopt_pairs(pairs)
         changed |= self.signs.merge(news.signs)
         return changed
