Roll weight versions out in waves, and never reuse a given-up connection

Cause: announced versions reached no engine; and the platform and trainer clients shared the HTTP library's fault that a cancelled exchange leaves its answer to the next request on the same connection. Ruled out: trusting the answer to an order (it can be lost), and a wave that waits for ejected replicas (it would never end). Change: announcements recorded as platform objects and written later after an outage; the lead orders prefetches within the store's rate and switches in waves through the keepers, which check their right, pass the fencing number and read the result back; one HTTP client for all of the package.

--- a/features/engines.feature
+++ b/features/engines.feature
@@ -48,6 +48,11 @@
     When a cancelled exchange with the engine is followed by 20 others
     Then each exchange got its own answer
 
+  Scenario: A platform call that was given up leaves its answer to nobody else
+    Given a platform whose reads answer late now and then
+    When 20 reads of other objects follow one that was given up
+    Then each read got its own object
+
   Scenario Outline: A plain call says whether it ran
     Given a plain service that <behaviour>
     When one call is sent to the plain service
--- a/features/steps/engines_steps.py
+++ b/features/steps/engines_steps.py
@@ -1,6 +1,7 @@
 """features.steps.engines_steps: completions and calls through a keeper."""
 
 import asyncio
+from contextlib import suppress
 from typing import Any
 
 from behave import given, then, when
@@ -8,13 +9,15 @@
 
 from features.support.fake_service import FakeService
 from features.support.keeper_world import assert_whole, start_world
+from features.support.late_platform import LatePlatform
 from features.support.loops import run_on_loop, start_loop
 from greengagetack.engines import make_adapter
 from greengagetack.engines.http import EndpointHttp
 from greengagetack.engines.sequence import TokenSequence
-from greengagetack.errors import CodedError
+from greengagetack.errors import CodedError, PlatformUnavailable
 from greengagetack.keeper.errors import StreamTorn
 from greengagetack.keeper.messages import CallService, Chunk
+from greengagetack.platform.client import PlatformClient
 from greengagetack.settings.schema import AdmissionSettings
 from greengagetack.world import Endpoint, EndpointKind
 
@@ -138,6 +141,44 @@
         assert f'"/named/{name}"' in body, (name, body)
 
 
+@given("a platform whose reads answer late now and then")
+def step_late_platform(context: Context) -> None:
+    start_loop(context)
+    context.platform = LatePlatform()
+    run_on_loop(context, context.platform.start())
+    context.add_cleanup(lambda: run_on_loop(context, context.platform.close()))
+
+
+@when("{count:d} reads of other objects follow one that was given up")
+def step_reads(context: Context, count: int) -> None:
+    context.reads = run_on_loop(context, read_after_late(context.platform, count))
+
+
+async def read_after_late(platform: LatePlatform, count: int) -> list[tuple[str, str]]:
+    """Give up a late read on a reused connection, then read other objects."""
+    client = PlatformClient(platform.url, timeout_s=0.1)
+    pairs = []
+    try:
+        await client.read("first")
+        platform.delay_s = 0.3
+        with suppress(PlatformUnavailable):
+            await client.read("late")
+        platform.delay_s = 0.0
+        for number in range(count):
+            found = await client.read(f"other-{number}")
+            assert found is not None
+            pairs.append((f"other-{number}", found.path))
+    finally:
+        await client.close()
+    return pairs
+
+
+@then("each read got its own object")
+def step_own_objects(context: Context) -> None:
+    for path, found in context.reads:
+        assert found == path, (path, found)
+
+
 @given("a plain service that {behaviour}")
 def step_service(context: Context, behaviour: str) -> None:
     start_loop(context)
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -1,7 +1,6 @@
 """features.steps.limits_steps: slices, permits, budgets and their usage."""
 
 import asyncio
-import json
 from contextlib import aclosing
 from typing import Any
 
@@ -10,6 +9,7 @@
 from starlette.applications import Starlette
 
 from features.support.budget_run import BudgetRun
+from features.support.http_calls import call_application
 from features.support.keeper_world import Answer, start_world
 from features.support.loops import run_on_loop
 from greengagetack.daemons.auth import hash_token
@@ -334,38 +334,17 @@
         exception_handlers=EXCEPTION_HANDLERS,
     )
     context.response = run_on_loop(
-        context, get(app, "/v1/teams/usage", tokens.get(sender, "wrong"))
+        context,
+        call_application(app, "GET", "/v1/teams/usage", tokens.get(sender, "wrong")),
     )
 
 
-async def get(app: Starlette, path: str, token: str) -> Any:
-    """Send a GET request to an application on this loop."""
-    sent: list[Any] = []
-    scope = {
-        "type": "http",
-        "method": "GET",
-        "path": path,
-        "query_string": b"",
-        "headers": [(b"authorization", f"Bearer {token}".encode())],
-    }
-
-    async def receive() -> Any:
-        return {"type": "http.request", "body": b"", "more_body": False}
-
-    async def send(event: Any) -> None:
-        sent.append(event)
-
-    await app(scope, receive, send)
-    return sent
-
-
 @then("the answer is {status:d} with {teams}")
 def step_usage_answer(context: Context, status: int, teams: str) -> None:
-    start, body = context.response[0], context.response[1]
-    assert start["status"] == status, start
+    assert context.response.status == status, context.response
     if status != 200:
         return
-    answer = json.loads(body["body"])
+    answer = context.response.json()
     shown = sorted(item["team"] for item in answer["teams"])
     assert ", ".join(shown) == teams, answer
     own = next(item for item in answer["teams"] if item["team"] == "t")
--- a/features/support/fake_engine.py
+++ b/features/support/fake_engine.py
@@ -49,6 +49,9 @@
         self.fencing_number = 0
         self.checks_fencing = True
         self.failing_orders = 0
+        self.lose_order_answers = 0
+        self.order_s = 0.02
+        self.doing: list[str] = []
         self.prefetched: list[int] = []
         # Each takes effect once, at the given token of the next stream.
         self.silent_at: int | None = None
@@ -114,7 +117,13 @@
         if path == "/v1/completions":
             return await self._complete(body, writer)
         await asyncio.sleep(self.answer_delay_s)
-        status, answer = self._short(method, path, body)
+        if path == "/orders" and body:
+            status, answer = await self._order_slowly(body)
+            if self.lose_order_answers:
+                self.lose_order_answers -= 1
+                return False
+        else:
+            status, answer = self._short(method, path, body)
         await self._answer(writer, status, answer)
         return True
 
@@ -134,10 +143,8 @@
     ) -> tuple[int, dict[str, Any]]:
         if path == "/healthz":
             return (503, {"state": "leaving"}) if self.leaving else (200, {})
-        if path == "/orders" and method == "GET":
-            return 200, self._state()
         if path == "/orders":
-            return self._order(body)
+            return 200, self._state()
         if path.startswith("/v1/requests/"):
             request_id = path.split("/")[3].replace("%2F", "/")
             self.cancels.append(request_id)
@@ -156,6 +163,14 @@
         versions = {"active": self.version, "prefetched": self.prefetched}
         return {"models": {"m": versions}, "fencing_number": self.fencing_number}
 
+    async def _order_slowly(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        kind = body["kind"]
+        self.doing.append(kind)
+        await asyncio.sleep(self.order_s)
+        answer = self._order(body)
+        self.doing.remove(kind)
+        return answer
+
     def _order(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         if self.checks_fencing and body["fencing_number"] < self.fencing_number:
             return 409, {"error": {"code": "stale_fencing_number"}}
--- a/features/support/fakes.py
+++ b/features/support/fakes.py
@@ -76,7 +76,8 @@
 
     def table(self) -> CellTable:
         """Return a table with the members."""
-        return CellTable("cell", members=self._cell.members)
+        cell = self._cell
+        return CellTable("cell", lead_vm_id=cell.lead_vm_id, members=cell.members)
 
     def live_members(self) -> tuple[Vm, ...]:
         """Return the members."""
--- a/greengagetack/daemons/parts.py
+++ b/greengagetack/daemons/parts.py
@@ -14,6 +14,8 @@
 import greengagetack.rollouts.owner
 import greengagetack.settings.http
 import greengagetack.settings.sync
+import greengagetack.weights.role
+import greengagetack.weights.routes
 
 __all__ = ["PARTS"]
 
@@ -32,4 +34,6 @@
     greengagetack.rollouts.owner,
     greengagetack.settings.http,
     greengagetack.settings.sync,
+    greengagetack.weights.role,
+    greengagetack.weights.routes,
 )
--- a/greengagetack/engines/http.py
+++ b/greengagetack/engines/http.py
@@ -4,20 +4,17 @@
 from collections.abc import AsyncGenerator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
-from types import TracebackType
 
-from aiosonic import HTTPClient, HttpResponse
-from aiosonic.connection import Connection
-from aiosonic.connectors import TCPConnector
+from aiosonic import HttpResponse
 from aiosonic.exceptions import (
     AiosonicError,
     ConnectionPoolAcquireTimeout,
     ConnectTimeout,
 )
-from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
 
 from greengagetack.errors import CodedError, EndpointFailed
+from greengagetack.httpclient import make_http_client
 from greengagetack.keeper.errors import EndpointUnreachable
 from greengagetack.observability.logs import REQUEST_ID
 from greengagetack.observability.traces import current_traceparent
@@ -27,7 +24,6 @@
 
 CONNECT_TIMEOUT_S = 1.0
 POOL_TIMEOUT_S = 1.0
-IDLE_LIMIT_MS = 10_000
 REFUSED_RETRY_S = 0.5
 SPARE_CONNECTIONS = 16
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -37,26 +33,6 @@
 NOT_SENT = (ConnectionRefusedError, ConnectTimeout, ConnectionPoolAcquireTimeout)
 
 
-class ClosingConnection(Connection):
-    """A connection that is never reused after an exchange that did not end.
-
-    The library puts a connection whose exchange was cancelled back into its
-    pool; the next request would then read the answer of the former one.
-    """
-
-    async def __aexit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        tb: TracebackType | None,
-    ) -> None:
-        """Close the connection if the exchange failed, then release it."""
-        if exc_type is not None:
-            self.keep = False
-            self.close()
-        await super().__aexit__(exc_type, exc, tb)
-
-
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
     """A whole HTTP answer; header names in lower case."""
@@ -93,27 +69,16 @@
 
     def __init__(self, endpoint: Endpoint) -> None:
         self.endpoint = endpoint
-        self._timeouts = Timeouts(
+        timeouts = Timeouts(
             sock_connect=CONNECT_TIMEOUT_S,
             sock_read=None,
             pool_acquire=POOL_TIMEOUT_S,
             request_timeout=None,
         )
         size = 2 * endpoint.slots + SPARE_CONNECTIONS
-        self._streams = self._client(size, max_requests=None)
-        self._short = self._client(SPARE_CONNECTIONS, max_requests=None)
-        self._once = self._client(size, max_requests=0)
-
-    def _client(self, size: int, max_requests: int | None) -> HTTPClient:
-        pool = PoolConfig(
-            size=size, max_conn_requests=max_requests, max_conn_idle_ms=IDLE_LIMIT_MS
-        )
-        connector = TCPConnector(
-            pool_configs={":default": pool},
-            timeouts=self._timeouts,
-            connection_cls=ClosingConnection,
-        )
-        return HTTPClient(connector)
+        self._streams = make_http_client(size, timeouts)
+        self._short = make_http_client(SPARE_CONNECTIONS, timeouts)
+        self._once = make_http_client(size, timeouts, max_requests=0)
 
     def _headers(self) -> dict[str, str]:
         headers = {"X-Request-Id": REQUEST_ID.get()}
--- a/greengagetack/keeper/role.py
+++ b/greengagetack/keeper/role.py
@@ -27,10 +27,12 @@
     Work,
 )
 from greengagetack.keeper.monitor import EngineMonitor
+from greengagetack.keeper.orders import give_order
 from greengagetack.keeper.service_gate import ServiceGate
 from greengagetack.limits.spending import SliceSpending
 from greengagetack.observability.traces import span
 from greengagetack.peers.messages import Done
+from greengagetack.weights.messages import OrderEndpoint, ReplicaState
 from greengagetack.world import Endpoint, EndpointKind
 
 __all__ = ["KeeperRole"]
@@ -67,6 +69,7 @@
         peers.handle(ListHeldRequests, self._list_held)
         peers.handle(ReleaseHeld, self._release)
         peers.handle(CallService, self._call)
+        peers.handle(OrderEndpoint, self._order)
         self.spending.start()
         self.services.timer.subscribe(WATCH_INTERVAL_S, self._watch, "keeper watch")
         self.services.directory.subscribe(self._keep_assigned)
@@ -186,6 +189,11 @@
         with span("keeper.call", endpoint=request.endpoint_id, team=request.team):
             return await gate.call(request)
 
+    async def _order(self, sender_vm_id: str, request: OrderEndpoint) -> ReplicaState:
+        gate = self._engine_gate(self._endpoint(request.endpoint_id))
+        with span("keeper.order", endpoint=request.endpoint_id, kind=request.kind):
+            return await give_order(self.services, gate, request)
+
     async def _watch(self) -> None:
         self._close_unused()
         given_up = self.held.trim()
--- a/greengagetack/platform/client.py
+++ b/greengagetack/platform/client.py
@@ -7,13 +7,13 @@
 from typing import Any
 from urllib.parse import quote
 
-import aiosonic
 import msgspec
 from aiosonic.exceptions import AiosonicError
 from aiosonic.timeout import Timeouts
 from loguru import logger
 
 from greengagetack.errors import InvalidRequest, PlatformUnavailable
+from greengagetack.httpclient import make_http_client
 from greengagetack.leases.decisions import WriteResult, resolve_lost_write
 from greengagetack.platform.objects import (
     ListedVm,
@@ -90,7 +90,7 @@
         self._url = url.rstrip("/")
         self._headers = {"Authorization": f"Bearer {token}"} if token else {}
         self._timeout_s = timeout_s
-        self._http = aiosonic.HTTPClient()
+        self._http = make_http_client()
 
     async def read(self, path: str) -> PlatformObject | None:
         """Return an object, None if it does not exist.
--- a/greengagetack/rollouts/client.py
+++ b/greengagetack/rollouts/client.py
@@ -8,12 +8,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-import aiosonic
 import msgspec
 from aiosonic.exceptions import AiosonicError, BaseTimeout
 from aiosonic.timeout import Timeouts
 
 from greengagetack.errors import CodedError, PeerLost, error_from_code
+from greengagetack.httpclient import make_http_client
 from greengagetack.rollouts.groupset import to_ranges
 from greengagetack.rollouts.messages import FetchedGroups, FinishedGroup
 
@@ -71,12 +71,12 @@
             "Content-Type": "application/json",
         }
         self._random = random.Random(seed)
-        self._http = aiosonic.HTTPClient()
+        self._http = make_http_client()
         self.retries = 0
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._http.__aexit__(None, None, None)
+        await self._http.aclose()
 
     async def create_step(self, step: StepRequest) -> None:
         """Create a step, repeating until it is accepted; it is idempotent.
--- /dev/null
+++ b/greengagetack/weights/plan.py
@@ -0,0 +1,102 @@
+"""greengagetack.weights.plan: which replica gets which order next."""
+
+from dataclasses import dataclass
+
+from greengagetack.engines.state import OrderKind
+
+__all__ = ["NextOrder", "Replica", "max_switching", "next_orders"]
+
+RETRY_S = 0.5
+MAX_RETRY_S = 10.0
+
+
+@dataclass(slots=True)
+class Replica:
+    """What the lead knows of a replica.
+
+    `serving` is whether it takes requests now; `doing` is the order that is
+    out, `started_s` since when.
+    """
+
+    endpoint_id: str
+    active: int = 0
+    prefetched: tuple[int, ...] = ()
+    serving: bool = True
+    doing: OrderKind | None = None
+    started_s: float = 0.0
+    retry_at_s: float = 0.0
+    failures: int = 0
+    last_error: str = ""
+
+    def succeeded(self, active: int, prefetched: tuple[int, ...]) -> None:
+        """Take the state that was read back after an order."""
+        self.doing = None
+        self.active = active
+        self.prefetched = prefetched
+        self.failures = 0
+        self.last_error = ""
+
+    def failed(self, reason: str, now_s: float) -> None:
+        """Take a failed order; the next try waits longer each time."""
+        self.doing = None
+        self.last_error = reason
+        self.retry_at_s = now_s + min(MAX_RETRY_S, RETRY_S * 2.0**self.failures)
+        self.failures += 1
+
+
+@dataclass(frozen=True, slots=True)
+class NextOrder:
+    """An order to be given now."""
+
+    endpoint_id: str
+    kind: OrderKind
+
+
+def max_switching(replicas: list[Replica], wave_ratio: float) -> int:
+    """Return how many serving replicas may switch at once, at least one."""
+    return max(1, int(len(replicas) * wave_ratio))
+
+
+def next_orders(
+    target: int,
+    replicas: list[Replica],
+    wave_ratio: float,
+    prefetch_concurrency: int,
+    now_s: float,
+) -> list[NextOrder]:
+    """Return the orders that may be given now.
+
+    Replicas prefetch within the weight store's rate, and switch once the
+    weights lie there. No more switch at once than the wave allows, counting
+    replicas that do not serve for other reasons; those switch first, since
+    that costs no capacity. One may always switch, so that broken replicas do
+    not hold the others up.
+    """
+    orders: list[NextOrder] = []
+    waiting = [
+        replica
+        for replica in replicas
+        if replica.doing is None
+        and replica.active < target
+        and replica.retry_at_s <= now_s
+    ]
+    fetching = sum(replica.doing is OrderKind.PREFETCH for replica in replicas)
+    away = sum(
+        replica.doing is OrderKind.ACTIVATE or not replica.serving
+        for replica in replicas
+    )
+    switching = sum(replica.doing is OrderKind.ACTIVATE for replica in replicas)
+    limit = max_switching(replicas, wave_ratio)
+    for replica in sorted(waiting, key=lambda item: item.serving):
+        if target not in replica.prefetched:
+            if fetching < prefetch_concurrency:
+                fetching += 1
+                orders.append(NextOrder(replica.endpoint_id, OrderKind.PREFETCH))
+            continue
+        if replica.serving:
+            if away >= limit and switching:
+                continue
+            away += 1
+        switching += 1
+        orders.append(NextOrder(replica.endpoint_id, OrderKind.ACTIVATE))
+    return orders
--- /dev/null
+++ b/greengagetack/weights/rollout.py
@@ -0,0 +1,234 @@
+"""greengagetack.weights.rollout: brings one model's engines to a version."""
+
+import asyncio
+
+from loguru import logger
+
+from greengagetack.daemons.role import Services
+from greengagetack.engines.state import OrderKind
+from greengagetack.errors import CodedError
+from greengagetack.keeper.messages import EndpointLoad, ProbeEndpoints, ProbeReply
+from greengagetack.settings.schema import ModelSettings
+from greengagetack.weights.messages import (
+    OrderEndpoint,
+    ReplicaState,
+    ReplicaStatus,
+    RolloutStatus,
+)
+from greengagetack.weights.plan import NextOrder, Replica, next_orders
+from greengagetack.weights.record import RolloutRecord
+
+__all__ = ["ModelRollout"]
+
+ORDER_TIMEOUT_S = 70.0
+PROBE_TIMEOUT_S = 1.0
+CHECK_INTERVAL_S = 2.0
+
+
+class ModelRollout:
+    """Orders prefetches and activations of one model through the keepers.
+
+    Parameters
+    ----------
+    record : RolloutRecord
+        The version to bring the engines to.
+    services : Services
+        What the daemon offers.
+    """
+
+    def __init__(self, record: RolloutRecord, services: Services) -> None:
+        self.record = record
+        self._services = services
+        self._replicas: dict[str, Replica] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._checked_s = -CHECK_INTERVAL_S
+        self._checking = False
+        self._started_s = services.timer.now_s()
+        self._ended_s = 0.0
+        self._switching_s = 0.0
+
+    def retarget(self, record: RolloutRecord) -> None:
+        """Go for a newer version from now on."""
+        self.record = record
+        self._started_s = self._services.timer.now_s()
+        self._ended_s = 0.0
+        self._switching_s = 0.0
+        for replica in self._replicas.values():
+            replica.retry_at_s = 0.0
+
+    def _settings(self) -> ModelSettings:
+        for model in self._services.settings.fleet().models:
+            if model.name == self.record.model:
+                return model
+        return ModelSettings(self.record.model)
+
+    @property
+    def complete(self) -> bool:
+        """Whether every replica has read back the version."""
+        replicas = self._replicas.values()
+        return bool(replicas) and all(
+            replica.active >= self.record.version for replica in replicas
+        )
+
+    def advance(self) -> None:
+        """Give the orders that are due; called often, returns at once."""
+        self._follow_directory()
+        self._check_in_background()
+        now_s = self._services.timer.now_s()
+        if self.complete:
+            self._note_complete(now_s)
+            return
+        settings = self._settings()
+        known = [item for item in self._replicas.values() if item.active]
+        for order in next_orders(
+            self.record.version,
+            known,
+            settings.switch_wave_ratio,
+            settings.prefetch_concurrency,
+            now_s,
+        ):
+            self._give(order, now_s)
+
+    def _follow_directory(self) -> None:
+        directory = self._services.directory
+        endpoints = directory.endpoints_serving(self.record.model)
+        wanted = {endpoint.endpoint_id for endpoint in endpoints}
+        for endpoint_id in wanted - set(self._replicas):
+            self._replicas[endpoint_id] = Replica(endpoint_id)
+        for endpoint_id in set(self._replicas) - wanted:
+            if self._replicas[endpoint_id].doing is None:
+                del self._replicas[endpoint_id]
+
+    def _note_complete(self, now_s: float) -> None:
+        if self._ended_s:
+            return
+        self._ended_s = now_s
+        duration_s = now_s - self._started_s
+        metrics = self._services.metrics
+        metrics.observe_s("weights_rollout_seconds", duration_s)
+        logger.info(
+            "weights: {} is at version {} everywhere after {:.2f} s",
+            self.record.model,
+            self.record.version,
+            duration_s,
+        )
+
+    def _give(self, order: NextOrder, now_s: float) -> None:
+        replica = self._replicas[order.endpoint_id]
+        replica.doing = order.kind
+        replica.started_s = now_s
+        task = asyncio.create_task(self._order(replica, order.kind))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _order(self, replica: Replica, kind: OrderKind) -> None:
+        record = self.record
+        body = OrderEndpoint(
+            replica.endpoint_id, kind.value, record.model, record.version
+        )
+        timer = self._services.timer
+        started_s = timer.now_s()
+        try:
+            state = await self._ask_keeper(replica.endpoint_id, body)
+        except CodedError as error:
+            logger.warning(
+                "weights: {} of {} failed: {}",
+                kind.value,
+                replica.endpoint_id,
+                error.reason,
+            )
+            self._services.metrics.add("weights_failed_orders_total", kind=kind.value)
+            replica.failed(error.reason, timer.now_s())
+            return
+        finally:
+            if kind is OrderKind.ACTIVATE:
+                self._switching_s += timer.now_s() - started_s
+        replica.succeeded(state.active, state.prefetched)
+        self.advance()
+
+    async def _ask_keeper(self, endpoint_id: str, body: OrderEndpoint) -> ReplicaState:
+        keepers = self._services.directory.keepers_for(endpoint_id)
+        keeper = keepers[0] if keepers else self._services.vm.vm_id
+        state = await self._services.peers.request(keeper, body, ORDER_TIMEOUT_S)
+        assert isinstance(state, ReplicaState)
+        return state
+
+    def _check_in_background(self) -> None:
+        """Read the versions of all replicas now and then, one task at a time."""
+        now_s = self._services.timer.now_s()
+        if self._checking or now_s - self._checked_s < CHECK_INTERVAL_S:
+            return
+        self._checking = True
+        self._checked_s = now_s
+        task = asyncio.create_task(self._check())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _check(self) -> None:
+        by_keeper: dict[str, list[str]] = {}
+        for endpoint_id in self._replicas:
+            keepers = self._services.directory.keepers_for(endpoint_id)
+            if keepers:
+                by_keeper.setdefault(keepers[0], []).append(endpoint_id)
+        try:
+            await asyncio.gather(
+                *(self._check_at(vm_id, tuple(ids)) for vm_id, ids in by_keeper.items())
+            )
+        finally:
+            self._checking = False
+
+    async def _check_at(self, vm_id: str, endpoint_ids: tuple[str, ...]) -> None:
+        try:
+            reply = await self._services.peers.request(
+                vm_id, ProbeEndpoints(endpoint_ids), PROBE_TIMEOUT_S
+            )
+        except CodedError:
+            return
+        if isinstance(reply, ProbeReply):
+            for load in reply.loads:
+                self._take_load(load)
+
+    def _take_load(self, load: EndpointLoad) -> None:
+        replica = self._replicas.get(load.endpoint_id)
+        if replica is None or replica.doing is not None:
+            return
+        replica.serving = not load.ejected and not load.leaving
+        if not load.weight_version:
+            return
+        if load.weight_version < replica.active:
+            # Restarted with older weights: nothing prefetched lies there.
+            replica.prefetched = ()
+            self._ended_s = 0.0
+        replica.active = load.weight_version
+
+    def status(self, recorded: bool) -> RolloutStatus:
+        """Return how far the rollout has come."""
+        now_s = self._services.timer.now_s()
+        duration_s = (self._ended_s or now_s) - self._started_s
+        total_s = duration_s * max(1, len(self._replicas))
+        return RolloutStatus(
+            model=self.record.model,
+            version=self.record.version,
+            announced_by=self.record.announced_by,
+            announced_at_s=self.record.announced_at_s,
+            recorded=recorded,
+            complete=self.complete,
+            duration_s=duration_s,
+            lost_share=self._switching_s / total_s if total_s else 0.0,
+            replicas=tuple(
+                ReplicaStatus(
+                    replica.endpoint_id,
+                    replica.active,
+                    self.record.version in replica.prefetched,
+                    replica.doing.value if replica.doing is not None else "",
+                    replica.failures,
+                    replica.last_error,
+                )
+                for replica in self._replicas.values()
+            ),
+        )
+
+    def close(self) -> None:
+        """Stop; orders that are out end at their keepers."""
+        for task in list(self._tasks):
+            task.cancel()
