--- a/bench/audit.py
+++ b/bench/audit.py
@@ -4,12 +4,19 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from bench.audit_log import EngineRun, SoakLog
+from bench.audit_log import (
+    CallAttempt,
+    CallerAnswer,
+    EngineRun,
+    PlannedStop,
+    SoakLog,
+)
 from standins.tokens import answer_text
 
 __all__ = ["CHECKS", "Audit", "Breach", "audit", "check"]
 
 LEAVING_BOUND_S = 3.0
+STOP_SLACK_S = 0.5
 ATTEMPT_MARK = "~"
 
 Check = Callable[[SoakLog], Iterator[str]]
@@ -55,7 +62,9 @@
 
 
 def _counts(log: SoakLog) -> dict[str, int]:
-    outcomes = Counter(attempt.outcome for attempt in log.attempts)
+    outcomes = Counter(
+        f"{attempt.outcome} {attempt.code}".strip() for attempt in log.attempts
+    )
     return {
         "samples_asked": len(log.asked),
         "samples_delivered": len(log.delivered),
@@ -66,7 +75,7 @@
         "caller_answers_cut": sum(answer.cut for answer in log.answers),
         "keys": len({a.idempotency_key for a in log.attempts if a.idempotency_key}),
         "call_attempts": len(log.attempts),
-        **{f"calls_{name}": outcomes[name] for name in sorted(outcomes)},
+        **{f"calls {name}": outcomes[name] for name in sorted(outcomes)},
         "service_runs": len(log.service_runs),
         "settings_seen": len(log.settings_seen),
         "settings_accepted": len(log.accepted),
@@ -294,8 +303,28 @@
         if stop.exit_code != 0:
             yield f"{stop.vm_id} ended with {stop.exit_code} after SIGTERM"
         for answer in log.answers:
-            at_daemon = answer.entry_vm_id == stop.vm_id
-            in_flight = answer.started_at_s < stop.at_s
-            during = stop.at_s <= answer.ended_at_s <= stop.ended_at_s + 0.5
-            if answer.cut and at_daemon and in_flight and during:
+            if answer.cut and _was_in_flight(answer, stop):
                 yield f"request {answer.request_id} was cut by the stop of {stop.vm_id}"
+        for attempt in log.attempts:
+            if attempt.outcome == "lost" and _was_in_flight(attempt, stop):
+                yield f"call {attempt.request_id} was cut by the stop of {stop.vm_id}"
+
+
+def _was_in_flight(request: CallerAnswer | CallAttempt, stop: PlannedStop) -> bool:
+    """Whether a request was at a daemon when it was told to stop, and ended then."""
+    if request.entry_vm_id != stop.vm_id or request.started_at_s >= stop.at_s:
+        return False
+    return stop.at_s <= request.ended_at_s <= stop.ended_at_s + STOP_SLACK_S
+
+
+@check("load idle")
+def load_made_progress(log: SoakLog) -> Iterator[str]:
+    """Yield parts of the load of which nothing succeeded."""
+    if not log.delivered:
+        yield "no sample was delivered"
+    if all(answer.cut for answer in log.answers):
+        yield "no caller got a whole answer"
+    if not any(attempt.outcome == "done" for attempt in log.attempts):
+        yield "no call was done"
+    if not log.accepted:
+        yield "no change of the settings was accepted"
--- a/bench/audit_log.py
+++ b/bench/audit_log.py
@@ -61,13 +61,18 @@
 class CallAttempt:
     """An attempt of a call that is not idempotent, as its caller saw it.
 
-    `outcome` is ``done``, ``not_run``, ``unknown`` or ``lost``.
+    `outcome` is ``done``, ``not_run``, ``unknown`` or ``lost``, `code` that of
+    the error; `entry_vm_id` names the daemon asked, times are wall-clock seconds.
     """
 
     request_id: str
     idempotency_key: str
     outcome: str
     booking: str = ""
+    code: str = ""
+    entry_vm_id: str = ""
+    started_at_s: float = 0.0
+    ended_at_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -51,12 +51,13 @@
 STREAM_CALLERS = 3
 PLAIN_CALLERS = 3
 OPERATORS = 2
+ENGINE_OPTIONS = ("--time-scale", "3")
 PLAN = DeploymentPlan(
     daemon_zones=("zone-a", "zone-b", "zone-c", "zone-a"),
     engines=(
-        EnginePlan("zone-a", "checked", 8),
-        EnginePlan("zone-b", "checked", 8),
-        EnginePlan("zone-c", "ignored", 8),
+        EnginePlan("zone-a", "checked", 8, ENGINE_OPTIONS),
+        EnginePlan("zone-b", "checked", 8, ENGINE_OPTIONS),
+        EnginePlan("zone-c", "ignored", 8, ENGINE_OPTIONS),
     ),
     services=(ServicePlan("zone-a"),),
     team_names=(TEAM,),
--- a/bench/soak_load.py
+++ b/bench/soak_load.py
@@ -266,9 +266,9 @@
         Now and then two attempts race each other.
         """
         for number in range(KEY_ATTEMPTS):
-            attempts = [self._attempt(f"{key}/{number}a", key)]
+            attempts = [self._attempt(f"{key}.{number}a", key)]
             if self._random.random() < 0.2:
-                attempts.append(self._attempt(f"{key}/{number}b", key))
+                attempts.append(self._attempt(f"{key}.{number}b", key))
             settled = await asyncio.gather(*attempts)
             if any(settled):
                 return
@@ -277,15 +277,19 @@
     async def _attempt(self, request_id: str, key: str) -> bool:
         """Make one attempt; return whether no further one makes sense."""
         fleet = self._fleet
-        _, url = fleet.any_daemon(self._random)
+        vm_id, url = fleet.any_daemon(self._random)
         headers = fleet.deployment.team_headers(TEAM) | {"X-Request-Id": request_id}
         if key:
             headers["Idempotency-Key"] = key
         body = {"box": f"box-{key or request_id}", "crew": "crew-1"}
         path = f"{url}/services/{SERVICE}/bookings"
+        started_s = time.time()
         answer = await fleet.send(path, "POST", headers, body)
         outcome, code, booking = _outcome(answer)
-        fleet.log.attempts.append(CallAttempt(request_id, key, outcome, booking))
+        attempt = CallAttempt(
+            request_id, key, outcome, booking, code, vm_id, started_s, time.time()
+        )
+        fleet.log.attempts.append(attempt)
         return outcome == "done" or code == "call_outcome_unknown"
 
 
--- a/features/audit.feature
+++ b/features/audit.feature
@@ -32,7 +32,11 @@
       | carry out an old order     | order out of sequence      |
       | send work to a leaver      | leaving endpoint got work  |
       | cut a request by a stop    | planned stop cut a request |
+      | lose a call by a stop      | planned stop cut a request |
       | end a stop with an error   | planned stop cut a request |
+      | answer no call             | load idle                  |
+      | answer no caller           | load idle                  |
+      | accept no setting          | load idle                  |
 
   Scenario: Every check has a planted breach
     Then every kind of breach stands in the table of planted breaches
--- a/features/support/audit.py
+++ b/features/support/audit.py
@@ -190,6 +190,28 @@
     log.planned_stops.append(PlannedStop("vm-1", 11.0, 13.0, 0))
 
 
+@plant("lose a call by a stop")
+def _call_lost_by_stop(log: SoakLog) -> None:
+    lost = CallAttempt("r7", "", "lost", "", "", "vm-1", 19.0, 21.0)
+    log.attempts.append(lost)
+
+
 @plant("end a stop with an error")
 def _stop_with_error(log: SoakLog) -> None:
     log.planned_stops.append(PlannedStop("vm-3", 30.0, 31.0, -9))
+
+
+@plant("answer no call")
+def _no_calls(log: SoakLog) -> None:
+    log.attempts = [CallAttempt("r1", "k1", "not_run")]
+    log.service_runs.clear()
+
+
+@plant("answer no caller")
+def _no_answers(log: SoakLog) -> None:
+    log.answers = log.answers[2:]
+
+
+@plant("accept no setting")
+def _no_settings(log: SoakLog) -> None:
+    log.accepted.clear()
