--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -33,11 +33,17 @@
         Bound of the flooding team in the period.
     open_ended : bool
         Whether `run` goes on until it is cancelled.
+    compares_policies : bool
+        Whether all routing policies are measured, or only the first.
+    limit_s : float
+        Time after which a round is given up.
     """
 
     name = ""
     size = WorkSize()
     open_ended = False
+    compares_policies = True
+    limit_s = 40.0
     flood_tokens = BUDGET_TOKENS
 
     def engines_left(self, shape: Shape) -> float:
@@ -147,6 +153,9 @@
 class RollingRestart(Scenario):
     """Every daemon is stopped gracefully and started again, one at a time."""
 
+    compares_policies = False
+    limit_s = 150.0
+
     async def run(self, site: Site, flood: Callers) -> None:
         """Restart all daemons; each has to exit with code 0."""
         await asyncio.sleep(FAULT_AT_S)
