--- a/features/delivery.feature
+++ b/features/delivery.feature
@@ -88,3 +88,15 @@
       | backup unreachable | owner_unavailable |
       | backup unreachable, asked again | owner_unavailable |
       | group remade       | the same          |
+
+  Scenario Outline: An owner shares its slots among the steps that still run
+    Given a step of 2 groups of 1 samples with staleness bound 1 and trainer version 5
+    When <steps> such steps run and <finished> of them are finished
+    Then each may have <concurrency> samples in flight at 40 slots
+
+    Examples:
+      | steps | finished | concurrency |
+      | 1     | 0        | 60          |
+      | 2     | 0        | 30          |
+      | 6     | 5        | 60          |
+      | 30    | 0        | 4           |
--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -10,6 +10,7 @@
 from features.support.memory_shards import MemoryShards
 from greengagetack.errors import CodedError
 from greengagetack.keeper.messages import Chunk, Complete, Completed
+from greengagetack.rollouts.concurrency import step_concurrency
 from greengagetack.rollouts.delivery import deliver
 from greengagetack.rollouts.groupset import expand_ranges, to_ranges
 from greengagetack.rollouts.messages import FetchedGroups, FetchGroups
@@ -261,3 +262,29 @@
 @then('the batches are "{result}"')
 def step_batches_result(context: Context, result: str) -> None:
     assert context.batches == result, context.batches
+
+
+@when("{steps:d} such steps run and {finished:d} of them are finished")
+def step_several(context: Context, steps: int, finished: int) -> None:
+    spec = context.runner.state.spec
+    context.runners = [_new_runner(context, StepState(spec)) for _ in range(steps)]
+
+    async def run() -> None:
+        for runner in context.runners:
+            runner.start()
+        for runner in context.runners[:finished]:
+            for group in spec.groups:
+                runner.state.finish(_sample(SampleId(group.group_id, 0), (5,)))
+                runner.state.set_scores(group.group_id, {})
+            runner.notify()
+        await asyncio.sleep(0.05)
+        context.concurrency = step_concurrency(40, context.runners)
+        for runner in context.runners:
+            await runner.stop(cancel_requests=False)
+
+    asyncio.run(run())
+
+
+@then("each may have {concurrency:d} samples in flight at 40 slots")
+def step_concurrent(context: Context, concurrency: int) -> None:
+    assert context.concurrency == concurrency, context.concurrency
--- a/greengagetack/rollouts/owner.py
+++ b/greengagetack/rollouts/owner.py
@@ -16,6 +16,7 @@
 )
 from greengagetack.peers.messages import Done
 from greengagetack.rollouts.completions import RoutedCompletions
+from greengagetack.rollouts.concurrency import step_concurrency
 from greengagetack.rollouts.delivery import deliver
 from greengagetack.rollouts.messages import (
     CancelStep,
@@ -37,8 +38,6 @@
 
 SWEEP_INTERVAL_S = 0.5
 NOT_OWNER_RETRY_S = 0.5
-CONCURRENCY_RATIO = 1.5
-MIN_CONCURRENCY = 4
 
 
 @dataclass
@@ -151,8 +150,8 @@
         def concurrency() -> int:
             endpoints = self.services.directory.endpoints_serving(model)
             slots = sum(endpoint.slots for endpoint in endpoints)
-            share = slots * CONCURRENCY_RATIO / max(1, len(self._steps))
-            return max(MIN_CONCURRENCY, int(share))
+            runners = (step.runner for step in self._steps.values())
+            return step_concurrency(slots, runners)
 
         return concurrency
 
--- a/greengagetack/rollouts/runner.py
+++ b/greengagetack/rollouts/runner.py
@@ -99,6 +99,11 @@
             self._main = asyncio.create_task(self._run())
         self._changed.set()
 
+    @property
+    def running(self) -> bool:
+        """Whether samples are still to be made."""
+        return self._main is not None and not self._main.done()
+
     async def _run(self) -> None:
         while not self.state.complete:
             if self._time_left_s() <= 0:
