Take a chunked answer that was cut as lost in all clients

Cause: the HTTP library raises ValueError for a cut chunk, which ended the demonstration's caller when a daemon was killed within a stream. Ruled out: a special case per caller. Change: the clients of trainers and demonstrations count it as a lost answer. Conclusion: repeated like any lost answer.

--- a/greengagetack/rollouts/client.py
+++ b/greengagetack/rollouts/client.py
@@ -34,7 +34,14 @@
         "platform_unavailable",
     }
 )
-LOST_ANSWER_ERRORS = (OSError, EOFError, TimeoutError, AiosonicError, BaseTimeout)
+LOST_ANSWER_ERRORS = (
+    OSError,
+    EOFError,
+    TimeoutError,
+    ValueError,
+    AiosonicError,
+    BaseTimeout,
+)
 
 
 @dataclass(frozen=True, slots=True)
