Measure how long settings take to be everywhere and close idle links

Every member asked all others at its start, and links that were opened once were pinged for ever, so that a cell was a full mesh. Change: at its start a daemon asks all members only if the platform does not answer at once; the side that opened a link closes it after 60 s without use.

--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 	$(BIN)/python -m bench.soak
 
 measure: setup
+	$(BIN)/python -m bench.settings_propagation
 	$(BIN)/python -m bench.measure
 
 capacity: setup
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -73,3 +73,7 @@
     And a member changes the fleet's settings to version 4
     When an old push of version 3 reaches settings member v1
     Then all settings members have version 4 in force
+
+  Scenario: Members that start with the platform up do not all link to each other
+    Given a settings cell of 12 members
+    Then settings members have opened at most 4 links each
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -194,3 +194,12 @@
     member = context.cell.members[vm_id]
     assert not member.store.ready
     assert member.store.version("/fleet") == 0
+
+
+@then("settings members have opened at most {count:d} links each")
+def step_links(context: Context, count: int) -> None:
+    run(context, asyncio.sleep(1.5))
+    members = context.cell.members.values()
+    # Each link is counted by the side that opened it and by the other one.
+    links = sum(member.peers.link_count for member in members) / 2
+    assert links <= count * len(members), links
--- a/features/support/settings_cell.py
+++ b/features/support/settings_cell.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, cast
 
 import uvicorn
 from starlette.applications import Starlette
@@ -99,7 +99,7 @@
             platform=self.platform,
             settings=store,
             directory=self.directory,  # type: ignore[arg-type]
-            shards=ShardStore.__new__(ShardStore),
+            shards=cast(ShardStore, None),
             metrics=Metrics(),
             spans=SpanStore(vm_id),
             front_door=FrontDoor(),
--- a/greengagetack/peers/link.py
+++ b/greengagetack/peers/link.py
@@ -27,6 +27,7 @@
 READ_BYTES = 65_536
 PING_INTERVAL_S = 1.0
 SILENCE_LIMIT_S = 3.0
+IDLE_LIMIT_S = 60.0
 MAX_QUEUED_ITEMS = 4_096
 MAX_SERVED_EXCHANGES = 4_096
 
@@ -45,7 +46,9 @@
     """Carries exchanges in both directions over one connection.
 
     A link that has been silent for ``SILENCE_LIMIT_S`` seconds is closed; its
-    open exchanges end with `PeerLost`.
+    open exchanges end with `PeerLost`. The side that opened a link closes it once
+    it has not used it for ``IDLE_LIMIT_S`` seconds, so that a daemon pings those
+    that it works with rather than all that it ever met.
     """
 
     def __init__(
@@ -69,6 +72,7 @@
         self._serving: dict[int, asyncio.Task[None]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self.last_heard_s = timer.now_s()
+        self._last_exchange_s: float | None = None
         set_low_delay(writer)
 
     def start(self, frames: FrameReader) -> None:
@@ -109,6 +113,7 @@
         exchange_id = next(self._exchange_ids)
         answers: asyncio.Queue[Frame] = asyncio.Queue(MAX_QUEUED_ITEMS)
         self._waiting[exchange_id] = answers
+        self._last_exchange_s = self._timer.now_s()
         ended = False
         try:
             self.send(
@@ -131,6 +136,7 @@
                 return
         finally:
             self._waiting.pop(exchange_id, None)
+            self._last_exchange_s = self._timer.now_s()
             if not ended and not self.closed:
                 self.send(Frame(FrameKind.CANCEL, exchange_id))
 
@@ -229,9 +235,21 @@
                 )
                 self.close()
                 return
+            if self._is_idle():
+                self.close()
+                return
             if not self.closed:
                 self.send(Frame(FrameKind.PING))
 
+    def _is_idle(self) -> bool:
+        """Whether this side opened the link and has long had no use for it.
+
+        Only the opener sends requests, so that none can be lost by closing.
+        """
+        if self._last_exchange_s is None or self._waiting:
+            return False
+        return self._timer.now_s() - self._last_exchange_s > IDLE_LIMIT_S
+
     def close(self) -> None:
         """Close the connection and end all open exchanges."""
         if self.closed:
--- a/greengagetack/peers/node.py
+++ b/greengagetack/peers/node.py
@@ -100,6 +100,11 @@
         """Return where a peer listens, None if that is not known."""
         return self._addresses.get(vm_id)
 
+    @property
+    def link_count(self) -> int:
+        """Number of open links, opened here or by peers."""
+        return len(self._links) + len(self._accepted)
+
     async def start(self, listener: socket.socket) -> None:
         """Serve links on `listener`."""
         self._server = await asyncio.start_server(
--- a/greengagetack/settings/sync.py
+++ b/greengagetack/settings/sync.py
@@ -36,6 +36,7 @@
 MAX_WATCH_RETRY_S = 2.0
 DUTY_CHECK_S = 0.5
 LOAD_RETRY_S = 0.3
+PLATFORM_HEAD_START_S = 0.5
 MAX_LOAD_RETRY_S = 2.0
 COMPARE_INTERVAL_S = 1.0
 VERIFY_DELAY_S = 0.5
@@ -99,13 +100,14 @@
     # Loading
 
     async def _load(self) -> None:
-        """Ask the platform and the peers until one of them has given all."""
+        """Ask the platform or all members until one has given all settings.
+
+        The platform has every accepted change, so that members are asked only if
+        it does not answer at once.
+        """
         retry_s = LOAD_RETRY_S
         while not self._store.ready:
-            answers = await asyncio.gather(
-                self._load_from_platform(), self._load_from_members()
-            )
-            if any(answers):
+            if await self._load_once():
                 self._store.mark_loaded()
             if self._store.ready:
                 logger.info("settings: loaded")
@@ -113,6 +115,14 @@
             await self._timer.sleep(self._timer.jittered_s(retry_s))
             retry_s = min(2 * retry_s, MAX_LOAD_RETRY_S)
 
+    async def _load_once(self) -> bool:
+        platform = asyncio.create_task(self._load_from_platform())
+        await asyncio.wait([platform], timeout=PLATFORM_HEAD_START_S)
+        if platform.done() and platform.result():
+            return True
+        answers = await asyncio.gather(platform, self._load_from_members())
+        return any(answers)
+
     async def _load_from_platform(self) -> bool:
         try:
             answer = await self._platform.list(PREFIX)
