--- a/features/support/fakes.py
+++ b/features/support/fakes.py
@@ -76,7 +76,8 @@
 
     def table(self) -> CellTable:
         """Return a table with the members."""
-        return CellTable("cell", members=self._cell.members)
+        cell = self._cell
+        return CellTable("cell", lead_vm_id=cell.lead_vm_id, members=cell.members)
 
     def live_members(self) -> tuple[Vm, ...]:
         """Return the members."""
@@ -168,6 +169,10 @@
         """Return what the test set, for the owner."""
         return self.acting and self.role(shard) is ShardRole.OWNER
 
+    def acts_for_jobs(self, shard: int) -> bool:
+        """Return what the test set, for the owner."""
+        return self.may_act(shard)
+
     def get(self, shard: int, kind: str, key: str) -> bytes | None:
         """Return a record."""
         return self.kept.get((shard, kind, key))
--- a/greengagetack/daemons/parts.py
+++ b/greengagetack/daemons/parts.py
@@ -9,9 +9,13 @@
 import greengagetack.entry.plain
 import greengagetack.entry.role
 import greengagetack.keeper.role
+import greengagetack.limits.owner
+import greengagetack.limits.usage
 import greengagetack.rollouts.owner
 import greengagetack.settings.http
 import greengagetack.settings.sync
+import greengagetack.weights.role
+import greengagetack.weights.routes
 
 __all__ = ["PARTS"]
 
@@ -25,7 +29,11 @@
     greengagetack.entry.plain,
     greengagetack.entry.role,
     greengagetack.keeper.role,
+    greengagetack.limits.owner,
+    greengagetack.limits.usage,
     greengagetack.rollouts.owner,
     greengagetack.settings.http,
     greengagetack.settings.sync,
+    greengagetack.weights.role,
+    greengagetack.weights.routes,
 )
--- a/greengagetack/membership/plan.py
+++ b/greengagetack/membership/plan.py
@@ -1,5 +1,7 @@
 """greengagetack.membership.plan: the next table and the pairs of new shards."""
 
+import math
+from collections import Counter
 from dataclasses import dataclass, replace
 
 from greengagetack.membership.assignment import assign_keepers
@@ -16,6 +18,8 @@
     "TablePlan",
     "backup_order",
     "choose_backup",
+    "ShardMove",
+    "plan_move",
     "plan_pairs",
     "plan_table",
 ]
@@ -109,17 +113,25 @@
 def plan_pairs(
     known: dict[int, ShardPair], members: tuple[Vm, ...], shard_count: int
 ) -> tuple[ShardPair, ...]:
-    """Return pairs in their first epoch for the shards that have none yet."""
+    """Return pairs in their first epoch for the shards that have none yet.
+
+    Owners and backups are spread evenly: each new shard goes to the members that
+    own or back up least, by rendezvous order among those.
+    """
     live = tuple(vm for vm in members if vm.state is VmState.LIVE)
     if not live:
         return ()
-    pairs: list[ShardPair] = []
+    owned = Counter(pair.owner_vm_id for pair in known.values())
+    backed = Counter(pair.backup_vm_id for pair in known.values())
     by_id = {vm.vm_id: vm for vm in live}
+    pairs: list[ShardPair] = []
     for shard in range(shard_count):
         if shard in known:
             continue
-        owner = by_id[rendezvous_order(f"shard-{shard}", tuple(by_id))[0]]
-        backup = choose_backup(shard, owner, live)
+        order = rendezvous_order(f"shard-{shard}", tuple(by_id))
+        owner = by_id[min(order, key=owned.__getitem__)]
+        backup = _even_backup(shard, owner, live, backed)
+        owned[owner.vm_id] += 1
         pairs.append(
             ShardPair(
                 shard,
@@ -130,9 +142,23 @@
                 backup.incarnation if backup else "",
             )
         )
+        backed[pairs[-1].backup_vm_id] += 1
     return tuple(pairs)
 
 
+def _even_backup(
+    shard: int, owner: Vm, live: tuple[Vm, ...], backed: Counter[str]
+) -> Vm | None:
+    """Return the backup that backs up least, in another zone if there is one."""
+    by_id = {vm.vm_id: vm for vm in live}
+    order = [by_id[name] for name in backup_order(shard, owner, live)]
+    far = [vm for vm in order if vm.availability_zone != owner.availability_zone]
+    candidates = far or order
+    if not candidates:
+        return None
+    return min(candidates, key=lambda vm: backed[vm.vm_id])
+
+
 def choose_backup(shard: int, owner: Vm, members: tuple[Vm, ...]) -> Vm | None:
     """Return the best backup for an owner, None if there is no other member."""
     order = backup_order(shard, owner, members)
@@ -151,3 +177,35 @@
         (near if same else far).append(vm.vm_id)
     key = f"shard-{shard}"
     return (*rendezvous_order(key, tuple(far)), *rendezvous_order(key, tuple(near)))
+
+
+@dataclass(frozen=True, slots=True)
+class ShardMove:
+    """A shard and the VM that is to own it."""
+
+    shard: int
+    to_vm_id: str
+
+
+def plan_move(
+    pairs: dict[int, ShardPair], live: tuple[Vm, ...], own: set[int]
+) -> ShardMove | None:
+    """Return a shard to give away, None if this VM owns no more than its share.
+
+    The share is the number of shards over the number of live members, rounded
+    up. The receiver is the member that owns least, and less than its share by
+    more than the move would change.
+    """
+    names = tuple(vm.vm_id for vm in live)
+    if not names or not own:
+        return None
+    owned = Counter(pair.owner_vm_id for pair in pairs.values())
+    share = math.ceil(len(pairs) / len(names))
+    if len(own) <= share:
+        return None
+    least = min(owned[name] for name in names)
+    if least + 1 >= len(own):
+        return None
+    shard = min(own)
+    poorest = tuple(name for name in names if owned[name] == least)
+    return ShardMove(shard, rendezvous_order(f"shard-{shard}", poorest)[0])
--- a/greengagetack/rollouts/owner.py
+++ b/greengagetack/rollouts/owner.py
@@ -16,7 +16,9 @@
 )
 from greengagetack.peers.messages import Done
 from greengagetack.rollouts.completions import RoutedCompletions
+from greengagetack.rollouts.concurrency import step_concurrency
 from greengagetack.rollouts.delivery import deliver
+from greengagetack.rollouts.hedging import HedgeLimits
 from greengagetack.rollouts.messages import (
     CancelStep,
     CreateStep,
@@ -37,8 +39,6 @@
 
 SWEEP_INTERVAL_S = 0.5
 NOT_OWNER_RETRY_S = 0.5
-CONCURRENCY_RATIO = 1.5
-MIN_CONCURRENCY = 4
 
 
 @dataclass
@@ -131,9 +131,8 @@
         timer = self.services.timer
         age_s = max(0.0, timer.wall_s() - record.created_wall_s)
         deadline_s = timer.now_s() + spec.deadline_s - age_s
-        state = StepState(
-            spec, get_order(self.services.settings.fleet().rollouts.order)
-        )
+        rollouts = self.services.settings.fleet().rollouts
+        state = StepState(spec, get_order(rollouts.order))
         for sample in self._records.samples(spec):
             state.finish(sample)
         runner = StepRunner(
@@ -144,6 +143,7 @@
             self._concurrency_of(spec.model),
             timer,
             lambda: deadline_s - timer.now_s(),
+            HedgeLimits(rollouts.hedge_waste_ratio, rollouts.straggler_factor),
         )
         return _RunningStep(record, runner, deadline_s)
 
@@ -151,8 +151,8 @@
         def concurrency() -> int:
             endpoints = self.services.directory.endpoints_serving(model)
             slots = sum(endpoint.slots for endpoint in endpoints)
-            share = slots * CONCURRENCY_RATIO / max(1, len(self._steps))
-            return max(MIN_CONCURRENCY, int(share))
+            runners = (step.runner for step in self._steps.values())
+            return step_concurrency(slots, runners)
 
         return concurrency
 
