--- a/features/cli.feature
+++ b/features/cli.feature
@@ -109,4 +109,5 @@
       | trace van-7    | └─ owner                                                 |
       | trace van-7    | request van-7: 4 spans on 2 daemons                      |
       | endpoints      | e1        engine  -       -                                       |
-      | teams usage    | quetzal                                                  |
+      | teams usage    | quetzal    900      1,000  90.0%     1,200      2.50      2 h 05 min       3/8  warning |
+      | teams usage    | kestrel: not known now: its owner is away                |
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -74,13 +74,30 @@
     span("2", "1", "keeper", "v2", 1.01),
     span("3", "2", "engine", "v2", 1.02),
 ]
+USAGE = {
+    "team": "quetzal",
+    "bound_tokens": 1_000,
+    "spent_tokens": 800,
+    "granted_tokens": 100,
+    "forecast_tokens": 1_200,
+    "period_s": 86_400.0,
+    "period_left_s": 7_500.0,
+    "tokens_per_s": 2.5,
+    "concurrent_requests": 3,
+    "concurrent_bound": 8,
+    "warning": True,
+    "exhausted": False,
+}
 CANNED = {
     "/v1/jobs": {"steps": [STEP]},
     "/v1/jobs/routes": {"steps": [STEP]},
     "/v1/status": STATUS,
     "/v1/traces/van-7": {"spans": SPANS},
     "/v1/endpoints": {"endpoints": [{"endpoint_id": "e1", "kind": "engine"}]},
-    "/v1/teams/usage": {"teams": [{"team": "quetzal", "used_tokens": 5}]},
+    "/v1/teams/usage": {
+        "teams": [USAGE],
+        "unknown": [{"team": "kestrel", "code": "x", "reason": "its owner is away"}],
+    },
 }
 
 
--- a/greengagetack/cli/commands/teams.py
+++ b/greengagetack/cli/commands/teams.py
@@ -1,5 +1,7 @@
 """greengagetack.cli.commands.teams: ``greengagetack teams``."""
 
+from typing import Any
+
 import click
 
 from greengagetack.cli.api import Api, server_command
@@ -8,6 +10,18 @@
 
 __all__ = ["teams"]
 
+COLUMNS = (
+    Column("team"),
+    Column("spent", True),
+    Column("of tokens", True),
+    Column("used", True),
+    Column("forecast", True),
+    Column("tokens/s", True),
+    Column("left of period", True),
+    Column("requests", True),
+    Column("state"),
+)
+
 
 @command
 @click.group()
@@ -18,18 +32,46 @@
 @teams.command("usage")
 @server_command
 def usage(api: Api, as_json: bool) -> None:
-    """Show what each team has used of its budget, and the forecast."""
+    """Show what each team has used of its budget, and the forecast.
+
+    A team's token shows that team alone. Spent tokens include what is set aside
+    for requests that run; the forecast is for the end of the period.
+    """
     answer = api.call("GET", "/v1/teams/usage")
     if as_json:
         print_json(answer)
         return
-    rows = answer["teams"]
-    if not rows:
+    if not answer["teams"] and not answer["unknown"]:
         click.echo("no teams")
         return
-    names = list(rows[0])
-    columns = [
-        Column(name.replace("_", " "), isinstance(rows[0][name], int | float))
-        for name in names
+    print_table(COLUMNS, [_row(team) for team in answer["teams"]])
+    for unknown in answer["unknown"]:
+        click.echo(f"{unknown['team']}: not known now: {unknown['reason']}")
+
+
+def _row(team: dict[str, Any]) -> list[Any]:
+    spent = team["spent_tokens"] + team["granted_tokens"]
+    bound = team["bound_tokens"]
+    share = f"{spent / bound:.1%}" if bound else "-"
+    return [
+        team["team"],
+        spent,
+        bound,
+        share,
+        team["forecast_tokens"],
+        team["tokens_per_s"],
+        _hours(team["period_left_s"]),
+        f"{team['concurrent_requests']}/{team['concurrent_bound']}",
+        _state(team),
     ]
-    print_table(columns, [[row.get(name) for name in names] for row in rows])
+
+
+def _hours(seconds: float) -> str:
+    minutes = int(seconds // 60)
+    return f"{minutes // 60} h {minutes % 60:02} min"
+
+
+def _state(team: dict[str, Any]) -> str:
+    if team["exhausted"]:
+        return "exhausted"
+    return "warning" if team["warning"] else "ok"
