--- a/greengagetack/daemons/limits.py
+++ b/greengagetack/daemons/limits.py
@@ -11,7 +11,7 @@
 from starlette.requests import ClientDisconnect, Request
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
-from greengagetack.daemons.responses import error_response
+from greengagetack.daemons.responses import error_response, unexpected_error
 from greengagetack.documents import convert_document, parse_json
 from greengagetack.errors import (
     CodedError,
@@ -84,8 +84,7 @@
             if exchange.response_started:
                 raise
             logger.opt(exception=error).error("entry: the request failed")
-            refusal = CodedError("the daemon met an unexpected error")
-            await exchange.answer(scope, refusal)
+            await exchange.answer(scope, unexpected_error())
 
 
 def _request_id(scope: Scope) -> str:
--- a/greengagetack/daemons/responses.py
+++ b/greengagetack/daemons/responses.py
@@ -9,7 +9,13 @@
 from starlette.requests import Request
 from starlette.responses import Response
 
-from greengagetack.errors import CodedError, InvalidRequest, NotFound, Unauthorized
+from greengagetack.errors import (
+    CodedError,
+    InvalidRequest,
+    NotFound,
+    Outcome,
+    Unauthorized,
+)
 from greengagetack.observability.logs import REQUEST_ID
 
 __all__ = [
@@ -19,6 +25,7 @@
     "error_headers",
     "error_response",
     "json_response",
+    "unexpected_error",
 ]
 
 HTTP_NOT_FOUND = 404
@@ -72,6 +79,13 @@
     return Response(content, status, headers, media_type="application/json")
 
 
+def unexpected_error() -> CodedError:
+    """Return the error for an exception that nobody foresaw; it may have run."""
+    error = CodedError("the daemon met an unexpected error")
+    error.outcome = Outcome.UNKNOWN
+    return error
+
+
 async def _answer_coded_error(request: Request, error: Exception) -> Response:
     assert isinstance(error, CodedError)
     return error_response(error)
@@ -92,7 +106,7 @@
 
 async def _answer_unexpected_error(request: Request, error: Exception) -> Response:
     logger.opt(exception=error).error("entry: {} failed", request.url.path[:200])
-    return error_response(CodedError("the daemon met an unexpected error"))
+    return error_response(unexpected_error())
 
 
 EXCEPTION_HANDLERS: dict[Any, Any] = {
