Heal a cut or frozen owner only after another has taken over

Cause: the scenario healed the cut after a fixed time; where the owner also led the cell, a take-over was not due yet, and none was needed then. Change: the step waits for the take-over during the cut or freeze; what is checked after it is the same, and the take-over itself is checked now too.

--- a/features/shards.feature
+++ b/features/shards.feature
@@ -9,7 +9,7 @@
   Scenario Outline: The owner of shards is <fault>
     Given a cell of 4 members whose 4 shards can act
     When each shard's owner puts 20 records that need the backup
-    And the owner of shard 0 is <fault>
+    And the owner of shard 0 is harmed: <fault>
     Then all shards can act again in a later epoch of shard 0
     And each shard's owner has all confirmed records
     And no shard began an epoch without all records
@@ -18,9 +18,21 @@
     Examples:
       | fault                    |
       | killed                   |
-      | frozen past its lease    |
       | drained                  |
-      | cut off from all members |
+
+  Scenario Outline: The owner of shards is <silent> and comes back
+    Given a cell of 4 members whose 4 shards can act
+    When each shard's owner puts 20 records that need the backup
+    And the owner of shard 0 is <silent> until another has taken over
+    Then all shards can act again in a later epoch of shard 0
+    And each shard's owner has all confirmed records
+    And no shard began an epoch without all records
+    And nothing in the cell had two holders
+
+    Examples:
+      | silent  |
+      | cut off |
+      | frozen  |
 
   Scenario Outline: The backup of shards is <fault>
     Given a cell of 4 members whose 4 shards can act
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -144,9 +144,24 @@
     member.wake()
 
 
+def cut_off(cell: Cell, member: Member) -> None:
+    """Cut the ways between a member and all others, and the platform."""
+    others = frozenset(cell.members) - {member.vm_id}
+    member.peers.cut = others
+    member.port.down = True
+    for vm_id in others:
+        cell.members[vm_id].peers.cut = frozenset({member.vm_id})
+
+
+def heal(cell: Cell) -> None:
+    """Let all members reach each other and the platform again."""
+    for member in cell.members.values():
+        member.peers.cut = frozenset()
+        member.port.down = False
+
+
 async def harm(context: Context, member: Member, fault: str) -> None:
     cell = context.cell
-    others = frozenset(cell.members) - {member.vm_id}
     if fault in ("killed", "killed without replacement"):
         await cell.crash(member.vm_id)
     elif fault == "frozen past its lease":
@@ -161,15 +176,9 @@
         await asyncio.sleep(3 * cell.timings.observer_s)
         member.port.down = False
     elif fault == "cut off from all members":
-        member.peers.cut = others
-        for vm_id in others:
-            cell.members[vm_id].peers.cut = frozenset({member.vm_id})
-        member.port.down = True
+        cut_off(cell, member)
         await asyncio.sleep(3 * cell.timings.observer_s)
-        member.peers.cut = frozenset()
-        for vm_id in others:
-            cell.members[vm_id].peers.cut = frozenset()
-        member.port.down = False
+        heal(cell)
     elif fault == "drained":
         await drain(cell, member)
     else:
--- a/features/steps/shards_steps.py
+++ b/features/steps/shards_steps.py
@@ -7,7 +7,15 @@
 from behave import given, step, then, when
 from behave.runner import Context
 
-from features.steps.membership_steps import drain, harm, run, start_cell, until
+from features.steps.membership_steps import (
+    cut_off,
+    drain,
+    harm,
+    heal,
+    run,
+    start_cell,
+    until,
+)
 from features.support.cell import Cell, Member
 from greengagetack.errors import OwnerUnavailable
 from greengagetack.membership.shards import ShardRole
@@ -98,7 +106,21 @@
     assert has_all(context, "owner")
 
 
-@when("the owner of shard 0 is {fault}")
+@when("the owner of shard 0 is {silent} until another has taken over")
+def step_owner_silent(context: Context, silent: str) -> None:
+    cell = context.cell
+    owner = owner_of(cell, 0)
+    if silent == "cut off":
+        cut_off(cell, owner)
+    else:
+        assert silent == "frozen", silent
+        owner.freeze()
+    until(context, lambda: newest_pair(cell, 0).epoch > context.epoch_before)
+    heal(cell)
+    owner.wake()
+
+
+@when("the owner of shard 0 is harmed: {fault}")
 def step_owner_fails(context: Context, fault: str) -> None:
     run(context, harm(context, owner_of(context.cell, 0), fault))
 
