--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -10,8 +10,10 @@
 from features.support.memory_shards import MemoryShards
 from greengagetack.errors import CodedError
 from greengagetack.keeper.messages import Chunk, Complete, Completed
+from greengagetack.rollouts.concurrency import step_concurrency
 from greengagetack.rollouts.delivery import deliver
 from greengagetack.rollouts.groupset import expand_ranges, to_ranges
+from greengagetack.rollouts.hedging import HedgeLimits
 from greengagetack.rollouts.messages import FetchedGroups, FetchGroups
 from greengagetack.rollouts.orders import get_order
 from greengagetack.rollouts.records import StepRecords
@@ -29,13 +31,17 @@
     """Never makes a sample."""
 
     async def complete(
-        self, request: Complete
+        self, request: Complete, exclude: frozenset[str] = frozenset()
     ) -> AsyncGenerator[Chunk | Completed, None]:
         """Wait for ever."""
         await asyncio.Event().wait()
         yield Chunk(0, 0, "", 0)
 
-    async def release(self, request_id: str, endpoint_id: str) -> None:
+    def endpoint_of(self, request_id: str) -> str:
+        """Return none."""
+        return ""
+
+    async def release(self, request_id: str) -> None:
         """Do nothing."""
 
     async def cancel(self, request_id: str) -> None:
@@ -79,6 +85,7 @@
         lambda: 0,
         Timer(1),
         lambda: FAR_DEADLINE_S,
+        HedgeLimits(0.02, 3.0),
     )
 
 
@@ -261,3 +268,29 @@
 @then('the batches are "{result}"')
 def step_batches_result(context: Context, result: str) -> None:
     assert context.batches == result, context.batches
+
+
+@when("{steps:d} such steps run and {finished:d} of them are finished")
+def step_several(context: Context, steps: int, finished: int) -> None:
+    spec = context.runner.state.spec
+    context.runners = [_new_runner(context, StepState(spec)) for _ in range(steps)]
+
+    async def run() -> None:
+        for runner in context.runners:
+            runner.start()
+        for runner in context.runners[:finished]:
+            for group in spec.groups:
+                runner.state.finish(_sample(SampleId(group.group_id, 0), (5,)))
+                runner.state.set_scores(group.group_id, {})
+            runner.notify()
+        await asyncio.sleep(0.05)
+        context.concurrency = step_concurrency(40, context.runners)
+        for runner in context.runners:
+            await runner.stop(cancel_requests=False)
+
+    asyncio.run(run())
+
+
+@then("each may have {concurrency:d} samples in flight at 40 slots")
+def step_concurrent(context: Context, concurrency: int) -> None:
+    assert context.concurrency == concurrency, context.concurrency
