Let a silent member come back; find a lost lead sooner

Cause: a member that was silent long enough to leave the table was refused for good when it came back in the same incarnation (new scenarios failed: 'leaves the table and comes back as it was', both rows). A lead that renewed after its last answer delayed its successor by a whole lease more, and the new lead kept the former one for a lease before its endpoints and shards moved on. Change: only replaced incarnations are refused; the first four candidates read the lease once after 1.5 missed heartbeats; the former lead gets 1.5 heartbeats.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -46,6 +46,18 @@
       | renewals, twice | 2     |
       | renewals, often | 9     |
 
+  Scenario Outline: A member is <silent>, leaves the table and comes back as it was
+    Given a cell of 4 members with 6 endpoints
+    When the cell is ready
+    And a member that does not lead is <silent> until it is out of the table
+    Then the cell is ready again
+    And nothing in the cell had two holders
+
+    Examples:
+      | silent  |
+      | cut off |
+      | frozen  |
+
   Scenario: A member restarts and is a new incarnation with nothing remembered
     Given a cell of 3 members with 6 endpoints
     When the cell is ready
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -399,3 +399,17 @@
         )
 
     until(context, moved)
+
+
+@when("a member that does not lead is {silent} until it is out of the table")
+def step_out_of_table(context: Context, silent: str) -> None:
+    member = other_than_lead(context)
+    if silent == "cut off":
+        cut_off(context.cell, member)
+    else:
+        assert silent == "frozen", silent
+        member.freeze()
+    lead = context.former.directory
+    until(context, lambda: lead.view.member(member.vm_id) is None)
+    heal(context.cell)
+    member.wake()
--- a/greengagetack/leases/lease.py
+++ b/greengagetack/leases/lease.py
@@ -64,6 +64,13 @@
         Durations.
     timer : Timer
         Clock.
+
+    Attributes
+    ----------
+    epoch : int
+        The newest known epoch, the own one while the lease is held.
+    former_seen_s : float
+        When the former holder's last renewal was seen, set by a claim.
     """
 
     state: str
@@ -84,6 +91,7 @@
         self._seen = _Seen(-1, timer.now_s())
         self._sent_s = 0.0
         self.epoch = 0
+        self.former_seen_s = timer.now_s()
         _MACHINE.add_model(self)
 
     @property
@@ -165,6 +173,7 @@
             self._timer.now_s(), self._seen.since_s, self._timings.observer_s, free
         ):
             return False
+        self.former_seen_s = self._timer.now_s() if free else self._seen.since_s
         self.trigger("try_claim")  # type: ignore[attr-defined]
         epoch = self.epoch + 1
         wanted = LeadObject(self._vm.vm_id, self._vm.incarnation, self._vm.peer, epoch)
--- a/greengagetack/membership/directory.py
+++ b/greengagetack/membership/directory.py
@@ -40,6 +40,8 @@
 MAX_RANK_DELAY_RENEWALS = 3.0
 BACKOFF_PER_RANK_RATIO = 0.25
 DRAIN_LEASES = 3.0
+MISSED_HEARTBEATS = 1.5
+OBSERVERS = 4
 
 
 class CellDirectory:
@@ -106,6 +108,7 @@
         self._keeper_sent_s = -self.timings.lease_s
         self._contest_after_s = 0.0
         self._lead_gone = False
+        self._observed = False
         self._whole_beat: tuple[KnownLead, Vm] | None = None
         self._subscriptions: list[Subscription] = []
         self._notices: set[asyncio.Task[None]] = set()
@@ -291,9 +294,12 @@
         now_s = self._timer.now_s()
         if not self._candidate or self._lease.held or now_s < self._contest_after_s:
             return
-        if now_s - self._trusted_heard_s < 2 * self.timings.heartbeat_s:
+        missed_s = MISSED_HEARTBEATS * self.timings.heartbeat_s
+        if now_s - self._trusted_heard_s < missed_s:
+            self._observed = False
             return
         if self._lease.version >= 0 and not self._lead_gone:
+            await self._observe()
             wait_s = self._lease.may_claim_in_s()
             if wait_s > 0:
                 self._contest_after_s = now_s + wait_s + self._rank_delay_s()
@@ -307,6 +313,21 @@
             backoff_s = self._timer.jittered_s(backoff * self.timings.renew_s)
             self._contest_after_s = now_s + backoff_s
 
+    async def _observe(self) -> None:
+        """Read once which version of the lease the silent lead has left.
+
+        The lead may have renewed it after its last answer; the time that others
+        have to wait counts from when they saw that version. Only the members
+        that would claim it first read.
+        """
+        if self._observed or self._rank() >= OBSERVERS:
+            return
+        self._observed = True
+        with suppress(PlatformUnavailable):
+            lead = await self._lease.read()
+            if lead is not None:
+                self.view.adopt_lead(lead)
+
     def _rank_delay_s(self) -> float:
         """Return how long this VM lets others go first."""
         delay = min(self._rank() * RANK_DELAY_RATIO, MAX_RANK_DELAY_RENEWALS)
--- a/greengagetack/membership/lead.py
+++ b/greengagetack/membership/lead.py
@@ -38,6 +38,7 @@
 
 # Writers tell the lead of new pairs; reading them only repairs a lost notice.
 PAIRS_POLLS = 5.0
+FORMER_LEAD_HEARTBEATS = 1.5
 
 
 class LeadDuty:
@@ -90,8 +91,10 @@
         self._has_table = False
         now_s = self._timer.now_s()
         await self._read_table()
+        former = self._view.table.lead_vm_id
         for vm in self._view.table.members:
-            self._members.setdefault(vm.vm_id, HeardMember(vm, now_s))
+            heard_s = self._former_heard_s(now_s) if vm.vm_id == former else now_s
+            self._members.setdefault(vm.vm_id, HeardMember(vm, heard_s))
         # The former lead may have extended leases until its own one ended.
         self._vacated_s = {
             endpoint.endpoint_id: now_s for endpoint in self._settings.fleet().endpoints
@@ -102,6 +105,15 @@
             # The first table of a cell is written once its members are there.
             self._settled_s = now_s + self._timings.settle_s
 
+    def _former_heard_s(self, now_s: float) -> float:
+        """Return when the former lead was last heard of, by its renewals.
+
+        It keeps the time for one heartbeat, as it may only have lost the platform.
+        """
+        times = self._timings
+        grace_s = FORMER_LEAD_HEARTBEATS * times.heartbeat_s
+        return max(self._lease.former_seen_s, now_s - times.observer_s + grace_s)
+
     async def _read_table(self) -> None:
         stored = await self._platform.read(table_path(self._cell))
         if stored is None:
@@ -270,8 +282,7 @@
 
     def _drop_silent_members(self) -> None:
         for vm_id in self._silent_for(self._timings.observer_s):
-            member = self._members.pop(vm_id)
-            self._retired.add((vm_id, member.vm.incarnation))
+            del self._members[vm_id]
             logger.warning("lead: {} is silent and leaves the table", vm_id)
 
     async def _write_pairs(self) -> None:
