--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -15,6 +15,7 @@
     measure_lead_loss,
 )
 from bench.capacity.fit import Series
+from bench.capacity.lead_process import measure_lead, run_lead
 
 __all__ = ["main"]
 
@@ -119,11 +120,33 @@
     if arguments[:1] == ["loss"]:
         print(msgspec.json.encode(measure_lead_loss(int(arguments[1]))).decode())
         return 0
+    if arguments[:1] == ["lead"]:
+        run_lead(int(arguments[1]), arguments[2])
+        return 0
     print("Many members in one process each; a process of its own per size.")
     costs = measure_sizes("members", MEMBER_SIZES, lambda size: calm(size, 16))
     print_slopes("Members of a cell, 16 shards", MEMBER_SIZES, costs, TARGET_MEMBERS)
     costs = measure_sizes("shards", SHARD_SIZES, lambda size: calm(SHARD_MEMBERS, size))
     print_slopes(f"Shards, {SHARD_MEMBERS} members", SHARD_SIZES, costs, None)
+    print("\n## The lead alone\n")
+    leads = [measure_lead(size) for size in MEMBER_SIZES]
+    for name, unit, values in (
+        ("processor", "ms/s", [cost.cpu_ms_per_s for cost in leads]),
+        ("sends", "bytes/s", [cost.sent_bytes_per_s for cost in leads]),
+        ("receives", "bytes/s", [cost.received_bytes_per_s for cost in leads]),
+    ):
+        series = Series(
+            name, unit, tuple(float(n) for n in MEMBER_SIZES), tuple(values)
+        )
+        line = series.line()
+        predicted = series.without_largest().line().at(MEMBER_SIZES[-1])
+        print(
+            f"{name} [{unit}]: {', '.join(f'{value:.4g}' for value in values)}; "
+            f"line {line.offset:.4g} + {line.slope:.4g} n, largest residual "
+            f"{line.max_residual:.3g}; predicted for {MEMBER_SIZES[-1]} "
+            f"{predicted:.4g}; at {TARGET_MEMBERS}: {line.at(TARGET_MEMBERS):.4g}",
+            flush=True,
+        )
     print("\n## Loss of the lead\n")
     for size in MEMBER_SIZES:
         cost_of_loss = loss(size)
--- a/bench/capacity/cell.py
+++ b/bench/capacity/cell.py
@@ -18,6 +18,7 @@
 from greengagetack.platform.objects import (
     ListedVm,
     ObjectConflict,
+    ObjectStore,
     PlatformObject,
     WatchAnswer,
 )
@@ -105,9 +106,10 @@
 
 
 class _CountingNode(PeerNode):
-    """Counts the bytes that it sends."""
+    """Counts the bytes that it sends and receives."""
 
     sent_bytes = 0
+    received_bytes = 0
 
     def _new_link(
         self, vm_id: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -118,7 +120,15 @@
             self.sent_bytes += len(data)
             write(data)
 
+        read = reader.read
+
+        async def counted_read(size: int = -1) -> bytes:
+            data = await read(size)
+            self.received_bytes += len(data)
+            return data
+
         writer.write = counted  # type: ignore[method-assign]
+        reader.read = counted_read  # type: ignore[assignment,method-assign]
         return super()._new_link(vm_id, reader, writer)
 
 
@@ -152,6 +162,13 @@
 
     async def start(self) -> None:
         """Start all members and wait until the cell is whole."""
+        settings = self.settings()
+        for number in range(self.count):
+            await self.start_member(number, settings, self.platform)
+        await self.until(self.whole)
+
+    def settings(self) -> _FixedSettings:
+        """Return the cell's settings with four endpoints per member."""
         endpoints = tuple(
             Endpoint(
                 endpoint_id=f"e{number}",
@@ -164,14 +181,18 @@
             )
             for number in range(self.count * ENDPOINTS_PER_MEMBER)
         )
-        settings = _FixedSettings(
+        return _FixedSettings(
             FleetSettings(endpoints=endpoints, shard_count=self.shards)
         )
-        for number in range(self.count):
-            await self._start_member(number, settings)
-        await self.until(self.whole)
 
-    async def _start_member(self, number: int, settings: _FixedSettings) -> None:
+    async def start_member(
+        self,
+        number: int,
+        settings: _FixedSettings,
+        platform: ObjectStore,
+        leads: bool = True,
+    ) -> BenchMember:
+        """Start one member, which may become the lead if `leads`."""
         vm_id = f"vm{number}"
         timer = Timer(number)
         listener = listening_socket(Address("127.0.0.1", 0))
@@ -180,16 +201,19 @@
         vm = VmSettings(vm_id, f"zone-{number % ZONES}", "c", "", address, address)
         peers = _CountingNode(vm_id, f"start-{number}", timer)
         directory = CellDirectory(
-            vm, peers.incarnation, peers, self.platform, settings, timer, self.timings
+            vm, peers.incarnation, peers, platform, settings, timer, self.timings
         )
-        shards = ReplicatedShards(directory, peers, settings, timer, self.platform)
+        shards = ReplicatedShards(directory, peers, settings, timer, platform)
         await peers.start(listener)
         await directory.start()
         await shards.start()
-        directory.stand_for_lead()
-        self.members[vm_id] = BenchMember(vm_id, timer, peers, directory, shards)
+        if leads:
+            directory.stand_for_lead()
+        member = BenchMember(vm_id, timer, peers, directory, shards)
+        self.members[vm_id] = member
         listed = ListedVm(vm_id, vm.availability_zone, VmState.LIVE)
         self.platform.listed = (*self.platform.listed, listed)
+        return member
 
     def whole(self) -> bool:
         """Whether all members know the same whole table, and all shards act."""
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -15,6 +15,12 @@
       | 3     | 2    | a backup in another zone |
       | 6     | 1    | a backup in another zone |
 
+  Scenario: Members that may not lead follow the one that may
+    Given a cell of 3 members with 6 endpoints where only the last may lead
+    When the cell is ready
+    Then the cell has exactly one lead
+    And each endpoint of the cell has a live keeper
+
   Scenario Outline: The cell's lead is <fault>
     Given a cell of 4 members with 4 endpoints
     When the cell is ready
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -27,10 +27,15 @@
 
 
 def start_cell(
-    context: Context, count: int, endpoints: int, fencing: Fencing, shards: int = 4
+    context: Context,
+    count: int,
+    endpoints: int,
+    fencing: Fencing,
+    shards: int = 4,
+    never_lead: frozenset[str] = frozenset(),
 ) -> None:
     context.loop = asyncio.new_event_loop()
-    context.cell = Cell()
+    context.cell = Cell(never_lead=never_lead)
     fleet = replace(
         context.cell.settings.fleet(),
         endpoints=make_endpoints(endpoints, fencing),
@@ -57,6 +62,15 @@
     start_cell(context, count, endpoints, Fencing.CHECKED)
 
 
+@given(
+    "a cell of {count:d} members with {endpoints:d} endpoints "
+    "where only the last may lead"
+)
+def step_one_candidate(context: Context, count: int, endpoints: int) -> None:
+    followers = frozenset(f"vm{number}" for number in range(count - 1))
+    start_cell(context, count, endpoints, Fencing.CHECKED, never_lead=followers)
+
+
 @given(
     "a cell of {count:d} members with {endpoints:d} endpoints "
     "that ignore fencing numbers"
--- a/features/support/cell.py
+++ b/features/support/cell.py
@@ -156,6 +156,7 @@
     members: dict[str, Member] = field(default_factory=dict)
     zones: int = 3
     data_folder: DataFolderSettings | None = None
+    never_lead: frozenset[str] = frozenset()
     starts: itertools.count = field(default_factory=lambda: itertools.count(1))
     breaches: list[str] = field(default_factory=list)
     watcher: asyncio.Task | None = None
@@ -201,7 +202,8 @@
         await peers.start(listener)
         await directory.start()
         await shards.start()
-        directory.stand_for_lead()
+        if vm_id not in self.never_lead:
+            directory.stand_for_lead()
         member = Member(vm_id, timer, peers, port, directory, shards)
         self.members[vm_id] = member
         self.list_vms()
--- a/greengagetack/membership/directory.py
+++ b/greengagetack/membership/directory.py
@@ -42,6 +42,7 @@
 DRAIN_LEASES = 3.0
 MISSED_HEARTBEATS = 1.5
 OBSERVERS = 4
+FOLLOW_RENEWALS = 2.0
 
 
 class CellDirectory:
@@ -292,7 +293,7 @@
 
     async def _contest_round(self) -> None:
         now_s = self._timer.now_s()
-        if not self._candidate or self._lease.held or now_s < self._contest_after_s:
+        if self._lease.held or now_s < self._contest_after_s:
             return
         missed_s = MISSED_HEARTBEATS * self.timings.heartbeat_s
         if now_s - self._trusted_heard_s < missed_s:
@@ -320,7 +321,7 @@
         have to wait counts from when they saw that version. Only the members
         that would claim it first read.
         """
-        if self._observed or self._rank() >= OBSERVERS:
+        if self._observed or not self._candidate or self._rank() >= OBSERVERS:
             return
         self._observed = True
         with suppress(PlatformUnavailable):
@@ -346,6 +347,11 @@
                 await self.beat()
                 if self._timer.now_s() - self._trusted_heard_s < self.timings.renew_s:
                     return
+        if not self._candidate:
+            # It only looks for the next lead, at a leisurely rate.
+            wait_s = self._timer.jittered_s(FOLLOW_RENEWALS * self.timings.renew_s)
+            self._contest_after_s = self._timer.now_s() + wait_s
+            return
         if not await self._lease.claim(lead):
             return
         self.view.adopt_lead(self._own_lead())
