Correct the estimate of cached prefixes by the engines' events

Cause: the estimate only knew what the keeper itself had sent. Change: blocks have a likelihood that use, stored and evicted events move; none makes it certain, a gap changes nothing, a restarted engine counts anew.

--- a/features/keeper.feature
+++ b/features/keeper.feature
@@ -116,3 +116,19 @@
     When team flood sends 12 rollouts and then team small sends 1
     Then the rollout of team small is served
     And the refused ones were not run and come back at spread times
+
+  Scenario Outline: Cache events correct the estimate and never decide alone
+    Given an engine's cache as the keeper estimates it
+    When a prompt of 2 blocks was <history>
+    Then the estimated cached share is from <least> to <most>
+
+    Examples:
+      | history                        | least | most |
+      | never sent                     | 0.0   | 0.0  |
+      | sent                           | 0.8   | 0.95 |
+      | sent and both blocks evicted   | 0.1   | 0.3  |
+      | sent and one block evicted     | 0.4   | 0.7  |
+      | sent, evicted and sent again   | 0.8   | 0.95 |
+      | sent, evicted and stored       | 0.5   | 0.8  |
+      | sent and the engine restarted  | 0.0   | 0.0  |
+      | sent and others evicted        | 0.8   | 0.95 |
--- a/greengagetack/engines/base.py
+++ b/greengagetack/engines/base.py
@@ -79,6 +79,10 @@
         """Return cache events after a sequence number."""
         raise self._unsupported("cache events")
 
+    def prefix_blocks(self, prompt: str) -> tuple[str, ...]:
+        """Return the engine's hashes of a prompt's whole blocks, if known."""
+        return ()
+
     async def call(self, request: CallService) -> ServiceAnswer:
         """Send one plain HTTP call, once."""
         raise self._unsupported("plain calls")
--- a/greengagetack/engines/openai.py
+++ b/greengagetack/engines/openai.py
@@ -6,6 +6,7 @@
 from urllib.parse import quote
 
 import msgspec
+import xxhash
 
 from greengagetack.engines.base import EngineAdapter, adapter
 from greengagetack.engines.http import HttpAnswer
@@ -33,6 +34,7 @@
 SHORT_TIMEOUT_S = 2.0
 ORDER_TIMEOUT_S = 60.0
 DEFAULT_RETRY_S = 1.0
+CACHE_BLOCK_TOKENS = 16
 LEAVING_CODE = "leaving"
 END_OF_STREAM = b"[DONE]"
 
@@ -194,6 +196,14 @@
         """Return cache events after a sequence number."""
         return await self._short("GET", f"/cache/events?after={after}", CacheEvents)
 
+    def prefix_blocks(self, prompt: str) -> tuple[str, ...]:
+        """Return the engine's hashes of a prompt's whole blocks."""
+        words = prompt.split()
+        ends = range(CACHE_BLOCK_TOKENS, len(words) + 1, CACHE_BLOCK_TOKENS)
+        return tuple(
+            xxhash.xxh64_hexdigest(" ".join(words[:end]).encode()) for end in ends
+        )
+
     async def is_leaving(self) -> bool:
         """Return whether the engine says that it is leaving."""
         answer = await self.http.request("GET", "/healthz", SHORT_TIMEOUT_S)
--- a/greengagetack/engines/state.py
+++ b/greengagetack/engines/state.py
@@ -104,7 +104,7 @@
 
     sequence: int
     kind: str
-    prefix_hash: int
+    prefix_hash: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagetack/keeper/gate.py
+++ b/greengagetack/keeper/gate.py
@@ -73,7 +73,7 @@
         self.adapter = adapter
         self.health = EndpointHealth(endpoint.endpoint_id, endpoint.slots)
         self.versions = LoadedVersions(endpoint, adapter)
-        self.prefixes = PrefixCache()
+        self.prefixes = PrefixCache(adapter.prefix_blocks)
         self.draining = False
         self.used_at_s = services.timer.now_s()
         self.sibling_paces: tuple[float, ...] = ()
--- a/greengagetack/keeper/monitor.py
+++ b/greengagetack/keeper/monitor.py
@@ -44,6 +44,8 @@
         await gate.check_leaving()
         with suppress(CodedError):
             await gate.versions.refresh()
+            events = await gate.adapter.cache_events(gate.prefixes.next_event)
+            gate.prefixes.correct(events)
         await self._learn_paces()
         self._judge_pace()
         gate.wake()
