--- a/greengagetack/keeper/gate.py
+++ b/greengagetack/keeper/gate.py
@@ -1,30 +1,28 @@
 """greengagetack.keeper.gate: the queue and the requests of one model engine."""
 
 import asyncio
-from contextlib import aclosing, suppress
+from contextlib import suppress
 
 from loguru import logger
 
 from greengagetack.daemons.role import Services
 from greengagetack.engines.base import EngineAdapter
-from greengagetack.engines.resume import stream_resumed
-from greengagetack.engines.state import Finish, Generate
 from greengagetack.errors import (
     CodedError,
     DeadlineExceeded,
     EndpointFailed,
     EndpointRefused,
     NotReady,
-    Outcome,
 )
 from greengagetack.keeper.admission import Admission, CallerReserve
-from greengagetack.keeper.errors import EndpointUnreachable, StaleVersion
+from greengagetack.keeper.errors import EndpointUnreachable
 from greengagetack.keeper.fair_queue import FairQueue
 from greengagetack.keeper.generation import Generation
 from greengagetack.keeper.health import EndpointHealth
 from greengagetack.keeper.held import HeldAnswers
 from greengagetack.keeper.messages import Complete, EndpointLoad, Work
 from greengagetack.keeper.prefixes import PrefixCache
+from greengagetack.keeper.runner import GenerationRunner, expired
 from greengagetack.keeper.spending import Spending
 from greengagetack.keeper.versions import LoadedVersions
 from greengagetack.observability.logs import REQUEST_ID
@@ -33,11 +31,9 @@
 
 __all__ = ["EngineGate"]
 
-CALLER_PRIORITY = 1_000
 CALLER_GRACE_S = 2.0
 DRAIN_RETRY_S = 0.2
 LEAVING_RETRY_S = 0.5
-VERSION_RETRY_S = 0.5
 
 
 class EngineGate:
@@ -84,6 +80,9 @@
         self._admission = Admission(admission)
         self._reserve = CallerReserve(endpoint.slots, admission.caller_reserve_ratio)
         self._queue = FairQueue()
+        self._runner = GenerationRunner(
+            adapter, self.versions, self.health, self.prefixes, spending, services.timer
+        )
         self._running: dict[Generation, asyncio.Task[None]] = {}
         self._wake = asyncio.Event()
         self._task = asyncio.create_task(
@@ -159,7 +158,7 @@
         if known is not None:
             return self._join(known, request)
         self._check_open()
-        self._check_version(request)
+        self.versions.require(request)
         self._check_queue(request)
         generation = Generation(request, self._services.timer.now_s())
         self._spending.take_permit(generation)
@@ -194,18 +193,6 @@
             wait_s = self.health.probe_at_s - self._services.timer.now_s()
             raise EndpointRefused(f"{endpoint_id} is ejected", max(0.1, wait_s))
 
-    def _check_version(self, request: Complete) -> None:
-        if not request.oldest_version:
-            return
-        active = self.versions.active_of(request.model)
-        if active >= request.oldest_version:
-            return
-        raise StaleVersion(
-            f"{self.endpoint.endpoint_id} has version {active} loaded, "
-            f"oldest allowed is {request.oldest_version}",
-            VERSION_RETRY_S,
-        )
-
     def _check_queue(self, request: Complete) -> None:
         wait_s = self._expected_wait_s(request.team, request.work)
         self._admission.check_time(request, wait_s, self.health.seconds_per_token)
@@ -255,7 +242,7 @@
                 attached(generation.traceparent),
                 span("engine.stream", endpoint=self.endpoint.endpoint_id),
             ):
-                await self._relay(generation)
+                await self._runner.run(generation)
         except CodedError as failure:
             error = failure
         except asyncio.CancelledError:
@@ -273,62 +260,6 @@
         self._end(generation, error)
         self._wake.set()
 
-    async def _relay(self, generation: Generation) -> None:
-        timer = self._services.timer
-        request = generation.request
-        self._check_version(request)
-        await self._spending.reserve(generation)
-        generation.started_s = timer.now_s()
-        last_s = generation.started_s
-        self.prefixes.used(request.prompt)
-        left_s = generation.deadline_s - generation.started_s
-        if left_s <= 0:
-            raise _expired()
-        try:
-            async with asyncio.timeout(left_s):
-                stream = stream_resumed(self.adapter, self._generate(generation))
-                async with aclosing(stream) as items:
-                    async for item in items:
-                        if isinstance(item, Finish):
-                            generation.end(item, timer.now_s())
-                            return
-                        self._check_chunk(request, item.weight_version)
-                        now_s = timer.now_s()
-                        if generation.token_count:
-                            self.health.observe(item.token_count, now_s - last_s)
-                        last_s = now_s
-                        generation.add(item)
-        except TimeoutError:
-            await self._cancel_at_engine(generation)
-            raise DeadlineExceeded("the completion did not end in time") from None
-        except StaleVersion:
-            await self._cancel_at_engine(generation)
-            raise
-
-    def _generate(self, generation: Generation) -> Generate:
-        request = generation.request
-        urgent = CALLER_PRIORITY if request.work == Work.CALLER else 0
-        return Generate(
-            request_id=generation.engine_request_id,
-            model=request.model,
-            prompt=request.prompt,
-            max_tokens=request.max_tokens,
-            seed=request.seed,
-            priority=request.priority + urgent,
-            resume_from=generation.first_offset,
-        )
-
-    def _check_chunk(self, request: Complete, version: int) -> None:
-        if version >= request.oldest_version:
-            return
-        error = StaleVersion(
-            f"a token came from version {version}, "
-            f"oldest allowed is {request.oldest_version}",
-            VERSION_RETRY_S,
-        )
-        error.outcome = Outcome.UNKNOWN
-        raise error
-
     def _judge(self, generation: Generation, error: CodedError | None) -> None:
         if error is None:
             self.health.succeeded()
@@ -372,7 +303,7 @@
         for generation in self._held.of_gate(self):
             if generation.deadline_s > now_s or not self._queue.remove(generation):
                 continue
-            self._end(generation, _expired())
+            self._end(generation, expired())
 
     def hand_back(self, why: str) -> None:
         """Refuse all waiting requests, so that they run elsewhere."""
@@ -393,11 +324,7 @@
         self._queue.settle(generation)
         self._end(generation, DeadlineExceeded(why))
         self._wake.set()
-        await self._cancel_at_engine(generation)
-
-    async def _cancel_at_engine(self, generation: Generation) -> None:
-        with suppress(CodedError):
-            await self.adapter.cancel(generation.engine_request_id)
+        await self._runner.cancel(generation)
 
     async def drop_abandoned(self) -> None:
         """Cancel callers' requests that nobody has been reading for a while."""
@@ -423,12 +350,6 @@
         self._wake.set()
 
 
-def _expired() -> DeadlineExceeded:
-    error = DeadlineExceeded("the time ran out before the request was run")
-    error.outcome = Outcome.NOT_RUN
-    return error
-
-
 def _tokens_left(generation: Generation) -> int:
     request = generation.request
     expected = request.expected_tokens or request.max_tokens
--- /dev/null
+++ b/greengagetack/keeper/runner.py
@@ -0,0 +1,131 @@
+"""greengagetack.keeper.runner: takes one completion from the engine to its readers."""
+
+import asyncio
+from contextlib import aclosing, suppress
+
+from greengagetack.engines.base import EngineAdapter
+from greengagetack.engines.resume import stream_resumed
+from greengagetack.engines.state import Finish, Generate
+from greengagetack.errors import CodedError, DeadlineExceeded, Outcome
+from greengagetack.keeper.errors import StaleVersion
+from greengagetack.keeper.generation import Generation
+from greengagetack.keeper.health import EndpointHealth
+from greengagetack.keeper.messages import Work
+from greengagetack.keeper.prefixes import PrefixCache
+from greengagetack.keeper.spending import Spending
+from greengagetack.keeper.versions import LoadedVersions, stale_version
+from greengagetack.timer import Timer
+
+__all__ = ["GenerationRunner", "expired"]
+
+CALLER_PRIORITY = 1_000
+
+
+def expired() -> DeadlineExceeded:
+    """Return the error of a request whose time ran out before it was run."""
+    error = DeadlineExceeded("the time ran out before the request was run")
+    error.outcome = Outcome.NOT_RUN
+    return error
+
+
+class GenerationRunner:
+    """Runs admitted requests at one engine.
+
+    Parameters
+    ----------
+    adapter : EngineAdapter
+        Speaks to the engine.
+    versions : LoadedVersions
+        What the engine has loaded, checked again before each start.
+    health : EndpointHealth
+        Learns the pace.
+    prefixes : PrefixCache
+        Learns the prompts.
+    spending : Spending
+        Sets the tokens aside.
+    timer : Timer
+        Clock.
+    """
+
+    def __init__(
+        self,
+        adapter: EngineAdapter,
+        versions: LoadedVersions,
+        health: EndpointHealth,
+        prefixes: PrefixCache,
+        spending: Spending,
+        timer: Timer,
+    ) -> None:
+        self._adapter = adapter
+        self._versions = versions
+        self._health = health
+        self._prefixes = prefixes
+        self._spending = spending
+        self._timer = timer
+
+    async def run(self, generation: Generation) -> None:
+        """Pass all tokens on until the end.
+
+        Raises
+        ------
+        DeadlineExceeded
+            If the time runs out; what ran is cancelled at the engine.
+        StaleVersion
+            If the loaded version, or that of a token, is older than allowed.
+        CodedError
+            If the team's bound or the engine stops it.
+        """
+        self._versions.require(generation.request)
+        await self._spending.reserve(generation)
+        generation.started_s = self._timer.now_s()
+        left_s = generation.deadline_s - generation.started_s
+        if left_s <= 0:
+            raise expired()
+        self._prefixes.used(generation.request.prompt)
+        try:
+            async with asyncio.timeout(left_s):
+                await self._pass_on(generation)
+        except TimeoutError:
+            await self.cancel(generation)
+            raise DeadlineExceeded("the completion did not end in time") from None
+        except StaleVersion:
+            await self.cancel(generation)
+            raise
+
+    async def _pass_on(self, generation: Generation) -> None:
+        request = generation.request
+        last_s = generation.started_s
+        stream = stream_resumed(self._adapter, _engine_request(generation))
+        async with aclosing(stream) as items:
+            async for item in items:
+                now_s = self._timer.now_s()
+                if isinstance(item, Finish):
+                    generation.end(item, now_s)
+                    return
+                if item.weight_version < request.oldest_version:
+                    error = stale_version(request, item.weight_version)
+                    error.outcome = Outcome.UNKNOWN
+                    raise error
+                if generation.token_count:
+                    self._health.observe(item.token_count, now_s - last_s)
+                last_s = now_s
+                generation.add(item)
+
+    async def cancel(self, generation: Generation) -> None:
+        """Stop a request at the engine, if that answers."""
+        with suppress(CodedError):
+            await self._adapter.cancel(generation.engine_request_id)
+
+
+def _engine_request(generation: Generation) -> Generate:
+    request = generation.request
+    urgent = CALLER_PRIORITY if request.work == Work.CALLER else 0
+    return Generate(
+        request_id=generation.engine_request_id,
+        model=request.model,
+        prompt=request.prompt,
+        max_tokens=request.max_tokens,
+        seed=request.seed,
+        priority=request.priority + urgent,
+        resume_from=generation.first_offset,
+    )
--- a/greengagetack/keeper/versions.py
+++ b/greengagetack/keeper/versions.py
@@ -6,9 +6,13 @@
 from greengagetack.engines.base import EngineAdapter
 from greengagetack.engines.state import EngineState
 from greengagetack.errors import CodedError
+from greengagetack.keeper.errors import StaleVersion
+from greengagetack.keeper.messages import Complete
 from greengagetack.world import Endpoint
 
-__all__ = ["LoadedVersions"]
+__all__ = ["LoadedVersions", "stale_version"]
+
+VERSION_RETRY_S = 0.5
 
 
 class LoadedVersions:
@@ -48,3 +52,24 @@
             if self.state is None:
                 with suppress(CodedError):
                     await self.refresh()
+
+    def require(self, request: Complete) -> None:
+        """Check that the loaded version may answer a request.
+
+        Raises
+        ------
+        StaleVersion
+            If it is older than the request allows; nothing was run.
+        """
+        active = self.active_of(request.model)
+        if request.oldest_version and active < request.oldest_version:
+            raise stale_version(request, active)
+
+
+def stale_version(request: Complete, version: int) -> StaleVersion:
+    """Return the error for a version that a request does not allow."""
+    return StaleVersion(
+        f"version {version} of {request.model} would answer, "
+        f"oldest allowed is {request.oldest_version}",
+        VERSION_RETRY_S,
+    )
