Do not probe leaving engines; take cut chunked answers as lost

Change: an ejected engine that leaves is not probed; ValueError of the HTTP library counts as a lost answer in the trainer's client, the command line and the bench.

--- a/bench/clients.py
+++ b/bench/clients.py
@@ -25,7 +25,15 @@
     sock_read=ANSWER_TIMEOUT_S,
     request_timeout=ANSWER_TIMEOUT_S,
 )
-LOST_ANSWER_ERRORS = (OSError, EOFError, TimeoutError, AiosonicError, BaseTimeout)
+# A chunked answer that is cut raises ValueError.
+LOST_ANSWER_ERRORS = (
+    OSError,
+    EOFError,
+    TimeoutError,
+    ValueError,
+    AiosonicError,
+    BaseTimeout,
+)
 LOST = 0
 
 
--- a/bench/soak_load.py
+++ b/bench/soak_load.py
@@ -79,8 +79,7 @@
                 aiosonic.HTTPClient() as http,
             ):
                 return await send(http, url, method, headers, body)
-        except (TimeoutError, ValueError):
-            # The library raises ValueError for a chunked answer that is cut.
+        except TimeoutError:
             return HttpAnswer(LOST, {}, b"")
 
 
--- a/features/keeper.feature
+++ b/features/keeper.feature
@@ -68,6 +68,11 @@
     When the engine is gone for 3 requests and then comes back
     Then the engine is ejected and later gets work again, from one request on
 
+  Scenario: A leaving engine is not probed after an ejection
+    Given a keeper before 1 engine
+    When the engine is ejected, leaves and comes back
+    Then the engine gets no probe
+
   Scenario: A slow engine is ejected and probed back in
     Given a keeper before 3 engines
     And engine e1 is 20 times slower than the others
--- a/features/steps/keeper_steps.py
+++ b/features/steps/keeper_steps.py
@@ -8,7 +8,7 @@
 from behave.runner import Context
 
 from features.support.fake_engine import FakeEngine
-from features.support.keeper_world import assert_whole, whole_text
+from features.support.keeper_world import ROUTING, assert_whole, whole_text
 from features.support.loops import run_on_loop
 from greengagetack.keeper.fair_queue import FairQueue
 from greengagetack.keeper.generation import Generation
@@ -283,6 +283,34 @@
     assert gate(context).health.allowed() == 4
 
 
+@when("the engine is ejected, leaves and comes back")
+def step_ejected_and_leaving(context: Context) -> None:
+    run_on_loop(context, eject_and_leave(context))
+
+
+async def eject_and_leave(context: Context) -> None:
+    """Fail until the ejection, then serve again while the endpoint leaves."""
+    world = context.world
+    old = context.engine
+    await world.ask("a", world.request())
+    await old.crash()
+    for _ in range(3):
+        await world.ask("a", world.request())
+    assert gate(context).health.ejected
+    world.cell.leaving.add("e1")
+    fresh = FakeEngine()
+    fresh.address = old.address
+    await fresh.start()
+    context.engine = world.engines["e1"] = fresh
+    await asyncio.sleep(3 * ROUTING.ejection_s)
+
+
+@then("the engine gets no probe")
+def step_no_probe(context: Context) -> None:
+    assert context.engine.starts == [], context.engine.starts
+    assert gate(context).health.ejected
+
+
 @given("engine {endpoint_id} is {factor:d} times slower than the others")
 def step_slower(context: Context, endpoint_id: str, factor: int) -> None:
     for engine in context.world.engines.values():
--- a/greengagetack/cli/api.py
+++ b/greengagetack/cli/api.py
@@ -26,7 +26,15 @@
 
 CONNECT_TIMEOUT_S = 5.0
 CALL_TIMEOUT_S = 40.0
-LOST_ANSWER_ERRORS = (OSError, EOFError, TimeoutError, AiosonicError, BaseTimeout)
+# A chunked answer that is cut raises ValueError.
+LOST_ANSWER_ERRORS = (
+    OSError,
+    EOFError,
+    TimeoutError,
+    ValueError,
+    AiosonicError,
+    BaseTimeout,
+)
 TOKEN_VARIABLE = "GREENGAGETACK_TOKEN"
 
 
--- a/greengagetack/keeper/monitor.py
+++ b/greengagetack/keeper/monitor.py
@@ -38,7 +38,7 @@
         gate = self._gate
         gate.refuse_expired()
         await gate.drop_abandoned()
-        if gate.health.ejected:
+        if gate.health.ejected and not gate.leaving:
             await self._probe_if_due()
             return
         await gate.check_leaving()
--- a/greengagetack/rollouts/client.py
+++ b/greengagetack/rollouts/client.py
@@ -34,7 +34,15 @@
         "platform_unavailable",
     }
 )
-LOST_ANSWER_ERRORS = (OSError, EOFError, TimeoutError, AiosonicError, BaseTimeout)
+# A chunked answer that is cut raises ValueError.
+LOST_ANSWER_ERRORS = (
+    OSError,
+    EOFError,
+    TimeoutError,
+    ValueError,
+    AiosonicError,
+    BaseTimeout,
+)
 
 
 @dataclass(frozen=True, slots=True)
