--- a/bench/audit.py
+++ b/bench/audit.py
@@ -11,6 +11,7 @@
     PlannedStop,
     SoakLog,
 )
+from greengagetack.rollouts.runner import HEDGE_SUFFIX
 from standins.tokens import answer_text
 
 __all__ = ["CHECKS", "Audit", "Breach", "audit", "check"]
@@ -200,7 +201,8 @@
 
 
 def _identity(run: EngineRun) -> str:
-    return run.request_id.partition(ATTEMPT_MARK)[0]
+    """Return the sample that a run was for; a hedge is for the same one."""
+    return run.request_id.partition(ATTEMPT_MARK)[0].removesuffix(HEDGE_SUFFIX)
 
 
 def _runs_by_sample(runs: list[EngineRun]) -> dict[tuple[str, str], list[EngineRun]]:
--- a/bench/clients.py
+++ b/bench/clients.py
@@ -25,6 +25,7 @@
     sock_read=ANSWER_TIMEOUT_S,
     request_timeout=ANSWER_TIMEOUT_S,
 )
+# A chunked answer that is cut raises ValueError.
 LOST_ANSWER_ERRORS = (
     OSError,
     EOFError,
--- a/greengagetack/rollouts/client.py
+++ b/greengagetack/rollouts/client.py
@@ -34,6 +34,7 @@
         "platform_unavailable",
     }
 )
+# A chunked answer that is cut raises ValueError.
 LOST_ANSWER_ERRORS = (
     OSError,
     EOFError,
