Let a team that joins start at what others have really been served

The start of a joining team held charges by the bound of tokens that were given back when the requests ended (4400 charged, 50 taken). Ruled out: the least served team's service with its charges in flight; the new scenario failed with it as well (40 of 40 requests to one team). Change: charges in flight don't count for the start; an idle queue forgets.

--- a/bench/site.py
+++ b/bench/site.py
@@ -96,6 +96,27 @@
         for daemon in self.daemons:
             daemon.wait_ready()
         await asyncio.gather(*(self.wait_until_ready(url) for url in self.entries))
+        teams = (*TRAINER_TEAMS, CALLER_TEAM, FLOOD_TEAM)
+        pairs = [(url, team) for url in self.entries for team in teams]
+        await asyncio.gather(*(self._warm_up(url, team) for url, team in pairs))
+
+    async def _warm_up(self, url: str, team: str) -> None:
+        """Repeat a small completion until the entry answers it for the team."""
+        headers = {
+            "Authorization": f"Bearer {token_of(team)}",
+            "Content-Type": "application/json",
+        }
+        body = {"model": MODEL, "prompt": "warm-up [len=1]", "max_tokens": 1}
+        deadline_s = time.monotonic() + READY_LIMIT_S
+        while time.monotonic() < deadline_s:
+            answer = await self.http.post(
+                url + "/v1/completions", headers=headers, data=json.dumps(body)
+            )
+            await answer.content()
+            if answer.status_code == 200:
+                return
+            await asyncio.sleep(POLL_S)
+        raise SiteFailed(f"{url} serves nothing to {team}")
 
     async def _write_settings(self, flood_tokens: int) -> None:
         await self.put_object("settings/fleet", self._fleet())
--- a/features/keeper.feature
+++ b/features/keeper.feature
@@ -104,6 +104,11 @@
     When team b joins after team a has had 10000 tokens
     Then from then on both get the same
 
+  Scenario: A team that joins does not wait for what others were charged too much
+    Given a fair queue with teams a:1 b:1
+    When team b joins while 6 requests of team a are charged 4400 tokens and take 50
+    Then of the next 40 requests at least 16 are of each team
+
   Scenario: Callers go before waiting rollouts
     Given a keeper before 1 engine
     And the engine generates a token every 20 ms
--- a/features/steps/keeper_steps.py
+++ b/features/steps/keeper_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from typing import Any
 
 from behave import given, then, when
@@ -456,6 +457,37 @@
     context.served = work_off(queue, 400, source)
 
 
+@when(
+    "team b joins while {running:d} requests of team a are charged "
+    "{expected:d} tokens and take {tokens:d}"
+)
+def step_joins_overcharged(
+    context: Context, running: int, expected: int, tokens: int
+) -> None:
+    queue = context.queue
+    for _ in range(4 * running):
+        queue.push(waiting("a", expected, expected), 1.0)
+    context.running = [queue.pop((Work.ROLLOUT,)) for _ in range(running)]
+    for _ in range(4 * running):
+        queue.push(waiting("b", expected, expected), 1.0)
+    context.tokens = tokens
+
+
+@then("of the next {count:d} requests at least {least:d} are of each team")
+def step_next_requests(context: Context, count: int, least: int) -> None:
+    queue = context.queue
+    served: Counter[str] = Counter()
+    for _ in range(count):
+        ended = context.running.pop(0)
+        ended.add(Chunk(0, context.tokens, "", 1))
+        queue.settle(ended)
+        queue.push(waiting(ended.request.team, context.tokens, context.tokens), 1.0)
+        taken = queue.pop((Work.ROLLOUT,))
+        served[taken.request.team] += 1
+        context.running.append(taken)
+    assert min(served["a"], served["b"]) >= least, served
+
+
 @then("from then on both get the same")
 def step_same(context: Context) -> None:
     difference = abs(context.served["a"] - context.served["b"])
--- a/greengagetack/keeper/fair_queue.py
+++ b/greengagetack/keeper/fair_queue.py
@@ -17,10 +17,14 @@
 
 @dataclass(slots=True)
 class _Team:
-    """A team's waiting work and the service it has had, in tokens by weight."""
+    """A team's waiting work and the service it has had, in tokens by weight.
+
+    `charged` is the part of `service` for requests that have not ended.
+    """
 
     weight: float = 1.0
     service: float = 0.0
+    charged: float = 0.0
     active: int = 0
     waiting_tokens: int = 0
     heaps: dict[str, list[_Entry]] = field(
@@ -42,7 +46,6 @@
     def __init__(self) -> None:
         self._teams: dict[str, _Team] = {}
         self._order = itertools.count()
-        self._floor = 0.0
 
     def __len__(self) -> int:
         return sum(team.waiting() for team in self._teams.values())
@@ -89,24 +92,42 @@
         team = self._teams.setdefault(request.team, _Team())
         team.weight = max(weight, MIN_WEIGHT)
         if not team.waiting() and not team.active:
-            team.service = max(team.service, self._floor)
+            self._catch_up(team)
         entry = (-request.priority, next(self._order), generation)
         heapq.heappush(team.heaps[request.work], entry)
         team.waiting_tokens += _cost(generation)
 
+    def _catch_up(self, joining: _Team) -> None:
+        """Let a team that was idle start at the least served busy one.
+
+        Charges for requests in flight don't count: most of such a charge may be
+        given back, and the team would wait until the others had used that up.
+        """
+        services = [
+            team.service - team.charged
+            for team in self._teams.values()
+            if team is not joining and (team.waiting() or team.active)
+        ]
+        if services:
+            joining.service = max(joining.service, min(services))
+            return
+        for team in self._teams.values():
+            team.service = 0.0
+
     def pop(self, works: tuple[str, ...]) -> Generation | None:
         """Take the next request among the given classes of work."""
         name = self._least_served(works)
         if name is None:
             return None
         team = self._teams[name]
-        self._floor = max(self._floor, team.service)
         for work in works:
             if not team.heaps[work]:
                 continue
             generation = heapq.heappop(team.heaps[work])[2]
             team.waiting_tokens -= _cost(generation)
-            team.service += _cost(generation) / team.weight
+            charge = _cost(generation) / team.weight
+            team.service += charge
+            team.charged += charge
             team.active += 1
             return generation
         return None
@@ -129,8 +150,9 @@
         team = self._teams.get(generation.request.team)
         if team is None:
             return
-        difference = generation.token_count - _cost(generation)
-        team.service += difference / team.weight
+        charge = _cost(generation) / team.weight
+        team.service += generation.token_count / team.weight - charge
+        team.charged -= charge
         team.active -= 1
 
     def remove(self, generation: Generation) -> bool:
