Compare replayed tokens however they are cut into chunks

Cause: a replay was compared only where its chunks began where received ones did; an engine that cuts differently gave a torn stream for whole text. The load that keepers tell left the queue out (it was worked out for no team), and one slot more than callers used was kept from rollouts. Change: boundaries of the replay are remembered, versions are compared for all tokens of a chunk; the expected wait counts all waiting tokens; the reserve follows the callers seen; a cached prompt counts by its length.

--- a/features/engines.feature
+++ b/features/engines.feature
@@ -26,6 +26,12 @@
       | 0:a:1 1:b:1  | 1:b:1 2:c:1 | abc           |
       | 0:a:1 1:b:1  | 0:abc:1     | abc           |
       | 0:ab:1       | 0:a:1 2:c:1 | abc           |
+      | 0:abcd:1     | 0:a:1 1:bc:1 3:de:1     | abcde |
+      | 0:a:1 1:bcd:1 | 1:b:1 2:cde:1          | abcde |
+      | 0:abcd:1     | 0:a:1 1:xc:1 3:de:1     | torn  |
+      | 0:abcd:1     | 2:cd:1      | torn          |
+      | 0:a:1 1:bc:2 | 1:bc:2 3:d:2 | abcd         |
+      | 0:a:1 1:bc:2 | 0:ab:1      | torn          |
       | 0:a:1 1:b:1  | 1:x:1       | torn          |
       | 0:a:1 1:b:1  | 1:b:2       | torn          |
       | 0:a:1 1:b:1  | 3:d:1       | torn          |
--- a/greengagetack/keeper/admission.py
+++ b/greengagetack/keeper/admission.py
@@ -44,7 +44,7 @@
 
     def slots(self) -> int:
         """Return how many slots rollouts leave free now."""
-        return min(self._limit, self._peak + 1)
+        return min(self._limit, max(1, self._peak))
 
 
 class Admission:
--- a/greengagetack/keeper/gate.py
+++ b/greengagetack/keeper/gate.py
@@ -117,13 +117,23 @@
             waiting_tokens=self._queue.waiting_tokens,
             slots=self.health.allowed(),
             tokens_per_s=rate,
-            expected_wait_s=self._expected_wait_s("", Work.ROLLOUT),
+            expected_wait_s=self._backlog_s(),
             weight_version=self.versions.active,
             ejected=self.health.ejected,
             leaving=self.leaving,
             seconds_per_token=pace_s,
         )
 
+    def _backlog_s(self) -> float:
+        """Return about how long all waiting work takes to be started."""
+        allowed = self.health.allowed()
+        pace_s = self.health.seconds_per_token
+        if not allowed or len(self._running) + len(self._queue) < allowed:
+            return 0.0
+        running_tokens = sum(_tokens_left(item) for item in self._running)
+        tokens = self._queue.waiting_tokens + running_tokens / 2
+        return tokens * pace_s / allowed
+
     def _expected_wait_s(self, team: str, work: str) -> float:
         allowed = self.health.allowed()
         pace_s = self.health.seconds_per_token
--- a/greengagetack/routing/affinity.py
+++ b/greengagetack/routing/affinity.py
@@ -7,8 +7,8 @@
 __all__ = ["Affinity"]
 
 OTHER_CANDIDATES = 1
-# Time that a cached prompt saves, in tokens of generation.
-CACHED_PROMPT_TOKENS = 16.0
+# Tokens of a prompt that take as long as one generated token.
+PROMPT_TOKENS_PER_TOKEN = 64
 DEFAULT_TOKENS = 64
 
 
@@ -48,4 +48,5 @@
         queued_s = load.expected_wait_s
         if load.tokens_per_s:
             queued_s += placed / load.tokens_per_s
-        return queued_s + pace_s * (tokens + CACHED_PROMPT_TOKENS * (1 - ratio))
+        prefill = query.prompt_tokens * (1 - ratio) / PROMPT_TOKENS_PER_TOKEN
+        return queued_s + pace_s * (tokens + prefill)
--- a/greengagetack/routing/base.py
+++ b/greengagetack/routing/base.py
@@ -24,6 +24,7 @@
     expected_tokens: int
     work: str
     oldest_version: int
+    prompt_tokens: int = 0
 
 
 class RoutingPolicy:
--- a/greengagetack/routing/router.py
+++ b/greengagetack/routing/router.py
@@ -23,6 +23,7 @@
 KEEPER_PAUSE_S = 2.0
 RETRY_S = 0.5
 RETRY_SPREAD = 0.5
+CHARACTERS_PER_TOKEN = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,7 +92,14 @@
             With a time to come back, if none may serve the request now.
         """
         policy = self._current_policy()
-        query = Query(model, prefix_hash(prompt), expected_tokens, work, oldest_version)
+        query = Query(
+            model,
+            prefix_hash(prompt),
+            expected_tokens,
+            work,
+            oldest_version,
+            len(prompt) // CHARACTERS_PER_TOKEN,
+        )
         endpoints = self._servable(policy, query, exclude)
         if not endpoints:
             raise self._none_left(model, oldest_version)
