Take an engine back that stays after all

Cause: an engine that had said that it leaves never got work again. Change: the keeper that passed the sign on takes it back when the engine does. Figures: features/keeper.feature 31 passed.

--- a/features/keeper.feature
+++ b/features/keeper.feature
@@ -56,6 +56,7 @@
     Then the sign is passed on
     And a new request is refused as not run
     And the stream that was in flight ended whole
+    And the engine gets work again once it says that it stays
 
   Scenario: A keeper that stops finishes what is in flight
     Given a keeper before 1 engine
--- a/features/steps/keeper_steps.py
+++ b/features/steps/keeper_steps.py
@@ -218,6 +218,15 @@
     assert_whole(context.answer, 40)
 
 
+@then("the engine gets work again once it says that it stays")
+def step_stays(context: Context) -> None:
+    context.engine.leaving = False
+    back = lambda: not context.world.cell.leaving  # noqa: E731
+    run_on_loop(context, context.world.until(back))
+    answer = run_on_loop(context, context.world.ask("a", context.world.request()))
+    assert_whole(answer, 20)
+
+
 @when("the keeper drains while {count:d} requests wait and run")
 def step_drain(context: Context, count: int) -> None:
     run_on_loop(context, drain_busy(context, count))
--- a/features/support/fakes.py
+++ b/features/support/fakes.py
@@ -104,6 +104,10 @@
         self._cell.leaving.add(endpoint_id)
         self._cell.reported.append(endpoint_id)
 
+    def report_returned(self, endpoint_id: str) -> None:
+        """Note that an endpoint takes work again."""
+        self._cell.leaving.discard(endpoint_id)
+
     def keepers_for(self, endpoint_id: str) -> tuple[str, ...]:
         """Return keepers in order."""
         return self._cell.keepers.get(endpoint_id, ())
--- a/greengagetack/keeper/gate.py
+++ b/greengagetack/keeper/gate.py
@@ -71,6 +71,7 @@
         self.versions = LoadedVersions(endpoint, adapter)
         self.prefixes = PrefixCache(adapter.prefix_blocks)
         self.draining = False
+        self._told_leaving = False
         self.used_at_s = services.timer.now_s()
         self.sibling_paces: tuple[float, ...] = ()
         self._services = services
@@ -300,10 +301,21 @@
             self._held.drop(generation)
 
     async def check_leaving(self) -> None:
-        """Ask the engine whether it leaves, and pass the sign on."""
+        """Ask the engine whether it leaves, and pass the sign on.
+
+        The sign is taken back only by the keeper that gave it: others know of
+        reasons that the engine does not.
+        """
+        directory = self._services.directory
+        endpoint_id = self.endpoint.endpoint_id
         with suppress(CodedError):
-            if await self.adapter.is_leaving() and not self.leaving:
-                self._services.directory.report_leaving(self.endpoint.endpoint_id)
+            leaves = await self.adapter.is_leaving()
+            if leaves and not self.leaving:
+                self._told_leaving = True
+                directory.report_leaving(endpoint_id)
+            if not leaves and self._told_leaving:
+                self._told_leaving = False
+                directory.report_returned(endpoint_id)
         if self.leaving:
             self.hand_back("is leaving")
 
--- a/greengagetack/membership/table.py
+++ b/greengagetack/membership/table.py
@@ -100,6 +100,9 @@
     def report_leaving(self, endpoint_id: str) -> None:
         """Take the sign, from any part, that an endpoint leaves."""
 
+    def report_returned(self, endpoint_id: str) -> None:
+        """Take the sign that an endpoint which left takes work again."""
+
     def keepers_for(self, endpoint_id: str) -> tuple[str, ...]:
         """Return the assigned keeper, then substitutes for completions.
 
