--- a/features/keeper.feature
+++ b/features/keeper.feature
@@ -69,6 +69,11 @@
     When the engine is gone for 3 requests and then comes back
     Then the engine is ejected and later gets work again, from one request on
 
+  Scenario: A leaving engine is not probed after an ejection
+    Given a keeper before 1 engine
+    When the engine is ejected, leaves and comes back
+    Then the engine gets no probe
+
   Scenario: A slow engine is ejected and probed back in
     Given a keeper before 3 engines
     And engine e1 is 20 times slower than the others
@@ -105,6 +110,11 @@
     When team b joins after team a has had 10000 tokens
     Then from then on both get the same
 
+  Scenario: A team that joins does not wait for what others were charged too much
+    Given a fair queue with teams a:1 b:1
+    When team b joins while 6 requests of team a are charged 4400 tokens and take 50
+    Then of the next 40 requests at least 16 are of each team
+
   Scenario: Callers go before waiting rollouts
     Given a keeper before 1 engine
     And the engine generates a token every 20 ms
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -27,10 +27,15 @@
 
 
 def start_cell(
-    context: Context, count: int, endpoints: int, fencing: Fencing, shards: int = 4
+    context: Context,
+    count: int,
+    endpoints: int,
+    fencing: Fencing,
+    shards: int = 4,
+    never_lead: frozenset[str] = frozenset(),
 ) -> None:
     context.loop = asyncio.new_event_loop()
-    context.cell = Cell()
+    context.cell = Cell(never_lead=never_lead)
     fleet = replace(
         context.cell.settings.fleet(),
         endpoints=make_endpoints(endpoints, fencing),
@@ -57,6 +62,15 @@
     start_cell(context, count, endpoints, Fencing.CHECKED)
 
 
+@given(
+    "a cell of {count:d} members with {endpoints:d} endpoints "
+    "where only the last may lead"
+)
+def step_one_candidate(context: Context, count: int, endpoints: int) -> None:
+    followers = frozenset(f"vm{number}" for number in range(count - 1))
+    start_cell(context, count, endpoints, Fencing.CHECKED, never_lead=followers)
+
+
 @given(
     "a cell of {count:d} members with {endpoints:d} endpoints "
     "that ignore fencing numbers"
@@ -144,9 +158,24 @@
     member.wake()
 
 
+def cut_off(cell: Cell, member: Member) -> None:
+    """Cut the ways between a member and all others, and the platform."""
+    others = frozenset(cell.members) - {member.vm_id}
+    member.peers.cut = others
+    member.port.down = True
+    for vm_id in others:
+        cell.members[vm_id].peers.cut = frozenset({member.vm_id})
+
+
+def heal(cell: Cell) -> None:
+    """Let all members reach each other and the platform again."""
+    for member in cell.members.values():
+        member.peers.cut = frozenset()
+        member.port.down = False
+
+
 async def harm(context: Context, member: Member, fault: str) -> None:
     cell = context.cell
-    others = frozenset(cell.members) - {member.vm_id}
     if fault in ("killed", "killed without replacement"):
         await cell.crash(member.vm_id)
     elif fault == "frozen past its lease":
@@ -161,15 +190,9 @@
         await asyncio.sleep(3 * cell.timings.observer_s)
         member.port.down = False
     elif fault == "cut off from all members":
-        member.peers.cut = others
-        for vm_id in others:
-            cell.members[vm_id].peers.cut = frozenset({member.vm_id})
-        member.port.down = True
+        cut_off(cell, member)
         await asyncio.sleep(3 * cell.timings.observer_s)
-        member.peers.cut = frozenset()
-        for vm_id in others:
-            cell.members[vm_id].peers.cut = frozenset()
-        member.port.down = False
+        heal(cell)
     elif fault == "drained":
         await drain(cell, member)
     else:
@@ -390,3 +413,17 @@
         )
 
     until(context, moved)
+
+
+@when("a member that does not lead is {silent} until it is out of the table")
+def step_out_of_table(context: Context, silent: str) -> None:
+    member = other_than_lead(context)
+    if silent == "cut off":
+        cut_off(context.cell, member)
+    else:
+        assert silent == "frozen", silent
+        member.freeze()
+    lead = context.former.directory
+    until(context, lambda: lead.view.member(member.vm_id) is None)
+    heal(context.cell)
+    member.wake()
--- a/greengagetack/membership/directory.py
+++ b/greengagetack/membership/directory.py
@@ -17,11 +17,14 @@
     HeartbeatAck,
     LeavingSign,
     NewPairs,
+    Pulse,
+    PulseAck,
+    vm_digest,
 )
 from greengagetack.membership.stored import LeadObject, lead_path
 from greengagetack.membership.table import CellTable, ShardPair, rendezvous_order
 from greengagetack.membership.timings import CellTimings
-from greengagetack.membership.view import CellView
+from greengagetack.membership.view import CellView, KnownLead
 from greengagetack.peers.messages import Done
 from greengagetack.peers.node import PeerNode
 from greengagetack.platform.objects import ObjectStore, WriteUnknown
@@ -37,6 +40,9 @@
 MAX_RANK_DELAY_RENEWALS = 3.0
 BACKOFF_PER_RANK_RATIO = 0.25
 DRAIN_LEASES = 3.0
+MISSED_HEARTBEATS = 1.5
+OBSERVERS = 4
+FOLLOW_RENEWALS = 2.0
 
 
 class CellDirectory:
@@ -83,7 +89,7 @@
         self._peers = peers
         self._fleet = fleet
         self._timer = timer
-        self.view = CellView(self.vm, peers)
+        self.view = CellView(settings.cell, self.vm, peers)
         self._lease = PlatformLease(
             platform, lead_path(settings.cell), self.vm, self.timings, timer
         )
@@ -103,12 +109,15 @@
         self._keeper_sent_s = -self.timings.lease_s
         self._contest_after_s = 0.0
         self._lead_gone = False
+        self._observed = False
+        self._whole_beat: tuple[KnownLead, Vm] | None = None
         self._subscriptions: list[Subscription] = []
         self._notices: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Serve the cell's messages and start the heartbeats."""
         self._peers.handle(Heartbeat, self._serve_heartbeat)
+        self._peers.handle(Pulse, self._serve_pulse)
         self._peers.handle(CellNews, self._serve_news)
         self._peers.handle(LeavingSign, self._serve_sign)
         self._peers.handle(NewPairs, self._serve_pairs)
@@ -160,6 +169,8 @@
         lead = self.view.lead
         if not lead.vm_id:
             return
+        if self._whole_beat == (lead, self.vm) and await self._pulse(lead.vm_id):
+            return
         sent_s = self._timer.now_s()
         beat = Heartbeat(
             self.vm,
@@ -178,8 +189,39 @@
         if ack.news is None:
             self._note_lead_gone()
             return
+        self._whole_beat = (lead, self.vm)
         self._take_ack(ack, sent_s)
 
+    async def _pulse(self, lead_vm_id: str) -> bool:
+        """Send a short heartbeat; False if the lead needs a whole one."""
+        view = self.view
+        pulse = Pulse(
+            vm_digest(self.vm),
+            view.table.revision,
+            view.pairs_version,
+            view.news_digest(),
+        )
+        sent_s = self._timer.now_s()
+        try:
+            ack = await self._peers.request(
+                lead_vm_id, pulse, self.timings.request_timeout_s
+            )
+        except CodedError as error:
+            logger.debug("member: no answer from the lead: {}", error.reason)
+            self._check_lead_silence()
+            return True
+        if not ack.known or view.lead.vm_id != lead_vm_id:
+            return False
+        self._lead_heard_s = self._timer.now_s()
+        if ack.trusted:
+            self._note_trusted(ack.lease_version, sent_s)
+        return True
+
+    def _note_trusted(self, lease_version: int, sent_s: float) -> None:
+        self._trusted_heard_s = self._timer.now_s()
+        self._lease.note_version(lease_version)
+        self._keeper_sent_s = max(self._keeper_sent_s, sent_s)
+
     def _note_lead_gone(self) -> None:
         """Contest the lease at once: its holder says that it does not lead."""
         self._lead_heard_s = self._timer.now_s()
@@ -191,13 +233,10 @@
         news = ack.news
         if news is None or news.lead_epoch < self.view.lead.epoch:
             return
-        now_s = self._timer.now_s()
-        self._lead_heard_s = now_s
+        self._lead_heard_s = self._timer.now_s()
         self._take_news(news)
         if ack.trusted:
-            self._trusted_heard_s = now_s
-            self._lease.note_version(news.lease_version)
-            self._keeper_sent_s = max(self._keeper_sent_s, sent_s)
+            self._note_trusted(news.lease_version, sent_s)
 
     def _take_news(self, news: CellNews) -> None:
         self._lease.note_epoch(news.lead_epoch)
@@ -216,6 +255,9 @@
     async def _serve_heartbeat(self, _: str, beat: Heartbeat) -> HeartbeatAck:
         return self._duty.hear(beat)
 
+    async def _serve_pulse(self, vm_id: str, pulse: Pulse) -> PulseAck:
+        return self._duty.hear_pulse(vm_id, pulse)
+
     async def _serve_news(self, _: str, news: CellNews) -> Done:
         if news.lead_epoch >= self.view.lead.epoch:
             self._lead_heard_s = self._timer.now_s()
@@ -251,11 +293,14 @@
 
     async def _contest_round(self) -> None:
         now_s = self._timer.now_s()
-        if not self._candidate or self._lease.held or now_s < self._contest_after_s:
+        if self._lease.held or now_s < self._contest_after_s:
             return
-        if now_s - self._trusted_heard_s < 2 * self.timings.heartbeat_s:
+        missed_s = MISSED_HEARTBEATS * self.timings.heartbeat_s
+        if now_s - self._trusted_heard_s < missed_s:
+            self._observed = False
             return
         if self._lease.version >= 0 and not self._lead_gone:
+            await self._observe()
             wait_s = self._lease.may_claim_in_s()
             if wait_s > 0:
                 self._contest_after_s = now_s + wait_s + self._rank_delay_s()
@@ -269,6 +314,21 @@
             backoff_s = self._timer.jittered_s(backoff * self.timings.renew_s)
             self._contest_after_s = now_s + backoff_s
 
+    async def _observe(self) -> None:
+        """Read once which version of the lease the silent lead has left.
+
+        The lead may have renewed it after its last answer; the time that others
+        have to wait counts from when they saw that version. Only the members
+        that would claim it first read.
+        """
+        if self._observed or not self._candidate or self._rank() >= OBSERVERS:
+            return
+        self._observed = True
+        with suppress(PlatformUnavailable):
+            lead = await self._lease.read()
+            if lead is not None:
+                self.view.adopt_lead(lead)
+
     def _rank_delay_s(self) -> float:
         """Return how long this VM lets others go first."""
         delay = min(self._rank() * RANK_DELAY_RATIO, MAX_RANK_DELAY_RENEWALS)
@@ -287,6 +347,11 @@
                 await self.beat()
                 if self._timer.now_s() - self._trusted_heard_s < self.timings.renew_s:
                     return
+        if not self._candidate:
+            # It only looks for the next lead, at a leisurely rate.
+            wait_s = self._timer.jittered_s(FOLLOW_RENEWALS * self.timings.renew_s)
+            self._contest_after_s = self._timer.now_s() + wait_s
+            return
         if not await self._lease.claim(lead):
             return
         self.view.adopt_lead(self._own_lead())
