Move running requests away from an engine that turned out slow

Engines are watched twice a second. Figures: features/routing.feature with 2 completions of 200 tokens at an engine 50 times slower: whole in under half of its own time.

--- a/features/routing.feature
+++ b/features/routing.feature
@@ -11,6 +11,12 @@
       | its keeper is lost      | 1       |
       | its engine crashes      | 2       |
 
+  Scenario: Running requests move away from an engine that turns out slow
+    Given a front door before 2 keepers and 3 engines
+    And engine e1 needs 100 ms for a token and the others 2 ms
+    When the others are busy and 2 completions of 200 tokens run at engine e1
+    Then both are whole long before engine e1 could have ended them
+
   Scenario Outline: A refusal before running moves the work elsewhere
     Given a front door before 2 keepers and 2 engines
     And engine e1 <state>
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -31,6 +31,41 @@
     start_world(context, engine_count=count)
 
 
+@given("engine e1 needs {slow:d} ms for a token and the others {fast:d} ms")
+def step_paces(context: Context, slow: int, fast: int) -> None:
+    for name, engine in context.world.engines.items():
+        engine.token_s = (slow if name == "e1" else fast) / 1000
+
+
+@when(
+    "the others are busy and {count:d} completions "
+    "of {tokens:d} tokens run at engine e1"
+)
+def step_slow_run(context: Context, count: int, tokens: int) -> None:
+    context.token_count = tokens
+    context.answers = run_on_loop(context, run_at_slow(context, count, tokens))
+
+
+async def run_at_slow(context: Context, count: int, tokens: int) -> list[Answer]:
+    """Let the other engines' paces be known, then use the slow one."""
+    world = context.world
+    others = [world.request(endpoint_id=name, max_tokens=100) for name in ("e2", "e3")]
+    await asyncio.gather(*(world.relayed(request) for request in others))
+    slow = [world.request(endpoint_id="e1", max_tokens=tokens) for _ in range(count)]
+    started_s = world.timer.now_s()
+    answers = await asyncio.gather(*(world.relayed(request) for request in slow))
+    context.took_s = world.timer.now_s() - started_s
+    return list(answers)
+
+
+@then("both are whole long before engine e1 could have ended them")
+def step_moved(context: Context) -> None:
+    for answer in context.answers:
+        assert_whole(answer, context.token_count)
+    alone_s = context.token_count * context.engine.token_s
+    assert context.took_s < alone_s / 2, context.took_s
+
+
 @given("engine e1 refuses")
 def step_e1_refuses(context: Context) -> None:
     context.engine.refuse = True
--- a/greengagetack/keeper/gate.py
+++ b/greengagetack/keeper/gate.py
@@ -34,6 +34,7 @@
 CALLER_GRACE_S = 2.0
 DRAIN_RETRY_S = 0.2
 LEAVING_RETRY_S = 0.5
+MOVE_FACTOR = 1.5
 
 
 class EngineGate:
@@ -338,16 +339,35 @@
         if self._queue.remove(generation):
             self._end(generation, EndpointRefused(why))
             return
-        task = self._running.pop(generation, None)
-        if task is None:
+        if generation not in self._running:
             self._held.drop(generation)
             return
-        task.cancel()
+        await self._abort(generation, DeadlineExceeded(why))
+
+    async def _abort(self, generation: Generation, error: CodedError) -> None:
+        """Stop a running request, here and at the engine."""
+        self._running.pop(generation).cancel()
         self._queue.settle(generation)
-        self._end(generation, DeadlineExceeded(why))
+        self._end(generation, error)
         self._wake.set()
         await self._runner.cancel(generation)
 
+    async def move_slow(self, usual_pace_s: float) -> None:
+        """Give up the running requests that another engine would end far earlier.
+
+        They start anew there, so what they have so far is wasted.
+        """
+        pace_s = self.health.seconds_per_token
+        reason = f"{self.endpoint.endpoint_id} is slow"
+        for generation in list(self._running):
+            left = _tokens_left(generation)
+            here_s = left * pace_s
+            there_s = (generation.end_tokens + left) * usual_pace_s
+            if here_s < MOVE_FACTOR * there_s or generation not in self._running:
+                continue
+            self._services.metrics.add("keeper_moved_requests_total")
+            await self._abort(generation, EndpointFailed(reason))
+
     async def drop_abandoned(self) -> None:
         """Cancel callers' requests that nobody has been reading for a while."""
         now_s = self._services.timer.now_s()
--- a/greengagetack/keeper/monitor.py
+++ b/greengagetack/keeper/monitor.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from contextlib import suppress
+from statistics import median
 
 from loguru import logger
 
@@ -47,7 +48,7 @@
             events = await gate.adapter.cache_events(gate.prefixes.next_event)
             gate.prefixes.correct(events)
         await self._learn_paces()
-        self._judge_pace()
+        await self._judge_pace()
         gate.wake()
 
     async def _learn_paces(self) -> None:
@@ -78,7 +79,7 @@
             return 0.0 if load.ejected else load.seconds_per_token
         return 0.0
 
-    def _judge_pace(self) -> None:
+    async def _judge_pace(self) -> None:
         gate = self._gate
         routing = self._services.settings.fleet().routing
         ejected = gate.health.judge_pace(
@@ -93,6 +94,7 @@
             "keeper_ejections_total", endpoint=gate.endpoint.endpoint_id
         )
         gate.hand_back("is ejected")
+        await gate.move_slow(median(gate.sibling_paces))
 
     async def _probe_if_due(self) -> None:
         gate = self._gate
--- a/greengagetack/keeper/role.py
+++ b/greengagetack/keeper/role.py
@@ -37,7 +37,7 @@
 
 __all__ = ["KeeperRole"]
 
-WATCH_INTERVAL_S = 1.0
+WATCH_INTERVAL_S = 0.5
 DRAIN_STEP_S = 0.05
 DRAIN_COLLECT_S = 5.0
 SUBSTITUTE_IDLE_S = 60.0
