--- a/greengagetack/daemons/responses.py
+++ b/greengagetack/daemons/responses.py
@@ -6,7 +6,7 @@
 import msgspec
 from loguru import logger
 from starlette.exceptions import HTTPException
-from starlette.requests import Request
+from starlette.requests import ClientDisconnect, Request
 from starlette.responses import Response
 
 from greengagetack.errors import (
@@ -104,6 +104,12 @@
     return error_response(InvalidRequest(str(error.detail)))
 
 
+async def _answer_disconnect(request: Request, error: Exception) -> Response:
+    """Answer a sender that has most likely gone."""
+    logger.debug("entry: the sender left within its request")
+    return error_response(InvalidRequest("the connection ended within the request"))
+
+
 async def _answer_unexpected_error(request: Request, error: Exception) -> Response:
     logger.opt(exception=error).error("entry: {} failed", request.url.path[:200])
     return error_response(unexpected_error())
@@ -111,6 +117,7 @@
 
 EXCEPTION_HANDLERS: dict[Any, Any] = {
     CodedError: _answer_coded_error,
+    ClientDisconnect: _answer_disconnect,
     HTTPException: _answer_http_error,
     Exception: _answer_unexpected_error,
 }
