--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -41,7 +41,7 @@
 
     `daemon_zones` names the availability zone of each daemon; `fleet` and
     `teams` override parts of the settings; `data_folder_daemons` is how many
-    daemons have a data folder.
+    daemons have a data folder; `vm_settings` adds to the file of each daemon.
     """
 
     daemon_zones: tuple[str, ...]
@@ -53,6 +53,7 @@
     platform_options: tuple[str, ...] = ()
     data_folder_daemons: int = 0
     log_level: str = "INFO"
+    vm_settings: dict[str, dict[str, Any]] = field(default_factory=dict)
 
 
 def send_json(
@@ -230,6 +231,7 @@
             folder = self.group.folder / f"data-{vm_id}"
             folder.mkdir(exist_ok=True)
             value["data_folder"] = {"path": str(folder), "interval_s": 2.0}
+        value.update(self.plan.vm_settings.get(vm_id, {}))
         path = self.group.folder / f"{vm_id}.jsonc"
         path.write_text(f"// Settings of {vm_id}.\n{json.dumps(value, indent=2)}\n")
         return path
--- /dev/null
+++ b/features/steps/settings_daemons_steps.py
@@ -0,0 +1,170 @@
+"""features.steps.settings_daemons_steps: settings on real daemons under faults."""
+
+import json
+import tempfile
+import time
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from behave import given, then, when
+from behave.runner import Context
+
+from bench.deployment import Deployment, send_json
+from features.support.deployments import address_of, shared_tls_deployment
+from features.support.loops import BackgroundLoop
+from features.support.raw_http import RawAnswer, request_bytes, send_raw
+from features.support.settings_cell import settle
+from features.support.throwaway_keys import Authority
+from features.support.version_watch import PATH, VersionWatch
+from greengagetack.errors import CodedError
+from greengagetack.peers.node import PeerNode
+from greengagetack.peers.tls import PeerTls, peer_tls
+from greengagetack.settings.messages import CompareSettings
+from greengagetack.timer import Timer
+from greengagetack.world import Address
+
+VICTIM = "vm-3"
+IN_FORCE_LIMIT_S = 20.0
+FAULTS: dict[str, dict[str, Any]] = {
+    "loses write answers": {"lose_write_answers": 1.0},
+    "is slow": {"slow_s": 0.5},
+    "is down": {"outage": True},
+    "hangs": {"outage": "hang"},
+}
+
+
+@given("real daemons that keep settings")
+def step_daemons(context: Context) -> None:
+    context.deployment = shared_tls_deployment()
+    context.watch = VersionWatch(context.deployment)
+    context.add_cleanup(context.watch.close)
+    context.add_cleanup(set_faults, context.deployment, {})
+    version = current_version(context.deployment)
+    ready = context.watch.wait_until(
+        lambda: context.watch.all_show(version), IN_FORCE_LIMIT_S
+    )
+    assert ready, context.watch.seen
+
+
+def set_faults(deployment: Deployment, faults: dict[str, Any]) -> None:
+    send_json(f"{deployment.platform.url}/control/faults", "POST", faults)
+
+
+def current_version(deployment: Deployment) -> int:
+    url = deployment.daemons["vm-1"].url + PATH
+    found: int = send_json(url, headers=deployment.operator_headers())["version"]
+    return found
+
+
+def change(context: Context) -> RawAnswer:
+    """Change the team's weight; the new version is expected if it is accepted."""
+    deployment = context.deployment
+    version = current_version(deployment)
+    value = {**deployment.team_settings("quetzal"), "weight": 1 + version}
+    headers = {**deployment.operator_headers(), "If-Match": f'"{version}"'}
+    body = json.dumps(value).encode()
+    address = address_of(deployment.daemons["vm-1"].url)
+    answer = send_raw(address, [request_bytes("PUT", PATH, body, headers)])
+    context.expected_version = version + 1 if answer.status == 200 else version
+    return answer
+
+
+@when("an operator changes a setting while a daemon is paused for {pause:g} s")
+def step_paused(context: Context, pause: float) -> None:
+    victim = context.deployment.daemons[VICTIM]
+    victim.pause()
+    context.add_cleanup(victim.resume)
+    assert change(context).status == 200
+    time.sleep(pause)
+    victim.resume()
+
+
+@when("an operator changes a setting while a daemon is {end} and started again")
+def step_restarted(context: Context, end: str) -> None:
+    deployment = context.deployment
+    if end == "killed":
+        deployment.daemons[VICTIM].kill()
+    else:
+        assert deployment.daemons[VICTIM].terminate() == 0
+    assert change(context).status == 200
+    restart(context)
+
+
+def restart(context: Context) -> None:
+    """Start the victim anew and wait until it shows settings."""
+    context.deployment.restart_daemon(VICTIM)
+    shown = len(context.watch.seen[VICTIM])
+    came = context.watch.wait_until(
+        lambda: len(context.watch.seen[VICTIM]) > shown, IN_FORCE_LIMIT_S
+    )
+    assert came, "the daemon shows nothing"
+
+
+@when("an operator changes a setting while the platform {fault}")
+def step_platform(context: Context, fault: str) -> None:
+    set_faults(context.deployment, FAULTS[fault])
+    context.answer = change(context)
+    set_faults(context.deployment, {})
+
+
+@when("an operator changes a setting and a daemon restarts while the platform is down")
+def step_outage_restart(context: Context) -> None:
+    assert change(context).status == 200
+    set_faults(context.deployment, FAULTS["is down"])
+    context.deployment.daemons[VICTIM].kill()
+    restart(context)
+    set_faults(context.deployment, {})
+
+
+@then("the change of settings is answered {status:d} {outcome}")
+def step_answered(context: Context, status: int, outcome: str) -> None:
+    answer = context.answer
+    assert answer.status == status, (answer.status, answer.body)
+    if outcome != "-":
+        error = answer.json()["error"]
+        assert error["outcome"] == outcome, error
+        assert error["retry_after_s"], error
+
+
+@then("all real daemons show the change and none ever showed an older one")
+def step_all_show(context: Context) -> None:
+    watch = context.watch
+    version = context.expected_version
+    came = watch.wait_until(lambda: watch.all_show(version), IN_FORCE_LIMIT_S)
+    assert came, {vm_id: seen[-3:] for vm_id, seen in watch.seen.items()}
+    for vm_id, seen in watch.seen.items():
+        assert seen == sorted(seen), (vm_id, seen)
+
+
+@when("a stranger opens a link with {credentials}")
+def step_stranger(context: Context, credentials: str) -> None:
+    context.loop = BackgroundLoop()
+    context.add_cleanup(context.loop.close)
+    context.add_cleanup(lambda: context.loop.run(settle()))
+    tls = PeerTls()
+    if credentials != "no TLS":
+        folder = tempfile.TemporaryDirectory()
+        context.add_cleanup(folder.cleanup)
+        issued = Authority(Path(folder.name), "other").issue("vm-9")
+        fleet = context.deployment.group.folder / "fleet.authority.pem"
+        tls = peer_tls(replace(issued, authority_file=str(fleet)))
+    ready = context.deployment.daemons["vm-1"].ready
+    address = address_of(f"http://{ready['peer']}")
+    context.answer = context.loop.run(_ask(address, tls))
+
+
+async def _ask(address: Address, tls: PeerTls) -> object:
+    node = PeerNode("vm-9", "i1", Timer(9), None, tls.client)
+    node.learn_address("vm-1", address)
+    try:
+        return await node.request("vm-1", CompareSettings(0), 4.0)
+    except CodedError as error:
+        return error.code
+    finally:
+        await node.close()
+
+
+@then("the real daemon gives the stranger nothing")
+def step_nothing(context: Context) -> None:
+    assert context.answer in ("peer_lost", "peer_unreachable"), context.answer
--- a/features/support/deployments.py
+++ b/features/support/deployments.py
@@ -6,6 +6,8 @@
 from typing import Any
 from urllib.error import URLError
 
+import msgspec
+
 from bench.deployment import (
     Deployment,
     DeploymentPlan,
@@ -13,15 +15,22 @@
     ServicePlan,
     send_json,
 )
+from features.support.throwaway_keys import Authority
 from greengagetack.world import Address
 from standins.processes import ProcessGroup
 
-__all__ = ["Effects", "address_of", "effects_of", "shared_deployment"]
+__all__ = [
+    "Effects",
+    "address_of",
+    "effects_of",
+    "shared_deployment",
+    "shared_tls_deployment",
+]
 
 READY_TIMEOUT_S = 40.0
 TEAMS = ("quetzal", "kestrelmoor")
 
-_STARTED: list[Deployment] = []
+_STARTED: dict[str, Deployment] = {}
 
 
 @dataclass(frozen=True)
@@ -36,17 +45,40 @@
 
 def shared_deployment() -> Deployment:
     """Return a deployment of two daemons, started once and ended with the run."""
-    if not _STARTED:
+    if "plain" not in _STARTED:
+        plan = DeploymentPlan(
+            ("a", "b"), (EnginePlan("a"),), (ServicePlan("a"),), TEAMS
+        )
         # The group ends its processes when Python exits.
+        _STARTED["plain"] = _started(plan, ProcessGroup())
+    return _STARTED["plain"]
+
+
+def shared_tls_deployment() -> Deployment:
+    """Return a deployment of three daemons whose links use mutual TLS."""
+    if "tls" not in _STARTED:
         group = ProcessGroup()
+        authority = Authority(group.folder, "fleet")
+        vm_settings = {
+            vm_id: {"tls": msgspec.to_builtins(authority.issue(vm_id))}
+            for vm_id in ("vm-1", "vm-2", "vm-3")
+        }
         plan = DeploymentPlan(
-            ("a", "b"), (EnginePlan("a"),), (ServicePlan("a"),), TEAMS
+            ("a", "b", "c"),
+            (EnginePlan("a"),),
+            (ServicePlan("a"),),
+            TEAMS,
+            vm_settings=vm_settings,
         )
-        deployment = Deployment(plan, group)
-        deployment.start()
-        _wait_ready(deployment)
-        _STARTED.append(deployment)
-    return _STARTED[0]
+        _STARTED["tls"] = _started(plan, group)
+    return _STARTED["tls"]
+
+
+def _started(plan: DeploymentPlan, group: ProcessGroup) -> Deployment:
+    deployment = Deployment(plan, group)
+    deployment.start()
+    _wait_ready(deployment)
+    return deployment
 
 
 def _wait_ready(deployment: Deployment) -> None:
