Let a recovering engine back soon and never reserve all its slots

Each request in flight at an ejection doubled the pause before the next probe, up to 60 s; and an engine readmitted with as many slots as callers had lately reserved served no rollout, so its slots never grew; the reserve was also never lent again once callers had stopped. Ruled out: lost records and a stuck owner (its log shows each try refused by "engine-2 is ejected" for 60 s, then silence in the keeper's queue). Change: failures before the next probe is due do not postpone it; at most 15 s between probes; the reserve leaves one slot and fades with its window.

--- a/greengagetack/keeper/admission.py
+++ b/greengagetack/keeper/admission.py
@@ -42,9 +42,10 @@
             self._peak = callers
             self._peak_at_s = now_s
 
-    def slots(self) -> int:
+    def slots(self, now_s: float) -> int:
         """Return how many slots rollouts leave free now."""
-        return min(self._limit, max(1, self._peak))
+        seen = self._peak if now_s - self._peak_at_s <= CALLER_WINDOW_S else 0
+        return min(self._limit, max(1, seen))
 
 
 class Admission:
--- a/greengagetack/keeper/gate.py
+++ b/greengagetack/keeper/gate.py
@@ -142,7 +142,7 @@
         running_tokens = sum(_tokens_left(item) for item in self._running)
         free = allowed - len(self._running)
         if work == Work.ROLLOUT:
-            free -= max(0, self._reserve.slots() - self._count(Work.CALLER))
+            free -= self._reserved(self._count(Work.CALLER))
         return self._admission.expected_wait_s(
             self._queue,
             team,
@@ -236,12 +236,15 @@
         if callers < self._reserve.limit and self._queue.waits(Work.CALLER):
             # Callers go first within the reserve; beyond it, teams compete.
             return self._queue.pop((Work.CALLER,))
-        if allowed > 1:
-            reserved = max(0, self._reserve.slots() - callers)
-            if len(self._running) + reserved >= allowed:
-                works = (Work.CALLER,)
+        if len(self._running) + self._reserved(callers) >= allowed:
+            works = (Work.CALLER,)
         return self._queue.pop(works)
 
+    def _reserved(self, callers: int) -> int:
+        """Return how many slots are kept free of rollouts, never all of them."""
+        slots = self._reserve.slots(self._services.timer.now_s())
+        return max(0, min(slots - callers, self.health.allowed() - 1))
+
     def _start(self, generation: Generation) -> None:
         task = asyncio.create_task(self._run(generation))
         self._running[generation] = task
--- a/greengagetack/keeper/health.py
+++ b/greengagetack/keeper/health.py
@@ -12,7 +12,7 @@
 FAILURES_TO_EJECT = 3
 SMOOTHING = 0.2
 MIN_TOKENS_TO_JUDGE = 32
-MAX_EJECTION_S = 60.0
+MAX_EJECTION_S = 15.0
 SLOW_START_SLOTS = 1
 
 STATES = ["healthy", "ejected", "recovering"]
@@ -105,7 +105,9 @@
         """Take a request that failed, and return whether it led to ejection."""
         self._failures += 1
         if self.state == "ejected":
-            self._postpone_probe(now_s, ejection_s)
+            # Requests that were in flight at the ejection say nothing new.
+            if now_s >= self.probe_at_s:
+                self._postpone_probe(now_s, ejection_s)
             return False
         if self.state == "healthy" and self._failures < FAILURES_TO_EJECT:
             return False
