Do not hedge a sample that waits for its next try

Cause: a failed attempt in its pause counted as slow and got a hedge; putting it back then met a sample that was finished or already pending. Ruled out: no pause after a failure (the refusal names its time to come back). Change: failed attempts are passed over; putting back is idempotent.

--- a/greengagetack/rollouts/attempt.py
+++ b/greengagetack/rollouts/attempt.py
@@ -54,6 +54,7 @@
         self._timer = timer
         self.tokens = 0
         self.restarted_tokens = 0
+        self.has_failed = False
         self._chunks: list[Chunk] = []
         self._endpoint_id = ""
 
--- a/greengagetack/rollouts/runner.py
+++ b/greengagetack/rollouts/runner.py
@@ -152,6 +152,9 @@
             if len(running) != 1:
                 continue
             (slow,) = running
+            if slow.has_failed:
+                # It waits for its next try.
+                continue
             slow_enough = may_hedge(
                 slow.tokens,
                 now_s - slow.started_s,
@@ -213,6 +216,7 @@
             self._forget(attempt)
             await self._completions.cancel(attempt.request.request_id)
             return
+        attempt.has_failed = True
         remake = error.code == STALE_CODE
         lost_tokens = attempt.tokens if remake else 0
         retry_s = min(error.retry_after_s or DEFAULT_RETRY_S, MAX_RETRY_S)
--- a/greengagetack/rollouts/state.py
+++ b/greengagetack/rollouts/state.py
@@ -117,12 +117,14 @@
     def put_back(
         self, sample_id: SampleId, *, remake: bool, lost_tokens: int = 0
     ) -> None:
-        """Return a sample in flight to the pending ones.
+        """Return a sample in flight to the pending ones; others stay as they are.
 
         With `remake` its work starts anew under the next attempt number.
         """
         group = self._groups[sample_id.group_id]
-        attempt = group.in_flight.pop(sample_id.index)
+        attempt = group.in_flight.pop(sample_id.index, None)
+        if attempt is None:
+            return
         group.pending[sample_id.index] = attempt + 1 if remake else attempt
         self.wasted_tokens += lost_tokens
         self.remade_samples += int(remake)
