--- a/greengagetack/membership/directory.py
+++ b/greengagetack/membership/directory.py
@@ -110,6 +110,7 @@
         self._contest_after_s = 0.0
         self._lead_gone = False
         self._observed = False
+        self._round_failed = False
         self._whole_beat: tuple[KnownLead, Vm] | None = None
         self._subscriptions: list[Subscription] = []
         self._notices: set[asyncio.Task[None]] = set()
@@ -288,8 +289,11 @@
                 await self._duty.step()
             else:
                 self._duty.forget()
+            self._round_failed = False
         except CodedError as error:
-            logger.warning("lead: {}", error.reason)
+            if not self._round_failed:
+                logger.warning("lead: {}", error.reason)
+            self._round_failed = True
 
     async def _contest_round(self) -> None:
         now_s = self._timer.now_s()
--- a/greengagetack/membership/store.py
+++ b/greengagetack/membership/store.py
@@ -1,31 +1,26 @@
 """greengagetack.membership.store: the shards that this VM owns or backs up."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 
 from loguru import logger
 
 from greengagetack.errors import CodedError, OwnerUnavailable
+from greengagetack.membership.backup_duty import BackupDuty
 from greengagetack.membership.directory import CellDirectory
 from greengagetack.membership.messages import NewPairs
 from greengagetack.membership.pair_duty import PairDuty, PairFacts
 from greengagetack.membership.promises import GivenPromises, HeldPromises
-from greengagetack.membership.records import ShardRecords, chunked
+from greengagetack.membership.records import ShardRecords
 from greengagetack.membership.replicator import Replicator
 from greengagetack.membership.shard_messages import (
-    CopyShard,
     FetchShard,
     PromiseGrant,
-    PromisesGranted,
-    PutRecords,
-    RecordsPut,
     RenewPromises,
-    ShardRecordsChunk,
 )
 from greengagetack.membership.shards import Record, ShardRole
 from greengagetack.membership.snapshot_duty import BASE_KINDS, SnapshotDuty
 from greengagetack.membership.snapshots import ShardSnapshot
 from greengagetack.membership.table import ShardPair, shard_of_key
-from greengagetack.peers.messages import Done
 from greengagetack.peers.node import PeerNode
 from greengagetack.platform.objects import ObjectStore
 from greengagetack.settings.schema import DataFolderSettings
@@ -84,12 +79,14 @@
         self.given = GivenPromises(self._timings, timer)
         self._synced: dict[int, int] = {}
         self._copying: dict[int, int] = {}
-        self._acted: set[int] = set()
         self._roles: dict[int, ShardRole] = {}
         self._callbacks: list[RoleCallback] = []
         self._replicator = Replicator(
             peers, self._timings, self._note_copied, self._note_failed
         )
+        self._backup_duty = BackupDuty(
+            self._view, self.given, self.backs_up, self.shard_records
+        )
         self._answered: dict[int, tuple[int, float]] = {}
         self._pair_duty = PairDuty(
             directory.cell, directory, peers, platform, self.held, self.given, timer
@@ -108,10 +105,7 @@
     async def start(self) -> None:
         """Serve owners and backups and start to renew promises."""
         await self.snapshots.start()
-        self._peers.handle(RenewPromises, self._serve_renewal)
-        self._peers.handle(PutRecords, self._serve_put)
-        self._peers.handle(CopyShard, self._serve_copy)
-        self._peers.handle(FetchShard, self._serve_fetch)
+        self._backup_duty.serve(self._peers)
         self._directory.subscribe(self._note_roles)
         self._subscriptions = [
             self._timer.subscribe(self._timings.renew_s, self.renew, "promises"),
@@ -313,7 +307,7 @@
         former = records.find(kind, key)
         records.apply(record)
         if not owner:
-            self._acted.add(shard)
+            self._backup_duty.note_acted(shard)
             return
         if not pair.backup_vm_id:
             return
@@ -349,7 +343,7 @@
         shard = pair.shard
         if not self.owns(pair) and not self.backs_up(pair):
             self._shards.pop(shard, None)
-            self._acted.discard(shard)
+            self._backup_duty.forget(shard)
             return
         former = self._record_epochs.get(shard, 0)
         if former == pair.epoch:
@@ -432,59 +426,3 @@
             del self._copying[pair.shard]
         if self._synced.get(pair.shard) == pair.epoch:
             del self._synced[pair.shard]
-
-    async def _serve_renewal(self, _: str, body: RenewPromises) -> PromisesGranted:
-        if self._view.adopt_pairs(NewPairs(0, body.pairs)):
-            self._view.changed()
-        grants: list[PromiseGrant] = []
-        newer: list[ShardPair] = []
-        for asked in body.pairs:
-            pair = self._view.pairs[asked.shard]
-            if pair != asked:
-                newer.append(pair)
-                continue
-            if not self.backs_up(pair) or not self.given.give(pair.shard, pair.epoch):
-                continue
-            acted = pair.shard in self._acted
-            grants.append(PromiseGrant(pair.shard, pair.epoch, acted))
-        return PromisesGranted(tuple(grants), tuple(newer))
-
-    def _takes_from(self, shard: int, epoch: int, incarnation: str) -> bool:
-        """Whether records of this owner's epoch may be taken."""
-        pair = self._view.pairs.get(shard)
-        return (
-            pair is not None
-            and pair.epoch == epoch
-            and pair.owner_incarnation == incarnation
-            and self.backs_up(pair)
-            and not self.given.sealed(shard, epoch)
-        )
-
-    async def _serve_put(self, _: str, body: PutRecords) -> RecordsPut:
-        refused: set[int] = set()
-        for item in body.records:
-            shard = item.record.shard
-            if not self._takes_from(shard, item.epoch, body.owner_incarnation):
-                refused.add(shard)
-                continue
-            self.shard_records(shard).apply(item.record)
-        return RecordsPut(tuple(sorted(refused)))
-
-    async def _serve_copy(self, _: str, body: CopyShard) -> Done:
-        if not self._takes_from(body.shard, body.epoch, body.owner_incarnation):
-            raise OwnerUnavailable(f"shard {body.shard} is in another epoch", 1.0)
-        records = self.shard_records(body.shard)
-        if body.first:
-            records.begin_copy()
-            self._acted.discard(body.shard)
-        for record in body.records:
-            records.apply(record)
-        if body.last and not records.finish_copy(body.epoch):
-            raise OwnerUnavailable(f"the copy of {body.shard} was cut off", 1.0)
-        return Done()
-
-    async def _serve_fetch(
-        self, _: str, body: FetchShard
-    ) -> AsyncIterator[ShardRecordsChunk]:
-        for part in chunked(self.shard_records(body.shard).all()):
-            yield ShardRecordsChunk(part)
