--- a/greengagetack/membership/directory.py
+++ b/greengagetack/membership/directory.py
@@ -7,9 +7,10 @@
 
 from loguru import logger
 
-from greengagetack.errors import CodedError, PlatformUnavailable
+from greengagetack.errors import CodedError
 from greengagetack.leases.decisions import lease_expires_s
 from greengagetack.leases.lease import PlatformLease
+from greengagetack.membership.contest import LeadContest
 from greengagetack.membership.lead import LeadDuty
 from greengagetack.membership.messages import (
     CellNews,
@@ -21,13 +22,13 @@
     PulseAck,
     vm_digest,
 )
-from greengagetack.membership.stored import LeadObject, lead_path
+from greengagetack.membership.stored import lead_path
 from greengagetack.membership.table import CellTable, ShardPair, rendezvous_order
 from greengagetack.membership.timings import CellTimings
 from greengagetack.membership.view import CellView, KnownLead
 from greengagetack.peers.messages import Done
 from greengagetack.peers.node import PeerNode
-from greengagetack.platform.objects import ObjectStore, WriteUnknown
+from greengagetack.platform.objects import ObjectStore
 from greengagetack.settings.schema import VmSettings
 from greengagetack.settings.view import SettingsView
 from greengagetack.timer import Subscription, Timer
@@ -36,13 +37,7 @@
 __all__ = ["CellDirectory"]
 
 CONTEST_STEPS_PER_RENEWAL = 4
-RANK_DELAY_RATIO = 0.3
-MAX_RANK_DELAY_RENEWALS = 3.0
-BACKOFF_PER_RANK_RATIO = 0.25
 DRAIN_LEASES = 3.0
-MISSED_HEARTBEATS = 1.5
-OBSERVERS = 4
-FOLLOW_RENEWALS = 2.0
 
 
 class CellDirectory:
@@ -103,13 +98,17 @@
             self.timings,
             timer,
         )
-        self._candidate = False
+        self._contest = LeadContest(
+            settings.cell,
+            self._lease,
+            self.view,
+            self._duty,
+            self.timings,
+            timer,
+            self.beat,
+        )
         self._lead_heard_s = timer.now_s()
-        self._trusted_heard_s = -self.timings.observer_s
         self._keeper_sent_s = -self.timings.lease_s
-        self._contest_after_s = 0.0
-        self._lead_gone = False
-        self._observed = False
         self._round_failed = False
         self._whole_beat: tuple[KnownLead, Vm] | None = None
         self._subscriptions: list[Subscription] = []
@@ -128,16 +127,16 @@
         self._subscriptions = [
             self._timer.subscribe(times.heartbeat_s, self.beat, "heartbeat"),
             self._timer.subscribe(times.renew_s, self._lead_round, "lead"),
-            self._timer.subscribe(contest_s, self._contest_round, "contest"),
+            self._timer.subscribe(contest_s, self._contest.round, "contest"),
         ]
 
     def stand_for_lead(self) -> None:
         """Let this VM become the lead when there is none."""
-        self._candidate = True
+        self._contest.candidate = True
 
     async def stop_leading(self) -> None:
         """Never become the lead again, and give the lease back if it is held."""
-        self._candidate = False
+        self._contest.candidate = False
         await self._lease.release()
         self._duty.forget()
 
@@ -219,16 +218,13 @@
         return True
 
     def _note_trusted(self, lease_version: int, sent_s: float) -> None:
-        self._trusted_heard_s = self._timer.now_s()
-        self._lease.note_version(lease_version)
+        self._contest.note_trusted(lease_version)
         self._keeper_sent_s = max(self._keeper_sent_s, sent_s)
 
     def _note_lead_gone(self) -> None:
         """Contest the lease at once: its holder says that it does not lead."""
         self._lead_heard_s = self._timer.now_s()
-        if not self._lead_gone:
-            self._lead_gone = True
-            self._contest_after_s = self._timer.now_s() + self._rank_delay_s()
+        self._contest.note_lead_gone()
 
     def _take_ack(self, ack: HeartbeatAck, sent_s: float) -> None:
         news = ack.news
@@ -295,81 +291,6 @@
                 logger.warning("lead: {}", error.reason)
             self._round_failed = True
 
-    async def _contest_round(self) -> None:
-        now_s = self._timer.now_s()
-        if self._lease.held or now_s < self._contest_after_s:
-            return
-        missed_s = MISSED_HEARTBEATS * self.timings.heartbeat_s
-        if now_s - self._trusted_heard_s < missed_s:
-            self._observed = False
-            return
-        if self._lease.version >= 0 and not self._lead_gone:
-            await self._observe()
-            wait_s = self._lease.may_claim_in_s()
-            if wait_s > 0:
-                self._contest_after_s = now_s + wait_s + self._rank_delay_s()
-                return
-        self._lead_gone = False
-        try:
-            await self._contest()
-        except (PlatformUnavailable, WriteUnknown) as error:
-            logger.debug("lead: cannot contest the lease: {}", error.reason)
-            backoff = 1.0 + self._rank() * BACKOFF_PER_RANK_RATIO
-            backoff_s = self._timer.jittered_s(backoff * self.timings.renew_s)
-            self._contest_after_s = now_s + backoff_s
-
-    async def _observe(self) -> None:
-        """Read once which version of the lease the silent lead has left.
-
-        The lead may have renewed it after its last answer; the time that others
-        have to wait counts from when they saw that version. Only the members
-        that would claim it first read.
-        """
-        if self._observed or not self._candidate or self._rank() >= OBSERVERS:
-            return
-        self._observed = True
-        with suppress(PlatformUnavailable):
-            lead = await self._lease.read()
-            if lead is not None:
-                self.view.adopt_lead(lead)
-
-    def _rank_delay_s(self) -> float:
-        """Return how long this VM lets others go first."""
-        delay = min(self._rank() * RANK_DELAY_RATIO, MAX_RANK_DELAY_RENEWALS)
-        return self._timer.jittered_s(delay * self.timings.renew_s)
-
-    def _rank(self) -> int:
-        members = tuple(vm.vm_id for vm in self.live_members())
-        order = rendezvous_order(f"lead-{self.cell}", members)
-        return order.index(self.vm.vm_id) if self.vm.vm_id in order else 0
-
-    async def _contest(self) -> None:
-        lead = await self._lease.read()
-        if lead is not None:
-            self.view.adopt_lead(lead)
-            if lead.holder_vm_id and lead.holder_vm_id != self.vm.vm_id:
-                await self.beat()
-                if self._timer.now_s() - self._trusted_heard_s < self.timings.renew_s:
-                    return
-        if not self._candidate:
-            # It only looks for the next lead, at a leisurely rate.
-            wait_s = self._timer.jittered_s(FOLLOW_RENEWALS * self.timings.renew_s)
-            self._contest_after_s = self._timer.now_s() + wait_s
-            return
-        if not await self._lease.claim(lead):
-            return
-        self.view.adopt_lead(self._own_lead())
-        await self.beat()
-        self._duty.push()
-        with suppress(CodedError):
-            # The next round of the lead tries again.
-            await self._duty.step()
-
-    def _own_lead(self) -> LeadObject:
-        return LeadObject(
-            self.vm.vm_id, self.vm.incarnation, self.vm.peer, self._lease.epoch
-        )
-
     @property
     def ready(self) -> bool:
         """Whether a table with this process in it is known."""
@@ -381,11 +302,7 @@
 
     def live_members(self) -> tuple[Vm, ...]:
         """Return members that are neither leaving nor suspected."""
-        return tuple(
-            vm
-            for vm in self.view.table.members
-            if vm.state is VmState.LIVE and vm.vm_id not in self.view.suspected
-        )
+        return self.view.live_members()
 
     def endpoint(self, endpoint_id: str) -> Endpoint | None:
         """Return an endpoint of the settings."""
--- a/greengagetack/membership/store.py
+++ b/greengagetack/membership/store.py
@@ -1,5 +1,6 @@
 """greengagetack.membership.store: the shards that this VM owns or backs up."""
 
+import asyncio
 from collections.abc import Callable
 
 from loguru import logger
@@ -100,6 +101,7 @@
             self._collect_snapshot,
             timer,
         )
+        self._renewal: asyncio.Task[None] | None = None
         self._subscriptions: list[Subscription] = []
 
     async def start(self) -> None:
@@ -176,6 +178,8 @@
         """Stop all tasks of this part."""
         for subscription in self._subscriptions:
             subscription.cancel()
+        if self._renewal is not None:
+            self._renewal.cancel()
         self._replicator.close()
         await self.snapshots.close()
 
@@ -337,6 +341,14 @@
             logger.info("shards: {} of shard {}", role.value, shard)
             for callback in self._callbacks:
                 callback(shard, role)
+            if self.owns(pair):
+                self._renew_soon()
+
+    def _renew_soon(self) -> None:
+        """Ask for promises at once, as a new owner cannot act without."""
+        if self._renewal is not None and not self._renewal.done():
+            return
+        self._renewal = asyncio.create_task(self.renew())
 
     def _note_epoch(self, pair: ShardPair) -> None:
         """Drop records that an epoch without this VM may have outdated."""
--- a/greengagetack/membership/view.py
+++ b/greengagetack/membership/view.py
@@ -13,7 +13,7 @@
 from greengagetack.membership.table import CellTable, ShardPair
 from greengagetack.membership.table_change import apply_change
 from greengagetack.peers.node import PeerNode
-from greengagetack.world import Vm
+from greengagetack.world import Vm, VmState
 
 __all__ = ["CellView", "KnownLead"]
 
@@ -69,6 +69,14 @@
         """Return a member of the newest table, None if it is none."""
         return self._members.get(vm_id)
 
+    def live_members(self) -> tuple[Vm, ...]:
+        """Return members that are neither leaving nor suspected."""
+        return tuple(
+            vm
+            for vm in self.table.members
+            if vm.state is VmState.LIVE and vm.vm_id not in self.suspected
+        )
+
     def is_current(self, vm_id: str, incarnation: str) -> bool:
         """Whether the table has the VM in this incarnation."""
         member = self._members.get(vm_id)
