--- a/features/platform_client.feature
+++ b/features/platform_client.feature
@@ -16,6 +16,8 @@
       | 1    | 1    | rate                | platform_unavailable | 0    |
       | 1    | 1    | hang                | version 2            | 1    |
       | 1    | 1    | gateway             | version 2            | 1    |
+      | 1    | 1    | cut                 | version 2            | 1    |
+      | 1    | 1    | garbage             | version 2            | 1    |
       | 1    | 1    | drop                | version 2            | 1    |
       | 1    | 1    | drop,ok,race        | object_conflict      | 1    |
       | 1    | 1    | drop,ok,refuse      | write_unknown        | 0    |
@@ -33,6 +35,8 @@
       | refuse | 7             |
       | rate   | 3             |
       | drop   | 1             |
+      | cut    | 1             |
+      | garbage | 1            |
 
   Scenario: The platform client lists objects, watches and reads the VM list
     Given an HTTP platform that holds the object at version 2
--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import json
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
 import uvicorn
 from starlette.applications import Starlette
 from starlette.requests import Request
-from starlette.responses import JSONResponse, Response
+from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
 from greengagetack.peers.node import listening_socket
@@ -22,7 +23,8 @@
 
     A fault is "ok", "refuse", "rate", "hang" (takes effect, never answers),
     "drop" (never takes effect nor answers), "gateway" (takes effect, answers
-    502) or "race" (another writer is first).
+    502), "cut" (takes effect, the answer ends in its middle), "garbage" (takes
+    effect, the answer is no JSON) or "race" (another writer is first).
     """
 
     objects: dict[str, dict] = field(default_factory=dict)
@@ -65,11 +67,17 @@
             await self._closing.wait()
         if fault == "race":
             self._store(path, {"change_id": "other", "value": "other"})
-        if request.method == "GET":
+        if request.method == "GET" and fault not in ("cut", "garbage"):
             current = self.objects.get(path)
             return JSONResponse(current or {}, 200 if current else 404)
-        self.puts += 1
-        answer = self._put(request, path, json.loads(body))
+        answer: Response = Response(b"")
+        if request.method == "PUT":
+            self.puts += 1
+            answer = self._put(request, path, json.loads(body))
+        if fault == "cut":
+            return StreamingResponse(cut_off(), headers={"Content-Length": "500"})
+        if fault == "garbage":
+            return Response(b"<html>busy</html>", media_type="text/html")
         if fault == "hang-then-race":
             self._store(path, {"change_id": "other", "value": "other"})
         if fault in ("hang", "hang-then-race"):
@@ -101,3 +109,9 @@
     async def _vms(self, _: Request) -> Response:
         vm = {"vm_id": "vm1", "availability_zone": "a", "state": "leaving"}
         return JSONResponse({"vms": [vm]})
+
+
+async def cut_off() -> AsyncIterator[bytes]:
+    """Yield the beginning of an answer and break the connection."""
+    yield b'{"path": "'
+    raise ConnectionResetError("cut off")
--- a/greengagetack/platform/client.py
+++ b/greengagetack/platform/client.py
@@ -4,7 +4,7 @@
 import uuid
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -25,11 +25,16 @@
 
 __all__ = ["PlatformClient"]
 
+T = TypeVar("T")
+
 CALL_TIMEOUT_S = 2.0
 RETRY_AFTER_S = 1.0
 WRITE_ATTEMPTS = 2
 MAX_VALUE_BYTES = 1_000_000
 
+# Raised by a connection that broke, was silent or spoke no HTTP.
+BROKEN = (AiosonicError, OSError, EOFError, TimeoutError, ValueError)
+
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 412
@@ -100,10 +105,7 @@
         PlatformUnavailable
             If the platform does not answer or refuses for now.
         """
-        answer = await self._get(f"/objects/{_quoted(path)}")
-        if answer.status == HTTP_NOT_FOUND:
-            return None
-        return msgspec.json.decode(answer.body, type=PlatformObject)
+        return await self._fetch(f"/objects/{_quoted(path)}", PlatformObject)
 
     async def write(self, path: str, value: Any, expected_version: int) -> int:
         """Write if the version is `expected_version` (0 = must not exist).
@@ -128,65 +130,52 @@
         body = msgspec.json.encode(_Put(change_id, value))
         if len(body) > MAX_VALUE_BYTES:
             raise InvalidRequest(f"{path} has {len(body)} bytes, over the limit")
-        for attempt in range(WRITE_ATTEMPTS):
-            lost_before = attempt > 0
+        lost_before = False
+        for _ in range(WRITE_ATTEMPTS):
             try:
                 answer = await self._put(path, body, expected_version)
+                return _written_version(
+                    path, answer, expected_version, change_id, lost_before
+                )
             except _AnswerLost as lost:
                 logger.warning("platform: lost the answer of writing {}", path)
                 version = await self._read_back(path, change_id, expected_version, lost)
                 if version is not None:
                     return version
-                continue
-            if answer.status == HTTP_OK:
-                return msgspec.json.decode(answer.body, type=_Written).version
-            if answer.status == HTTP_TOO_LARGE:
-                raise InvalidRequest(f"the platform refused the size of {path}")
-            if answer.status in REFUSED_STATUSES:
-                if lost_before:
-                    raise WriteUnknown(
-                        f"the first answer of writing {path} was lost",
-                        answer.retry_after_s,
-                    )
-                raise _refusal(path, answer)
-            if answer.status == HTTP_CONFLICT:
-                current = msgspec.json.decode(answer.body, type=PlatformObject)
-                result = WriteResult.CONFLICT
-                if lost_before:
-                    result = resolve_lost_write(
-                        current.version, current.change_id, expected_version, change_id
-                    )
-                return _version_of(result, current, expected_version)
-            raise ObjectConflict(f"the platform has no object {path} any more")
+                lost_before = True
         raise WriteUnknown(f"writing {path} got no answer", RETRY_AFTER_S)
 
     async def list(self, prefix: str) -> WatchAnswer:
         """Return all objects under a prefix with the current revision."""
-        answer = await self._get(f"/objects?prefix={quote(prefix, safe='')}")
-        return msgspec.json.decode(answer.body, type=WatchAnswer)
+        path = f"/objects?prefix={quote(prefix, safe='')}"
+        return _found(path, await self._fetch(path, WatchAnswer))
 
     async def watch(self, prefix: str, after: int, timeout_s: float) -> WatchAnswer:
         """Wait up to `timeout_s` for changes under a prefix after a revision."""
         query = f"prefix={quote(prefix, safe='')}&after={after}&timeout_s={timeout_s:g}"
-        answer = await self._get(f"/watch?{query}", waits_s=timeout_s)
-        return msgspec.json.decode(answer.body, type=WatchAnswer)
+        path = f"/watch?{query}"
+        return _found(path, await self._fetch(path, WatchAnswer, timeout_s))
 
     async def vms(self) -> tuple[ListedVm, ...]:
         """Return the VM list, which lags behind reality."""
-        answer = await self._get("/vms")
-        return msgspec.json.decode(answer.body, type=_VmList).vms
+        return _found("/vms", await self._fetch("/vms", _VmList)).vms
 
     async def close(self) -> None:
         """Close all connections to the platform."""
         await self._http.aclose()
 
-    async def _get(self, path: str, waits_s: float = 0.0) -> _Answer:
+    async def _fetch(
+        self, path: str, answer_type: type[T], waits_s: float = 0.0
+    ) -> T | None:
+        """Return the decoded answer of a read, None if there is nothing."""
         try:
             answer = await self._call("GET", path, {}, None, waits_s)
+            if answer.status == HTTP_OK:
+                return _decoded(answer, answer_type)
         except _AnswerLost as lost:
             raise PlatformUnavailable(str(lost), RETRY_AFTER_S) from lost
-        if answer.status in (HTTP_OK, HTTP_NOT_FOUND):
-            return answer
+        if answer.status == HTTP_NOT_FOUND:
+            return None
         raise _refusal(path, answer)
 
     async def _put(self, path: str, body: bytes, expected_version: int) -> _Answer:
@@ -225,7 +214,7 @@
                     timeouts=timeouts,
                 )
                 content = await response.content()
-        except (AiosonicError, OSError, TimeoutError) as error:
+        except BROKEN as error:
             raise _AnswerLost(f"{method} {path}: {error!r}") from error
         retry_after_s = _retry_after_s(response.headers.get("Retry-After"))
         return _Answer(response.status_code, content, retry_after_s)
@@ -250,6 +239,52 @@
         return _version_of(result, current, expected_version)
 
 
+def _decoded(answer: _Answer, answer_type: type[T]) -> T:
+    """Return the body's value; a body that is none counts as no answer."""
+    try:
+        return msgspec.json.decode(answer.body, type=answer_type)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise _AnswerLost(f"the answer makes no sense: {error}") from error
+
+
+def _found(path: str, value: T | None) -> T:
+    if value is None:
+        raise PlatformUnavailable(f"the platform does not know {path}", RETRY_AFTER_S)
+    return value
+
+
+def _written_version(
+    path: str,
+    answer: _Answer,
+    expected_version: int,
+    change_id: str,
+    lost_before: bool,
+) -> int:
+    """Return the version that a write got, or raise why it got none.
+
+    `lost_before` tells that an earlier attempt of the same write got no answer.
+    """
+    if answer.status == HTTP_OK:
+        return _decoded(answer, _Written).version
+    if answer.status == HTTP_TOO_LARGE:
+        raise InvalidRequest(f"the platform refused the size of {path}")
+    if answer.status in REFUSED_STATUSES and lost_before:
+        raise WriteUnknown(
+            f"the first answer of writing {path} was lost", answer.retry_after_s
+        )
+    if answer.status in REFUSED_STATUSES:
+        raise _refusal(path, answer)
+    if answer.status == HTTP_NOT_FOUND:
+        raise ObjectConflict(f"the platform has no object {path} any more")
+    current = _decoded(answer, PlatformObject)
+    result = WriteResult.CONFLICT
+    if lost_before:
+        result = resolve_lost_write(
+            current.version, current.change_id, expected_version, change_id
+        )
+    return _version_of(result, current, expected_version)
+
+
 def _version_of(
     result: WriteResult, current: PlatformObject, expected_version: int
 ) -> int:
