Give a member that the VM list shows as leaving no new work

Cause: the VM list was asked about endpoints' VMs only (scenario 'The VM list shows a member as leaving' failed first).

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -86,6 +86,13 @@
       | a member cut off     | down     |
       | the VM list          | up       |
 
+  Scenario: The VM list shows a member as leaving
+    Given a cell of 4 members with 8 endpoints
+    When the cell is ready
+    And the VM list shows a member as leaving
+    Then all members know within 3 s that the member takes no new work
+    And no endpoint is kept by the member any more
+
   Scenario: An endpoint that left comes back
     Given a cell of 3 members with 6 endpoints
     When the cell is ready
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -427,3 +427,35 @@
     until(context, lambda: lead.view.member(member.vm_id) is None)
     heal(context.cell)
     member.wake()
+
+
+@when("the VM list shows a member as leaving")
+def step_member_leaving(context: Context) -> None:
+    context.listed = other_than_lead(context).vm_id
+    context.said_s = time.monotonic()
+    context.cell.platform.listed_vms = tuple(
+        replace(vm, state=VmState.LEAVING) if vm.vm_id == context.listed else vm
+        for vm in context.cell.platform.listed_vms
+    )
+
+
+@then("all members know within 3 s that the member takes no new work")
+def step_member_known(context: Context) -> None:
+    def known() -> bool:
+        return not any(
+            vm.vm_id == context.listed
+            for member in context.cell.members.values()
+            for vm in member.directory.live_members()
+        )
+
+    until(context, known)
+    assert time.monotonic() - context.said_s < KNOWN_WITHIN_S
+
+
+@then("no endpoint is kept by the member any more")
+def step_keeps_nothing(context: Context) -> None:
+    def keeps_nothing() -> bool:
+        keepers = context.former.directory.table().keepers
+        return context.listed not in {keeper.keeper_vm_id for keeper in keepers}
+
+    until(context, keeps_nothing)
--- a/greengagetack/membership/lead.py
+++ b/greengagetack/membership/lead.py
@@ -32,7 +32,7 @@
 from greengagetack.platform.objects import ListedVm, ObjectStore
 from greengagetack.settings.view import SettingsView
 from greengagetack.timer import Timer
-from greengagetack.world import VmState
+from greengagetack.world import Vm, VmState
 
 __all__ = ["LeadDuty"]
 
@@ -272,7 +272,10 @@
             revision=revision,
             lead_vm_id=self._view.vm.vm_id,
             lead_epoch=self._lease.epoch,
-            members=tuple(self._members[vm_id].vm for vm_id in sorted(self._members)),
+            members=tuple(
+                self._as_listed(self._members[vm_id].vm)
+                for vm_id in sorted(self._members)
+            ),
             endpoints=self._settings.fleet().endpoints
             if self._settings.ready
             else None,
@@ -280,6 +283,13 @@
             waiting_endpoint_ids=waiting,
         )
 
+    def _as_listed(self, vm: Vm) -> Vm:
+        """Return the member, as leaving if the VM list says so."""
+        listed = self._listed.get(vm.vm_id)
+        if listed is None or listed.state is VmState.LIVE:
+            return vm
+        return replace(vm, state=listed.state)
+
     def _drop_silent_members(self) -> None:
         for vm_id in self._silent_for(self._timings.observer_s):
             del self._members[vm_id]
