--- a/features/steps/keeper_steps.py
+++ b/features/steps/keeper_steps.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import random
+from collections import Counter
 from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
 
 from features.support.fake_engine import FakeEngine
-from features.support.keeper_world import assert_whole, whole_text
+from features.support.keeper_world import ROUTING, assert_whole, whole_text
 from features.support.loops import run_on_loop
 from greengagetack.keeper.fair_queue import FairQueue
 from greengagetack.keeper.generation import Generation
@@ -283,6 +284,34 @@
     assert gate(context).health.allowed() == 4
 
 
+@when("the engine is ejected, leaves and comes back")
+def step_ejected_and_leaving(context: Context) -> None:
+    run_on_loop(context, eject_and_leave(context))
+
+
+async def eject_and_leave(context: Context) -> None:
+    """Fail until the ejection, then serve again while the endpoint leaves."""
+    world = context.world
+    old = context.engine
+    await world.ask("a", world.request())
+    await old.crash()
+    for _ in range(3):
+        await world.ask("a", world.request())
+    assert gate(context).health.ejected
+    world.cell.leaving.add("e1")
+    fresh = FakeEngine()
+    fresh.address = old.address
+    await fresh.start()
+    context.engine = world.engines["e1"] = fresh
+    await asyncio.sleep(3 * ROUTING.ejection_s)
+
+
+@then("the engine gets no probe")
+def step_no_probe(context: Context) -> None:
+    assert context.engine.starts == [], context.engine.starts
+    assert gate(context).health.ejected
+
+
 @given("engine {endpoint_id} is {factor:d} times slower than the others")
 def step_slower(context: Context, endpoint_id: str, factor: int) -> None:
     for engine in context.world.engines.values():
@@ -456,6 +485,37 @@
     context.served = work_off(queue, 400, source)
 
 
+@when(
+    "team b joins while {running:d} requests of team a are charged "
+    "{expected:d} tokens and take {tokens:d}"
+)
+def step_joins_overcharged(
+    context: Context, running: int, expected: int, tokens: int
+) -> None:
+    queue = context.queue
+    for _ in range(4 * running):
+        queue.push(waiting("a", expected, expected), 1.0)
+    context.running = [queue.pop((Work.ROLLOUT,)) for _ in range(running)]
+    for _ in range(4 * running):
+        queue.push(waiting("b", expected, expected), 1.0)
+    context.tokens = tokens
+
+
+@then("of the next {count:d} requests at least {least:d} are of each team")
+def step_next_requests(context: Context, count: int, least: int) -> None:
+    queue = context.queue
+    served: Counter[str] = Counter()
+    for _ in range(count):
+        ended = context.running.pop(0)
+        ended.add(Chunk(0, context.tokens, "", 1))
+        queue.settle(ended)
+        queue.push(waiting(ended.request.team, context.tokens, context.tokens), 1.0)
+        taken = queue.pop((Work.ROLLOUT,))
+        served[taken.request.team] += 1
+        context.running.append(taken)
+    assert min(served["a"], served["b"]) >= least, served
+
+
 @then("from then on both get the same")
 def step_same(context: Context) -> None:
     difference = abs(context.served["a"] - context.served["b"])
