Send no ping on a link that has just been heard

Cause: of the seven frames that a heartbeat cost a second per member, four were pings and their answers, though the heartbeat itself shows that the link works. Ruled out: fewer heartbeats (a dead member would be noticed later). Change: a side pings only if it has heard nothing for a ping interval.

--- a/greengagetack/peers/link.py
+++ b/greengagetack/peers/link.py
@@ -238,6 +238,9 @@
             if self._is_idle():
                 self.close()
                 return
+            if silent_s < PING_INTERVAL_S:
+                # Whatever arrived tells as much as an answer to a ping would.
+                continue
             if not self.closed:
                 self.send(Frame(FrameKind.PING))
 
