Start settings from the platform or from all other members

Cause: the model's settings module: a daemon that restarts in an outage took what any one member gave, and so went back to an older version when the member that had the newest did not answer. Ruled out: the platform only (a restart in an outage would always wait for it). Change: nothing is in force until the platform or every other member has answered; pushes meanwhile are refused as not ready and repeated by their sender. Price: a restart in an outage with another member missing waits for the platform.

--- a/features/settings.feature
+++ b/features/settings.feature
@@ -45,6 +45,18 @@
       | down     | v0     |
       | down     | v2     |
 
+  Scenario: A restarted daemon does not go back to what a lagging member has
+    Given a settings cell of 3 members
+    And settings member v2 takes no newer versions
+    And a member changes the fleet's settings to version 5
+    And the settings platform is down
+    And settings member v1 is stopped unnoticed
+    When settings member v0 is restarted
+    Then settings member v0 stays without settings
+    When the settings platform comes back
+    Then settings member v0 has version 5 in force
+    And settings member v0 never had a version but 5
+
   Scenario: A daemon with neither platform nor peers is not ready
     Given a settings cell of 1 members
     And the settings platform is down
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -113,6 +113,11 @@
     peers.handle(PushSettings, lose)
 
 
+@given("settings member {vm_id} takes no newer versions")
+def step_lags(context: Context, vm_id: str) -> None:
+    context.cell.members[vm_id].store.offer = lambda offered: True
+
+
 @given("settings member {vm_id} is stopped unnoticed")
 def step_stopped(context: Context, vm_id: str) -> None:
     run(context, context.cell.stop(vm_id, suspect=False))
@@ -177,6 +182,13 @@
     run(context, _wait_for(context, version))
 
 
+@then("settings member {vm_id} has version {version:d} in force")
+def step_one_in_force(context: Context, vm_id: str, version: int) -> None:
+    store = context.cell.members[vm_id].store
+    in_force = wait_until(lambda: store.ready and store.version("/fleet") == version)
+    run(context, in_force)
+
+
 @then("settings members {confirmed} are confirmed and {missing} is missing")
 def step_confirmed(context: Context, confirmed: str, missing: str) -> None:
     assert context.spread.confirmed_vm_ids == tuple(confirmed.split()), context.spread
--- a/greengagetack/settings/store.py
+++ b/greengagetack/settings/store.py
@@ -42,6 +42,11 @@
         """Whether all settings have been loaded, the fleet's among them."""
         return self._loaded and self._fleet is not None
 
+    @property
+    def loaded(self) -> bool:
+        """Whether the platform or the peers have given all subtrees."""
+        return self._loaded
+
     def mark_loaded(self) -> None:
         """Take note that the platform or a peer has given all its subtrees."""
         if not self._loaded:
--- a/greengagetack/settings/sync.py
+++ b/greengagetack/settings/sync.py
@@ -7,7 +7,8 @@
 from loguru import logger
 
 from greengagetack.daemons.role import Role, Services, role
-from greengagetack.errors import CodedError
+from greengagetack.errors import CodedError, NotReady
+from greengagetack.leases.decisions import accept_version
 from greengagetack.membership.table import rendezvous_order
 from greengagetack.peers.messages import Done
 from greengagetack.platform.objects import PlatformObject
@@ -68,6 +69,7 @@
         )
         self._tasks: set[asyncio.Task[None]] = set()
         self._turn = 0
+        self._loading: dict[str, SettingsObject] = {}
 
     async def start(self) -> None:
         """Serve messages, load the settings and keep them at the newest version."""
@@ -99,20 +101,40 @@
     # Loading
 
     async def _load(self) -> None:
-        """Ask the platform and the peers until one of them has given all."""
+        """Ask the platform and the peers until one of them has given all.
+
+        Until then nothing is put in force: a member that lags, or that this daemon
+        was ahead of before it restarted, must not bring an older version back.
+        """
         retry_s = LOAD_RETRY_S
         while not self._store.ready:
             answers = await asyncio.gather(
                 self._load_from_platform(), self._load_from_members()
             )
             if any(answers):
-                self._store.mark_loaded()
+                self._finish_loading()
             if self._store.ready:
                 logger.info("settings: loaded")
                 return
             await self._timer.sleep(self._timer.jittered_s(retry_s))
             retry_s = min(2 * retry_s, MAX_LOAD_RETRY_S)
 
+    def _offer(self, found: SettingsObject) -> bool:
+        """Offer a subtree to the store, or keep it until all are loaded."""
+        if self._store.loaded:
+            return self._store.offer(found)
+        known = self._loading.get(found.path)
+        if known is None or accept_version(known.version, found.version):
+            self._loading[found.path] = found
+        return False
+
+    def _finish_loading(self) -> None:
+        """Put the highest versions that were offered in force."""
+        for found in self._loading.values():
+            self._store.offer(found)
+        self._loading.clear()
+        self._store.mark_loaded()
+
     async def _load_from_platform(self) -> bool:
         try:
             answer = await self._platform.list(PREFIX)
@@ -120,14 +142,21 @@
             logger.warning("settings: the platform did not answer: {}", error.reason)
             return False
         for stored in answer.objects:
-            self._store.offer(from_platform(stored))
+            self._offer(from_platform(stored))
         return True
 
     async def _load_from_members(self) -> bool:
-        """Take the highest versions of all members that answer."""
+        """Take the highest versions of all other members.
+
+        Returns
+        -------
+        bool
+            Whether every one of them answered; the one that is missing may be the
+            only one with the highest version.
+        """
         vm_ids = self._other_vm_ids(live_only=False)
         answers = await asyncio.gather(*[self._load_from(vm_id) for vm_id in vm_ids])
-        return any(answers)
+        return bool(answers) and all(answers)
 
     async def _load_from(self, vm_id: str) -> bool:
         try:
@@ -153,7 +182,7 @@
             vm_id, FetchSettings(paths), PEER_TIMEOUT_S
         ):
             if isinstance(answer, PushSettings):
-                self._store.offer(answer.to_object())
+                self._offer(answer.to_object())
 
     # Watching
 
@@ -193,7 +222,7 @@
         else:
             answer = await self._platform.watch(PREFIX, revision, WATCH_TIMEOUT_S)
         already_known = [self._take_from_platform(stored) for stored in answer.objects]
-        self._store.mark_loaded()
+        self._finish_loading()
         if any(already_known) and revision is not None:
             # The daemon that accepted the change pushes it; see that it does.
             self._spawn(self._verify_later())
@@ -210,7 +239,7 @@
                 found.path,
                 known,
             )
-        if found.version > known and self._store.offer(found):
+        if found.version > known and self._offer(found):
             self._spawn(self._spread_quietly(found))
         return found.version == known
 
@@ -265,6 +294,8 @@
     # Serving
 
     async def _take_push(self, sender: str, body: PushSettings) -> SettingsConfirmed:
+        if not self._store.loaded:
+            raise NotReady("the settings are being loaded", LOAD_RETRY_S)
         self._store.offer(body.to_object())
         return SettingsConfirmed(body.path, self._store.version(body.path))
 
