Count what open hedges may still waste against the bound

Cause: samples that only waited in a queue were all hedged at once, since the bound saw just the tokens made so far; the losers ran to nearly their end. Change: an open hedge counts with the expected tokens of its cheaper attempt.

--- a/features/hedging.feature
+++ b/features/hedging.feature
@@ -38,3 +38,8 @@
       | hangs before a token     | 0      | 1         |
       | hangs after 1 tokens     | 1      | 1         |
       | works                    | 0      | 0         |
+
+  Scenario: Samples that wait in a queue are not all hedged at once
+    Given a step of 60 groups of 1 samples and endpoints with 4 slots each
+    When the step runs
+    Then at most 2 percent and 1 sample of its tokens were made in vain
--- a/features/steps/hedging_steps.py
+++ b/features/steps/hedging_steps.py
@@ -59,6 +59,26 @@
         self.cancelled.append(request_id)
 
 
+class QueueingEndpoints(TwoEndpoints):
+    """Serves samples at two endpoints with few slots; counts all tokens."""
+
+    def __init__(self, slots: int) -> None:
+        super().__init__(None)
+        self.tokens_made = 0
+        self._slots = {name: asyncio.Semaphore(slots) for name in ("e1", "e2")}
+
+    async def complete(
+        self, request: Complete, exclude: frozenset[str] = frozenset()
+    ) -> AsyncGenerator[Chunk | Completed, None]:
+        """Wait for a slot, then yield a token at a time."""
+        endpoint_id = "e2" if "e1" in exclude else "e1"
+        self._at[request.request_id] = endpoint_id
+        async with self._slots[endpoint_id]:
+            async for item in super().complete(request, exclude):
+                self.tokens_made += isinstance(item, Chunk)
+                yield item
+
+
 @given("samples usually take {pace:g} s per token")
 def step_pace(context: Context, pace: float) -> None:
     context.paces = PaceBook()
@@ -89,9 +109,9 @@
     assert context.hedged is (hedged == "yes")
 
 
-@given("a step of {groups:d} groups of 1 samples and an endpoint that {fault}")
-def step_endpoint(context: Context, groups: int, fault: str) -> None:
-    spec = StepSpec(
+def step_of(groups: int) -> StepSpec:
+    """Return a step of groups with one sample each."""
+    return StepSpec(
         team="kestrel",
         job="notes",
         step=1,
@@ -102,10 +122,31 @@
         samples_per_group=1,
         max_tokens=TOKENS,
     )
+
+
+@given(
+    "a step of {groups:d} groups of 1 samples and endpoints with {slots:d} slots each"
+)
+def step_queueing(context: Context, groups: int, slots: int) -> None:
+    context.spec = step_of(groups)
+    context.endpoints = QueueingEndpoints(slots)
+
+
+@then(
+    "at most {percent:d} percent and {samples:d} sample of its tokens were made in vain"
+)
+def step_in_vain(context: Context, percent: int, samples: int) -> None:
+    wanted = TOKENS * len(context.spec.groups)
+    in_vain = context.endpoints.tokens_made - wanted
+    assert in_vain <= wanted * percent / 100 + samples * TOKENS, in_vain
+
+
+@given("a step of {groups:d} groups of 1 samples and an endpoint that {fault}")
+def step_endpoint(context: Context, groups: int, fault: str) -> None:
     found = re.search(r"after (\d+) tokens", fault)
     hang_after = int(found.group(1)) if found else 0
     context.endpoints = TwoEndpoints(None if fault == "works" else hang_after)
-    context.spec = spec
+    context.spec = step_of(groups)
 
 
 async def _no_scores(
--- a/greengagetack/rollouts/runner.py
+++ b/greengagetack/rollouts/runner.py
@@ -148,7 +148,7 @@
             return
         now_s = self._timer.now_s()
         usual_pace_s = self._paces.median_s()
-        at_risk = 0
+        at_risk = self._tokens_at_risk()
         for sample_id, running in list(self._attempts.items()):
             if len(running) != 1:
                 continue
@@ -162,7 +162,20 @@
                 self._hedging,
             )
             if slow_enough and self._hedge(sample_id, slow):
-                at_risk += slow.tokens
+                at_risk += self._cost_of_losing(slow)
+
+    def _tokens_at_risk(self) -> int:
+        """Return what the open hedges may still waste."""
+        at_risk = 0
+        for running in self._attempts.values():
+            if len(running) > 1:
+                at_risk += min(self._cost_of_losing(attempt) for attempt in running)
+        return at_risk
+
+    def _cost_of_losing(self, attempt: SampleAttempt) -> int:
+        """Return the tokens that an attempt has made in the end if it loses."""
+        expected = self.state.expected_tokens(attempt.sample_id.group_id)
+        return max(attempt.tokens, int(expected))
 
     def _hedge(self, sample_id: SampleId, slow: SampleAttempt) -> bool:
         endpoint_id = self._completions.endpoint_of(slow.request.request_id)
