--- a/greengagetack/keeper/monitor.py
+++ b/greengagetack/keeper/monitor.py
@@ -38,12 +38,14 @@
         gate = self._gate
         gate.refuse_expired()
         await gate.drop_abandoned()
-        if gate.health.ejected:
+        if gate.health.ejected and not gate.leaving:
             await self._probe_if_due()
             return
         await gate.check_leaving()
         with suppress(CodedError):
             await gate.versions.refresh()
+            events = await gate.adapter.cache_events(gate.prefixes.next_event)
+            gate.prefixes.correct(events)
         await self._learn_paces()
         self._judge_pace()
         gate.wake()
--- a/greengagetack/rollouts/runner.py
+++ b/greengagetack/rollouts/runner.py
@@ -15,7 +15,7 @@
 from greengagetack.rollouts.state import StepState
 from greengagetack.timer import Timer
 
-__all__ = ["Scoring", "StepRunner"]
+__all__ = ["HEDGE_SUFFIX", "Scoring", "StepRunner"]
 
 DEFAULT_RETRY_S = 0.5
 MAX_RETRY_S = 5.0
