--- a/bench/callers.py
+++ b/bench/callers.py
@@ -12,7 +12,7 @@
 from aiosonic.exceptions import AiosonicError, BaseTimeout
 from aiosonic.timeout import Timeouts
 
-from bench.workload import MODEL
+from bench.deployment import MODEL
 from standins.tokens import answer_text
 
 __all__ = ["Balancer", "Call", "CallLog", "Callers", "Flood"]
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -30,9 +30,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ServicePlan:
-    """One replica of the plain service."""
+    """One replica of the plain service: its availability zone and options."""
 
     availability_zone: str
+    options: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +52,7 @@
     fleet: dict[str, Any] = field(default_factory=dict)
     teams: dict[str, dict[str, Any]] = field(default_factory=dict)
     platform_options: tuple[str, ...] = ()
+    scorer_options: tuple[str, ...] = ()
     data_folder_daemons: int = 0
     log_level: str = "INFO"
 
@@ -93,6 +95,7 @@
         self.scorer: Process
         self.daemons: dict[str, Process] = {}
         self._settings_files: dict[str, Path] = {}
+        self._vm_values: dict[str, dict[str, Any]] = {}
 
     def start(self) -> None:
         """Start everything in the order of its dependencies."""
@@ -103,12 +106,18 @@
     def start_stand_ins(self) -> None:
         """Start platform, engines, service replicas and scorer."""
         plan = self.plan
-        self.platform = self.group.stand_in(
-            "platform", *plan.platform_options, name="platform"
-        )
+        launch = self.group.launch_stand_in
+        self.platform = launch("platform", *plan.platform_options, name="platform")
+        self.scorer = launch("scorer", *plan.scorer_options, name=SCORER)
+        for number, service in enumerate(plan.services, 1):
+            endpoint_id = f"{SERVICE}-{number}"
+            self.services[endpoint_id] = launch(
+                "service", *service.options, name=endpoint_id
+            )
+        self.platform.wait_ready()
         for number, engine in enumerate(plan.engines, 1):
             endpoint_id = f"engine-{number}"
-            self.engines[endpoint_id] = self.group.stand_in(
+            self.engines[endpoint_id] = launch(
                 "engine",
                 "--model",
                 MODEL,
@@ -121,12 +130,8 @@
                 *engine.options,
                 name=endpoint_id,
             )
-        for number, _ in enumerate(plan.services, 1):
-            endpoint_id = f"{SERVICE}-{number}"
-            self.services[endpoint_id] = self.group.stand_in(
-                "service", name=endpoint_id
-            )
-        self.scorer = self.group.stand_in("scorer", name=SCORER)
+        for process in [self.scorer, *self.services.values(), *self.engines.values()]:
+            process.wait_ready()
 
     def fleet_settings(self) -> dict[str, Any]:
         """Return the fleet's settings as plain JSON."""
@@ -213,12 +218,13 @@
         """Start all daemons and wait until each is ready to serve."""
         for number, zone in enumerate(self.plan.daemon_zones, 1):
             vm_id = f"vm-{number}"
-            self._settings_files[vm_id] = self._write_vm_file(number, vm_id, zone)
+            value = self._vm_settings(number, vm_id, zone)
+            self._write_vm_file(vm_id, value)
             self.daemons[vm_id] = self.launch_daemon(vm_id)
         for process in self.daemons.values():
             process.wait_ready()
 
-    def _write_vm_file(self, number: int, vm_id: str, zone: str) -> Path:
+    def _vm_settings(self, number: int, vm_id: str, zone: str) -> dict[str, Any]:
         value: dict[str, Any] = {
             "vm_id": vm_id,
             "availability_zone": zone,
@@ -230,9 +236,22 @@
             folder = self.group.folder / f"data-{vm_id}"
             folder.mkdir(exist_ok=True)
             value["data_folder"] = {"path": str(folder), "interval_s": 2.0}
+        return value
+
+    def _write_vm_file(self, vm_id: str, value: dict[str, Any]) -> None:
         path = self.group.folder / f"{vm_id}.jsonc"
         path.write_text(f"// Settings of {vm_id}.\n{json.dumps(value, indent=2)}\n")
-        return path
+        self._settings_files[vm_id] = path
+        self._vm_values[vm_id] = value
+
+    def keep_addresses(self, vm_id: str) -> None:
+        """Let a daemon's next start listen where the running one does."""
+        ready = self.daemons[vm_id].ready
+        value = dict(self._vm_values[vm_id])
+        for key in ("http", "peer"):
+            host, _, port = ready[key].rpartition(":")
+            value[key] = {"host": host, "port": int(port)}
+        self._write_vm_file(vm_id, value)
 
     def launch_daemon(self, vm_id: str) -> Process:
         """Start a daemon without waiting for it."""
--- a/bench/hop.py
+++ b/bench/hop.py
@@ -10,10 +10,11 @@
 import aiosonic
 import psutil
 
+from bench.deployment import MODEL
 from bench.figures import percentile
 from bench.shapes import SHAPES
-from bench.site import BUDGET_TOKENS, Site, token_of
-from bench.workload import CALLER_TEAM, MODEL
+from bench.site import Site
+from bench.workload import CALLER_TEAM
 from standins.processes import ProcessGroup
 
 __all__ = ["HopFigures", "measure_hop", "show_hop"]
@@ -22,6 +23,7 @@
 STREAMS = 200
 STREAM_TOKENS = 8
 IDLE_S = 5.0
+FAST_ENGINE = ("--time-scale=200", "--tick-s=0.002")
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,7 +51,7 @@
         self._site = site
         self._http = aiosonic.HTTPClient()
         self._headers = {
-            "Authorization": f"Bearer {token_of(CALLER_TEAM)}",
+            "Authorization": f"Bearer {site.token_of(CALLER_TEAM)}",
             "Content-Type": "application/json",
         }
         self._number = 0
@@ -107,8 +109,8 @@
     shape = SHAPES["kestrelmoor"]
     shape = type(shape)("hop", 3, 1, 1, 3, 0.0, 0.0)
     with ProcessGroup() as group:
-        site = Site(group, shape, "affinity", 1, ("--time-scale=200", "--tick-s=0.002"))
-        await site.start(BUDGET_TOKENS)
+        site = Site(group, shape, "affinity", engine_options=FAST_ENGINE)
+        await site.start()
         children = [psutil.Process(daemon.pid) for daemon in site.daemons]
         before = [sum(child.cpu_times()[:2]) for child in children]
         await asyncio.sleep(IDLE_S)
@@ -119,7 +121,8 @@
         resident = [child.memory_info().rss / 1e6 for child in children]
         prober = Prober(site)
         entry = site.entries[0]
-        service, engine = site.services[0].url, site.engines[0].url
+        services = list(site.deployment.services.values())
+        service, engine = services[0].url, site.engines[0].url
         plain = await in_turn(
             CALLS,
             (
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -24,7 +24,7 @@
 from bench.hop import HopFigures, measure_hop, show_hop
 from bench.scenarios import SCENARIOS, Scenario
 from bench.shapes import ENGINE, SHAPES, Shape
-from bench.site import FLOOD_TEAM, OPERATOR_TOKEN, Site, token_of
+from bench.site import FLOOD_TEAM, Site
 from bench.trainers import Trainer, VersionClock
 from bench.workload import CALLER_TEAM, TRAINER_TEAMS
 from greengagetack.rollouts.client import RolloutClient
@@ -74,13 +74,13 @@
     shape = site.shape
     clock = VersionClock()
     balancer = Balancer(site.entries)
-    callers = make_callers(balancer, CALLER_TEAM, shape, seed)
-    flood = make_callers(balancer, FLOOD_TEAM, shape, seed + 1)
-    operator = RolloutClient(site.entries, OPERATOR_TOKEN, seed)
+    callers = make_callers(site, balancer, CALLER_TEAM, seed)
+    flood = make_callers(site, balancer, FLOOD_TEAM, seed + 1)
+    operator = RolloutClient(site.entries, site.operator_token, seed)
     tokens_per_s = scenario.engines_left(shape) * ENGINE.tokens_per_s
     trainers = []
     for index, team in enumerate(TRAINER_TEAMS):
-        client = RolloutClient(site.entries, token_of(team), seed + index)
+        client = RolloutClient(site.entries, site.token_of(team), seed + index)
         announcer = operator if index == 0 else None
         trainers.append(Trainer(team, client, announcer, clock, shape.client_latency_s))
     stop, over = asyncio.Event(), asyncio.Event()
@@ -129,9 +129,10 @@
     )
 
 
-def make_callers(balancer: Balancer, team: str, shape: Shape, seed: int) -> Callers:
+def make_callers(site: Site, balancer: Balancer, team: str, seed: int) -> Callers:
     """Return the callers of a team."""
-    return Callers(balancer, token_of(team), team, shape.client_latency_s, seed)
+    latency_s = site.shape.client_latency_s
+    return Callers(balancer, site.token_of(team), team, latency_s, seed)
 
 
 async def run_round(
@@ -139,9 +140,9 @@
 ) -> RoundResult:
     """Start a deployment, play a round on it and end it."""
     with ProcessGroup() as group:
-        site = Site(group, shape, policy, seed)
+        site = Site(group, shape, policy, scenario.flood_tokens)
         try:
-            await site.start(scenario.flood_tokens)
+            await site.start()
             result = await play(site, scenario, seed)
         except Exception as error:
             fault = f"{type(error).__name__}: {error}"
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -97,7 +97,7 @@
     async def run(self, site: Site, flood: Callers) -> None:
         """Kill the first engine."""
         await asyncio.sleep(FAULT_AT_S)
-        await site.kill_engine(0)
+        await site.kill_engine("engine-1")
 
 
 @scenario("slow-engine")
@@ -128,13 +128,11 @@
 
     async def prepare(self, site: Site) -> None:
         """Start the outage."""
-        assert site.platform is not None
-        await site.set_faults(site.platform, outage="hang")
+        await site.set_faults(site.deployment.platform, outage="hang")
 
     async def repair(self, site: Site) -> None:
         """End the outage."""
-        assert site.platform is not None
-        await site.set_faults(site.platform)
+        await site.set_faults(site.deployment.platform)
 
 
 @scenario("flooding-team")
@@ -159,7 +157,7 @@
     async def run(self, site: Site, flood: Callers) -> None:
         """Restart all daemons; each has to exit with code 0."""
         await asyncio.sleep(FAULT_AT_S)
-        for index in range(len(site.daemons)):
-            code = await site.restart_daemon(index)
+        for vm_id in list(site.deployment.daemons):
+            code = await site.restart_daemon(vm_id)
             if code != 0:
-                raise RuntimeError(f"daemon {index} ended with code {code}")
+                raise RuntimeError(f"{vm_id} ended with code {code}")
--- a/bench/site.py
+++ b/bench/site.py
@@ -4,21 +4,26 @@
 import json
 import time
 from contextlib import suppress
-from dataclasses import dataclass, field
 from typing import Any
 
 import aiosonic
 from aiosonic.exceptions import AiosonicError
 
+from bench.deployment import (
+    MODEL,
+    Deployment,
+    DeploymentPlan,
+    EnginePlan,
+    ServicePlan,
+)
 from bench.shapes import ENGINE, Shape
-from bench.workload import CALLER_TEAM, MODEL, TRAINER_TEAMS
-from greengagetack.daemons.auth import hash_token
+from bench.workload import CALLER_TEAM, TRAINER_TEAMS
 from standins.processes import Process, ProcessGroup
 
-__all__ = ["FLOOD_TEAM", "OPERATOR_TOKEN", "Site", "SiteFailed", "token_of"]
+__all__ = ["BUDGET_TOKENS", "FLOOD_TEAM", "Site", "SiteFailed"]
 
-OPERATOR_TOKEN = "ggt_operator"
 FLOOD_TEAM = "flood"
+MEASURED_TEAMS = (*TRAINER_TEAMS, CALLER_TEAM)
 READY_LIMIT_S = 40.0
 POLL_S = 0.05
 BUDGET_PERIOD_S = 3_600.0
@@ -29,81 +34,83 @@
     """The deployment did not come up."""
 
 
-def token_of(team: str) -> str:
-    """Return the bearer token of a team."""
-    return f"ggt_{team}"
-
-
-@dataclass(slots=True)
 class Site:
-    """Processes of one deployment and calls to the stand-ins' controls.
-
-    `saved_logs` holds the logs of engines that were killed.
+    """A deployment of one shape and calls to the stand-ins' controls.
+
+    Parameters
+    ----------
+    group : ProcessGroup
+        Ends all processes when it is left.
+    policy : str
+        Routing policy in the fleet's settings.
+    flood_tokens : int
+        Bound of the flooding team in the period.
+    engine_options : tuple of str
+        Further options of the engine stand-ins.
+
+    Attributes
+    ----------
+    saved_logs : dict of str to dict
+        Logs of engines that were killed.
     """
 
-    group: ProcessGroup
-    shape: Shape
-    policy: str
-    seed: int
-    engine_options: tuple[str, ...] = ()
-    platform: Process | None = None
-    engines: list[Process] = field(default_factory=list)
-    services: list[Process] = field(default_factory=list)
-    scorer: Process | None = None
-    daemons: list[Process] = field(default_factory=list)
-    saved_logs: dict[int, Any] = field(default_factory=dict)
-    http: aiosonic.HTTPClient = field(default_factory=aiosonic.HTTPClient)
+    def __init__(
+        self,
+        group: ProcessGroup,
+        shape: Shape,
+        policy: str,
+        flood_tokens: int = BUDGET_TOKENS,
+        engine_options: tuple[str, ...] = (),
+    ) -> None:
+        self.shape = shape
+        self.policy = policy
+        self.saved_logs: dict[str, Any] = {}
+        self.http = aiosonic.HTTPClient()
+        plan = plan_of(shape, policy, flood_tokens, engine_options)
+        self.deployment = Deployment(plan, group)
+
+    @property
+    def daemons(self) -> list[Process]:
+        """The daemons in the order of their VMs."""
+        return list(self.deployment.daemons.values())
+
+    @property
+    def engines(self) -> list[Process]:
+        """The engines in the order of their numbers."""
+        return list(self.deployment.engines.values())
 
     @property
     def entries(self) -> tuple[str, ...]:
         """Base URLs of the daemons."""
         return tuple(daemon.url for daemon in self.daemons)
 
-    async def start(self, flood_tokens: int) -> None:
-        """Start everything and wait until all daemons are ready.
+    @property
+    def operator_token(self) -> str:
+        """Bearer token of an operator."""
+        return self.deployment.operator.token
+
+    def token_of(self, team: str) -> str:
+        """Return the bearer token of a team."""
+        return self.deployment.teams[team].token
+
+    async def start(self) -> None:
+        """Start everything and wait until all entries serve all teams.
 
         Raises
         ------
         SiteFailed
-            If a daemon is not ready in time.
+            If an entry does not in time.
         """
-        shape = self.shape
-        latency = f"--latency-s={shape.zone_latency_s}"
-        self.platform = self.group.launch_stand_in(
-            "platform", latency, "--vm-lag-s=1", "--weights-per-s=50"
-        )
-        self.scorer = self.group.launch_stand_in("scorer", latency)
-        for _ in range(shape.services):
-            self.services.append(self.group.launch_stand_in("service", latency))
-        self.platform.wait_ready()
-        for index in range(shape.engines):
-            self.engines.append(
-                self.group.launch_stand_in(
-                    "engine",
-                    latency,
-                    f"--model={MODEL}",
-                    f"--platform-url={self.platform.url}",
-                    f"--seed={index}",
-                    *ENGINE.options(),
-                    *self.engine_options,
-                )
-            )
-        for process in [self.scorer, *self.services, *self.engines]:
-            process.wait_ready()
-        await self._write_settings(flood_tokens)
-        for index in range(shape.daemons):
-            self.daemons.append(self._launch_daemon(index))
-        for daemon in self.daemons:
-            daemon.wait_ready()
+        await asyncio.to_thread(self.deployment.start)
         await asyncio.gather(*(self.wait_until_ready(url) for url in self.entries))
-        teams = (*TRAINER_TEAMS, CALLER_TEAM, FLOOD_TEAM)
+        teams = self.deployment.plan.team_names
         pairs = [(url, team) for url in self.entries for team in teams]
         await asyncio.gather(*(self._warm_up(url, team) for url, team in pairs))
 
     async def _warm_up(self, url: str, team: str) -> None:
         """Repeat a small completion until the entry answers it for the team."""
         headers = {
-            "Authorization": f"Bearer {token_of(team)}",
+            "Authorization": f"Bearer {self.token_of(team)}",
             "Content-Type": "application/json",
         }
         body = {"model": MODEL, "prompt": "warm-up [len=1]", "max_tokens": 1}
@@ -118,78 +125,12 @@
             await asyncio.sleep(POLL_S)
         raise SiteFailed(f"{url} serves nothing to {team}")
 
-    async def _write_settings(self, flood_tokens: int) -> None:
-        await self.put_object("settings/fleet", self._fleet())
-        for team in (*TRAINER_TEAMS, CALLER_TEAM):
-            await self.put_object(f"settings/teams/{team}", team_settings(team))
-        flood = team_settings(FLOOD_TEAM, flood_tokens)
-        await self.put_object(f"settings/teams/{FLOOD_TEAM}", flood)
-        vms = []
-        for index in range(self.shape.daemons):
-            zone = self.shape.zone_of(index)
-            vm = {"vm_id": vm_id(index), "availability_zone": zone, "state": "live"}
-            vms.append(vm)
-        assert self.platform is not None
-        await self.call(self.platform, "POST", "/control/vms", {"vms": vms})
-
-    def _fleet(self) -> dict[str, Any]:
-        endpoints = []
-        for index, engine in enumerate(self.engines):
-            endpoints.append(self._endpoint("engine", MODEL, "openai", index, engine))
-        for index, service in enumerate(self.services):
-            endpoints.append(
-                self._endpoint("service", "booking", "plain", index, service)
-            )
-        assert self.scorer is not None
-        endpoints.append(self._endpoint("service", "scorer", "plain", 0, self.scorer))
-        return {
-            "endpoints": endpoints,
-            "models": [{"name": MODEL}],
-            "services": [
-                {"name": "booking"},
-                {"name": "scorer", "idempotent_methods": ["GET", "POST"]},
-            ],
-            "routing": {"policy": self.policy},
-            "operator_token_hashes": [hash_token(OPERATOR_TOKEN)],
-        }
-
-    def _endpoint(
-        self, kind: str, name: str, adapter: str, index: int, process: Process
-    ) -> dict[str, Any]:
-        return {
-            "endpoint_id": f"{name}-{index}",
-            "kind": kind,
-            "name": name,
-            "adapter": adapter,
-            "url": process.url,
-            "availability_zone": self.shape.zone_of(index),
-            "slots": ENGINE.slots,
-        }
-
-    def _launch_daemon(
-        self, index: int, addresses: dict[str, Any] | None = None
-    ) -> Process:
-        assert self.platform is not None
-        settings = {
-            "vm_id": vm_id(index),
-            "availability_zone": self.shape.zone_of(index),
-            "cell": "cell-1",
-            "platform_url": self.platform.url,
-            "log": {"level": "WARNING"},
-            **(addresses or {}),
-        }
-        path = self.group.folder / f"{vm_id(index)}.jsonc"
-        path.write_text(json.dumps(settings))
-        return self.group.launch_daemon(path)
-
-    async def restart_daemon(self, index: int) -> int:
+    async def restart_daemon(self, vm_id: str) -> int:
         """Stop a daemon gracefully, start it again; return its exit code."""
-        old = self.daemons[index]
-        addresses = {key: address_of(old.ready[key]) for key in ("http", "peer")}
+        old = self.deployment.daemons[vm_id]
+        self.deployment.keep_addresses(vm_id)
         code = await asyncio.to_thread(old.terminate, READY_LIMIT_S)
-        new = self._launch_daemon(index, addresses)
-        await asyncio.to_thread(new.wait_ready)
-        self.daemons[index] = new
+        new = await asyncio.to_thread(self.deployment.restart_daemon, vm_id)
         await self.wait_until_ready(new.url)
         return code
 
@@ -228,26 +169,20 @@
             raise SiteFailed(f"{method} {path}: {answer.status_code} {content}")
         return content
 
-    async def put_object(self, path: str, value: Any) -> None:
-        """Write a new object into the platform."""
-        assert self.platform is not None
-        body = {"change_id": f"bench-{path}", "value": value}
-        headers = {"If-None-Match": "*"}
-        await self.call(self.platform, "PUT", f"/objects/{path}", body, headers)
-
     async def set_faults(self, process: Process, **faults: Any) -> None:
         """Set the faults of a stand-in."""
         await self.call(process, "POST", "/control/faults", faults)
 
-    async def kill_engine(self, index: int) -> None:
+    async def kill_engine(self, endpoint_id: str) -> None:
         """Keep the engine's log and kill it."""
-        engine = self.engines[index]
-        self.saved_logs[index] = await self.call(engine, "GET", "/control/log")
+        engine = self.deployment.engines[endpoint_id]
+        log = await self.call(engine, "GET", "/control/log")
+        self.saved_logs[endpoint_id] = log
         await asyncio.to_thread(engine.kill)
 
     async def unfinished_steps(self) -> list[str]:
         """Return what is known about steps that are not whole."""
-        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        headers = {"Authorization": f"Bearer {self.operator_token}"}
         lines = []
         for daemon in self.daemons:
             if not daemon.running:
@@ -261,32 +196,45 @@
     async def engine_logs(self) -> list[Any]:
         """Return the logs of all engines, killed ones too."""
         logs = []
-        for index, engine in enumerate(self.engines):
-            if index in self.saved_logs:
-                logs.append(self.saved_logs[index])
+        for endpoint_id, engine in self.deployment.engines.items():
+            if endpoint_id in self.saved_logs:
+                logs.append(self.saved_logs[endpoint_id])
                 continue
             logs.append(await self.call(engine, "GET", "/control/log"))
         return logs
 
 
-def vm_id(index: int) -> str:
-    """Return the identifier of a daemon's VM."""
-    return f"vm-{index + 1}"
-
-
-def team_settings(team: str, tokens: int = BUDGET_TOKENS) -> dict[str, Any]:
-    """Return the settings of a team with a bound of tokens."""
+def plan_of(
+    shape: Shape, policy: str, flood_tokens: int, engine_options: tuple[str, ...]
+) -> DeploymentPlan:
+    """Return what to start for a shape, all latencies put in."""
+    latency = f"--latency-s={shape.zone_latency_s}"
+    engines = []
+    for index in range(shape.engines):
+        options = (latency, f"--seed={index}", *ENGINE.options(), *engine_options)
+        zone = shape.zone_of(index)
+        engines.append(EnginePlan(zone, slots=ENGINE.slots, options=options))
+    services = [
+        ServicePlan(shape.zone_of(index), (latency,)) for index in range(shape.services)
+    ]
+    teams = {team: team_settings(BUDGET_TOKENS) for team in MEASURED_TEAMS}
+    teams[FLOOD_TEAM] = team_settings(flood_tokens)
+    return DeploymentPlan(
+        daemon_zones=tuple(shape.zone_of(index) for index in range(shape.daemons)),
+        engines=tuple(engines),
+        services=tuple(services),
+        team_names=tuple(teams),
+        fleet={"routing": {"policy": policy}},
+        teams=teams,
+        platform_options=(latency, "--vm-lag-s=1", "--weights-per-s=50"),
+        scorer_options=(latency,),
+        log_level="WARNING",
+    )
+
+
+def team_settings(tokens: int) -> dict[str, Any]:
+    """Return what the settings of a team with a bound of tokens override."""
     return {
-        "team": team,
-        "token_hashes": [hash_token(token_of(team))],
         "budget": {"tokens_per_period": tokens, "period_s": BUDGET_PERIOD_S},
-        "models": [MODEL],
-        "services": ["booking", "scorer"],
         "policies": [{"model": MODEL, "max_staleness_versions": 1}],
     }
-
-
-def address_of(text: str) -> dict[str, Any]:
-    """Return the settings of an address such as ``127.0.0.1:80``."""
-    host, _, port = text.rpartition(":")
-    return {"host": host, "port": int(port)}
--- a/bench/trainers.py
+++ b/bench/trainers.py
@@ -5,7 +5,8 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from bench.workload import MODEL, StepWork, WorkSize, make_step
+from bench.deployment import MODEL
+from bench.workload import StepWork, WorkSize, make_step
 from greengagetack.errors import CodedError
 from greengagetack.rollouts.client import RolloutClient, StepRequest
 from greengagetack.rollouts.messages import FinishedGroup
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -4,12 +4,12 @@
 from dataclasses import dataclass
 from typing import Any
 
+from bench.deployment import MODEL, SCORER
 from bench.shapes import ENGINE
 from standins.tokens import count_prompt_tokens
 
-__all__ = ["CALLER_TEAM", "MODEL", "TRAINER_TEAMS", "StepWork", "WorkSize", "make_step"]
+__all__ = ["CALLER_TEAM", "TRAINER_TEAMS", "StepWork", "WorkSize", "make_step"]
 
-MODEL = "summaries"
 TRAINER_TEAMS = ("alpha", "beta")
 CALLER_TEAM = "vans"
 PROMPT_WORDS = 48
@@ -72,7 +72,7 @@
             "max_tokens": 4 * size.straggler_tokens,
             "max_staleness_versions": size.max_staleness_versions,
             "seed": self.seed,
-            "scorer": "scorer",
+            "scorer": SCORER,
         }
 
 
