--- a/bench/trainers.py
+++ b/bench/trainers.py
@@ -113,7 +113,7 @@
         await asyncio.sleep(self._latency_s)
         await self._client.create_step(request)
         async for group in self._client.fetch_step(request, version):
-            self._take_group(record, group, version, size)
+            self.take_group(record, group, version, size)
         await asyncio.sleep(self._latency_s)
         record.wait_s = time.monotonic() - started_s
         await asyncio.sleep(size.train_s)
@@ -132,9 +132,10 @@
             return
         self._clock.announce()
 
-    def _take_group(
+    def take_group(
         self, record: StepRecord, group: FinishedGroup, version: int, size: WorkSize
     ) -> None:
+        """Count the samples of a group and check them."""
         for sample in group.samples:
             record.delivered[(group.group_id, sample.index)] += 1
             record.tokens += sample.token_count
