--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -117,6 +117,8 @@
 class FailedSwap(Scenario):
     """The first activation of new weights fails on one replica."""
 
+    compares_policies = False
+
     async def prepare(self, site: Site) -> None:
         """Let the next activation of the first engine fail."""
         await site.set_faults(site.engines[0], fail_activate=1)
@@ -126,6 +128,8 @@
 class PlatformDown(Scenario):
     """The platform does not answer for the whole round."""
 
+    compares_policies = False
+
     async def prepare(self, site: Site) -> None:
         """Start the outage."""
         await site.set_faults(site.deployment.platform, outage="hang")
