--- a/features/membership.feature
+++ b/features/membership.feature
@@ -21,6 +21,12 @@
     Then the cell has exactly one lead
     And each endpoint of the cell has a live keeper
 
+  Scenario: A lead that stood still does not blame its members
+    Given a cell of 3 members with 6 endpoints
+    When the cell is ready
+    And the cell's lead has stood still for 60 s and makes its next step
+    Then the cell's table still has 3 members
+
   Scenario Outline: The cell's lead is <fault>
     Given a cell of 4 members with 4 endpoints
     When the cell is ready
@@ -86,6 +92,13 @@
       | a member cut off     | down     |
       | the VM list          | up       |
 
+  Scenario: The VM list shows a member as leaving
+    Given a cell of 4 members with 8 endpoints
+    When the cell is ready
+    And the VM list shows a member as leaving
+    Then all members know within 3 s that the member takes no new work
+    And no endpoint is kept by the member any more
+
   Scenario: An endpoint that left comes back
     Given a cell of 3 members with 6 endpoints
     When the cell is ready
--- a/greengagetack/rollouts/runner.py
+++ b/greengagetack/rollouts/runner.py
@@ -147,11 +147,14 @@
             return
         now_s = self._timer.now_s()
         usual = self._paces.usual()
-        at_risk = 0
+        at_risk = self._tokens_at_risk()
         for sample_id, running in list(self._attempts.items()):
             if len(running) != 1:
                 continue
             (slow,) = running
+            if slow.has_failed:
+                # It waits for its next try.
+                continue
             slow_enough = may_hedge(
                 slow.tokens,
                 now_s - slow.started_s,
@@ -161,7 +164,20 @@
                 self._hedging,
             )
             if slow_enough and self._hedge(sample_id, slow):
-                at_risk += slow.tokens
+                at_risk += self._cost_of_losing(slow)
+
+    def _tokens_at_risk(self) -> int:
+        """Return what the open hedges may still waste."""
+        at_risk = 0
+        for running in self._attempts.values():
+            if len(running) > 1:
+                at_risk += min(self._cost_of_losing(attempt) for attempt in running)
+        return at_risk
+
+    def _cost_of_losing(self, attempt: SampleAttempt) -> int:
+        """Return the tokens that an attempt has made in the end if it loses."""
+        expected = self.state.expected_tokens(attempt.sample_id.group_id)
+        return max(attempt.tokens, int(expected))
 
     def _hedge(self, sample_id: SampleId, slow: SampleAttempt) -> bool:
         endpoint_id = self._completions.endpoint_of(slow.request.request_id)
@@ -213,6 +229,7 @@
             self._forget(attempt)
             await self._completions.cancel(attempt.request.request_id)
             return
+        attempt.has_failed = True
         remake = error.code == STALE_CODE
         lost_tokens = attempt.tokens if remake else 0
         retry_s = min(error.retry_after_s or DEFAULT_RETRY_S, MAX_RETRY_S)
--- a/greengagetack/settings/sync.py
+++ b/greengagetack/settings/sync.py
@@ -7,7 +7,8 @@
 from loguru import logger
 
 from greengagetack.daemons.role import Role, Services, role
-from greengagetack.errors import CodedError
+from greengagetack.errors import CodedError, NotReady
+from greengagetack.leases.decisions import accept_version
 from greengagetack.membership.table import rendezvous_order
 from greengagetack.peers.messages import Done
 from greengagetack.platform.objects import PlatformObject
@@ -69,6 +70,7 @@
         )
         self._tasks: set[asyncio.Task[None]] = set()
         self._turn = 0
+        self._loading: dict[str, SettingsObject] = {}
 
     async def start(self) -> None:
         """Serve messages, load the settings and keep them at the newest version."""
@@ -103,12 +105,14 @@
         """Ask the platform or all members until one has given all settings.
 
         The platform has every accepted change, so that members are asked only if
-        it does not answer at once.
+        it does not answer at once. Until then nothing is put in force: a member
+        that lags, or that this daemon was ahead of before it restarted, must not
+        bring an older version back.
         """
         retry_s = LOAD_RETRY_S
         while not self._store.ready:
             if await self._load_once():
-                self._store.mark_loaded()
+                self._finish_loading()
             if self._store.ready:
                 logger.info("settings: loaded")
                 return
@@ -123,6 +127,22 @@
         answers = await asyncio.gather(platform, self._load_from_members())
         return any(answers)
 
+    def _offer(self, found: SettingsObject) -> bool:
+        """Offer a subtree to the store, or keep it until all are loaded."""
+        if self._store.loaded:
+            return self._store.offer(found)
+        known = self._loading.get(found.path)
+        if known is None or accept_version(known.version, found.version):
+            self._loading[found.path] = found
+        return False
+
+    def _finish_loading(self) -> None:
+        """Put the highest versions that were offered in force."""
+        for found in self._loading.values():
+            self._store.offer(found)
+        self._loading.clear()
+        self._store.mark_loaded()
+
     async def _load_from_platform(self) -> bool:
         try:
             answer = await self._platform.list(PREFIX)
@@ -130,14 +150,21 @@
             logger.warning("settings: the platform did not answer: {}", error.reason)
             return False
         for stored in answer.objects:
-            self._store.offer(from_platform(stored))
+            self._offer(from_platform(stored))
         return True
 
     async def _load_from_members(self) -> bool:
-        """Take the highest versions of all members that answer."""
+        """Take the highest versions of all other members.
+
+        Returns
+        -------
+        bool
+            Whether every one of them answered; the one that is missing may be the
+            only one with the highest version.
+        """
         vm_ids = self._other_vm_ids(live_only=False)
         answers = await asyncio.gather(*[self._load_from(vm_id) for vm_id in vm_ids])
-        return any(answers)
+        return bool(answers) and all(answers)
 
     async def _load_from(self, vm_id: str) -> bool:
         try:
@@ -163,7 +190,7 @@
             vm_id, FetchSettings(paths), PEER_TIMEOUT_S
         ):
             if isinstance(answer, PushSettings):
-                self._store.offer(answer.to_object())
+                self._offer(answer.to_object())
 
     # Watching
 
@@ -203,7 +230,7 @@
         else:
             answer = await self._platform.watch(PREFIX, revision, WATCH_TIMEOUT_S)
         already_known = [self._take_from_platform(stored) for stored in answer.objects]
-        self._store.mark_loaded()
+        self._finish_loading()
         if any(already_known) and revision is not None:
             # The daemon that accepted the change pushes it; see that it does.
             self._spawn(self._verify_later())
@@ -220,7 +247,7 @@
                 found.path,
                 known,
             )
-        if found.version > known and self._store.offer(found):
+        if found.version > known and self._offer(found):
             self._spawn(self._spread_quietly(found))
         return found.version == known
 
@@ -275,6 +302,8 @@
     # Serving
 
     async def _take_push(self, sender: str, body: PushSettings) -> SettingsConfirmed:
+        if not self._store.loaded:
+            raise NotReady("the settings are being loaded", LOAD_RETRY_S)
         self._store.offer(body.to_object())
         return SettingsConfirmed(body.path, self._store.version(body.path))
 
