--- a/features/settings_daemons.feature
+++ b/features/settings_daemons.feature
@@ -25,10 +25,11 @@
       | is down            | 503    | not_run |
       | hangs              | 503    | not_run |
 
-  Scenario: A daemon that starts in an outage takes the newest from its peers
+  Scenario: A daemon that starts in an outage shows nothing rather than defaults
     Given real daemons that keep settings
     When an operator changes a setting and a daemon restarts while the platform is down
-    Then all real daemons show the change and none ever showed an older one
+    Then the restarted daemon shows no settings until the platform is back
+    And all real daemons show the change and none ever showed an older one
 
   Scenario Outline: A stranger cannot open a link to a real daemon
     Given real daemons that keep settings
--- a/features/steps/settings_daemons_steps.py
+++ b/features/steps/settings_daemons_steps.py
@@ -26,6 +26,7 @@
 
 VICTIM = "vm-3"
 IN_FORCE_LIMIT_S = 20.0
+OUTAGE_S = 3.0
 FAULTS: dict[str, dict[str, Any]] = {
     "loses write answers": {"lose_write_answers": 1.0},
     "is slow": {"slow_s": 0.5},
@@ -113,8 +114,19 @@
     assert change(context).status == 200
     set_faults(context.deployment, FAULTS["is down"])
     context.deployment.daemons[VICTIM].kill()
-    restart(context)
+    context.deployment.restart_daemon(VICTIM)
+    context.shown = len(context.watch.seen[VICTIM])
+
+
+@then("the restarted daemon shows no settings until the platform is back")
+def step_shows_nothing(context: Context) -> None:
+    time.sleep(OUTAGE_S)
+    assert len(context.watch.seen[VICTIM]) == context.shown, context.watch.seen[VICTIM]
     set_faults(context.deployment, {})
+    came = context.watch.wait_until(
+        lambda: len(context.watch.seen[VICTIM]) > context.shown, IN_FORCE_LIMIT_S
+    )
+    assert came, "the daemon shows nothing after the outage"
 
 
 @then("the change of settings is answered {status:d} {outcome}")
