Bridge changes of a budget's owner and judge queues by true lengths

Closing a keeper's stream in another context logged tracebacks. Change: a keeper asks for up to 3 s over a change of owner, and the relay does not try other endpoints then; waits are judged by the ratio of actual to expected tokens of late; a new owner of permits goes on asking silent members; the keeper's span is not the current one over its stream.

--- a/greengagetack/keeper/admission.py
+++ b/greengagetack/keeper/admission.py
@@ -7,10 +7,11 @@
 from greengagetack.keeper.messages import Complete, Work
 from greengagetack.settings.schema import AdmissionSettings
 
-__all__ = ["Admission", "CallerReserve", "spread_retry_s"]
+__all__ = ["Admission", "CallerReserve", "LengthRatio", "spread_retry_s"]
 
 MIN_RETRY_S = 0.1
 CALLER_WINDOW_S = 10.0
+LENGTH_SMOOTHING = 0.2
 
 
 def spread_retry_s(wait_s: float, limit_s: float, chance: random.Random) -> float:
@@ -47,6 +48,21 @@
         return min(self._limit, max(1, self._peak))
 
 
+class LengthRatio:
+    """Actual over expected tokens of late, by which queues are judged.
+
+    Senders that do not know their lengths expect far too many tokens.
+    """
+
+    def __init__(self) -> None:
+        self.value = 1.0
+
+    def observe(self, expected_tokens: int, actual_tokens: int) -> None:
+        """Take a request that ended well."""
+        ratio = actual_tokens / max(1, expected_tokens)
+        self.value += (ratio - self.value) * LENGTH_SMOOTHING
+
+
 class Admission:
     """Refuses at once what cannot be served in the time that it has left.
 
@@ -83,9 +99,7 @@
             ahead += running_tokens / 2
         return ahead / tokens_per_s
 
-    def check_time(
-        self, request: Complete, wait_s: float, seconds_per_token: float
-    ) -> None:
+    def check_time(self, request: Complete, wait_s: float, service_s: float) -> None:
         """Refuse a request whose deadline cannot be met.
 
         Raises
@@ -93,7 +107,6 @@
         Overloaded
             With a time to come back that spreads the returns.
         """
-        service_s = request.expected_tokens * seconds_per_token
         late_s = wait_s + service_s - request.time_left_s
         if late_s <= 0:
             return
--- a/greengagetack/keeper/gate.py
+++ b/greengagetack/keeper/gate.py
@@ -14,7 +14,7 @@
     EndpointRefused,
     NotReady,
 )
-from greengagetack.keeper.admission import Admission, CallerReserve
+from greengagetack.keeper.admission import Admission, CallerReserve, LengthRatio
 from greengagetack.keeper.errors import EndpointUnreachable
 from greengagetack.keeper.fair_queue import FairQueue
 from greengagetack.keeper.generation import Generation
@@ -81,6 +81,7 @@
         self._queue_limit = admission.queue_limit
         self._admission = Admission(admission)
         self._reserve = CallerReserve(endpoint.slots, admission.caller_reserve_ratio)
+        self._lengths = LengthRatio()
         self._queue = FairQueue()
         self._runner = GenerationRunner(
             adapter, self.versions, self.health, self.prefixes, spending, services.timer
@@ -134,7 +135,7 @@
             return 0.0
         running_tokens = sum(_tokens_left(item) for item in self._running)
         tokens = self._queue.waiting_tokens + running_tokens / 2
-        return tokens * pace_s / allowed
+        return tokens * self._lengths.value * pace_s / allowed
 
     def _expected_wait_s(self, team: str, work: str) -> float:
         allowed = self.health.allowed()
@@ -150,7 +151,7 @@
             self._weight(team),
             running_tokens,
             free,
-            allowed / pace_s if pace_s else 0.0,
+            allowed / (pace_s * self._lengths.value) if pace_s else 0.0,
         )
 
     async def open(self, request: Complete) -> Generation:
@@ -207,7 +208,9 @@
 
     def _check_queue(self, request: Complete) -> None:
         wait_s = self._expected_wait_s(request.team, request.work)
-        self._admission.check_time(request, wait_s, self.health.seconds_per_token)
+        service_s = request.expected_tokens * self._lengths.value
+        service_s *= self.health.seconds_per_token
+        self._admission.check_time(request, wait_s, service_s)
         if len(self._queue) < self._queue_limit:
             return
         weight = self._weight(request.team)
@@ -275,6 +278,9 @@
     def _judge(self, generation: Generation, error: CodedError | None) -> None:
         if error is None:
             self.health.succeeded()
+            request = generation.request
+            expected = request.expected_tokens or request.max_tokens
+            self._lengths.observe(expected, generation.end_tokens)
             return
         if isinstance(error, EndpointUnreachable | EndpointFailed):
             routing = self._services.settings.fleet().routing
@@ -360,7 +366,7 @@
         pace_s = self.health.seconds_per_token
         reason = f"{self.endpoint.endpoint_id} is slow"
         for generation in list(self._running):
-            left = _tokens_left(generation)
+            left = _tokens_left(generation) * self._lengths.value
             here_s = left * pace_s
             there_s = (generation.end_tokens + left) * usual_pace_s
             if here_s < MOVE_FACTOR * there_s or generation not in self._running:
--- a/greengagetack/keeper/role.py
+++ b/greengagetack/keeper/role.py
@@ -30,7 +30,7 @@
 from greengagetack.keeper.orders import give_order
 from greengagetack.keeper.service_gate import ServiceGate
 from greengagetack.limits.spending import SliceSpending
-from greengagetack.observability.traces import span
+from greengagetack.observability.traces import detached_span, span, under_span
 from greengagetack.peers.messages import Done
 from greengagetack.weights.messages import OrderEndpoint, ReplicaState
 from greengagetack.world import Endpoint, EndpointKind
@@ -145,8 +145,11 @@
     ) -> AsyncGenerator[Chunk | Completed, None]:
         _check_complete(request)
         gate = self._engine_gate(self._endpoint(request.endpoint_id))
-        with span("keeper.complete", endpoint=request.endpoint_id, team=request.team):
-            generation = await gate.open(request)
+        with detached_span(
+            "keeper.complete", endpoint=request.endpoint_id, team=request.team
+        ) as current:
+            with under_span(current):
+                generation = await gate.open(request)
             reader = generation.read(request.offset_tokens)
             async with aclosing(reader) as items:
                 async for item in items:
--- a/greengagetack/limits/owner.py
+++ b/greengagetack/limits/owner.py
@@ -36,6 +36,7 @@
 NOT_OWNER_RETRY_S = 0.5
 RETURNS_RETRY_S = 2.0
 ASK_TIMEOUT_S = 1.0
+CONFIRM_PAUSE_S = 0.3
 WATCH_INTERVAL_S = 2.0
 
 
@@ -67,6 +68,7 @@
         self._accounts: dict[str, _Account] = {}
         self._permits: dict[str, tuple[int, PermitBook]] = {}
         self._loading = asyncio.Lock()
+        self._confirming: set[asyncio.Task[None]] = set()
         self._ceilings = CeilingStore(services.platform)
 
     async def start(self) -> None:
@@ -242,14 +244,41 @@
 
     async def _confirm_permits(self, team: str, book: PermitBook) -> None:
         """Ask all members what they hold from a former owner."""
-        members = self.services.directory.table().members
+        members = [vm.vm_id for vm in self.services.directory.table().members]
+        silent = await self._confirm_round(team, book, members)
+        if not silent:
+            book.all_told()
+        else:
+            task = asyncio.create_task(self._confirm_later(team, book, silent))
+            self._confirming.add(task)
+            task.add_done_callback(self._confirming.discard)
+
+    async def _confirm_round(
+        self, team: str, book: PermitBook, vm_ids: list[str]
+    ) -> list[str]:
+        """Ask some members once, and return those that have not told.
+
+        A lost member never tells; its shares end by their life.
+        """
         answers = await asyncio.gather(
-            *(self._ask_permits(member.vm_id, team) for member in members)
+            *(self._ask_permits(vm_id, team) for vm_id in vm_ids)
         )
-        for answer in answers:
-            if answer is not None:
-                book.confirm(answer, self.services.timer.now_s())
-        if all(answer is not None for answer in answers):
+        silent = []
+        for vm_id, answer in zip(vm_ids, answers, strict=True):
+            if answer is None:
+                silent.append(vm_id)
+                continue
+            book.confirm(answer, self.services.timer.now_s())
+        return silent
+
+    async def _confirm_later(
+        self, team: str, book: PermitBook, silent: list[str]
+    ) -> None:
+        """Ask again until all have told or the former shares have ended."""
+        while silent and book.confirming(self.services.timer.now_s()):
+            await self.services.timer.sleep(CONFIRM_PAUSE_S)
+            silent = await self._confirm_round(team, book, silent)
+        if not silent:
             book.all_told()
 
     async def _ask_permits(self, vm_id: str, team: str) -> HeldPermits | None:
@@ -293,6 +322,8 @@
 
     async def close(self) -> None:
         """Stop what runs in the background."""
+        for task in list(self._confirming):
+            task.cancel()
         for account in self._accounts.values():
             if account.raising is not None:
                 account.raising.cancel()
--- a/greengagetack/limits/permits.py
+++ b/greengagetack/limits/permits.py
@@ -47,6 +47,10 @@
         if held.holder not in self._shares and held.held:
             self._shares[held.holder] = _Share(held.held, held.in_use, ends_s)
 
+    def confirming(self, now_s: float) -> bool:
+        """Return whether shares of a former owner may still be unknown."""
+        return now_s < self._confirm_until_s
+
     def all_told(self) -> None:
         """Note that every keeper has told what it holds."""
         self._confirm_until_s = 0.0
--- a/greengagetack/limits/spending.py
+++ b/greengagetack/limits/spending.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from typing import Any
 
 from loguru import logger
 
@@ -13,6 +14,8 @@
     NotReady,
     Overloaded,
     OwnerUnavailable,
+    PeerLost,
+    PeerUnreachable,
 )
 from greengagetack.keeper.generation import Generation
 from greengagetack.keeper.messages import Complete
@@ -40,9 +43,15 @@
 HEADROOM_RATIO = 4
 MIN_HEADROOM = 8
 MAX_ASKS = 3
+OWNER_WAIT_S = 3.0
+OWNER_PAUSE_S = 0.1
 RETRY_SPREAD = 0.2
 
 
+# Answers that a change of the budget's owner can explain.
+OWNER_CHANGES = (NotReady, OwnerUnavailable, PeerLost, PeerUnreachable)
+
+
 class _TeamShare:
     """What this keeper may do for one team."""
 
@@ -86,6 +95,30 @@
     def _share(self, team: str) -> _TeamShare:
         return self._teams.setdefault(team, _TeamShare())
 
+    async def _ask_owner(self, team: str, body: Any) -> Any:
+        """Ask the owner of a team's bounds, over a change of owner.
+
+        Raises
+        ------
+        OwnerUnavailable
+            If none has answered within ``OWNER_WAIT_S``.
+        BudgetExhausted
+            If the owner says so.
+        """
+        timer = self._services.timer
+        end_s = timer.now_s() + OWNER_WAIT_S
+        while True:
+            try:
+                return await self._services.peers.request(
+                    self._owner_of(team), body, ASK_TIMEOUT_S
+                )
+            except OWNER_CHANGES as error:
+                if timer.now_s() >= end_s:
+                    raise OwnerUnavailable(
+                        f"the bounds of {team} are not known: {error.reason}", 1.0
+                    ) from error
+            await timer.sleep(OWNER_PAUSE_S)
+
     def _owner_of(self, team: str) -> str:
         shards = self._services.shards
         pair = self._services.directory.pair(shards.shard_of(team))
@@ -217,19 +250,15 @@
         asked_at_s = self._services.timer.now_s()
         body = TakeSlice(team, slice_id, need, want)
         try:
-            answer = await self._services.peers.request(
-                self._owner_of(team), body, ASK_TIMEOUT_S
-            )
+            answer = await self._ask_owner(team, body)
         except BudgetExhausted as error:
             share.closed_until_s = asked_at_s + (error.retry_after_s or 1.0)
             share.closed_from_tokens = need
             share.refusal = error
             raise
-        except CodedError as error:
+        except CodedError:
             share.purse.give_up(slice_id)
-            raise OwnerUnavailable(
-                f"the budget of {team} does not answer: {error.reason}", 1.0
-            ) from error
+            raise
         if isinstance(answer, Slice):
             share.purse.add(answer, asked_at_s)
 
@@ -246,14 +275,7 @@
         body = SharePermits(
             team, self._holder, held, share.in_use, share.in_use + headroom
         )
-        try:
-            answer = await self._services.peers.request(
-                self._owner_of(team), body, ASK_TIMEOUT_S
-            )
-        except CodedError as error:
-            raise OwnerUnavailable(
-                f"the bounds of {team} are not known: {error.reason}", 1.0
-            ) from error
+        answer = await self._ask_owner(team, body)
         if isinstance(answer, PermitShare):
             share.permits = answer.permits
             share.permits_end_s = asked_at_s + answer.life_s - PERMIT_MARGIN_S
--- a/greengagetack/observability/traces.py
+++ b/greengagetack/observability/traces.py
@@ -27,7 +27,9 @@
     "configure_traces",
     "current_trace_id",
     "current_traceparent",
+    "detached_span",
     "span",
+    "under_span",
 ]
 
 MAX_REQUESTS = 2_000
@@ -115,6 +117,30 @@
         yield current
 
 
+@contextmanager
+def detached_span(name: str, **attributes: str) -> Iterator[trace.Span]:
+    """Run a block as one span without making it the current one.
+
+    For generators, which may be closed in another context than they began in.
+    """
+    attributes.setdefault("request_id", REQUEST_ID.get())
+    current = trace.get_tracer("greengagetack").start_span(name, attributes=attributes)
+    try:
+        yield current
+    except Exception as error:
+        current.set_status(trace.StatusCode.ERROR, str(error))
+        raise
+    finally:
+        current.end()
+
+
+@contextmanager
+def under_span(parent: trace.Span) -> Iterator[None]:
+    """Run a block under a span that was started before."""
+    with trace.use_span(parent):
+        yield
+
+
 def current_traceparent() -> str:
     """Return the W3C ``traceparent`` of the current span, or an empty string."""
     carrier: dict[str, str] = {}
--- a/greengagetack/routing/relay.py
+++ b/greengagetack/routing/relay.py
@@ -16,6 +16,7 @@
     NotReady,
     Outcome,
     Overloaded,
+    OwnerUnavailable,
     PeerLost,
     PeerUnreachable,
     error_from_code,
@@ -33,7 +34,13 @@
 MAX_MOVES = 8
 
 # Neither another endpoint nor another keeper would answer differently.
-FINAL = (BudgetExhausted, DeadlineExceeded, Forbidden, InvalidRequest)
+FINAL = (
+    BudgetExhausted,
+    DeadlineExceeded,
+    Forbidden,
+    InvalidRequest,
+    OwnerUnavailable,
+)
 KEEPER_GONE = (NotReady, PeerLost, PeerUnreachable)
 
 
