--- a/features/limits.feature
+++ b/features/limits.feature
@@ -61,6 +61,11 @@
       | 1     | 1      |
       | 6     | 3      |
 
+  Scenario: A burst within the bound is not refused
+    Given keepers and a team with 200 concurrent requests
+    When the team asks for 60 completions of 5 tokens at once
+    Then all of them are served
+
   Scenario Outline: A new owner of permits does not exceed what is held
     When a new owner hears of <held> held permits of <bound>, <told>
     Then another keeper that wants 10 gets <granted>
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -269,6 +269,12 @@
     assert len(done) >= served
 
 
+@then("all of them are served")
+def step_all_served(context: Context) -> None:
+    for answer in context.answers:
+        assert answer.error is None, answer.error
+
+
 @then("those refused were refused with {code}")
 def step_refused_with(context: Context, code: str) -> None:
     errors = [answer.error for answer in context.answers if answer.error]
--- a/greengagetack/keeper/gate.py
+++ b/greengagetack/keeper/gate.py
@@ -167,14 +167,22 @@
             return self._join(known, request)
         await self.versions.ensure_known()
         await self._spending.admit(request)
-        known = self._held.find(request)
-        if known is not None:
-            return self._join(known, request)
+        try:
+            known = self._held.find(request)
+            if known is None:
+                return self._admit(request)
+        except CodedError:
+            self._spending.forgo(request)
+            raise
+        self._spending.forgo(request)
+        return self._join(known, request)
+
+    def _admit(self, request: Complete) -> Generation:
         self._check_open()
         self.versions.require(request)
         self._check_queue(request)
         generation = Generation(request, self._services.timer.now_s())
-        self._spending.take_permit(generation)
+        self._spending.admitted(generation)
         self._held.keep(generation, self)
         self._queue.push(generation, self._weight(request.team))
         self.used_at_s = generation.arrived_s
--- a/greengagetack/keeper/spending.py
+++ b/greengagetack/keeper/spending.py
@@ -12,10 +12,13 @@
     """Bounds the tokens and the concurrent requests of each team here."""
 
     async def admit(self, request: Complete) -> None:
-        """Raise a coded error if the team's bounds leave no room."""
+        """Take a permit, or raise a coded error if the bounds leave no room."""
 
-    def take_permit(self, generation: Generation) -> None:
-        """Count a request that is being queued, or raise `Overloaded`."""
+    def admitted(self, generation: Generation) -> None:
+        """Keep the permit of an admitted request until it is settled."""
+
+    def forgo(self, request: Complete) -> None:
+        """Give the permit of a request back that was not queued after all."""
 
     async def reserve(self, generation: Generation) -> None:
         """Set a request's tokens aside, or raise `BudgetExhausted`."""
--- a/greengagetack/limits/spending.py
+++ b/greengagetack/limits/spending.py
@@ -64,6 +64,7 @@
         self.permits = 0
         self.permits_end_s = 0.0
         self.in_use = 0
+        self.asking_for = 0
         self.asking_permits = asyncio.Lock()
 
 
@@ -127,7 +128,7 @@
         return pair.owner_vm_id
 
     async def admit(self, request: Complete) -> None:
-        """Check the team's bounds before a request is queued.
+        """Check the team's bounds and take a permit before a request is queued.
 
         Raises
         ------
@@ -143,11 +144,15 @@
             raise NotReady(f"no settings of team {team!r} yet", UNKNOWN_TEAM_RETRY_S)
         share = self._share(team)
         self._check_closed(share, request.max_tokens - request.offset_tokens)
-        if self._free_permits(share) > 0:
-            return
-        await self._ask_permits(team, share)
-        if self._free_permits(share) <= 0:
-            raise self._no_permit(team)
+        share.asking_for += 1
+        try:
+            if self._free_permits(share) <= 0:
+                await self._ask_permits(team, share)
+            if self._free_permits(share) <= 0:
+                raise self._no_permit(team)
+            share.in_use += 1
+        finally:
+            share.asking_for -= 1
 
     def _check_closed(self, share: _TeamShare, tokens: int) -> None:
         left_s = share.closed_until_s - self._services.timer.now_s()
@@ -162,19 +167,13 @@
             return 0
         return share.permits - share.in_use
 
-    def take_permit(self, generation: Generation) -> None:
-        """Count a request that is being queued against the team's permits.
-
-        Raises
-        ------
-        Overloaded
-            If another request has just taken the last one.
-        """
-        share = self._share(generation.request.team)
-        if self._free_permits(share) <= 0:
-            raise self._no_permit(generation.request.team)
+    def admitted(self, generation: Generation) -> None:
+        """Keep the permit of an admitted request until it is settled."""
         self._admitted.add(generation)
-        share.in_use += 1
+
+    def forgo(self, request: Complete) -> None:
+        """Give the permit of a request back that was not queued after all."""
+        self._share(request.team).in_use -= 1
 
     def _no_permit(self, team: str) -> Overloaded:
         spread = self._chance.uniform(1.0, 1.0 + RETRY_SPREAD)
@@ -270,6 +269,7 @@
 
     async def _renew_permits(self, team: str, share: _TeamShare) -> None:
         headroom = max(MIN_HEADROOM, share.in_use // HEADROOM_RATIO)
+        headroom += share.asking_for
         held = share.permits if self._permits_live(share) else 0
         asked_at_s = self._services.timer.now_s()
         body = SharePermits(
