--- a/greengagetack/keeper/gate.py
+++ b/greengagetack/keeper/gate.py
@@ -34,6 +34,7 @@
 CALLER_GRACE_S = 2.0
 DRAIN_RETRY_S = 0.2
 LEAVING_RETRY_S = 0.5
+MOVE_FACTOR = 1.5
 
 
 class EngineGate:
@@ -71,6 +72,7 @@
         self.versions = LoadedVersions(endpoint, adapter)
         self.prefixes = PrefixCache(adapter.prefix_blocks)
         self.draining = False
+        self._told_leaving = False
         self.used_at_s = services.timer.now_s()
         self.sibling_paces: tuple[float, ...] = ()
         self._services = services
@@ -117,20 +119,30 @@
             waiting_tokens=self._queue.waiting_tokens,
             slots=self.health.allowed(),
             tokens_per_s=rate,
-            expected_wait_s=self._expected_wait_s("", Work.ROLLOUT),
+            expected_wait_s=self._backlog_s(),
             weight_version=self.versions.active,
             ejected=self.health.ejected,
             leaving=self.leaving,
             seconds_per_token=pace_s,
         )
 
+    def _backlog_s(self) -> float:
+        """Return about how long all waiting work takes to be started."""
+        allowed = self.health.allowed()
+        pace_s = self.health.seconds_per_token
+        if not allowed or len(self._running) + len(self._queue) < allowed:
+            return 0.0
+        running_tokens = sum(_tokens_left(item) for item in self._running)
+        tokens = self._queue.waiting_tokens + running_tokens / 2
+        return tokens * pace_s / allowed
+
     def _expected_wait_s(self, team: str, work: str) -> float:
         allowed = self.health.allowed()
         pace_s = self.health.seconds_per_token
         running_tokens = sum(_tokens_left(item) for item in self._running)
         free = allowed - len(self._running)
         if work == Work.ROLLOUT:
-            free -= max(0, self._reserve.slots() - self._count(Work.CALLER))
+            free -= self._reserved(self._count(Work.CALLER))
         return self._admission.expected_wait_s(
             self._queue,
             team,
@@ -224,12 +236,15 @@
         if callers < self._reserve.limit and self._queue.waits(Work.CALLER):
             # Callers go first within the reserve; beyond it, teams compete.
             return self._queue.pop((Work.CALLER,))
-        if allowed > 1:
-            reserved = max(0, self._reserve.slots() - callers)
-            if len(self._running) + reserved >= allowed:
-                works = (Work.CALLER,)
+        if len(self._running) + self._reserved(callers) >= allowed:
+            works = (Work.CALLER,)
         return self._queue.pop(works)
 
+    def _reserved(self, callers: int) -> int:
+        """Return how many slots are kept free of rollouts, never all of them."""
+        slots = self._reserve.slots(self._services.timer.now_s())
+        return max(0, min(slots - callers, self.health.allowed() - 1))
+
     def _start(self, generation: Generation) -> None:
         task = asyncio.create_task(self._run(generation))
         self._running[generation] = task
@@ -290,10 +305,21 @@
             self._held.drop(generation)
 
     async def check_leaving(self) -> None:
-        """Ask the engine whether it leaves, and pass the sign on."""
+        """Ask the engine whether it leaves, and pass the sign on.
+
+        The sign is taken back only by the keeper that gave it: others know of
+        reasons that the engine does not.
+        """
+        directory = self._services.directory
+        endpoint_id = self.endpoint.endpoint_id
         with suppress(CodedError):
-            if await self.adapter.is_leaving() and not self.leaving:
-                self._services.directory.report_leaving(self.endpoint.endpoint_id)
+            leaves = await self.adapter.is_leaving()
+            if leaves and not self.leaving:
+                self._told_leaving = True
+                directory.report_leaving(endpoint_id)
+            if not leaves and self._told_leaving:
+                self._told_leaving = False
+                directory.report_returned(endpoint_id)
         if self.leaving:
             self.hand_back("is leaving")
 
@@ -316,16 +342,35 @@
         if self._queue.remove(generation):
             self._end(generation, EndpointRefused(why))
             return
-        task = self._running.pop(generation, None)
-        if task is None:
+        if generation not in self._running:
             self._held.drop(generation)
             return
-        task.cancel()
+        await self._abort(generation, DeadlineExceeded(why))
+
+    async def _abort(self, generation: Generation, error: CodedError) -> None:
+        """Stop a running request, here and at the engine."""
+        self._running.pop(generation).cancel()
         self._queue.settle(generation)
-        self._end(generation, DeadlineExceeded(why))
+        self._end(generation, error)
         self._wake.set()
         await self._runner.cancel(generation)
 
+    async def move_slow(self, usual_pace_s: float) -> None:
+        """Give up the running requests that another engine would end far earlier.
+
+        They start anew there, so what they have so far is wasted.
+        """
+        pace_s = self.health.seconds_per_token
+        reason = f"{self.endpoint.endpoint_id} is slow"
+        for generation in list(self._running):
+            left = _tokens_left(generation)
+            here_s = left * pace_s
+            there_s = (generation.end_tokens + left) * usual_pace_s
+            if here_s < MOVE_FACTOR * there_s or generation not in self._running:
+                continue
+            self._services.metrics.add("keeper_moved_requests_total")
+            await self._abort(generation, EndpointFailed(reason))
+
     async def drop_abandoned(self) -> None:
         """Cancel callers' requests that nobody has been reading for a while."""
         now_s = self._services.timer.now_s()
