Try the promises under two faults at once on real processes

Cause: features tried parts against fakes; only the soak ran everything. Ruled out: a second load and audit beside the soak's.

--- a/bench/audit_log.py
+++ b/bench/audit_log.py
@@ -141,9 +141,8 @@
 class SoakLog:
     """Everything that was seen from outside.
 
-        `asked` are the identities of all samples that were asked for,
-        `written_settings` the marks in the platform's own history by path and
-    XX
+    `asked` are the identities of all samples that were asked for,
+    `written_settings` the marks in the platform's own history by path and version.
     """
 
     asked: list[str] = field(default_factory=list)
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -39,7 +39,7 @@
 from standins.processes import ProcessGroup
 from standins.proxy import Relay
 
-__all__ = ["main"]
+__all__ = ["PLAN", "Soak", "SoakDeployment", "main"]
 
 DEFAULT_DURATION_S = 120.0
 READY_TIMEOUT_S = 30.0
@@ -86,14 +86,22 @@
 
 
 class Soak:
-    """One run: load, faults, and the log for the audit."""
+    """One run: load, faults, and the log for the audit.
+
+    With `chosen` just the faults of these names are run, all at once.
+    """
 
     def __init__(
-        self, deployment: SoakDeployment, seed: int, duration_s: float
+        self,
+        deployment: SoakDeployment,
+        seed: int,
+        duration_s: float,
+        chosen: tuple[str, ...] = (),
     ) -> None:
         self._deployment = deployment
         self._seed = seed
         self._duration_s = duration_s
+        self._chosen = chosen
         self._start_s = time.monotonic()
         self.log = SoakLog()
         self.faults: list[str] = []
@@ -121,7 +129,10 @@
         tasks = [asyncio.create_task(part.run()) for part in parts]
         tasks.append(asyncio.create_task(self._publish_versions(fleet)))
         runner = FaultRunner(fleet, relays, self._seed)
-        await runner.run(self._duration_s, self.say)
+        if self._chosen:
+            await runner.run_chosen(self._chosen, self.say)
+        else:
+            await runner.run(self._duration_s, self.say)
         self.faults = runner.names
         self.say("faults are over; the load ends")
         await asyncio.sleep(SETTLE_S)
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -24,6 +24,7 @@
 LOST_LEASES_S = (5.0, 9.0)
 OUTAGE_S = (2.0, 10.0)
 SHORT_S = (1.0, 4.0)
+LEAVE_NAME = "an endpoint leaves"
 
 
 @dataclass(slots=True)
@@ -294,9 +295,30 @@
             await asyncio.sleep(world.random.uniform(MIN_GAP_S, MAX_GAP_S))
         await asyncio.gather(*self._tasks)
 
+    async def run_chosen(
+        self, names: tuple[str, ...], say: Callable[[str], None]
+    ) -> None:
+        """Run the faults of these names all at once, and undo them.
+
+        Raises
+        ------
+        KeyError
+            If there is no fault of a name.
+        """
+        await asyncio.sleep(FIRST_FAULT_S)
+        for name in names:
+            if name == LEAVE_NAME:
+                await self._leave(say)
+                continue
+            self._start(FAULTS[name], say)
+        await asyncio.gather(*self._tasks)
+
     def _start_one(self, say: Callable[[str], None]) -> None:
+        names = sorted(FAULTS)
+        self._start(FAULTS[self._world.random.choice(names)], say)
+
+    def _start(self, chosen: Fault, say: Callable[[str], None]) -> None:
         world = self._world
-        chosen = FAULTS[world.random.choice(sorted(FAULTS))]
         name = chosen.take(world)
         if not name:
             return
@@ -330,5 +352,5 @@
         await _post(f"{deployment.platform.url}/control/vms", {"vms": vms})
         world.fleet.log.leaving.append(LeavingSign(endpoint_id, time.time()))
         say(f"fault: {endpoint_id} leaves")
-        self.names.append("an endpoint leaves")
+        self.names.append(LEAVE_NAME)
         return True
