Give a sample that moved to another engine that engine's versions alone

Change: a consumer that can start again is told to on every move; tokens of the left engine count as waste, as they were. Callers' streams still join texts that are equal.

--- a/features/routing.feature
+++ b/features/routing.feature
@@ -41,6 +41,17 @@
       | can start again   | whole after 1 restart   |
       | cannot start again | the error stream_torn  |
 
+  Scenario Outline: A consumer that <consumer> gets tokens of versions <versions>
+    Given a front door before 2 keepers and 2 engines
+    And engine e1 has version 1 and the others version 2
+    When a completion for a consumer that <consumer> meets a crash at token 10
+    Then its tokens were made by versions <versions>
+
+    Examples:
+      | consumer           | versions |
+      | can start again    | 2        |
+      | cannot start again | 1,2      |
+
   Scenario: A refusal after a try that may have run does not claim that it did not
     Given a front door before 2 keepers and 1 engines
     When a completion of 30 tokens meets the fault that its engine crashes at token 10
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -188,6 +188,18 @@
     assert offsets == list(range(30)), offsets
 
 
+@given("engine e1 has version 1 and the others version 2")
+def step_versions_differ(context: Context) -> None:
+    for endpoint_id, engine in context.world.engines.items():
+        engine.version = 1 if endpoint_id == "e1" else 2
+
+
+@then("its tokens were made by versions {versions}")
+def step_token_versions(context: Context, versions: str) -> None:
+    made_by = sorted({chunk.weight_version for chunk in context.answer.chunks})
+    assert made_by == [int(part) for part in versions.split(",")], made_by
+
+
 @then("the relayed answer is the error {code}")
 def step_relayed_error(context: Context, code: str) -> None:
     assert context.answer.error is not None
--- a/greengagetack/routing/relay.py
+++ b/greengagetack/routing/relay.py
@@ -87,10 +87,10 @@
 
     A lost keeper is replaced by a substitute for the same engine, where the
     stream resumes by offset. After a failed engine the work starts anew
-    elsewhere with the same seed: what was already passed on is compared with
-    the new text and dropped. If it differs, a consumer that can drop what it
-    has gets `Restarted`, any other a `StreamTorn` error; tokens of two
-    different texts are never joined.
+    elsewhere with the same seed. A consumer that can drop what it has gets
+    `Restarted` and an answer of one engine alone; for any other, what was
+    already passed on is compared with the new text and dropped. If it differs,
+    that one gets a `StreamTorn` error; tokens of two texts are never joined.
 
     Parameters
     ----------
@@ -258,7 +258,11 @@
         must_restart = torn or (isinstance(error, StaleVersion) and has_tokens)
         if not must_restart:
             await self._find_other(attempt, error)
-            return False
+            if not (may_restart and has_tokens):
+                return False
+            # The other engine makes all tokens anew; the answer is then wholly its.
+            attempt.sequence = TokenSequence(0, check_versions=False)
+            return True
         if not may_restart:
             raise error
         attempt.sequence = TokenSequence(0, check_versions=False)
