--- a/greengagetack/settings/sync.py
+++ b/greengagetack/settings/sync.py
@@ -12,6 +12,7 @@
 from greengagetack.membership.table import rendezvous_order
 from greengagetack.peers.messages import Done
 from greengagetack.platform.objects import PlatformObject
+from greengagetack.settings.exchange import PEER_TIMEOUT_S, SettingsExchange
 from greengagetack.settings.messages import (
     AskApplied,
     CompareSettings,
@@ -26,7 +27,6 @@
 from greengagetack.settings.objects import PREFIX, SettingsObject, from_platform
 from greengagetack.settings.spread import SettingsSpreader
 from greengagetack.settings.store import SettingsStore
-from greengagetack.settings.view import SettingsVersion
 
 __all__ = ["SettingsRole"]
 
@@ -41,7 +41,6 @@
 MAX_LOAD_RETRY_S = 2.0
 COMPARE_INTERVAL_S = 1.0
 VERIFY_DELAY_S = 0.5
-PEER_TIMEOUT_S = 2.0
 
 
 @role
@@ -68,6 +67,7 @@
         self._spreader = SettingsSpreader(
             store, services.peers, services.directory, services.timer
         )
+        self._exchange = SettingsExchange(store, services.peers, self._offer)
         self._tasks: set[asyncio.Task[None]] = set()
         self._turn = 0
         self._loading: dict[str, SettingsObject] = {}
@@ -173,25 +173,12 @@
             )
             if not isinstance(answer, SettingsVersions) or not answer.loaded:
                 return False
-            await self._fetch(vm_id, answer.versions)
+            await self._exchange.fetch(vm_id, answer.versions)
         except CodedError as error:
             logger.debug("settings: {} gave no settings: {}", vm_id, error.reason)
             return False
         return True
 
-    async def _fetch(self, vm_id: str, versions: tuple[SettingsVersion, ...]) -> None:
-        """Fetch the subtrees of which a peer has a higher version."""
-        paths = tuple(
-            one.path for one in versions if one.version > self._store.version(one.path)
-        )
-        if not paths:
-            return
-        async for answer in self._peers.stream(
-            vm_id, FetchSettings(paths), PEER_TIMEOUT_S
-        ):
-            if isinstance(answer, PushSettings):
-                self._offer(answer.to_object())
-
     # Watching
 
     def _other_vm_ids(self, live_only: bool = True) -> tuple[str, ...]:
@@ -257,7 +244,7 @@
     async def _verify_later(self) -> None:
         await self._timer.sleep(self._timer.jittered_s(VERIFY_DELAY_S))
         for vm_id in self._other_vm_ids():
-            await self._compare_with(vm_id)
+            await self._exchange.compare_with(vm_id)
 
     # Comparing
 
@@ -274,30 +261,7 @@
         if not partners:
             return
         self._turn += 1
-        await self._compare_with(partners[self._turn % len(partners)])
-
-    async def _compare_with(self, vm_id: str) -> None:
-        """Take what a peer has newer and push to it what it has older."""
-        try:
-            answer = await self._peers.request(
-                vm_id, CompareSettings(self._store.digest()), PEER_TIMEOUT_S
-            )
-            if not isinstance(answer, SettingsVersions):
-                return
-            if answer.loaded:
-                await self._fetch(vm_id, answer.versions)
-            await self._push_newer(vm_id, answer.versions)
-        except CodedError as error:
-            logger.debug("settings: compare with {} failed: {}", vm_id, error.reason)
-
-    async def _push_newer(
-        self, vm_id: str, versions: tuple[SettingsVersion, ...]
-    ) -> None:
-        theirs = {one.path: one.version for one in versions}
-        for known in self._store.objects():
-            if known.version > theirs.get(known.path, 0):
-                body = PushSettings.from_object(known)
-                await self._peers.request(vm_id, body, PEER_TIMEOUT_S)
+        await self._exchange.compare_with(partners[self._turn % len(partners)])
 
     # Serving
 
@@ -331,17 +295,7 @@
     ) -> AsyncGenerator[MemberVersions, None]:
         yield MemberVersions(self._peers.vm_id, self._store.versions())
         vm_ids = self._other_vm_ids(live_only=False)
-        for answer in await asyncio.gather(*[self._ask(vm_id) for vm_id in vm_ids]):
+        for answer in await asyncio.gather(
+            *[self._exchange.ask_versions(vm_id) for vm_id in vm_ids]
+        ):
             yield answer
-
-    async def _ask(self, vm_id: str) -> MemberVersions:
-        try:
-            # A digest that no daemon has makes the peer list its versions.
-            answer = await self._peers.request(
-                vm_id, CompareSettings(0), PEER_TIMEOUT_S
-            )
-        except CodedError as error:
-            return MemberVersions(vm_id, reason=error.reason)
-        if not isinstance(answer, SettingsVersions):
-            return MemberVersions(vm_id, reason="it gave no versions")
-        return MemberVersions(vm_id, answer.versions)
