--- a/greengagetack/limits/spending.py
+++ b/greengagetack/limits/spending.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from typing import Any
 
 from loguru import logger
 
@@ -13,6 +14,8 @@
     NotReady,
     Overloaded,
     OwnerUnavailable,
+    PeerLost,
+    PeerUnreachable,
 )
 from greengagetack.keeper.generation import Generation
 from greengagetack.keeper.messages import Complete
@@ -40,9 +43,15 @@
 HEADROOM_RATIO = 4
 MIN_HEADROOM = 8
 MAX_ASKS = 3
+OWNER_WAIT_S = 3.0
+OWNER_PAUSE_S = 0.1
 RETRY_SPREAD = 0.2
 
 
+# Answers that a change of the budget's owner can explain.
+OWNER_CHANGES = (NotReady, OwnerUnavailable, PeerLost, PeerUnreachable)
+
+
 class _TeamShare:
     """What this keeper may do for one team."""
 
@@ -55,6 +64,7 @@
         self.permits = 0
         self.permits_end_s = 0.0
         self.in_use = 0
+        self.asking_for = 0
         self.asking_permits = asyncio.Lock()
 
 
@@ -86,6 +96,30 @@
     def _share(self, team: str) -> _TeamShare:
         return self._teams.setdefault(team, _TeamShare())
 
+    async def _ask_owner(self, team: str, body: Any) -> Any:
+        """Ask the owner of a team's bounds, over a change of owner.
+
+        Raises
+        ------
+        OwnerUnavailable
+            If none has answered within ``OWNER_WAIT_S``.
+        BudgetExhausted
+            If the owner says so.
+        """
+        timer = self._services.timer
+        end_s = timer.now_s() + OWNER_WAIT_S
+        while True:
+            try:
+                return await self._services.peers.request(
+                    self._owner_of(team), body, ASK_TIMEOUT_S
+                )
+            except OWNER_CHANGES as error:
+                if timer.now_s() >= end_s:
+                    raise OwnerUnavailable(
+                        f"the bounds of {team} are not known: {error.reason}", 1.0
+                    ) from error
+            await timer.sleep(OWNER_PAUSE_S)
+
     def _owner_of(self, team: str) -> str:
         shards = self._services.shards
         pair = self._services.directory.pair(shards.shard_of(team))
@@ -94,7 +128,7 @@
         return pair.owner_vm_id
 
     async def admit(self, request: Complete) -> None:
-        """Check the team's bounds before a request is queued.
+        """Check the team's bounds and take a permit before a request is queued.
 
         Raises
         ------
@@ -110,11 +144,15 @@
             raise NotReady(f"no settings of team {team!r} yet", UNKNOWN_TEAM_RETRY_S)
         share = self._share(team)
         self._check_closed(share, request.max_tokens - request.offset_tokens)
-        if self._free_permits(share) > 0:
-            return
-        await self._ask_permits(team, share)
-        if self._free_permits(share) <= 0:
-            raise self._no_permit(team)
+        share.asking_for += 1
+        try:
+            if self._free_permits(share) <= 0:
+                await self._ask_permits(team, share)
+            if self._free_permits(share) <= 0:
+                raise self._no_permit(team)
+            share.in_use += 1
+        finally:
+            share.asking_for -= 1
 
     def _check_closed(self, share: _TeamShare, tokens: int) -> None:
         left_s = share.closed_until_s - self._services.timer.now_s()
@@ -129,19 +167,13 @@
             return 0
         return share.permits - share.in_use
 
-    def take_permit(self, generation: Generation) -> None:
-        """Count a request that is being queued against the team's permits.
-
-        Raises
-        ------
-        Overloaded
-            If another request has just taken the last one.
-        """
-        share = self._share(generation.request.team)
-        if self._free_permits(share) <= 0:
-            raise self._no_permit(generation.request.team)
+    def admitted(self, generation: Generation) -> None:
+        """Keep the permit of an admitted request until it is settled."""
         self._admitted.add(generation)
-        share.in_use += 1
+
+    def forgo(self, request: Complete) -> None:
+        """Give the permit of a request back that was not queued after all."""
+        self._share(request.team).in_use -= 1
 
     def _no_permit(self, team: str) -> Overloaded:
         spread = self._chance.uniform(1.0, 1.0 + RETRY_SPREAD)
@@ -217,19 +249,15 @@
         asked_at_s = self._services.timer.now_s()
         body = TakeSlice(team, slice_id, need, want)
         try:
-            answer = await self._services.peers.request(
-                self._owner_of(team), body, ASK_TIMEOUT_S
-            )
+            answer = await self._ask_owner(team, body)
         except BudgetExhausted as error:
             share.closed_until_s = asked_at_s + (error.retry_after_s or 1.0)
             share.closed_from_tokens = need
             share.refusal = error
             raise
-        except CodedError as error:
+        except CodedError:
             share.purse.give_up(slice_id)
-            raise OwnerUnavailable(
-                f"the budget of {team} does not answer: {error.reason}", 1.0
-            ) from error
+            raise
         if isinstance(answer, Slice):
             share.purse.add(answer, asked_at_s)
 
@@ -241,19 +269,13 @@
 
     async def _renew_permits(self, team: str, share: _TeamShare) -> None:
         headroom = max(MIN_HEADROOM, share.in_use // HEADROOM_RATIO)
+        headroom += share.asking_for
         held = share.permits if self._permits_live(share) else 0
         asked_at_s = self._services.timer.now_s()
         body = SharePermits(
             team, self._holder, held, share.in_use, share.in_use + headroom
         )
-        try:
-            answer = await self._services.peers.request(
-                self._owner_of(team), body, ASK_TIMEOUT_S
-            )
-        except CodedError as error:
-            raise OwnerUnavailable(
-                f"the bounds of {team} are not known: {error.reason}", 1.0
-            ) from error
+        answer = await self._ask_owner(team, body)
         if isinstance(answer, PermitShare):
             share.permits = answer.permits
             share.permits_end_s = asked_at_s + answer.life_s - PERMIT_MARGIN_S
