--- a/greengagetack/limits/owner.py
+++ b/greengagetack/limits/owner.py
@@ -68,6 +68,7 @@
         self._accounts: dict[str, _Account] = {}
         self._permits: dict[str, tuple[int, PermitBook]] = {}
         self._loading = asyncio.Lock()
+        self._permit_locks: dict[str, asyncio.Lock] = {}
         self._confirming: set[asyncio.Task[None]] = set()
         self._ceilings = CeilingStore(services.platform)
 
@@ -234,11 +235,14 @@
         shard = self._require_owner(request.team)
         epoch = self.services.shards.epoch(shard)
         now_s = self.services.timer.now_s
-        known = self._permits.get(request.team)
-        if known is None or known[0] != epoch:
-            known = (epoch, PermitBook(now_s()))
-            self._permits[request.team] = known
-            await self._confirm_permits(request.team, known[1])
+        async with self._permit_locks.setdefault(request.team, asyncio.Lock()):
+            # Later askers wait as well, or they would find nothing confirmed.
+            known = self._permits.get(request.team)
+            if known is None or known[0] != epoch:
+                book = PermitBook(now_s())
+                await self._confirm_permits(request.team, book)
+                known = (epoch, book)
+                self._permits[request.team] = known
         bound = settings.budget.concurrent_requests
         return known[1].share(request, bound, now_s())
 
