--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -459,3 +459,21 @@
         return context.listed not in {keeper.keeper_vm_id for keeper in keepers}
 
     until(context, keeps_nothing)
+
+
+@when("the cell's lead has stood still for {pause:g} s and makes its next step")
+def step_lead_stood_still(context: Context, pause: float) -> None:
+    (lead,) = context.cell.leads()
+    duty = lead.directory._duty
+    # What a pause looks like to the lead: all that it noted is older by it.
+    duty._stepped_s -= pause
+    for member in duty._members.values():
+        member.heard_s -= pause
+    run(context, duty.step())
+    context.cell_table = lead.directory.table()
+
+
+@then("the cell's table still has {count:d} members")
+def step_table_members(context: Context, count: int) -> None:
+    members = context.cell_table.members
+    assert len(members) == count, members
--- a/greengagetack/membership/lead.py
+++ b/greengagetack/membership/lead.py
@@ -77,6 +77,7 @@
         self._polled_s = 0.0
         self._pairs_polled_s = 0.0
         self._settled_s = 0.0
+        self._stepped_s = timer.now_s()
         self._sender = NewsSender(lease, view, peers, timings)
         self._stepping = asyncio.Lock()
 
@@ -90,6 +91,7 @@
         """
         self._has_table = False
         now_s = self._timer.now_s()
+        self._stepped_s = now_s
         await self._read_table()
         former = self._view.table.lead_vm_id
         for vm in self._view.table.members:
@@ -209,6 +211,7 @@
         if not self._has_table:
             await self.take_over()
         now_s = self._timer.now_s()
+        self._allow_for_own_pause(now_s)
         if now_s - self._polled_s >= self._timings.poll_s:
             self._polled_s = now_s
             await self._poll()
@@ -220,6 +223,20 @@
         await self._write_table()
         await self._write_pairs()
 
+    def _allow_for_own_pause(self, now_s: float) -> None:
+        """Give members time to be heard after this process itself stood still.
+
+        A paused lead has heard nobody; that says nothing about the others.
+        """
+        paused_s = now_s - self._stepped_s
+        self._stepped_s = now_s
+        times = self._timings
+        if paused_s < times.suspect_s:
+            return
+        earliest_s = now_s - times.observer_s + times.suspect_s
+        for member in self._members.values():
+            member.heard_s = max(member.heard_s, earliest_s)
+
     async def _poll(self) -> None:
         listed = await self._platform.vms()
         self._listed = {vm.vm_id: vm for vm in listed}
