--- a/bench/plot.py
+++ b/bench/plot.py
@@ -18,6 +18,8 @@
 )
 DEFAULT_OUTPUT = "docs/measurements.png"
 BAR_WIDTH = 0.8
+# Left, bottom, right and top as shares of the image.
+TOP_MARGIN = (0.0, 0.0, 1.0, 0.98)
 PANEL_WIDTH_INCHES = 9.0
 PANEL_HEIGHT_INCHES = 2.8
 
@@ -44,7 +46,7 @@
 
 def place_of(item: dict[str, Any]) -> str:
     """Return the label of a round's shape and scenario."""
-    return f"{item['scenario']}\n{item['shape']}"
+    return f"{item['scenario']}, {item['shape']}"
 
 
 def draw_panel(axes: Any, rounds: list[dict[str, Any]], figure: str) -> None:
@@ -64,7 +66,7 @@
             below.append(middle - min(values))
             above.append(max(values) - middle)
         axes.bar(positions, medians, width, yerr=(below, above), label=policy)
-    axes.set_xticks(range(len(places)), places, fontsize=6)
+    axes.set_xticks(range(len(places)), places, fontsize=6, rotation=60)
 
 
 @click.command()
@@ -81,8 +83,8 @@
     for axes, (figure, title) in zip(panels, FIGURES, strict=True):
         draw_panel(axes, rounds, figure)
         axes.set_title(title, fontsize=9)
-    panels[0].legend(fontsize=7)
-    drawing.tight_layout()
+    drawing.legend(*panels[0].get_legend_handles_labels(), ncols=4, fontsize=7)
+    drawing.tight_layout(rect=TOP_MARGIN)
     drawing.savefig(output, dpi=100)
 
 
