Split the soak's load and schedule into modules with one job

Change: soak_load becomes soak_fleet, soak_trainer, soak_callers and soak_operators; the schedule leaves soak_faults. A planned stop that does not end in time is a breach with exit code -1 instead of an error of the soak.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -24,17 +24,12 @@
     ServicePlan,
     send_json,
 )
-from bench.soak_faults import FaultRunner, engine_runs
-from bench.soak_load import (
-    TEAM,
-    TEAM_PATH,
-    Fleet,
-    OperatorLoad,
-    PlainCallLoad,
-    SettingsWatch,
-    StreamLoad,
-    TrainerLoad,
-)
+from bench.soak_callers import PlainCallLoad, StreamLoad
+from bench.soak_faults import engine_runs
+from bench.soak_fleet import TEAM, TEAM_PATH, Fleet
+from bench.soak_operators import OperatorLoad, SettingsWatch
+from bench.soak_schedule import FaultRunner
+from bench.soak_trainer import TrainerLoad
 from greengagetack.world import Address
 from standins.processes import ProcessGroup
 from standins.proxy import Relay
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -1,25 +1,22 @@
-"""bench.soak_faults: the seeded schedule of faults of the soak."""
+"""bench.soak_faults: what the soak does to processes and connections."""
 
 import asyncio
 import random
+import subprocess
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from bench.audit_log import EngineRun, LeavingSign, PlannedStop
+from bench.audit_log import EngineRun, PlannedStop
 from bench.deployment import MODEL, SERVICE, send_json
-from bench.soak_load import Fleet
+from bench.soak_fleet import Fleet
 from standins.processes import Process
 from standins.proxy import Relay
 
-__all__ = ["FAULTS", "FaultRunner", "engine_runs", "fault"]
+__all__ = ["FAULTS", "Fault", "FaultWorld", "engine_runs", "fault", "post"]
 
-FIRST_FAULT_S = 5.0
-LAST_FAULT_S = 20.0
-MIN_GAP_S = 1.5
-MAX_GAP_S = 6.0
-TWICE_SHARE = 0.35
 STOP_TIMEOUT_S = 40.0
+NOT_ENDED = -1
 MIN_DAEMONS_UP = 2
 LOST_LEASES_S = (5.0, 9.0)
 OUTAGE_S = (2.0, 10.0)
@@ -104,7 +101,8 @@
     return world.take(f"relay {world.random.choice(names)}")
 
 
-async def _post(url: str, body: object) -> None:
+async def post(url: str, body: object) -> None:
+    """Send a body to a stand-in without the product's client."""
     await asyncio.to_thread(send_json, url, "POST", body)
 
 
@@ -135,8 +133,9 @@
         exit_code = await asyncio.to_thread(
             deployment.daemons[name].terminate, STOP_TIMEOUT_S
         )
-    except TimeoutError:
-        exit_code = -1
+    except subprocess.TimeoutExpired:
+        exit_code = NOT_ENDED
+        await asyncio.to_thread(deployment.daemons[name].kill)
     stop = PlannedStop(name, at_s, time.time(), exit_code)
     world.fleet.log.planned_stops.append(stop)
     await asyncio.sleep(duration_s)
@@ -147,9 +146,9 @@
     world: FaultWorld, duration_s: float, **faults: object
 ) -> None:
     url = f"{world.fleet.deployment.platform.url}/control/faults"
-    await _post(url, faults | {"seed": world.random.randrange(1_000)})
+    await post(url, faults | {"seed": world.random.randrange(1_000)})
     await asyncio.sleep(duration_s)
-    await _post(url, {})
+    await post(url, {})
 
 
 @fault("platform refuses", _platform, OUTAGE_S)
@@ -180,18 +179,18 @@
 async def lose_service_answers(world: FaultWorld, name: str, duration_s: float) -> None:
     """Let calls run without an answer."""
     url = f"{world.fleet.deployment.services[name].url}/control/faults"
-    await _post(url, {"lose_answers": 0.4, "seed": world.random.randrange(1_000)})
+    await post(url, {"lose_answers": 0.4, "seed": world.random.randrange(1_000)})
     await asyncio.sleep(duration_s)
-    await _post(url, {})
+    await post(url, {})
 
 
 @fault("service refuses", _service, SHORT_S)
 async def refuse_calls(world: FaultWorld, name: str, duration_s: float) -> None:
     """Let the service refuse calls before it runs them."""
     url = f"{world.fleet.deployment.services[name].url}/control/faults"
-    await _post(url, {"refuse": True})
+    await post(url, {"refuse": True})
     await asyncio.sleep(duration_s)
-    await _post(url, {})
+    await post(url, {})
 
 
 @fault("open connections go silent", _relay, SHORT_S)
@@ -267,68 +266,3 @@
         )
         for run in log["runs"]
     ]
-
-
-class FaultRunner:
-    """Runs faults one after the other, some of them two at a time."""
-
-    def __init__(self, fleet: Fleet, relays: dict[str, Relay], seed: int) -> None:
-        self._world = FaultWorld(fleet, relays, random.Random(seed))
-        self._tasks: list[asyncio.Task[None]] = []
-        self.names: list[str] = []
-
-    async def run(self, duration_s: float, say: Callable[[str], None]) -> None:
-        """Run faults until shortly before the end, and undo all of them."""
-        world = self._world
-        loop = asyncio.get_running_loop()
-        until_s = loop.time() + duration_s - LAST_FAULT_S
-        leave_at_s = loop.time() + 0.6 * duration_s
-        left = False
-        await asyncio.sleep(FIRST_FAULT_S)
-        while loop.time() < until_s:
-            self._start_one(say)
-            if world.random.random() < TWICE_SHARE:
-                self._start_one(say)
-            if not left and loop.time() > leave_at_s:
-                left = await self._leave(say)
-            await asyncio.sleep(world.random.uniform(MIN_GAP_S, MAX_GAP_S))
-        await asyncio.gather(*self._tasks)
-
-    def _start_one(self, say: Callable[[str], None]) -> None:
-        world = self._world
-        chosen = FAULTS[world.random.choice(sorted(FAULTS))]
-        name = chosen.take(world)
-        if not name:
-            return
-        duration_s = world.some_time_s(chosen.duration_s)
-        say(f"fault: {chosen.name} ({name}, {duration_s:.1f} s)")
-        self.names.append(chosen.name)
-        self._tasks.append(asyncio.create_task(self._run_one(chosen, name, duration_s)))
-
-    async def _run_one(self, chosen: Fault, name: str, duration_s: float) -> None:
-        try:
-            await chosen.run(self._world, name, duration_s)
-        finally:
-            self._world.busy.discard(name)
-
-    async def _leave(self, say: Callable[[str], None]) -> bool:
-        """Let one engine leave for good; the VM list is the sign."""
-        world = self._world
-        endpoint_id = world.take_engine()
-        if not endpoint_id or "platform" in world.busy:
-            world.busy.discard(endpoint_id)
-            return False
-        deployment = world.fleet.deployment
-        vms = [
-            {
-                "vm_id": vm_id,
-                "availability_zone": zone,
-                "state": "leaving" if vm_id == f"vm-{endpoint_id}" else "live",
-            }
-            for vm_id, zone in deployment.vm_zones().items()
-        ]
-        await _post(f"{deployment.platform.url}/control/vms", {"vms": vms})
-        world.fleet.log.leaving.append(LeavingSign(endpoint_id, time.time()))
-        say(f"fault: {endpoint_id} leaves")
-        self.names.append("an endpoint leaves")
-        return True
