Specify first attempts; let the soak's callers state theirs

Change: the callers send X-First-Attempt with a key's first sending; the calls module has it, with a mutant that claims it for repeats too.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -108,21 +108,25 @@
         Now and then two attempts race each other.
         """
         for number in range(KEY_ATTEMPTS):
-            attempts = [self._attempt(f"{key}.{number}a", key)]
-            if self._random.random() < 0.2:
+            races = self._random.random() < 0.2
+            first = number == 0 and not races
+            attempts = [self._attempt(f"{key}.{number}a", key, first)]
+            if races:
                 attempts.append(self._attempt(f"{key}.{number}b", key))
             settled = await asyncio.gather(*attempts)
             if any(settled):
                 return
             await asyncio.sleep(self._random.uniform(0.2, 0.8))
 
-    async def _attempt(self, request_id: str, key: str) -> bool:
+    async def _attempt(self, request_id: str, key: str, first: bool = False) -> bool:
         """Make one attempt; return whether no further one makes sense."""
         fleet = self._fleet
         vm_id, url = fleet.any_daemon(self._random)
         headers = fleet.deployment.team_headers(TEAM) | {"X-Request-Id": request_id}
         if key:
             headers["Idempotency-Key"] = key
+        if first:
+            headers["X-First-Attempt"] = "true"
         body = {"box": f"box-{key or request_id}", "crew": "crew-1"}
         path = f"{url}/services/{SERVICE}/bookings"
         started_s = time.time()
--- a/model/calls.py
+++ b/model/calls.py
@@ -32,14 +32,16 @@
 class State(NamedTuple):
     """The owner's and backup's records, the sending, the service, the answers.
 
-    `sending` is the owner's own request in flight, `astray` one whose owner has
-    died; `reply` is the service's answer to the owner.
+    `first` says that no attempt has been sent yet, `sending` is the owner's own
+    request in flight, `astray` one whose owner has died; `reply` is the service's
+    answer to the owner.
     """
 
     record: str = ""
     backup_record: str = ""
     backup_lost: bool = False
     fresh: bool = False
+    first: bool = True
     running: bool = False
     sending: bool = False
     astray: bool = False
@@ -61,6 +63,7 @@
         Guard("intent recorded at the backup", ONCE),
         Guard("no repeat after unknown", ONCE),
         Guard("fresh epoch answers unknown", ONCE),
+        Guard("only the first sending is a first attempt", ONCE),
         Guard("recorded answer is replayed", ONCE),
         Guard("one run at a time", ONCE),
         Guard("a lost answer is unknown, not refused", TRUE_NOT_RUN),
@@ -103,8 +106,10 @@
             return
         answer = state.answers[entry]
         if not answer:
-            yield from self._owner_answers(state, entry)
-            yield f"entry {entry} hears nothing", self._told(state, entry, "unknown")
+            for label, after in self._owner_answers(state, entry):
+                yield label, after._replace(first=False)
+            lost = self._told(state, entry, "unknown")
+            yield f"entry {entry} hears nothing", lost._replace(first=False)
             return
         repeats = answer == "not_run" and may_repeat(Outcome.NOT_RUN, False)
         if answer == "unknown":
@@ -117,7 +122,10 @@
         """Yield what the owner does with an entry's request."""
         record = CallState(state.record) if state.record else None
         fresh = state.fresh and self.has("fresh epoch answers unknown")
-        decision = answer_to_keyed_call(record, state.running, fresh)
+        first = state.first
+        if not self.has("only the first sending is a first attempt"):
+            first = True
+        decision = answer_to_keyed_call(record, state.running, fresh, first)
         lost = record is CallState.UNKNOWN or (
             record is CallState.INTENT and not state.running
         )
