--- a/bench/soak_schedule.py
+++ b/bench/soak_schedule.py
@@ -17,6 +17,7 @@
 MIN_GAP_S = 1.5
 MAX_GAP_S = 6.0
 TWICE_SHARE = 0.35
+LEAVE_NAME = "an endpoint leaves"
 
 
 class FaultRunner:
@@ -44,9 +45,30 @@
             await asyncio.sleep(world.random.uniform(MIN_GAP_S, MAX_GAP_S))
         await asyncio.gather(*self._tasks)
 
+    async def run_chosen(
+        self, names: tuple[str, ...], say: Callable[[str], None]
+    ) -> None:
+        """Run the faults of these names all at once, and undo them.
+
+        Raises
+        ------
+        KeyError
+            If there is no fault of a name.
+        """
+        await asyncio.sleep(FIRST_FAULT_S)
+        for name in names:
+            if name == LEAVE_NAME:
+                await self._leave(say)
+                continue
+            self._start(FAULTS[name], say)
+        await asyncio.gather(*self._tasks)
+
     def _start_one(self, say: Callable[[str], None]) -> None:
+        names = sorted(FAULTS)
+        self._start(FAULTS[self._world.random.choice(names)], say)
+
+    def _start(self, chosen: Fault, say: Callable[[str], None]) -> None:
         world = self._world
-        chosen = FAULTS[world.random.choice(sorted(FAULTS))]
         name = chosen.take(world)
         if not name:
             return
@@ -80,5 +102,5 @@
         await post(f"{deployment.platform.url}/control/vms", {"vms": vms})
         world.fleet.log.leaving.append(LeavingSign(endpoint_id, time.time()))
         say(f"fault: {endpoint_id} leaves")
-        self.names.append("an endpoint leaves")
+        self.names.append(LEAVE_NAME)
         return True
--- a/greengagetack/keeper/gate.py
+++ b/greengagetack/keeper/gate.py
@@ -14,7 +14,7 @@
     EndpointRefused,
     NotReady,
 )
-from greengagetack.keeper.admission import Admission, CallerReserve
+from greengagetack.keeper.admission import Admission, CallerReserve, LengthRatio
 from greengagetack.keeper.errors import EndpointUnreachable
 from greengagetack.keeper.fair_queue import FairQueue
 from greengagetack.keeper.generation import Generation
@@ -34,6 +34,7 @@
 CALLER_GRACE_S = 2.0
 DRAIN_RETRY_S = 0.2
 LEAVING_RETRY_S = 0.5
+MOVE_FACTOR = 1.5
 
 
 class EngineGate:
@@ -71,6 +72,7 @@
         self.versions = LoadedVersions(endpoint, adapter)
         self.prefixes = PrefixCache(adapter.prefix_blocks)
         self.draining = False
+        self._told_leaving = False
         self.used_at_s = services.timer.now_s()
         self.sibling_paces: tuple[float, ...] = ()
         self._services = services
@@ -79,6 +81,7 @@
         self._queue_limit = admission.queue_limit
         self._admission = Admission(admission)
         self._reserve = CallerReserve(endpoint.slots, admission.caller_reserve_ratio)
+        self._lengths = LengthRatio()
         self._queue = FairQueue()
         self._runner = GenerationRunner(
             adapter, self.versions, self.health, self.prefixes, spending, services.timer
@@ -117,20 +120,30 @@
             waiting_tokens=self._queue.waiting_tokens,
             slots=self.health.allowed(),
             tokens_per_s=rate,
-            expected_wait_s=self._expected_wait_s("", Work.ROLLOUT),
+            expected_wait_s=self._backlog_s(),
             weight_version=self.versions.active,
             ejected=self.health.ejected,
             leaving=self.leaving,
             seconds_per_token=pace_s,
         )
 
+    def _backlog_s(self) -> float:
+        """Return about how long all waiting work takes to be started."""
+        allowed = self.health.allowed()
+        pace_s = self.health.seconds_per_token
+        if not allowed or len(self._running) + len(self._queue) < allowed:
+            return 0.0
+        running_tokens = sum(_tokens_left(item) for item in self._running)
+        tokens = self._queue.waiting_tokens + running_tokens / 2
+        return tokens * self._lengths.value * pace_s / allowed
+
     def _expected_wait_s(self, team: str, work: str) -> float:
         allowed = self.health.allowed()
         pace_s = self.health.seconds_per_token
         running_tokens = sum(_tokens_left(item) for item in self._running)
         free = allowed - len(self._running)
         if work == Work.ROLLOUT:
-            free -= max(0, self._reserve.slots() - self._count(Work.CALLER))
+            free -= self._reserved(self._count(Work.CALLER))
         return self._admission.expected_wait_s(
             self._queue,
             team,
@@ -138,7 +151,7 @@
             self._weight(team),
             running_tokens,
             free,
-            allowed / pace_s if pace_s else 0.0,
+            allowed / (pace_s * self._lengths.value) if pace_s else 0.0,
         )
 
     async def open(self, request: Complete) -> Generation:
@@ -154,14 +167,22 @@
             return self._join(known, request)
         await self.versions.ensure_known()
         await self._spending.admit(request)
-        known = self._held.find(request)
-        if known is not None:
-            return self._join(known, request)
+        try:
+            known = self._held.find(request)
+            if known is None:
+                return self._admit(request)
+        except CodedError:
+            self._spending.forgo(request)
+            raise
+        self._spending.forgo(request)
+        return self._join(known, request)
+
+    def _admit(self, request: Complete) -> Generation:
         self._check_open()
         self.versions.require(request)
         self._check_queue(request)
         generation = Generation(request, self._services.timer.now_s())
-        self._spending.take_permit(generation)
+        self._spending.admitted(generation)
         self._held.keep(generation, self)
         self._queue.push(generation, self._weight(request.team))
         self.used_at_s = generation.arrived_s
@@ -195,7 +216,9 @@
 
     def _check_queue(self, request: Complete) -> None:
         wait_s = self._expected_wait_s(request.team, request.work)
-        self._admission.check_time(request, wait_s, self.health.seconds_per_token)
+        service_s = request.expected_tokens * self._lengths.value
+        service_s *= self.health.seconds_per_token
+        self._admission.check_time(request, wait_s, service_s)
         if len(self._queue) < self._queue_limit:
             return
         weight = self._weight(request.team)
@@ -224,12 +247,15 @@
         if callers < self._reserve.limit and self._queue.waits(Work.CALLER):
             # Callers go first within the reserve; beyond it, teams compete.
             return self._queue.pop((Work.CALLER,))
-        if allowed > 1:
-            reserved = max(0, self._reserve.slots() - callers)
-            if len(self._running) + reserved >= allowed:
-                works = (Work.CALLER,)
+        if len(self._running) + self._reserved(callers) >= allowed:
+            works = (Work.CALLER,)
         return self._queue.pop(works)
 
+    def _reserved(self, callers: int) -> int:
+        """Return how many slots are kept free of rollouts, never all of them."""
+        slots = self._reserve.slots(self._services.timer.now_s())
+        return max(0, min(slots - callers, self.health.allowed() - 1))
+
     def _start(self, generation: Generation) -> None:
         task = asyncio.create_task(self._run(generation))
         self._running[generation] = task
@@ -263,6 +289,9 @@
     def _judge(self, generation: Generation, error: CodedError | None) -> None:
         if error is None:
             self.health.succeeded()
+            request = generation.request
+            expected = request.expected_tokens or request.max_tokens
+            self._lengths.observe(expected, generation.end_tokens)
             return
         if isinstance(error, EndpointUnreachable | EndpointFailed):
             routing = self._services.settings.fleet().routing
@@ -290,10 +319,21 @@
             self._held.drop(generation)
 
     async def check_leaving(self) -> None:
-        """Ask the engine whether it leaves, and pass the sign on."""
+        """Ask the engine whether it leaves, and pass the sign on.
+
+        The sign is taken back only by the keeper that gave it: others know of
+        reasons that the engine does not.
+        """
+        directory = self._services.directory
+        endpoint_id = self.endpoint.endpoint_id
         with suppress(CodedError):
-            if await self.adapter.is_leaving() and not self.leaving:
-                self._services.directory.report_leaving(self.endpoint.endpoint_id)
+            leaves = await self.adapter.is_leaving()
+            if leaves and not self.leaving:
+                self._told_leaving = True
+                directory.report_leaving(endpoint_id)
+            if not leaves and self._told_leaving:
+                self._told_leaving = False
+                directory.report_returned(endpoint_id)
         if self.leaving:
             self.hand_back("is leaving")
 
@@ -316,16 +356,35 @@
         if self._queue.remove(generation):
             self._end(generation, EndpointRefused(why))
             return
-        task = self._running.pop(generation, None)
-        if task is None:
+        if generation not in self._running:
             self._held.drop(generation)
             return
-        task.cancel()
+        await self._abort(generation, DeadlineExceeded(why))
+
+    async def _abort(self, generation: Generation, error: CodedError) -> None:
+        """Stop a running request, here and at the engine."""
+        self._running.pop(generation).cancel()
         self._queue.settle(generation)
-        self._end(generation, DeadlineExceeded(why))
+        self._end(generation, error)
         self._wake.set()
         await self._runner.cancel(generation)
 
+    async def move_slow(self, usual_pace_s: float) -> None:
+        """Give up the running requests that another engine would end far earlier.
+
+        They start anew there, so what they have so far is wasted.
+        """
+        pace_s = self.health.seconds_per_token
+        reason = f"{self.endpoint.endpoint_id} is slow"
+        for generation in list(self._running):
+            left = _tokens_left(generation) * self._lengths.value
+            here_s = left * pace_s
+            there_s = (generation.end_tokens + left) * usual_pace_s
+            if here_s < MOVE_FACTOR * there_s or generation not in self._running:
+                continue
+            self._services.metrics.add("keeper_moved_requests_total")
+            await self._abort(generation, EndpointFailed(reason))
+
     async def drop_abandoned(self) -> None:
         """Cancel callers' requests that nobody has been reading for a while."""
         now_s = self._services.timer.now_s()
--- a/greengagetack/membership/lead.py
+++ b/greengagetack/membership/lead.py
@@ -32,7 +32,7 @@
 from greengagetack.platform.objects import ListedVm, ObjectStore
 from greengagetack.settings.view import SettingsView
 from greengagetack.timer import Timer
-from greengagetack.world import VmState
+from greengagetack.world import Vm, VmState
 
 __all__ = ["LeadDuty"]
 
@@ -77,6 +77,7 @@
         self._polled_s = 0.0
         self._pairs_polled_s = 0.0
         self._settled_s = 0.0
+        self._stepped_s = timer.now_s()
         self._sender = NewsSender(lease, view, peers, timings)
         self._stepping = asyncio.Lock()
 
@@ -90,6 +91,7 @@
         """
         self._has_table = False
         now_s = self._timer.now_s()
+        self._stepped_s = now_s
         await self._read_table()
         former = self._view.table.lead_vm_id
         for vm in self._view.table.members:
@@ -209,6 +211,7 @@
         if not self._has_table:
             await self.take_over()
         now_s = self._timer.now_s()
+        self._allow_for_own_pause(now_s)
         if now_s - self._polled_s >= self._timings.poll_s:
             self._polled_s = now_s
             await self._poll()
@@ -220,6 +223,20 @@
         await self._write_table()
         await self._write_pairs()
 
+    def _allow_for_own_pause(self, now_s: float) -> None:
+        """Give members time to be heard after this process itself stood still.
+
+        A paused lead has heard nobody; that says nothing about the others.
+        """
+        paused_s = now_s - self._stepped_s
+        self._stepped_s = now_s
+        times = self._timings
+        if paused_s < times.suspect_s:
+            return
+        earliest_s = now_s - times.observer_s + times.suspect_s
+        for member in self._members.values():
+            member.heard_s = max(member.heard_s, earliest_s)
+
     async def _poll(self) -> None:
         listed = await self._platform.vms()
         self._listed = {vm.vm_id: vm for vm in listed}
@@ -272,7 +289,10 @@
             revision=revision,
             lead_vm_id=self._view.vm.vm_id,
             lead_epoch=self._lease.epoch,
-            members=tuple(self._members[vm_id].vm for vm_id in sorted(self._members)),
+            members=tuple(
+                self._as_listed(self._members[vm_id].vm)
+                for vm_id in sorted(self._members)
+            ),
             endpoints=self._settings.fleet().endpoints
             if self._settings.ready
             else None,
@@ -280,6 +300,13 @@
             waiting_endpoint_ids=waiting,
         )
 
+    def _as_listed(self, vm: Vm) -> Vm:
+        """Return the member, as leaving if the VM list says so."""
+        listed = self._listed.get(vm.vm_id)
+        if listed is None or listed.state is VmState.LIVE:
+            return vm
+        return replace(vm, state=listed.state)
+
     def _drop_silent_members(self) -> None:
         for vm_id in self._silent_for(self._timings.observer_s):
             del self._members[vm_id]
--- a/greengagetack/observability/traces.py
+++ b/greengagetack/observability/traces.py
@@ -1,5 +1,6 @@
 """greengagetack.observability.traces: spans for each hop, kept in a bounded store."""
 
+import logging
 from collections import OrderedDict
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
@@ -27,7 +28,9 @@
     "configure_traces",
     "current_trace_id",
     "current_traceparent",
+    "detached_span",
     "span",
+    "under_span",
 ]
 
 MAX_REQUESTS = 2_000
@@ -99,6 +102,9 @@
 
 def configure_traces(vm_id: str) -> SpanStore:
     """Set up tracing for this process and return its span store."""
+    # A generator that is closed late ends its span in a context of its own; there
+    # is nothing to restore then, but the library logs it as an error.
+    logging.getLogger("opentelemetry.context").setLevel(logging.CRITICAL)
     store = SpanStore(vm_id)
     provider = TracerProvider(resource=Resource({"service.instance.id": vm_id}))
     provider.add_span_processor(SimpleSpanProcessor(store))
@@ -115,6 +121,30 @@
         yield current
 
 
+@contextmanager
+def detached_span(name: str, **attributes: str) -> Iterator[trace.Span]:
+    """Run a block as one span without making it the current one.
+
+    For generators, which may be closed in another context than they began in.
+    """
+    attributes.setdefault("request_id", REQUEST_ID.get())
+    current = trace.get_tracer("greengagetack").start_span(name, attributes=attributes)
+    try:
+        yield current
+    except Exception as error:
+        current.set_status(trace.StatusCode.ERROR, str(error))
+        raise
+    finally:
+        current.end()
+
+
+@contextmanager
+def under_span(parent: trace.Span) -> Iterator[None]:
+    """Run a block under a span that was started before."""
+    with trace.use_span(parent):
+        yield
+
+
 def current_traceparent() -> str:
     """Return the W3C ``traceparent`` of the current span, or an empty string."""
     carrier: dict[str, str] = {}
