--- a/bench/audit_log.py
+++ b/bench/audit_log.py
@@ -142,7 +142,9 @@
     """Everything that was seen from outside.
 
     `asked` are the identities of all samples that were asked for,
-    `written_settings` the marks in the platform's own history by path and version.
+    `written_settings` the marks in the platform's own history by path and version,
+    `settings_at_end` what each daemon had in force once all faults were over,
+    `lost_engine_logs` the engines of which a log died with them.
     """
 
     asked: list[str] = field(default_factory=list)
