Ask engines for what changes seldom in some turns only; be ready with shards

Cause: an idle keeper asked each engine for its state, versions and cache events and its siblings' paces twice a second (2.62 ms/s an endpoint). A daemon said ready before it knew the shards' owners, so first requests were refused. Ruled out: a slower watch altogether (waiting requests whose time runs out are refused by it, and a sign of leaving has 3 s to be in force). Change: state and paces every second, versions and cache events every two; a daemon is ready once it knows a pair for every shard.

--- a/greengagetack/daemons/assembly.py
+++ b/greengagetack/daemons/assembly.py
@@ -52,7 +52,6 @@
         vm = replace(settings, peer=peer, http=http)
         timer = Timer()
         tls = peer_tls(vm.tls)
-        tls = peer_tls(vm.tls)
         peers = PeerNode(vm.vm_id, incarnation, timer, tls.server, tls.client)
         platform = PlatformClient(vm.platform_url, _platform_token(vm))
         store = SettingsStore()
@@ -100,9 +99,15 @@
         """Return what the balancer should know."""
         if self._draining:
             return Readiness.DRAINING
-        if self.services.settings.ready and self.services.directory.ready:
-            return Readiness.READY
-        return Readiness.STARTING
+        if not (self.services.settings.ready and self.services.directory.ready):
+            return Readiness.STARTING
+        return Readiness.READY if self._shards_are_known() else Readiness.STARTING
+
+    def _shards_are_known(self) -> bool:
+        """Whether requests for every shard can be sent to its owner."""
+        shard_count = self.services.settings.fleet().shard_count
+        pair = self.services.directory.pair
+        return all(pair(shard) is not None for shard in range(shard_count))
 
     async def hand_over(self) -> None:
         """Turn readiness off, then hand over endpoints and shards.
--- a/greengagetack/keeper/monitor.py
+++ b/greengagetack/keeper/monitor.py
@@ -16,6 +16,9 @@
 
 __all__ = ["EngineMonitor"]
 
+# Turns of the watch between two looks at an engine's state and at its versions.
+STATE_TURNS = 2
+VERSION_TURNS = 4
 PROBE_TOKENS = 8
 PROBE_TIMEOUT_S = 10.0
 PEER_TIMEOUT_S = 1.0
@@ -33,23 +36,32 @@
         self._services = services
         self._chance = random.Random(seed)
         self._probes = 0
+        self._turn = 0
 
     async def watch_once(self) -> None:
-        """Ask and act once."""
+        """Ask and act once; what changes seldom is asked for in some turns only."""
         gate = self._gate
+        turn = self._turn
+        self._turn += 1
         gate.refuse_expired()
         await gate.drop_abandoned()
         if gate.health.ejected and not gate.leaving:
             await self._probe_if_due()
             return
-        await gate.check_leaving()
+        if turn % STATE_TURNS == 0:
+            await gate.check_leaving()
+            await self._learn_paces()
+            await self._judge_pace()
+        if turn % VERSION_TURNS == 0:
+            await self._refresh()
+        gate.wake()
+
+    async def _refresh(self) -> None:
+        gate = self._gate
         with suppress(CodedError):
             await gate.versions.refresh()
             events = await gate.adapter.cache_events(gate.prefixes.next_event)
             gate.prefixes.correct(events)
-        await self._learn_paces()
-        await self._judge_pace()
-        gate.wake()
 
     async def _learn_paces(self) -> None:
         directory = self._services.directory
