Bound the samples in flight by the queues that finished ones report

Cause: a step kept 1.5 times all slots in flight whatever else ran, so with two trainers half of them waited at keepers, bound to an engine while others idled. Ruled out: a smaller fixed ratio (a step alone would leave slots idle between samples); taking requests back from a keeper's queue (a message for each). Change: the window shrinks by one with each sample that leaves a queue over a quarter of its engine's slots, and grows by one otherwise.

--- a/features/delivery.feature
+++ b/features/delivery.feature
@@ -100,3 +100,16 @@
       | 2     | 0        | 30          |
       | 6     | 5        | 60          |
       | 30    | 0        | 4           |
+
+  Scenario Outline: A window of at most 40 that sees <seen> allows <size>
+    Given a dispatch window of at most 40
+    When <seen> are reported
+    Then the window allows <size> samples in flight
+
+    Examples:
+      | seen                                | size |
+      | 0 samples                           | 40   |
+      | 5 samples that leave 0 of 8 waiting | 40   |
+      | 5 samples that leave 2 of 8 waiting | 40   |
+      | 5 samples that leave 3 of 8 waiting | 35   |
+      | 99 samples that leave 8 of 8 waiting | 10   |
--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -9,7 +9,7 @@
 
 from features.support.memory_shards import MemoryShards
 from greengagetack.errors import CodedError
-from greengagetack.keeper.messages import Chunk, Complete, Completed
+from greengagetack.keeper.messages import Chunk, Complete, Completed, EndpointLoad
 from greengagetack.rollouts.concurrency import step_concurrency
 from greengagetack.rollouts.delivery import deliver
 from greengagetack.rollouts.groupset import expand_ranges, to_ranges
@@ -21,6 +21,7 @@
 from greengagetack.rollouts.spec import FinishedSample, GroupSpec, SampleId, StepSpec
 from greengagetack.rollouts.state import StepState
 from greengagetack.rollouts.versions import VersionRange
+from greengagetack.rollouts.window import DispatchWindow
 from greengagetack.timer import Timer
 
 TOKENS_PER_SAMPLE = 10
@@ -294,3 +295,28 @@
 @then("each may have {concurrency:d} samples in flight at 40 slots")
 def step_concurrent(context: Context, concurrency: int) -> None:
     assert context.concurrency == concurrency, context.concurrency
+
+
+@given("a dispatch window of at most {largest:d}")
+def step_window(context: Context, largest: int) -> None:
+    context.window = DispatchWindow()
+    context.largest = largest
+    context.window.size(largest)
+
+
+@when("{count:d} samples are reported")
+def step_none_reported(context: Context, count: int) -> None:
+    assert count == 0
+
+
+@when("{count:d} samples that leave {waiting:d} of {slots:d} waiting are reported")
+def step_reported(context: Context, count: int, waiting: int, slots: int) -> None:
+    load = EndpointLoad("e1", slots, waiting, 0, slots, 1.0, 0.0, 1)
+    for _ in range(count):
+        context.window.note(load)
+        context.window.size(context.largest)
+
+
+@then("the window allows {size:d} samples in flight")
+def step_window_size(context: Context, size: int) -> None:
+    assert context.window.size(context.largest) == size
--- a/greengagetack/rollouts/attempt.py
+++ b/greengagetack/rollouts/attempt.py
@@ -4,7 +4,7 @@
 from contextlib import aclosing
 from typing import Protocol
 
-from greengagetack.keeper.messages import Chunk, Complete, Completed
+from greengagetack.keeper.messages import Chunk, Complete, Completed, EndpointLoad
 from greengagetack.observability.logs import REQUEST_ID
 from greengagetack.observability.traces import span
 from greengagetack.rollouts.spec import FinishedSample, SampleId
@@ -55,6 +55,7 @@
         self.tokens = 0
         self.restarted_tokens = 0
         self.has_failed = False
+        self.load: EndpointLoad | None = None
         self._chunks: list[Chunk] = []
         self._endpoint_id = ""
 
@@ -86,6 +87,7 @@
             self._chunks.clear()
             return
         self._endpoint_id = item.load.endpoint_id
+        self.load = item.load
 
     def sample(self) -> FinishedSample:
         """Return the whole sample after the end."""
--- a/greengagetack/rollouts/runner.py
+++ b/greengagetack/rollouts/runner.py
@@ -13,6 +13,7 @@
 from greengagetack.rollouts.records import StepRecords
 from greengagetack.rollouts.spec import FinishedSample, SampleId, StepSpec, step_key
 from greengagetack.rollouts.state import StepState
+from greengagetack.rollouts.window import DispatchWindow
 from greengagetack.timer import Timer
 
 __all__ = ["HEDGE_SUFFIX", "Scoring", "StepRunner"]
@@ -73,6 +74,7 @@
         self._changed = asyncio.Event()
         self._hedging = hedging
         self._paces = PaceBook()
+        self._window = DispatchWindow()
         self._attempts: dict[SampleId, dict[SampleAttempt, asyncio.Task[None]]] = {}
         self._scoring_tasks: dict[int, asyncio.Task[None]] = {}
         self._waiters: set[asyncio.Event] = set()
@@ -104,7 +106,7 @@
                 continue
 
     def _dispatch(self) -> None:
-        limit = self._concurrency()
+        limit = self._window.size(self._concurrency())
         while self.state.in_flight < limit:
             sample_id = self.state.next_sample()
             if sample_id is None:
@@ -208,6 +210,8 @@
         sample = attempt.sample()
         duration_s = self._timer.now_s() - attempt.started_s
         self._paces.note(attempt.tokens, attempt.first_token_s, duration_s)
+        if attempt.load is not None:
+            self._window.note(attempt.load)
         if self.state.finish(sample):
             await self._keep(sample)
         await self._stop_others(attempt.sample_id)
