Count a step's progress as it goes, and leave held samples alone

Cause: each sample's end looked at all groups and all finished samples of its step, so a large step's processor time bent upwards; samples that the trainer holds were dropped and counted as waste once it moved on. Ruled out: fewer wake-ups (each finished sample frees a slot that has to be filled at once). Change: counters and sets beside the groups; staleness is looked through only after the bound or the held set has changed, and held groups are left out. The new scenario failed before and passes after. Conclusion: kept; choosing the next sample still looks at all waiting groups.

--- a/features/delivery.feature
+++ b/features/delivery.feature
@@ -52,6 +52,12 @@
     And the trainer fetches at version 5 holding "0"
     Then the groups "1" are delivered
 
+  Scenario: Samples that the trainer holds are not made again
+    Given a step of 2 groups of 1 samples with staleness bound 1 and trainer version 5
+    When all samples are finished by versions "5"
+    And the trainer fetches at version 7 holding "0"
+    Then 10 tokens are wasted
+
   Scenario Outline: The order <order> dispatches "<groups>"
     Given a step of 3 groups of 2 samples with staleness bound 1 and trainer version 5
     And its groups are expected to have "10,30,20" tokens
--- a/greengagetack/rollouts/state.py
+++ b/greengagetack/rollouts/state.py
@@ -50,6 +50,12 @@
             )
             for group in spec.groups
         }
+        # Kept beside the groups, so that no step of the work looks at all of them.
+        self._in_flight = 0
+        self._with_pending = dict(self._groups)
+        self._unscored = set(self._groups)
+        self._whole_unscored: set[int] = set()
+        self._checked_for: tuple[int, frozenset[int]] | None = None
 
     @property
     def oldest_allowed(self) -> int:
@@ -79,8 +85,8 @@
         """Return the pending sample to dispatch next, None without one."""
         best: tuple[float, ...] | None = None
         chosen: _Group | None = None
-        for group in self._groups.values():
-            if not group.pending or group.spec.group_id in self.held:
+        for group_id, group in self._with_pending.items():
+            if group_id in self.held:
                 continue
             rank = self._order(self._progress(group))
             if best is None or rank < best:
@@ -112,8 +118,17 @@
         group = self._groups[sample_id.group_id]
         attempt = group.pending.pop(sample_id.index)
         group.in_flight[sample_id.index] = attempt
+        self._in_flight += 1
+        self._note_pending(group)
         return attempt
 
+    def _note_pending(self, group: _Group) -> None:
+        group_id = group.spec.group_id
+        if group.pending:
+            self._with_pending[group_id] = group
+            return
+        self._with_pending.pop(group_id, None)
+
     def put_back(
         self, sample_id: SampleId, *, remake: bool, lost_tokens: int = 0
     ) -> None:
@@ -126,6 +141,8 @@
         if attempt is None:
             return
         group.pending[sample_id.index] = attempt + 1 if remake else attempt
+        self._in_flight -= 1
+        self._note_pending(group)
         self.wasted_tokens += lost_tokens
         self.remade_samples += int(remake)
 
@@ -146,14 +163,18 @@
         if sample.index in group.finished:
             self.wasted_tokens += sample.token_count
             return False
-        group.in_flight.pop(sample.index, None)
+        if group.in_flight.pop(sample.index, None) is not None:
+            self._in_flight -= 1
         group.pending.pop(sample.index, None)
+        self._note_pending(group)
         if self._is_stale(sample):
             self._remake(group, sample)
             return False
         group.finished[sample.index] = sample
         self._finished_tokens += sample.token_count
         self._finished_samples += 1
+        if self.needs_score(sample.group_id):
+            self._whole_unscored.add(sample.group_id)
         return True
 
     def _is_stale(self, sample: FinishedSample) -> bool:
@@ -163,6 +184,9 @@
     def _remake(self, group: _Group, sample: FinishedSample) -> None:
         group.pending[sample.index] = sample.attempt + 1
         group.scored = False
+        self._unscored.add(sample.group_id)
+        self._whole_unscored.discard(sample.group_id)
+        self._note_pending(group)
         self.wasted_tokens += sample.token_count
         self.remade_samples += 1
 
@@ -191,6 +215,8 @@
                 scores.get(index),
             )
         group.scored = True
+        self._unscored.discard(group_id)
+        self._whole_unscored.discard(group_id)
 
     def needs_score(self, group_id: int) -> bool:
         """Whether a whole group still waits for its scores."""
@@ -199,12 +225,21 @@
 
     def whole_unscored_groups(self) -> tuple[int, ...]:
         """Return whole groups that wait for their scores."""
-        return tuple(key for key in self._groups if self.needs_score(key))
+        return tuple(self._whole_unscored)
 
     def drop_stale(self) -> tuple[SampleId, ...]:
-        """Put finished samples beyond the staleness bound back to pending."""
+        """Put finished samples beyond the staleness bound back to pending.
+
+        Those that the trainer holds are its own.
+        """
+        state = (self.oldest_allowed, self.held)
+        if state == self._checked_for:
+            return ()
+        self._checked_for = state
         dropped: list[SampleId] = []
-        for group in self._groups.values():
+        for group_id, group in self._groups.items():
+            if group_id in self.held:
+                continue
             for sample in list(group.finished.values()):
                 if not self._is_stale(sample):
                     continue
@@ -246,19 +281,19 @@
 
     def missing(self, held: frozenset[int]) -> int:
         """Return how many groups the trainer does not hold."""
-        return sum(1 for group_id in self._groups if group_id not in held)
+        return len(self._groups.keys() - held)
 
     @property
     def in_flight(self) -> int:
         """Number of samples in flight."""
-        return sum(len(group.in_flight) for group in self._groups.values())
+        return self._in_flight
 
     @property
     def pending(self) -> int:
         """Number of samples that wait to be dispatched."""
         return sum(
             len(group.pending)
-            for group_id, group in self._groups.items()
+            for group_id, group in self._with_pending.items()
             if group_id not in self.held
         )
 
@@ -270,12 +305,9 @@
     @property
     def finished_groups(self) -> int:
         """Number of groups that can be delivered."""
-        return sum(1 for group in self._groups.values() if group.scored)
+        return len(self._groups) - len(self._unscored)
 
     @property
     def complete(self) -> bool:
         """Whether nothing is left to make or score."""
-        return all(
-            group.scored or group_id in self.held
-            for group_id, group in self._groups.items()
-        )
+        return all(group_id in self.held for group_id in self._unscored)
