Choose the next sample from a queue of ranked groups

Cause: each choice ranked all groups with pending samples, which is quadratic in the size of a step. Ruled out: ranking at creation only (what siblings and the step's mean say about lengths would be lost). Change: a heap of ranks with void entries; a group is ranked anew when it changes, all of them once the step's mean length has moved by a tenth or the trainer holds other groups.

--- a/greengagetack/rollouts/state.py
+++ b/greengagetack/rollouts/state.py
@@ -1,6 +1,8 @@
 """greengagetack.rollouts.state: the progress of one step, without any I/O."""
 
+import heapq
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from greengagetack.rollouts.messages import FinishedGroup
 from greengagetack.rollouts.orders import GroupProgress, Order, longest_first
@@ -9,6 +11,9 @@
 
 __all__ = ["StepState"]
 
+# Share by which the step's mean length moves before groups are ranked anew.
+MEAN_STEP_RATIO = 0.1
+
 
 @dataclass
 class _Group:
@@ -23,6 +28,14 @@
         return len(self.pending) + len(self.in_flight)
 
 
+class _Ranked(NamedTuple):
+    """A queued group; the smallest rank is dispatched first."""
+
+    rank: tuple[float, ...]
+    group_id: int
+    stamp: int
+
+
 class StepState:
     """Which samples of a step are pending, in flight and finished.
 
@@ -56,6 +69,10 @@
         self._unscored = set(self._groups)
         self._whole_unscored: set[int] = set()
         self._checked_for: tuple[int, frozenset[int]] | None = None
+        self._mean_tokens = float(spec.max_tokens)
+        self._queue: list[_Ranked] = []
+        self._stamps: dict[int, int] = {}
+        self._rank_all()
 
     @property
     def oldest_allowed(self) -> int:
@@ -77,24 +94,42 @@
             return max(sample.token_count for sample in group.finished.values())
         if group.spec.expected_tokens:
             return group.spec.expected_tokens
-        if self._finished_samples:
-            return self._finished_tokens / self._finished_samples
-        return self.spec.max_tokens
+        return self._mean_tokens
 
     def next_sample(self) -> SampleId | None:
         """Return the pending sample to dispatch next, None without one."""
-        best: tuple[float, ...] | None = None
-        chosen: _Group | None = None
-        for group_id, group in self._with_pending.items():
-            if group_id in self.held:
-                continue
-            rank = self._order(self._progress(group))
-            if best is None or rank < best:
-                best = rank
-                chosen = group
-        if chosen is None:
-            return None
-        return SampleId(chosen.spec.group_id, next(iter(chosen.pending)))
+        self._follow_mean()
+        while self._queue:
+            entry = self._queue[0]
+            group = self._groups[entry.group_id]
+            if entry.stamp == self._stamps.get(entry.group_id) and group.pending:
+                return SampleId(entry.group_id, next(iter(group.pending)))
+            heapq.heappop(self._queue)
+        return None
+
+    def _follow_mean(self) -> None:
+        """Rank all groups anew once the step's mean length has moved."""
+        if not self._finished_samples:
+            return
+        mean = self._finished_tokens / self._finished_samples
+        if abs(mean - self._mean_tokens) > MEAN_STEP_RATIO * self._mean_tokens:
+            self._mean_tokens = mean
+            self._rank_all()
+
+    def _rank_all(self) -> None:
+        self._queue.clear()
+        for group in self._with_pending.values():
+            self._rank(group)
+
+    def _rank(self, group: _Group) -> None:
+        """Queue a group by its present rank; its former entry is void."""
+        group_id = group.spec.group_id
+        stamp = self._stamps.get(group_id, 0) + 1
+        self._stamps[group_id] = stamp
+        if group_id in self.held or not group.pending:
+            return
+        rank = self._order(self._progress(group))
+        heapq.heappush(self._queue, _Ranked(rank, group_id, stamp))
 
     def _progress(self, group: _Group) -> GroupProgress:
         group_id = group.spec.group_id
@@ -126,8 +161,9 @@
         group_id = group.spec.group_id
         if group.pending:
             self._with_pending[group_id] = group
-            return
-        self._with_pending.pop(group_id, None)
+        else:
+            self._with_pending.pop(group_id, None)
+        self._rank(group)
 
     def put_back(
         self, sample_id: SampleId, *, remake: bool, lost_tokens: int = 0
@@ -173,6 +209,7 @@
         group.finished[sample.index] = sample
         self._finished_tokens += sample.token_count
         self._finished_samples += 1
+        self._rank(group)
         if self.needs_score(sample.group_id):
             self._whole_unscored.add(sample.group_id)
         return True
@@ -270,7 +307,9 @@
 
         A trainer that has lost groups names fewer, and gets them again.
         """
-        self.held = held
+        if held != self.held:
+            self.held = held
+            self._rank_all()
         unneeded: list[SampleId] = []
         for group_id in held:
             group = self._groups.get(group_id)
