Give the owner's hop a span of its own

Cause: a keyed call's trace went from the entry to the keeper, though its owner is a hop between them. Ruled out: a span for every message of a link (heartbeats would drown it). Conclusion: one trail shows each hop.

--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,4 @@
 
 capacity: setup
 	$(BIN)/python -m bench.capacity
+	$(BIN)/python -m bench.capacity.data_path
--- a/greengagetack/calls/owner.py
+++ b/greengagetack/calls/owner.py
@@ -7,6 +7,7 @@
 from greengagetack.daemons.role import Role, Services, role
 from greengagetack.errors import OwnerUnavailable
 from greengagetack.keeper.messages import CallService, ServiceAnswer
+from greengagetack.observability.traces import span
 
 __all__ = ["CallOwnerRole"]
 
@@ -54,10 +55,11 @@
             raise OwnerUnavailable("the key's owner is stopping", DRAINING_RETRY_S)
         self._in_flight += 1
         self._idle.clear()
-        task = asyncio.ensure_future(self._calls.run(call))
-        task.add_done_callback(self._ended)
-        # The call goes on when the link to its sender breaks.
-        return await asyncio.shield(task)
+        with span("owner.call", team=call.call.team):
+            task = asyncio.ensure_future(self._calls.run(call))
+            task.add_done_callback(self._ended)
+            # The call goes on when the link to its sender breaks.
+            return await asyncio.shield(task)
 
     def _ended(self, task: "asyncio.Future[ServiceAnswer]") -> None:
         self._in_flight -= 1
--- a/greengagetack/rollouts/attempt.py
+++ b/greengagetack/rollouts/attempt.py
@@ -68,7 +68,7 @@
             If it cannot be had.
         """
         REQUEST_ID.set(self.request.request_id)
-        with span("owner sample", team=self.request.team):
+        with span("owner.sample", team=self.request.team):
             answers = completions.complete(self.request, exclude)
             async with aclosing(answers) as items:
                 async for item in items:
--- a/greengagetack/rollouts/owner.py
+++ b/greengagetack/rollouts/owner.py
@@ -14,6 +14,7 @@
     NotFound,
     NotReady,
 )
+from greengagetack.observability.traces import span
 from greengagetack.peers.messages import Done
 from greengagetack.rollouts.completions import RoutedCompletions
 from greengagetack.rollouts.concurrency import step_concurrency
@@ -202,13 +203,14 @@
         step = self._steps.get(key)
         if step is None:
             raise self._no_step(request.team, request.job, key)
-        answer = await deliver(
-            step.runner,
-            self._records,
-            request,
-            self.services.timer,
-            lambda: step.deadline_s - self.services.timer.now_s(),
-        )
+        with span("owner.fetch", team=request.team):
+            answer = await deliver(
+                step.runner,
+                self._records,
+                request,
+                self.services.timer,
+                lambda: step.deadline_s - self.services.timer.now_s(),
+            )
         self._require_ownership(request.team, request.job)
         return answer
 
