Let the code call the decisions that the model checks

Cause: on reading the whole change, staleness of samples, repeats of plain calls and orders were decided beside functions of leases.decisions that only the specification called, though docs/MODEL.md said that they are shared; a setting, sample_attempts, had no effect; a copy of a sample named each field. Change: fresh_enough, may_repeat and may_give_order are called; the setting without effect is gone. Behaviour is the same.

--- a/greengagetack/keeper/orders.py
+++ b/greengagetack/keeper/orders.py
@@ -12,6 +12,7 @@
     OwnerUnavailable,
 )
 from greengagetack.keeper.gate import EngineGate
+from greengagetack.leases.decisions import may_give_order
 from greengagetack.weights.messages import OrderEndpoint, ReplicaState
 from greengagetack.world import Endpoint, Fencing
 
@@ -35,9 +36,9 @@
     number = directory.fencing_number(endpoint.endpoint_id)
     if number is None:
         raise Conflict(f"this VM does not keep {endpoint.endpoint_id}")
-    if endpoint.fencing is Fencing.CHECKED:
-        return number
-    if not directory.holds_keeper_lease(endpoint.endpoint_id):
+    checks = endpoint.fencing is Fencing.CHECKED
+    surely_held = directory.holds_keeper_lease(endpoint.endpoint_id)
+    if not may_give_order(True, checks, surely_held):
         raise OwnerUnavailable(
             f"{endpoint.endpoint_id} takes any order and this VM is not sure "
             "to be its only keeper",
--- a/greengagetack/rollouts/state.py
+++ b/greengagetack/rollouts/state.py
@@ -1,9 +1,10 @@
 """greengagetack.rollouts.state: the progress of one step, without any I/O."""
 
 import heapq
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
+from greengagetack.leases.decisions import fresh_enough
 from greengagetack.rollouts.messages import FinishedGroup
 from greengagetack.rollouts.orders import GroupProgress, Order, longest_first
 from greengagetack.rollouts.spec import FinishedSample, GroupSpec, SampleId, StepSpec
@@ -216,7 +217,8 @@
 
     def _is_stale(self, sample: FinishedSample) -> bool:
         oldest = oldest_version(sample.versions)
-        return oldest is None or oldest < self.oldest_allowed
+        bound = self.spec.max_staleness_versions
+        return oldest is None or not fresh_enough(oldest, self.trainer_version, bound)
 
     def _remake(self, group: _Group, sample: FinishedSample) -> None:
         group.pending[sample.index] = sample.attempt + 1
@@ -241,16 +243,7 @@
         """Store the scores of a whole group by sample index."""
         group = self._groups[group_id]
         for index, sample in group.finished.items():
-            group.finished[index] = FinishedSample(
-                sample.group_id,
-                sample.index,
-                sample.text,
-                sample.token_count,
-                sample.versions,
-                sample.endpoint_id,
-                sample.attempt,
-                scores.get(index),
-            )
+            group.finished[index] = replace(sample, score=scores.get(index))
         group.scored = True
         self._unscored.discard(group_id)
         self._whole_unscored.discard(group_id)
--- a/greengagetack/routing/service_relay.py
+++ b/greengagetack/routing/service_relay.py
@@ -15,6 +15,7 @@
     PeerUnreachable,
 )
 from greengagetack.keeper.messages import CallService, ServiceAnswer
+from greengagetack.leases.decisions import may_repeat
 from greengagetack.limits.retries import RetryBudgets
 from greengagetack.routing.router import RoutedEndpoint, Router
 
@@ -88,7 +89,7 @@
     ) -> None:
         if isinstance(error, InvalidRequest | DeadlineExceeded):
             raise worst
-        if error.outcome is not Outcome.NOT_RUN and not idempotent:
+        if not may_repeat(error.outcome, idempotent):
             raise worst
         free = error.outcome is Outcome.NOT_RUN and not isinstance(error, Overloaded)
         if not free and not self._budgets.take(request.team):
--- a/greengagetack/settings/bounds.py
+++ b/greengagetack/settings/bounds.py
@@ -51,7 +51,6 @@
     (Endpoint, "slots"): Bound(1, 100_000),
     (FleetSettings, "shard_count"): Bound(1, 65_536),
     (PolicySettings, "max_staleness_versions"): Bound(0, 1_000),
-    (RolloutSettings, "sample_attempts"): Bound(1, 1_000),
     (RolloutSettings, "straggler_factor"): Bound(1, 1_000),
     (RoutingSettings, "probes"): Bound(1, 64),
     (RoutingSettings, "slow_factor"): Bound(1, 1_000),
--- a/greengagetack/settings/schema.py
+++ b/greengagetack/settings/schema.py
@@ -91,7 +91,6 @@
     hedge_waste_ratio: float = 0.02
     straggler_factor: float = 3.0
     order: str = "longest-first"
-    sample_attempts: int = 8
     retention_s: float = 600.0
 
 
