--- a/bench/capacity/cell.py
+++ b/bench/capacity/cell.py
@@ -13,15 +13,15 @@
 from greengagetack.membership.directory import CellDirectory
 from greengagetack.membership.store import ReplicatedShards
 from greengagetack.membership.timings import CellTimings
-from greengagetack.peers.link import PeerLink
-from greengagetack.peers.node import PeerNode, listening_socket
-from greengagetack.platform.objects import (
+from greengagetack.objects.base import (
     ListedVm,
     ObjectConflict,
     ObjectStore,
     PlatformObject,
     WatchAnswer,
 )
+from greengagetack.peers.link import PeerLink
+from greengagetack.peers.node import PeerNode, listening_socket
 from greengagetack.settings.schema import FleetSettings, TeamSettings, VmSettings
 from greengagetack.settings.view import SettingsVersion
 from greengagetack.timer import Timer
--- a/bench/capacity/lead_process.py
+++ b/bench/capacity/lead_process.py
@@ -16,7 +16,7 @@
 from loguru import logger
 
 from bench.capacity.cell import BenchCell
-from greengagetack.platform.client import PlatformClient
+from greengagetack.objects.client import PlatformClient
 from standins.processes import ProcessGroup
 
 __all__ = ["LeadCost", "measure_lead", "run_lead"]
--- a/features/steps/engines_steps.py
+++ b/features/steps/engines_steps.py
@@ -17,7 +17,7 @@
 from greengagetack.errors import CodedError, PlatformUnavailable
 from greengagetack.keeper.errors import StreamTorn
 from greengagetack.keeper.messages import CallService, Chunk
-from greengagetack.platform.client import PlatformClient
+from greengagetack.objects.client import PlatformClient
 from greengagetack.settings.schema import AdmissionSettings
 from greengagetack.world import Endpoint, EndpointKind
 
--- a/features/steps/leases_steps.py
+++ b/features/steps/leases_steps.py
@@ -11,7 +11,7 @@
 from greengagetack.errors import PlatformUnavailable
 from greengagetack.leases.lease import PlatformLease
 from greengagetack.membership.timings import CellTimings
-from greengagetack.platform.objects import PlatformObject, WriteUnknown
+from greengagetack.objects.base import PlatformObject, WriteUnknown
 from greengagetack.timer import Timer
 from greengagetack.world import Address, Vm
 
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -11,7 +11,7 @@
 from behave.runner import Context
 
 from features.support.cell import Cell, Member, make_endpoints
-from greengagetack.platform.objects import ListedVm
+from greengagetack.objects.base import ListedVm
 from greengagetack.world import Fencing, VmState
 
 LEAVING_ENDPOINT = "e1"
--- a/features/steps/platform_client_steps.py
+++ b/features/steps/platform_client_steps.py
@@ -7,7 +7,7 @@
 
 from features.support.platform_server import HttpPlatform
 from greengagetack.errors import CodedError
-from greengagetack.platform.client import PlatformClient
+from greengagetack.objects.client import PlatformClient
 from greengagetack.world import VmState
 
 PATH = "cells/a/lead"
--- a/features/steps/settings_checks_steps.py
+++ b/features/steps/settings_checks_steps.py
@@ -10,7 +10,7 @@
 from features.support.settings_documents import fleet_value, team_value
 from greengagetack.daemons.auth import authenticate
 from greengagetack.errors import Unauthorized
-from greengagetack.platform.objects import PlatformObject
+from greengagetack.objects.base import PlatformObject
 from greengagetack.settings.objects import (
     SettingsObject,
     from_platform,
--- a/features/support/cell.py
+++ b/features/support/cell.py
@@ -12,8 +12,8 @@
 from greengagetack.membership.directory import CellDirectory
 from greengagetack.membership.store import ReplicatedShards
 from greengagetack.membership.timings import CellTimings
+from greengagetack.objects.base import ListedVm
 from greengagetack.peers.node import PeerNode, listening_socket
-from greengagetack.platform.objects import ListedVm
 from greengagetack.settings.schema import (
     DataFolderSettings,
     FleetSettings,
--- a/features/support/memory_platform.py
+++ b/features/support/memory_platform.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from greengagetack.errors import PlatformUnavailable
-from greengagetack.platform.objects import (
+from greengagetack.objects.base import (
     ListedVm,
     ObjectConflict,
     PlatformObject,
--- a/features/support/platform_fake.py
+++ b/features/support/platform_fake.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from greengagetack.errors import PlatformUnavailable
-from greengagetack.platform.objects import (
+from greengagetack.objects.base import (
     ListedVm,
     ObjectConflict,
     PlatformObject,
--- /dev/null
+++ b/greengagetack/batches/__init__.py
@@ -0,0 +1,1 @@
+"""greengagetack.batches: durable batch jobs with numbered results."""
--- /dev/null
+++ b/greengagetack/batches/dispatcher.py
@@ -0,0 +1,414 @@
+"""greengagetack.batches.dispatcher: runs the items of all open jobs."""
+
+import asyncio
+import time
+from collections import OrderedDict
+
+from loguru import logger
+
+from greengagetack.batches.item_run import RunEnd, run_item
+from greengagetack.batches.job import Item, Job
+from greengagetack.batches.job_run import JobRun, expected_tokens_left
+from greengagetack.batches.ledger import JOBS, Ledger, job_of
+from greengagetack.batches.log import JobLog
+from greengagetack.batches.order import rank_items
+from greengagetack.batches.placement import Candidate, choose_candidate
+from greengagetack.batches.progress import ItemProgress, ProgressSnapshot
+from greengagetack.errors import CodedError
+from greengagetack.gateway.call import Call, ReplicaDialect
+from greengagetack.http1.pool import Pool
+from greengagetack.objects.base import PlatformObject
+from greengagetack.objects.feed import Feed
+from greengagetack.observability.metrics import Metrics
+from greengagetack.replicas.fleet import Fleet
+from greengagetack.replicas.replica import ReplicaState
+
+__all__ = ["Dispatcher", "EngineFacts"]
+
+# An engine under load makes an event well within this time.
+STALL_S = 1.5
+# Loading weights holds all runs of a replica up.
+STALL_LOADING_S = 3.5
+REFUSAL_PAUSE_S = 0.1
+RETRY_PAUSE_S = 0.1
+OPEN_RETRY_S = 0.2
+KEPT_PROGRESSES = 2_000
+USUAL_EVENT_S = 0.05
+SMOOTHING = 0.1
+MS_PER_S = 1_000
+# Clocks of VMs differ; an item is given up only when all agree that it may be.
+TTL_MARGIN_S = 6.0
+TICK_S = 0.5
+DEFAULT_SLOTS = 8
+UNKNOWN_MEMORY_TOKENS = 1 << 40
+
+
+class EngineFacts:
+    """What the configuration says of the engines of each service."""
+
+    def __init__(self) -> None:
+        self.memory_tokens: dict[str, int] = {}
+        self.tokens_per_event: dict[str, int] = {}
+
+
+class Dispatcher:
+    """Runs items while this daemon holds the claim; commits go to the ledger."""
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        jobs: Feed,
+        fleet: Fleet,
+        pool: Pool,
+        dialect: ReplicaDialect,
+        facts: EngineFacts,
+        metrics: Metrics,
+    ) -> None:
+        self._ledger = ledger
+        self._jobs = jobs
+        self._fleet = fleet
+        self._pool = pool
+        self._dialect = dialect
+        self._facts = facts
+        self._metrics = metrics
+        self._runs: dict[str, JobRun] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._item_tasks: dict[str, asyncio.Task[None]] = {}
+        self._progresses: OrderedDict[str, ItemProgress] = OrderedDict()
+        self._group_homes: dict[tuple[str, str, int], None] = {}
+        self._reserved: dict[str, int] = {}
+        self._paces: dict[str, float] = {}
+        self.loading: set[str] = set()
+        self._wake = asyncio.Event()
+        self.is_active = False
+        jobs.subscribe(self._on_jobs)
+        fleet.subscribe(self._wake.set)
+
+    # -- the claim
+
+    def activate(self) -> None:
+        """Run all open jobs from now on."""
+        if self.is_active:
+            return
+        self.is_active = True
+        logger.info("dispatch: this daemon runs the jobs", open_jobs=len(self.open()))
+        for job in self.open():
+            self._open(job)
+
+    def deactivate(self) -> list[ProgressSnapshot]:
+        """Stop all runs; return the progress of the unfinished items."""
+        if not self.is_active:
+            return []
+        self.is_active = False
+        logger.info("dispatch: this daemon no longer runs the jobs")
+        running = [run for run in self._runs.values()]
+        for job_id in list(self._tasks):
+            self._close(job_id)
+        return [
+            progress.snapshot()
+            for run in running
+            for progress in run.unfinished.values()
+            if progress.outputs
+        ]
+
+    def adopt(self, snapshots: list[ProgressSnapshot]) -> None:
+        """Go on from another daemon's progress."""
+        for snapshot in snapshots:
+            for run in self._runs.values():
+                progress = run.unfinished.get(snapshot.item_id)
+                if progress is None or progress.is_running:
+                    continue
+                progress.adopt(snapshot, run.job)
+                if progress.is_complete:
+                    run.finish(progress.result())
+        self._wake.set()
+
+    def open(self) -> list[Job]:
+        """Return the jobs that have not ended."""
+        jobs = [job_of(stored) for stored in self._jobs.objects.values()]
+        return [job for job in jobs if job is not None and not job.is_ended]
+
+    def job_of(self, job_id: str) -> Job | None:
+        """Return a job that runs here."""
+        run = self._runs.get(job_id)
+        return None if run is None else run.job
+
+    def log_of(self, job_id: str) -> JobLog | None:
+        """Return the committed results of a job that runs here."""
+        run = self._runs.get(job_id)
+        return None if run is None else run.log
+
+    def item_of(self, job_id: str, item_id: str) -> Item | None:
+        """Return an item of a job that runs here."""
+        run = self._runs.get(job_id)
+        return None if run is None else run.items.get(item_id)
+
+    def _on_jobs(
+        self, changed: tuple[PlatformObject, ...], gone: tuple[str, ...]
+    ) -> None:
+        for path in gone:
+            self._close(path.removeprefix(JOBS))
+        for stored in changed:
+            job = job_of(stored)
+            if job is None:
+                continue
+            if job.is_ended:
+                self._close(job.job_id)
+            elif self.is_active:
+                self._open(job)
+
+    def _open(self, job: Job) -> None:
+        if job.job_id in self._tasks:
+            return
+        task = asyncio.create_task(self._run_job(job), name=f"job {job.job_id}")
+        self._tasks[job.job_id] = task
+
+    def _close(self, job_id: str) -> None:
+        task = self._tasks.pop(job_id, None)
+        if task is not None:
+            task.cancel()
+        run = self._runs.pop(job_id, None)
+        if run is None:
+            return
+        for item_id in run.unfinished:
+            item_task = self._item_tasks.get(item_id)
+            if item_task is not None:
+                item_task.cancel()
+        logger.info(
+            "dispatch: job closed", request_id=job_id, unfinished=len(run.unfinished)
+        )
+
+    async def _run_job(self, job: Job) -> None:
+        log = JobLog()
+        while True:
+            try:
+                for segment in await self._ledger.segments(job.job_id, 0):
+                    log.absorb(segment)
+                items = await self._ledger.items(job)
+                break
+            except CodedError as error:
+                logger.warning(
+                    "dispatch: job not read", request_id=job.job_id, reason=error.reason
+                )
+                await asyncio.sleep(OPEN_RETRY_S)
+        run = JobRun(job, items, log, self._ledger, self._metrics, self._progress_of)
+        self._runs[job.job_id] = run
+        logger.info(
+            "dispatch: job opened",
+            request_id=job.job_id,
+            step=job.step,
+            min_version=job.min_version,
+            total=job.total,
+            listed=len(log.listed),
+            required=len(run.required),
+            age_ms=int(time.time() * MS_PER_S - job.submitted_ms),
+        )
+        self._wake.set()
+        await run.run()
+
+    def _progress_of(self, item: Item, job: Job) -> ItemProgress:
+        known = self._progresses.get(item.item_id)
+        if known is None:
+            known = ItemProgress(item)
+            self._progresses[item.item_id] = known
+            while len(self._progresses) > KEPT_PROGRESSES:
+                self._progresses.popitem(last=False)
+        elif not known.fits(job.min_version, job.single_version):
+            known.restart()
+        known.item = item
+        known.server_failures = 0
+        known.is_hopeless = False
+        return known
+
+    # -- sending items
+
+    def wake(self) -> None:
+        """Look for items to send."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Send waiting items whenever something has changed."""
+        while True:
+            self._wake.clear()
+            if self.is_active:
+                self._give_up_old()
+                self._send_waiting()
+            try:
+                async with asyncio.timeout(TICK_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+
+    def _give_up_old(self) -> None:
+        now_ms = time.time() * MS_PER_S
+        for run in self._runs.values():
+            age_s = (now_ms - run.job.submitted_ms) / MS_PER_S
+            if age_s < run.job.item_ttl_s + TTL_MARGIN_S or not run.job.item_ttl_s:
+                continue
+            for progress in list(run.unfinished.values()):
+                logger.warning(
+                    "dispatch: item given up",
+                    request_id=progress.item.item_id,
+                    job=run.job.job_id,
+                    age_s=round(age_s, 1),
+                )
+                run.finish(progress.lost())
+
+    def _send_waiting(self) -> None:
+        now_s = time.monotonic()
+        waiting: list[tuple[tuple[bool, float, bool, int], JobRun, ItemProgress]] = []
+        for run in self._runs.values():
+            needed = run.needed()
+            for progress in run.unfinished.values():
+                if progress.is_running or now_s < progress.retry_at_s:
+                    continue
+                group = progress.item.group
+                key = rank_items(
+                    run.due_ms,
+                    group in needed,
+                    group in run.required,
+                    expected_tokens_left(progress),
+                )
+                waiting.append((key, run, progress))
+        waiting.sort(key=lambda entry: entry[0])
+        for _, run, progress in waiting:
+            state = self._place(run.job, progress)
+            if state is None:
+                continue
+            self._start(run, progress, state)
+
+    def _place(self, job: Job, progress: ItemProgress) -> ReplicaState | None:
+        now_s = time.monotonic()
+        group = progress.item.group
+        candidates = []
+        for state in self._fleet.of_service(job.service):
+            version = state.version_of(job.model)
+            replica_id = state.replica.replica_id
+            if not state.is_usable(now_s) or replica_id in self.loading:
+                continue
+            if version < job.min_version:
+                continue
+            if job.single_version and progress.versions not in ([], [version]):
+                continue
+            memory = self._facts.memory_tokens.get(job.service, UNKNOWN_MEMORY_TOKENS)
+            candidates.append(
+                Candidate(
+                    replica_id,
+                    state.in_flight,
+                    state.replica.slots or DEFAULT_SLOTS,
+                    self._paces.get(replica_id, USUAL_EVENT_S),
+                    memory - self._reserved.get(replica_id, 0),
+                    (replica_id, group, version) in self._group_homes,
+                )
+            )
+        chosen = choose_candidate(candidates, self._expected_memory(progress))
+        return None if chosen is None else self._fleet.get(chosen.replica_id)
+
+    def _expected_memory(self, progress: ItemProgress) -> int:
+        item = progress.item
+        output = item.output_hint or max(0, item.tokens - item.prompt_tokens)
+        return item.prompt_tokens + output
+
+    def _start(self, run: JobRun, progress: ItemProgress, state: ReplicaState) -> None:
+        progress.is_running = True
+        progress.started_s = progress.started_s or time.monotonic()
+        state.in_flight += 1
+        replica_id = state.replica.replica_id
+        memory = self._expected_memory(progress)
+        self._reserved[replica_id] = self._reserved.get(replica_id, 0) + memory
+        version = state.version_of(run.job.model)
+        self._group_homes[(replica_id, progress.item.group, version)] = None
+        item_id = progress.item.item_id
+        task = asyncio.create_task(
+            self._run_item(run, progress, state, memory), name=f"item {item_id}"
+        )
+        self._item_tasks[item_id] = task
+
+    async def _run_item(
+        self, run: JobRun, progress: ItemProgress, state: ReplicaState, memory: int
+    ) -> None:
+        item, job = progress.item, run.job
+        replica_id = state.replica.replica_id
+        call = Call(
+            item.item_id,
+            b"POST",
+            item.path.encode(),
+            (
+                (b"host", job.host.encode()),
+                *((k.lower().encode(), v.encode()) for k, v in item.headers),
+            ),
+            item.body,
+        )
+        started_s = time.monotonic()
+        from_event = progress.last_event_id
+        end, reason = RunEnd.BROKEN, "cancelled"
+        try:
+            if not progress.fits(job.min_version, job.single_version):
+                progress.restart()
+            end, reason = await run_item(
+                progress,
+                call,
+                state,
+                self._pool,
+                self._dialect,
+                lambda: STALL_LOADING_S if replica_id in self.loading else STALL_S,
+                lambda gap_s: self._note_pace(replica_id, gap_s),
+            )
+        finally:
+            progress.is_running = False
+            state.in_flight -= 1
+            self._reserved[replica_id] -= memory
+            self._item_tasks.pop(item.item_id, None)
+            logger.info(
+                "dispatch: run ended",
+                request_id=item.item_id,
+                job=job.job_id,
+                replica=replica_id,
+                end=end.value,
+                reason=reason,
+                events=len(progress.outputs),
+                from_event=from_event,
+                versions=",".join(map(str, progress.versions)),
+                ms=int((time.monotonic() - started_s) * MS_PER_S),
+                in_flight=state.in_flight,
+            )
+            self._metrics.add("item_runs", end=end.value)
+            self._wake.set()
+        self._settle(run, progress, state, end)
+
+    def _settle(
+        self, run: JobRun, progress: ItemProgress, state: ReplicaState, end: RunEnd
+    ) -> None:
+        """Draw the consequences of a run's end."""
+        job = run.job
+        if progress.versions:
+            state.note_version(job.model, max(progress.versions))
+        if end is RunEnd.COMPLETED:
+            state.note_success()
+            if progress.fits(job.min_version, job.single_version):
+                run.finish(progress.result())
+            else:
+                progress.restart()
+            return
+        if end is RunEnd.HOPELESS:
+            run.finish(progress.lost())
+            return
+        if end is RunEnd.FAILED:
+            progress.server_failures += 1
+            progress.retry_at_s = time.monotonic() + RETRY_PAUSE_S
+            if progress.server_failures >= job.max_attempts:
+                run.finish(progress.lost())
+            return
+        if end is RunEnd.REFUSED:
+            state.note_refusal(REFUSAL_PAUSE_S)
+            return
+        if end is RunEnd.OTHER_REPLICA:
+            state.is_gone = True
+            return
+        state.note_failure()
+
+    def _note_pace(self, replica_id: str, gap_s: float) -> None:
+        if not gap_s:
+            return
+        known = self._paces.get(replica_id, USUAL_EVENT_S)
+        self._paces[replica_id] = known + SMOOTHING * (gap_s - known)
--- /dev/null
+++ b/greengagetack/batches/job_run.py
@@ -0,0 +1,145 @@
+"""greengagetack.batches.job_run: one open job at the daemon that runs it."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from loguru import logger
+
+from greengagetack.batches.job import Item, Job, Result, Segment
+from greengagetack.batches.ledger import Ledger
+from greengagetack.batches.log import JobLog
+from greengagetack.batches.order import WaitingGroup, needed_groups
+from greengagetack.batches.progress import ItemProgress
+from greengagetack.errors import CodedError
+from greengagetack.observability.metrics import Metrics
+
+__all__ = ["JobRun"]
+
+# Results that finish within this time are committed together.
+COMMIT_DELAY_S = 0.08
+COMMIT_RETRY_S = 0.2
+MS_PER_S = 1_000
+
+
+class JobRun:
+    """The items of a job that are not listed yet, and their commits.
+
+    Parameters
+    ----------
+    job : Job
+        The job.
+    items : tuple of Item
+        All its items.
+    log : JobLog
+        What is committed of it.
+    progress_of : callable
+        Returns the progress of an item, from an earlier job or another daemon
+        where there is any.
+    """
+
+    def __init__(
+        self,
+        job: Job,
+        items: tuple[Item, ...],
+        log: JobLog,
+        ledger: Ledger,
+        metrics: Metrics,
+        progress_of: Callable[[Item, Job], ItemProgress],
+    ) -> None:
+        self.job = job
+        self.log = log
+        self._ledger = ledger
+        self._metrics = metrics
+        self._finished: dict[str, Result] = {}
+        self._news = asyncio.Event()
+        self.unfinished: dict[str, ItemProgress] = {}
+        self.required: set[str] = set()
+        for item in items:
+            if item.item_id in log.listed:
+                continue
+            progress = progress_of(item, job)
+            if progress.started_s:
+                self.required.add(item.group)
+            self.unfinished[item.item_id] = progress
+            if progress.is_complete:
+                self.finish(progress.result())
+        self.items = {item.item_id: item for item in items}
+
+    @property
+    def due_ms(self) -> float:
+        """Unix time at which the results are due, in milliseconds."""
+        return self.job.submitted_ms + self.job.run_target_ms
+
+    def needed(self) -> set[str]:
+        """Return the groups that the trainer is to get."""
+        left: dict[str, list[int]] = {}
+        for progress in self.unfinished.values():
+            item = progress.item
+            left.setdefault(item.group, []).append(expected_tokens_left(progress))
+        whole = {item.group for item in self.items.values()} - set(left)
+        groups = [
+            WaitingGroup(group, group in self.required, tuple(tokens))
+            for group, tokens in left.items()
+        ]
+        target = self.job.target_groups
+        return needed_groups(groups, max(1, target - len(whole)) if target else 0)
+
+    def finish(self, result: Result) -> None:
+        """Take a result that is to be committed."""
+        if result.item_id in self.log.listed or result.item_id in self._finished:
+            return
+        self.unfinished.pop(result.item_id, None)
+        self._finished[result.item_id] = result
+        self._news.set()
+
+    async def run(self) -> None:
+        """Commit results until cancelled or all items are listed."""
+        while self.unfinished or self._finished:
+            if not self._finished:
+                self._news.clear()
+                await self._news.wait()
+                continue
+            await asyncio.sleep(COMMIT_DELAY_S)
+            await self._commit()
+        logger.info(
+            "batch: job whole", request_id=self.job.job_id, total=self.job.total
+        )
+
+    async def _commit(self) -> None:
+        results = self._ledger.cut(list(self._finished.values()))
+        segment = Segment(self.log.next_segment, len(self.log.results), tuple(results))
+        started_s = time.monotonic()
+        try:
+            committed = await self._ledger.commit(self.job.job_id, segment)
+        except CodedError as error:
+            logger.warning(
+                "batch: results not committed",
+                request_id=self.job.job_id,
+                segment=segment.number,
+                reason=error.reason,
+            )
+            await asyncio.sleep(COMMIT_RETRY_S)
+            return
+        self._metrics.observe_s("commit_s", time.monotonic() - started_s)
+        self.log.absorb(committed)
+        for result in committed.results:
+            self._finished.pop(result.item_id, None)
+            self.unfinished.pop(result.item_id, None)
+        logger.info(
+            "batch: results committed",
+            request_id=self.job.job_id,
+            segment=segment.number,
+            first=segment.start,
+            count=len(committed.results),
+            items=",".join(result.item_id for result in committed.results),
+            by_other=committed is not segment,
+        )
+
+
+def expected_tokens_left(progress: ItemProgress) -> int:
+    """Return the output tokens that an item is still expected to make."""
+    made = len(progress.outputs)
+    item = progress.item
+    hint = item.output_hint or max(0, item.tokens - item.prompt_tokens)
+    return max(1, hint - made)
--- /dev/null
+++ b/greengagetack/batches/placement.py
@@ -0,0 +1,65 @@
+"""greengagetack.batches.placement: which replica gets an item."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+__all__ = ["Candidate", "choose_candidate"]
+
+# A replica that holds the group's prompt may be this much fuller than the emptiest.
+AFFINITY_SLACK = 0.3
+# A replica this many times slower than the fastest gets work only when others are
+# full.
+SLOW_RATIO = 1.6
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A replica that may run an item.
+
+    Attributes
+    ----------
+    pace_s : float
+        Time per event as observed, in seconds.
+    free_tokens : int
+        Memory that is not spoken for, in tokens.
+    holds_prompt : bool
+        Whether an item of the same group was sent there under the same weights.
+    """
+
+    replica_id: str
+    in_flight: int
+    slots: int
+    pace_s: float
+    free_tokens: int
+    holds_prompt: bool
+
+
+def choose_candidate(
+    candidates: Iterable[Candidate], expected_tokens: int
+) -> Candidate | None:
+    """Return the replica for an item, None if all are full.
+
+    Answers batches of equal slots with shared prompts: the emptiest replica by
+    share of slots, one that holds the prompt if it is not much fuller, and a slow
+    one only when the others are full.
+    """
+    open_ones = [
+        candidate
+        for candidate in candidates
+        if candidate.in_flight < candidate.slots
+        and (candidate.free_tokens >= expected_tokens or candidate.in_flight == 0)
+    ]
+    if not open_ones:
+        return None
+    fastest_s = min(candidate.pace_s for candidate in open_ones)
+    best: Candidate | None = None
+    best_cost = float("inf")
+    for candidate in open_ones:
+        cost = candidate.in_flight / candidate.slots
+        if candidate.holds_prompt:
+            cost -= AFFINITY_SLACK
+        if candidate.pace_s > SLOW_RATIO * fastest_s:
+            cost += candidate.pace_s / fastest_s
+        if cost < best_cost:
+            best, best_cost = candidate, cost
+    return best
--- /dev/null
+++ b/greengagetack/batches/reading.py
@@ -0,0 +1,172 @@
+"""greengagetack.batches.reading: answers readers of jobs at any daemon."""
+
+import asyncio
+import time
+from collections import OrderedDict
+
+from loguru import logger
+
+from greengagetack.batches.dispatcher import Dispatcher
+from greengagetack.batches.job import Item, Job, Segment
+from greengagetack.batches.ledger import Ledger
+from greengagetack.batches.log import JobLog
+from greengagetack.errors import CodedError, NotFound, PeerUnreachable
+from greengagetack.siblings.client import PeerClient
+
+__all__ = ["JobReader"]
+
+KEPT_JOBS = 500
+KEPT_LOGS = 24
+KEPT_ITEM_SETS = 6
+# While the daemon that runs a job does not answer, the store is asked this often.
+STORE_PAUSE_S = 0.4
+POLL_WAIT_S = 1.0
+
+
+class JobReader:
+    """Serves results and bodies from local copies of what is committed.
+
+    A copy is brought up to date by the daemon that runs the jobs, and from the
+    store while that daemon is not reached. Whatever a reader has seen was committed.
+    """
+
+    def __init__(
+        self, ledger: Ledger, dispatcher: Dispatcher, peers: PeerClient
+    ) -> None:
+        self._ledger = ledger
+        self._jobs: OrderedDict[str, Job] = OrderedDict()
+        self._dispatcher = dispatcher
+        self._peers = peers
+        self._logs: OrderedDict[str, JobLog] = OrderedDict()
+        self._syncing: dict[str, asyncio.Task[None]] = {}
+        self._items: OrderedDict[str, dict[str, Item]] = OrderedDict()
+
+    async def job(self, job_id: str) -> Job:
+        """Return a job.
+
+        Raises
+        ------
+        NotFound
+            If the store says that it does not exist.
+        PlatformUnavailable
+            If the store cannot be asked.
+        """
+        job = self._jobs.get(job_id) or self._dispatcher.job_of(job_id)
+        if job is None:
+            job = await self._ledger.find(job_id)
+        if job is None:
+            raise NotFound(f"there is no job {job_id}")
+        self.keep_job(job)
+        return job
+
+    def keep_job(self, job: Job) -> None:
+        """Keep a job that is known to be accepted."""
+        self._jobs[job.job_id] = job
+        while len(self._jobs) > KEPT_JOBS:
+            self._jobs.popitem(last=False)
+
+    async def log(self, job: Job, beyond: int, wait_s: float) -> JobLog:
+        """Return a job's log once it has a result at `beyond`, or after `wait_s`."""
+        own = self._dispatcher.log_of(job.job_id)
+        if own is not None:
+            await _wait_beyond(own, beyond, wait_s)
+            return own
+        log = self._logs.setdefault(job.job_id, JobLog())
+        self._logs.move_to_end(job.job_id)
+        while len(self._logs) > KEPT_LOGS:
+            self._logs.popitem(last=False)
+        if len(log.results) > beyond or len(log.results) >= job.total:
+            return log
+        until_s = time.monotonic() + wait_s
+        while True:
+            await self._synced(job, log, max(0.0, until_s - time.monotonic()))
+            left_s = until_s - time.monotonic()
+            if len(log.results) > beyond or left_s <= 0:
+                return log
+            await _wait_beyond(log, beyond, min(left_s, STORE_PAUSE_S))
+            if len(log.results) > beyond:
+                return log
+
+    async def _synced(self, job: Job, log: JobLog, wait_s: float) -> None:
+        """Bring a log up to date; concurrent readers share one exchange."""
+        task = self._syncing.get(job.job_id)
+        if task is None or task.done():
+            task = asyncio.create_task(self._sync(job, log, wait_s))
+            self._syncing[job.job_id] = task
+        try:
+            async with asyncio.timeout(wait_s + STORE_PAUSE_S):
+                await asyncio.shield(task)
+        except TimeoutError:
+            return
+
+    async def _sync(self, job: Job, log: JobLog, wait_s: float) -> None:
+        first = log.next_segment
+        try:
+            segments = await self._peers.segments(job.job_id, first, wait_s)
+        except PeerUnreachable as unreachable:
+            try:
+                segments = await self._ledger.segments(job.job_id, first)
+            except CodedError as error:
+                logger.warning(
+                    "read: results not brought up to date",
+                    request_id=job.job_id,
+                    dispatcher=unreachable.reason,
+                    store=error.reason,
+                    known=len(log.results),
+                )
+                if not log.results:
+                    raise
+                return
+        for segment in segments:
+            log.absorb(segment)
+
+    async def segments(self, job_id: str, first: int, wait_s: float) -> list[Segment]:
+        """Return the segments of a job that runs here, for another daemon.
+
+        Raises
+        ------
+        NotFound
+            If the job does not run here.
+        """
+        log = self._dispatcher.log_of(job_id)
+        if log is None:
+            raise NotFound(f"job {job_id} does not run here")
+        if log.next_segment <= first and wait_s:
+            await _wait_beyond(log, len(log.results), wait_s)
+        return log.segments[first:]
+
+    def keep_items(self, job_id: str, items: tuple[Item, ...]) -> None:
+        """Keep the items of a job that was accepted here."""
+        self._items[job_id] = {item.item_id: item for item in items}
+        while len(self._items) > KEPT_ITEM_SETS:
+            self._items.popitem(last=False)
+
+    async def body(self, job: Job, item_id: str) -> bytes:
+        """Return the body of an item.
+
+        Raises
+        ------
+        NotFound
+            If the job has no such item.
+        PlatformUnavailable
+            If neither the store nor the daemon that runs the job answers.
+        """
+        item = self._dispatcher.item_of(job.job_id, item_id)
+        if item is None and job.job_id not in self._items:
+            try:
+                self.keep_items(job.job_id, await self._ledger.items(job))
+            except CodedError:
+                return await self._peers.body(job.job_id, item_id)
+        if item is None:
+            item = self._items[job.job_id].get(item_id)
+        if item is None:
+            raise NotFound(f"job {job.job_id} has no item {item_id}")
+        return item.body
+
+
+async def _wait_beyond(log: JobLog, position: int, wait_s: float) -> None:
+    try:
+        async with asyncio.timeout(wait_s):
+            await log.wait_beyond(position)
+    except TimeoutError:
+        return
--- a/greengagetack/cli/commands/settings_changes.py
+++ b/greengagetack/cli/commands/settings_changes.py
@@ -25,7 +25,7 @@
 )
 from greengagetack.cli.tables import print_json
 from greengagetack.errors import CodedError
-from greengagetack.platform.client import PlatformClient
+from greengagetack.objects.client import PlatformClient
 from greengagetack.settings.objects import object_path, settings_path, stored_value
 
 __all__ = ["apply", "init"]
--- a/greengagetack/daemons/assembly.py
+++ b/greengagetack/daemons/assembly.py
@@ -11,11 +11,11 @@
 from greengagetack.daemons.role import ROLES, Role, Services
 from greengagetack.membership.directory import CellDirectory
 from greengagetack.membership.store import ReplicatedShards
+from greengagetack.objects.client import PlatformClient
 from greengagetack.observability.metrics import Metrics
 from greengagetack.observability.traces import configure_traces
 from greengagetack.peers.node import PeerNode
 from greengagetack.peers.tls import peer_tls
-from greengagetack.platform.client import PlatformClient
 from greengagetack.routing.frontdoor import FrontDoor
 from greengagetack.settings.schema import VmSettings
 from greengagetack.settings.store import SettingsStore
--- a/greengagetack/daemons/main.py
+++ b/greengagetack/daemons/main.py
@@ -21,14 +21,14 @@
 from greengagetack.settings.schema import VmSettings
 from greengagetack.world import Address
 
-__all__ = ["main", "run"]
+__all__ = ["HttpServer", "main", "run"]
 
 HTTP_BACKLOG = 1_024
 STOP_GRACE_S = 600
 USAGE_EXIT_CODE = 2
 
 
-class _HttpServer(uvicorn.Server):
+class HttpServer(uvicorn.Server):
     """Leaves signals to the daemon, which drains before the server stops."""
 
     @contextmanager
@@ -48,7 +48,7 @@
     http = Address(*http_listener.getsockname())
     daemon = Daemon(settings, peer, http, incarnation=uuid.uuid4().hex)
     await daemon.start(peer_listener)
-    server = _HttpServer(
+    server = HttpServer(
         bounded_config(
             build_application(daemon),
             timeout_graceful_shutdown=STOP_GRACE_S,
--- a/greengagetack/daemons/role.py
+++ b/greengagetack/daemons/role.py
@@ -8,10 +8,10 @@
 
 from greengagetack.membership.shards import ShardStore
 from greengagetack.membership.table import Directory
+from greengagetack.objects.base import ObjectStore
 from greengagetack.observability.metrics import Metrics
 from greengagetack.observability.traces import SpanStore
 from greengagetack.peers.node import PeerNode
-from greengagetack.platform.objects import ObjectStore
 from greengagetack.settings.schema import VmSettings
 from greengagetack.settings.view import SettingsView
 from greengagetack.timer import Timer
--- /dev/null
+++ b/greengagetack/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""greengagetack.gateway: routes callers' requests to replicas."""
--- /dev/null
+++ b/greengagetack/gateway/forward.py
@@ -0,0 +1,254 @@
+"""greengagetack.gateway.forward: runs a caller's request at replicas."""
+
+import asyncio
+import random
+import time
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+from loguru import logger
+
+from greengagetack.errors import (
+    DeadlineExceeded,
+    EndpointFailed,
+    EndpointRefused,
+    NoEndpoint,
+)
+from greengagetack.gateway.call import Call, ReplicaDialect, Verdict
+from greengagetack.gateway.choice import choose_replica
+from greengagetack.gateway.retry import (
+    AttemptResult,
+    NextStep,
+    hedge_delay_s,
+    next_step,
+)
+from greengagetack.gateway.routes import RequestKind, Route
+from greengagetack.http1.connection import Connection
+from greengagetack.http1.message import AnswerHead, ExchangeError
+from greengagetack.http1.pool import Pool
+from greengagetack.observability.metrics import Metrics
+from greengagetack.replicas.fleet import Fleet
+from greengagetack.replicas.replica import ReplicaState
+
+__all__ = ["Forwarder", "Reply"]
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# What a caller is told to wait before it comes back.
+RETRY_AFTER_S = 0.25
+# Pause before a replica that refused as full gets another request from here.
+FULL_PAUSE_S = 0.05
+# The answer leaves this long before the caller stops waiting.
+DEADLINE_MARGIN_S = 0.03
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A replica's answer; `parts` follows `body` where the answer is streamed."""
+
+    head: AnswerHead
+    body: bytes
+    parts: AsyncIterator[bytes] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _Attempt:
+    result: AttemptResult
+    reply: Reply | None
+    reason: str
+
+
+class Forwarder:
+    """Sends requests to replicas of their route's service."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        pool: Pool,
+        dialect: ReplicaDialect,
+        zone: str,
+        metrics: Metrics,
+    ) -> None:
+        self._fleet = fleet
+        self._pool = pool
+        self._dialect = dialect
+        self._zone = zone
+        self._metrics = metrics
+        self._rng = random.Random()
+
+    async def forward(self, call: Call, route: Route, until_s: float) -> Reply:
+        """Return the answer of a replica.
+
+        Raises
+        ------
+        NoEndpoint, EndpointRefused
+            If nothing ran and nothing will.
+        EndpointFailed, DeadlineExceeded
+            If the request may have run.
+        """
+        run = _Run(self, call, route, until_s)
+        try:
+            return await run.finish()
+        finally:
+            run.cancel()
+
+    def pick(self, service: str, tried: set[str]) -> ReplicaState | None:
+        """Return the replica for the next attempt."""
+        states = self._fleet.of_service(service)
+        now_s = time.monotonic()
+        return choose_replica(states, tried, self._zone, now_s, self._rng)
+
+    async def attempt(
+        self, call: Call, state: ReplicaState, until_s: float, streams: bool
+    ) -> _Attempt:
+        """Send a call to one replica."""
+        left_s = until_s - time.monotonic()
+        replica = state.replica
+        request = self._dialect.attempt(call, replica, left_s * 1000)
+        state.in_flight += 1
+        started_s = time.monotonic()
+        sent = False
+        is_handed_over = False
+        lease = self._pool.connection(replica.address)
+        try:
+            connection = await lease.__aenter__()
+            try:
+                sent = True
+                head = await connection.send(request, call.request_id.encode())
+                verdict = self._dialect.verdict(head)
+                if verdict is Verdict.RAN and streams:
+                    is_handed_over = True
+                    parts = self._stream(connection, lease, state)
+                    return _Attempt(AttemptResult.ANSWERED, Reply(head, b"", parts), "")
+                body = await connection.read_all(MAX_ANSWER_BYTES)
+            finally:
+                if not is_handed_over:
+                    await lease.__aexit__(None, None, None)
+        except ExchangeError as error:
+            pause_s = state.note_failure()
+            logger.info(
+                "forward: attempt failed",
+                request_id=call.request_id,
+                replica=replica.replica_id,
+                reason=str(error),
+                pause_s=pause_s,
+            )
+            result = AttemptResult.UNKNOWN if sent else AttemptResult.NOT_SENT
+            return _Attempt(result, None, str(error))
+        finally:
+            if not is_handed_over:
+                state.in_flight -= 1
+        if verdict is not Verdict.RAN:
+            if verdict is Verdict.OTHER_REPLICA:
+                state.is_gone = True
+            state.note_refusal(FULL_PAUSE_S)
+            reason = f"{replica.replica_id} refused with {head.status}"
+            return _Attempt(AttemptResult.NOT_RUN, None, reason)
+        if not self._dialect.is_genuine(head):
+            state.note_failure()
+            reason = f"the answer of {replica.replica_id} is not its own"
+            return _Attempt(AttemptResult.UNKNOWN, None, reason)
+        state.note_success(time.monotonic() - started_s)
+        return _Attempt(AttemptResult.ANSWERED, Reply(head, body), "")
+
+    async def _stream(
+        self, connection: Connection, lease: object, state: ReplicaState
+    ) -> AsyncIterator[bytes]:
+        try:
+            while part := await connection.read():
+                yield part
+            state.note_success()
+        finally:
+            state.in_flight -= 1
+            await lease.__aexit__(None, None, None)  # type: ignore[attr-defined]
+
+
+class _Run:
+    """All attempts of one request."""
+
+    def __init__(
+        self, forwarder: Forwarder, call: Call, route: Route, until_s: float
+    ) -> None:
+        self._forwarder = forwarder
+        self._call = call
+        self._route = route
+        self._until_s = until_s
+        self._service = route.service_for(call.request_id)
+        self._tried: set[str] = set()
+        self._runs = 0
+        self._may_have_run = False
+        self._open: set[asyncio.Task[_Attempt]] = set()
+
+    async def finish(self) -> Reply:
+        """Try replicas until one answers or nothing is left to try."""
+        hedge_s = hedge_delay_s(
+            self._route.objective_ms, self._route.may_repeat, self._route.max_attempts
+        )
+        if not self._start():
+            raise NoEndpoint(f"no replica of {self._service} is usable", RETRY_AFTER_S)
+        while True:
+            left_s = self._until_s - time.monotonic() - DEADLINE_MARGIN_S
+            if left_s <= 0:
+                raise DeadlineExceeded("no replica answered in time")
+            done, _ = await asyncio.wait(
+                self._open,
+                timeout=min(left_s, hedge_s),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not done:
+                hedge_s = float("inf")
+                if self._runs < self._route.max_attempts and self._start():
+                    self._note("asked a second replica")
+                continue
+            for task in done:
+                self._open.discard(task)
+                reply = self._take(task.result())
+                if reply is not None:
+                    return reply
+
+    def _take(self, attempt: _Attempt) -> Reply | None:
+        """Return the answer to deliver, None to wait on."""
+        if attempt.result in (AttemptResult.NOT_RUN, AttemptResult.NOT_SENT):
+            self._runs -= 1
+        ran_before = self._may_have_run or bool(self._open)
+        self._may_have_run |= attempt.result is AttemptResult.UNKNOWN
+        step = next_step(
+            attempt.result,
+            self._route.may_repeat,
+            ran_before,
+            self._runs,
+            self._route.max_attempts,
+            self._forwarder.pick(self._service, self._tried) is not None,
+            self._until_s - time.monotonic() - DEADLINE_MARGIN_S,
+        )
+        if step is NextStep.DELIVER:
+            return attempt.reply
+        if step is NextStep.RETRY and self._start():
+            return None
+        if self._open:
+            return None
+        if step is NextStep.REFUSE:
+            raise EndpointRefused(attempt.reason, RETRY_AFTER_S)
+        raise EndpointFailed(attempt.reason)
+
+    def _start(self) -> bool:
+        state = self._forwarder.pick(self._service, self._tried)
+        if state is None:
+            return False
+        self._tried.add(state.replica.replica_id)
+        self._runs += 1
+        streams = self._route.kind is RequestKind.STREAM
+        attempt = self._forwarder.attempt(self._call, state, self._until_s, streams)
+        self._open.add(asyncio.create_task(attempt))
+        return True
+
+    def _note(self, what: str) -> None:
+        logger.info(
+            f"forward: {what}",
+            request_id=self._call.request_id,
+            replicas=",".join(sorted(self._tried)),
+        )
+
+    def cancel(self) -> None:
+        """End the attempts that still run; their replicas drop the request."""
+        for task in self._open:
+            task.cancel()
--- /dev/null
+++ b/greengagetack/http1/message.py
@@ -0,0 +1,71 @@
+"""greengagetack.http1.message: requests, answer heads and errors of an exchange."""
+
+from dataclasses import dataclass
+
+__all__ = [
+    "AnswerBroken",
+    "AnswerHead",
+    "ConnectFailed",
+    "ExchangeError",
+    "Headers",
+    "Request",
+    "header",
+]
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+class ExchangeError(Exception):
+    """An exchange ended without a complete answer.
+
+    Attributes
+    ----------
+    sent : bool
+        Whether any byte of the request may have reached the server.
+    """
+
+    sent = True
+
+
+class ConnectFailed(ExchangeError):
+    """No connection could be opened, so the server saw nothing."""
+
+    sent = False
+
+
+class AnswerBroken(ExchangeError):
+    """The connection ended or spoke no HTTP before the answer was complete."""
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One request; header names are lower case, the body is sent with its length."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b""
+
+    def encode(self) -> bytes:
+        """Return the bytes on the wire."""
+        lines = [b"%b %b HTTP/1.1" % (self.method, self.target)]
+        lines += [b"%b: %b" % pair for pair in self.headers]
+        if self.body or self.method not in (b"GET", b"HEAD", b"DELETE"):
+            lines.append(b"content-length: %d" % len(self.body))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + self.body
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status and headers of an answer; header names are lower case."""
+
+    status: int
+    headers: Headers
+
+
+def header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header, None if it is missing."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
--- /dev/null
+++ b/greengagetack/http1/pool.py
@@ -0,0 +1,75 @@
+"""greengagetack.http1.pool: kept connections to one server each."""
+
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from greengagetack.http1.connection import Connection, open_connection
+from greengagetack.world import Address
+
+__all__ = ["Pool"]
+
+# Most servers keep an idle connection longer; a stated time-out goes first.
+IDLE_LIMIT_S = 4.0
+# A connection is given up this long before the server would close it.
+IDLE_MARGIN_S = 1.0
+REQUEST_ID_HEADER = b"x-request-id"
+
+
+class Pool:
+    """Keeps connections per address; each has at most one exchange at a time."""
+
+    def __init__(self, connect_timeout_s: float) -> None:
+        self._connect_timeout_s = connect_timeout_s
+        self._idle: dict[Address, list[Connection]] = {}
+        self.opened = 0
+
+    @asynccontextmanager
+    async def connection(self, address: Address) -> AsyncIterator[Connection]:
+        """Lend a connection; one whose exchange did not end cleanly is dropped.
+
+        Raises
+        ------
+        ConnectFailed
+            If none is idle and no new one can be opened.
+        """
+        connection = self._take_idle(address)
+        if connection is None:
+            self.opened += 1
+            connection = await open_connection(
+                address, REQUEST_ID_HEADER, self._connect_timeout_s
+            )
+        try:
+            yield connection
+        finally:
+            self._put_back(address, connection)
+
+    def _take_idle(self, address: Address) -> Connection | None:
+        idle = self._idle.get(address, [])
+        now_s = time.monotonic()
+        while idle:
+            connection = idle.pop()
+            limit_s = IDLE_LIMIT_S
+            if connection.idle_limit_s is not None:
+                limit_s = max(0.0, connection.idle_limit_s - IDLE_MARGIN_S)
+            if connection.is_open and now_s - connection.idle_since_s < limit_s:
+                return connection
+            connection.close()
+        return None
+
+    def _put_back(self, address: Address, connection: Connection) -> None:
+        if connection.in_exchange or not connection.reusable or not connection.is_open:
+            connection.close()
+            return
+        connection.idle_since_s = time.monotonic()
+        self._idle.setdefault(address, []).append(connection)
+
+    def drop(self, address: Address) -> None:
+        """Close the idle connections to a server."""
+        for connection in self._idle.pop(address, []):
+            connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in list(self._idle):
+            self.drop(address)
--- a/greengagetack/leases/lease.py
+++ b/greengagetack/leases/lease.py
@@ -13,7 +13,7 @@
 )
 from greengagetack.membership.stored import LeadObject, from_value, to_value
 from greengagetack.membership.timings import CellTimings
-from greengagetack.platform.objects import (
+from greengagetack.objects.base import (
     ObjectConflict,
     ObjectStore,
     PlatformObject,
--- a/greengagetack/limits/ceiling.py
+++ b/greengagetack/limits/ceiling.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from greengagetack.errors import CodedError
-from greengagetack.platform.objects import ObjectStore
+from greengagetack.objects.base import ObjectStore
 
 __all__ = ["BudgetCeiling", "CeilingStore", "block_tokens"]
 
--- a/greengagetack/membership/contest.py
+++ b/greengagetack/membership/contest.py
@@ -12,7 +12,7 @@
 from greengagetack.membership.table import rendezvous_order
 from greengagetack.membership.timings import CellTimings
 from greengagetack.membership.view import CellView
-from greengagetack.platform.objects import WriteUnknown
+from greengagetack.objects.base import WriteUnknown
 from greengagetack.timer import Timer
 
 __all__ = ["LeadContest"]
--- a/greengagetack/membership/directory.py
+++ b/greengagetack/membership/directory.py
@@ -26,9 +26,9 @@
 from greengagetack.membership.table import CellTable, ShardPair, rendezvous_order
 from greengagetack.membership.timings import CellTimings
 from greengagetack.membership.view import CellView, KnownLead
+from greengagetack.objects.base import ObjectStore
 from greengagetack.peers.messages import Done
 from greengagetack.peers.node import PeerNode
-from greengagetack.platform.objects import ObjectStore
 from greengagetack.settings.schema import VmSettings
 from greengagetack.settings.view import SettingsView
 from greengagetack.timer import Subscription, Timer
--- a/greengagetack/membership/lead.py
+++ b/greengagetack/membership/lead.py
@@ -28,8 +28,8 @@
 from greengagetack.membership.table import CellTable, ShardPair
 from greengagetack.membership.timings import CellTimings
 from greengagetack.membership.view import CellView
+from greengagetack.objects.base import ListedVm, ObjectStore
 from greengagetack.peers.node import PeerNode
-from greengagetack.platform.objects import ListedVm, ObjectStore
 from greengagetack.settings.view import SettingsView
 from greengagetack.timer import Timer
 from greengagetack.world import Vm, VmState
--- a/greengagetack/membership/pair_duty.py
+++ b/greengagetack/membership/pair_duty.py
@@ -23,8 +23,8 @@
     to_value,
 )
 from greengagetack.membership.table import ShardPair
+from greengagetack.objects.base import ObjectConflict, ObjectStore
 from greengagetack.peers.node import PeerNode
-from greengagetack.platform.objects import ObjectConflict, ObjectStore
 from greengagetack.timer import Timer
 from greengagetack.world import Vm
 
--- a/greengagetack/membership/store.py
+++ b/greengagetack/membership/store.py
@@ -22,8 +22,8 @@
 from greengagetack.membership.snapshot_duty import BASE_KINDS, SnapshotDuty
 from greengagetack.membership.snapshots import ShardSnapshot
 from greengagetack.membership.table import ShardPair, shard_of_key
+from greengagetack.objects.base import ObjectStore
 from greengagetack.peers.node import PeerNode
-from greengagetack.platform.objects import ObjectStore
 from greengagetack.settings.schema import DataFolderSettings
 from greengagetack.settings.view import SettingsView
 from greengagetack.timer import Subscription, Timer
--- /dev/null
+++ b/greengagetack/objects/__init__.py
@@ -0,0 +1,1 @@
+"""greengagetack.objects: clients of the platform's services."""
--- a/greengagetack/platform/objects.py
+++ b/greengagetack/objects/base.py
@@ -1,4 +1,4 @@
-"""greengagetack.platform.objects: the object API as other parts see it."""
+"""greengagetack.objects.base: the object API as other parts see it."""
 
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -7,11 +7,13 @@
 from greengagetack.world import VmState
 
 __all__ = [
+    "HistoryGone",
     "ListedVm",
     "ObjectConflict",
     "ObjectStore",
     "PlatformObject",
     "WatchAnswer",
+    "WatchedStore",
     "WriteUnknown",
 ]
 
@@ -35,6 +37,15 @@
     remedy = "Read the object once the platform answers again."
 
 
+@register_error
+class HistoryGone(CodedError):
+    """The platform no longer has the changes after the named revision."""
+
+    code = "history_gone"
+    http_status = 410
+    remedy = "List the objects again and watch from the listing's revision."
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformObject:
     """An object; `version` grows with each write, `change_id` names the writer's."""
@@ -47,10 +58,14 @@
 
 @dataclass(frozen=True, slots=True)
 class WatchAnswer:
-    """Objects changed after a revision, and the revision to go on from."""
+    """Objects changed or removed after a revision, and the next revision to watch.
+
+    `deleted` holds the paths of removed objects.
+    """
 
     revision: int
     objects: tuple[PlatformObject, ...]
+    deleted: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,8 +77,8 @@
     state: VmState
 
 
-class ObjectStore(Protocol):
-    """Client of the object API, VM list and weight store's catalogue.
+class WatchedStore(Protocol):
+    """Conditional writes and watches of objects.
 
     Every method raises `PlatformUnavailable` in an outage or when the platform
     refuses by rate.
@@ -87,5 +102,9 @@
     async def watch(self, prefix: str, after: int, timeout_s: float) -> WatchAnswer:
         """Wait for changes under a prefix after a revision."""
 
+
+class ObjectStore(WatchedStore, Protocol):
+    """Client of the object API, VM list and weight store's catalogue."""
+
     async def vms(self) -> tuple[ListedVm, ...]:
         """Return the VM list."""
--- a/greengagetack/platform/client.py
+++ b/greengagetack/objects/client.py
@@ -1,4 +1,4 @@
-"""greengagetack.platform.client: the object API and VM list over HTTP."""
+"""greengagetack.objects.client: the object API and VM list over HTTP."""
 
 import asyncio
 import uuid
@@ -15,7 +15,7 @@
 from greengagetack.errors import InvalidRequest, PlatformUnavailable
 from greengagetack.httpclient import make_http_client
 from greengagetack.leases.decisions import WriteResult, resolve_lost_write
-from greengagetack.platform.objects import (
+from greengagetack.objects.base import (
     ListedVm,
     ObjectConflict,
     PlatformObject,
--- a/greengagetack/observability/logs.py
+++ b/greengagetack/observability/logs.py
@@ -1,15 +1,19 @@
 """greengagetack.observability.logs: structured logs with a fixed prefix per part."""
 
+import asyncio
+import os
 import sys
+from collections import deque
 from contextvars import ContextVar
 from typing import TYPE_CHECKING
 
+import msgspec
 from loguru import logger
 
 if TYPE_CHECKING:
-    from loguru import Record
+    from loguru import Message, Record
 
-__all__ = ["REQUEST_ID", "configure_logs"]
+__all__ = ["REQUEST_ID", "LineWriter", "configure_logs", "configure_structured_logs"]
 
 REQUEST_ID: ContextVar[str] = ContextVar("request_id", default="-")
 
@@ -35,3 +39,112 @@
         diagnose=False,
         backtrace=False,
     )
+
+
+# Lines that wait for a slow reader of standard output, at most.
+MAX_PENDING_LINES = 5_000
+# Bursts of lines that are written at once and the rate that is kept up.
+BURST_LINES = 2_000
+LINES_PER_S = 400.0
+DROP_REPORT_S = 5.0
+
+
+class LineWriter:
+    """Writes lines without ever blocking; what does not fit is counted and said.
+
+    Lines of level WARNING and above pass the bound on the rate.
+    """
+
+    def __init__(self, descriptor: int, node: str) -> None:
+        self._descriptor = descriptor
+        self._node = node
+        self._pending: deque[bytes] = deque()
+        self._is_waiting = False
+        self._budget = float(BURST_LINES)
+        self._refilled_s = 0.0
+        self._dropped = 0
+        self._drop_reported_s = 0.0
+        os.set_blocking(descriptor, False)
+
+    def write(self, message: "Message") -> None:
+        """Take one record of the logger."""
+        record = message.record
+        now_s = record["elapsed"].total_seconds()
+        elapsed_s = now_s - self._refilled_s
+        self._refilled_s = now_s
+        self._budget = min(BURST_LINES, self._budget + elapsed_s * LINES_PER_S)
+        is_urgent = record["level"].no >= logger.level("WARNING").no
+        is_full = len(self._pending) >= MAX_PENDING_LINES
+        if is_full or (self._budget < 1 and not is_urgent):
+            self._dropped += 1
+            return
+        self._budget -= 1
+        self._report_drops(now_s, record["time"].timestamp())
+        self._pending.append(_line(record))
+        self._flush()
+
+    def _report_drops(self, now_s: float, time_s: float) -> None:
+        if not self._dropped or now_s - self._drop_reported_s < DROP_REPORT_S:
+            return
+        fields = {
+            "time": round(time_s, 4),
+            "level": "WARNING",
+            "node": self._node,
+            "message": "logs: lines were dropped",
+            "count": self._dropped,
+        }
+        self._dropped = 0
+        self._drop_reported_s = now_s
+        self._pending.append(msgspec.json.encode(fields) + b"\n")
+
+    def _flush(self) -> None:
+        while self._pending:
+            line = self._pending[0]
+            try:
+                written = os.write(self._descriptor, line)
+            except BlockingIOError:
+                self._wait()
+                return
+            except OSError:
+                # Nobody reads the output any more; there is nowhere to say so.
+                self._pending.clear()
+                return
+            if written < len(line):
+                self._pending[0] = line[written:]
+                continue
+            self._pending.popleft()
+
+    def _wait(self) -> None:
+        if self._is_waiting:
+            return
+        try:
+            loop = asyncio.get_running_loop()
+        except RuntimeError:
+            return
+        self._is_waiting = True
+        loop.call_later(0.05, self._resume)
+
+    def _resume(self) -> None:
+        self._is_waiting = False
+        self._flush()
+
+
+def _line(record: "Record") -> bytes:
+    fields = {
+        "time": round(record["time"].timestamp(), 4),
+        "level": record["level"].name,
+        "message": record["message"],
+        **record["extra"],
+    }
+    exception = record["exception"]
+    if exception is not None:
+        fields["exception"] = repr(exception.value)
+    return msgspec.json.encode(fields, enc_hook=str) + b"\n"
+
+
+def configure_structured_logs(node: str, level: str = "INFO") -> None:
+    """Send logs to standard output as JSON objects, one a line, bounded in rate."""
+    writer = LineWriter(sys.stdout.fileno(), node)
+    logger.remove()
+    logger.configure(extra={"node": node})
+    logger.add(writer.write, level=level, format="{message}", catch=False)
--- a/greengagetack/platform/__init__.py
+++ b/greengagetack/platform/__init__.py
@@ -1,1 +1,1 @@
-"""greengagetack.platform: clients of the platform's services."""
+"""greengagetack.platform: the adapter to the users' platform."""
--- /dev/null
+++ b/greengagetack/platform/daemon.py
@@ -0,0 +1,404 @@
+"""greengagetack.platform.daemon: a daemon that takes clients on the platform."""
+
+import asyncio
+import signal
+import time
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+import uvicorn
+from loguru import logger
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from greengagetack.batches.dispatcher import Dispatcher, EngineFacts
+from greengagetack.batches.ledger import JOBS, Ledger
+from greengagetack.batches.reading import JobReader
+from greengagetack.daemons.main import HttpServer
+from greengagetack.daemons.protocol import bounded_config
+from greengagetack.errors import CodedError, PeerUnreachable
+from greengagetack.gateway.forward import Forwarder
+from greengagetack.gateway.routes import RequestKind, RouteTable
+from greengagetack.http1.pool import Pool
+from greengagetack.objects.base import ObjectConflict, PlatformObject
+from greengagetack.objects.feed import Feed
+from greengagetack.observability.metrics import Metrics
+from greengagetack.peers.node import listening_socket
+from greengagetack.platform import documents, wire
+from greengagetack.platform.ingress import Ingress
+from greengagetack.platform.replica import PlatformDialect, ReplicaOrders
+from greengagetack.platform.settings import VmFacts
+from greengagetack.platform.store import (
+    DirectTransport,
+    PlatformStore,
+    RelayedTransport,
+    StoreAnswer,
+)
+from greengagetack.replicas.fleet import Fleet
+from greengagetack.replicas.replica import Replica
+from greengagetack.siblings.claim import ClaimDuty
+from greengagetack.siblings.client import PeerClient
+from greengagetack.siblings.messages import Member, Pong, RelayAnswer, RelayCall
+from greengagetack.siblings.server import build_peer_application
+from greengagetack.weights.order_lease import OrderLease
+from greengagetack.weights.wave_duty import WaveDuty
+from greengagetack.world import Address
+
+__all__ = ["EdgeDaemon"]
+
+MEMBERS = "members/"
+CLAIMS = "dispatch/"
+# A store that has gone silent is noticed after this time.
+WATCH_S = 6.0
+REPLICA_CONNECT_S = 0.3
+REGISTER_PAUSE_S = 0.3
+# The platform takes a daemon out after two failed questions, one second apart.
+ROTATION_S = 2.6
+# Time before the end of the grace period by which everything has stopped.
+STOP_MARGIN_S = 0.8
+HAND_OVER_S = 1.5
+BACKLOG = 1_024
+METRICS_PORT = 9464
+RESTART_PAUSE_S = 0.2
+
+
+class EdgeDaemon:
+    """All parts of a daemon, and the order in which they start and stop."""
+
+    def __init__(self, facts: VmFacts) -> None:
+        assert facts.front and facts.ready and facts.control
+        self._facts = facts
+        self._incarnation = uuid.uuid4().hex[:12]
+        self._metrics = Metrics()
+        self._me = Member(
+            facts.node,
+            self._incarnation,
+            str(facts.control),
+            facts.availability_zone,
+        )
+        self._direct = DirectTransport(facts.store, self._metrics)
+        transport = RelayedTransport(self._direct, self._relay)
+        self._store = PlatformStore(transport, facts.value_limit_bytes)
+        self._config = Feed(self._store, f"{wire.CONFIG_KIND}/", WATCH_S)
+        self._servers = Feed(self._store, f"{wire.SERVERS_KIND}/", WATCH_S)
+        self._members_feed = Feed(self._store, MEMBERS, WATCH_S)
+        self._claims = Feed(self._store, CLAIMS, WATCH_S)
+        # Followed only by the daemon that runs the jobs.
+        self._versions = Feed(self._store, f"{wire.VERSIONS_KIND}/", WATCH_S)
+        self._jobs = Feed(self._store, JOBS, WATCH_S)
+        self._fleet = Fleet(lambda: self._servers.last_failure_s)
+        self._table: RouteTable | None = None
+        self._config_version = 0
+        pool = Pool(REPLICA_CONNECT_S)
+        dialect = PlatformDialect()
+        self._engines = EngineFacts()
+        self._ledger = Ledger(self._store)
+        self._dispatcher = Dispatcher(
+            self._ledger,
+            self._jobs,
+            self._fleet,
+            pool,
+            dialect,
+            self._engines,
+            self._metrics,
+        )
+        self._claim = ClaimDuty(
+            self._me, self._store, self._claims, self._members, self._on_claim
+        )
+        self._peers = PeerClient(self._dispatcher_address, self._other_addresses)
+        self._reader = JobReader(self._ledger, self._dispatcher, self._peers)
+        forwarder = Forwarder(
+            self._fleet, pool, dialect, facts.availability_zone, self._metrics
+        )
+        self._ingress = Ingress(
+            lambda: self._table,
+            forwarder,
+            self._ledger,
+            self._reader,
+            self._dispatcher,
+            self._metrics,
+        )
+        self._lease = OrderLease(facts.node, self._store, facts.orders_apart_s)
+        self._waves = WaveDuty(
+            self._lease,
+            self._fleet,
+            ReplicaOrders(pool),
+            self._named_versions,
+            self._services_of,
+            self._is_single,
+            self._dispatcher.loading,
+            self._dispatcher.wake,
+            self._metrics,
+            facts.node,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+        self._claim_tasks: list[asyncio.Task[None]] = []
+        self._stop = asyncio.Event()
+        self._config.subscribe(self._on_config)
+        self._servers.subscribe(self._on_servers)
+
+    # -- state of the surroundings
+
+    def _members(self) -> dict[str, Member]:
+        members: dict[str, Member] = {}
+        for stored in self._members_feed.objects.values():
+            try:
+                member = msgspec.convert(stored.value, Member)
+            except msgspec.ValidationError as error:
+                logger.warning("members: passing over {}: {}", stored.path, error)
+                continue
+            members[member.node] = member
+        return members
+
+    def _other_addresses(self) -> list[Address]:
+        addresses = {member.control for member in self._members().values()}
+        addresses.update(str(seed) for seed in self._facts.seeds)
+        addresses.discard(self._me.control)
+        parsed = []
+        for text in sorted(addresses):
+            host, _, port = text.rpartition(":")
+            parsed.append(Address(host, int(port)))
+        return parsed
+
+    def _dispatcher_address(self) -> Address | None:
+        return self._claim.claimer_address()
+
+    async def _relay(
+        self, method: str, target: str, body: bytes, wait_s: float
+    ) -> StoreAnswer:
+        answer = await self._peers.relay(method, target, body, wait_s)
+        return StoreAnswer(answer.status, answer.body)
+
+    async def _call_store(self, call: RelayCall) -> RelayAnswer:
+        """Call the store for a daemon that does not reach it."""
+        answer = await self._direct.call(
+            call.method, call.target, call.body, call.wait_s
+        )
+        self._metrics.add("relayed_calls")
+        return RelayAnswer(answer.status, answer.body)
+
+    def _named_versions(self) -> dict[str, int]:
+        named: dict[str, int] = {}
+        for stored in self._versions.objects.values():
+            found = documents.named_version_of(stored)
+            if found is not None:
+                named[found[0]] = found[1]
+        return named
+
+    def _batch_services(self, single_only: bool = False) -> list[str]:
+        if self._table is None:
+            return []
+        return [
+            service
+            for route in self._table.configuration.routes
+            if route.kind is RequestKind.ROLLOUT
+            and (route.single_version or not single_only)
+            for service, _ in route.services
+        ]
+
+    def _services_of(self, model: str) -> list[str]:
+        return sorted(set(self._batch_services()))
+
+    def _is_single(self, model: str) -> bool:
+        return bool(self._batch_services(single_only=True))
+
+    def _on_config(
+        self, changed: tuple[PlatformObject, ...], gone: tuple[str, ...]
+    ) -> None:
+        for stored in changed:
+            configuration = documents.configuration_of(stored)
+            if configuration is None or configuration.version <= self._config_version:
+                continue
+            self._config_version = configuration.version
+            self._table = RouteTable(configuration)
+            for engine in documents.engines_of(stored):
+                self._engines.memory_tokens[engine.service] = engine.memory_tokens
+                self._engines.tokens_per_event[engine.service] = engine.tokens_per_event
+            logger.info(
+                "config: in force",
+                version=configuration.version,
+                revision=stored.version,
+                routes=len(configuration.routes),
+            )
+
+    def _on_servers(
+        self, changed: tuple[PlatformObject, ...], gone: tuple[str, ...]
+    ) -> None:
+        replicas: list[Replica] = []
+        removed = [path.partition("/")[2] for path in gone]
+        for stored in changed:
+            replica = documents.replica_of(stored)
+            if replica is None:
+                removed.append(stored.path.partition("/")[2])
+                continue
+            replicas.append(replica)
+        self._fleet.update(replicas, removed)
+
+    def _on_claim(self, is_mine: bool) -> None:
+        if is_mine and not self._claim_tasks:
+            self._claim_tasks = [
+                asyncio.create_task(self._versions.run(), name="versions"),
+                asyncio.create_task(self._jobs.run(), name="jobs"),
+            ]
+            self._dispatcher.activate()
+            self._waves.is_active = True
+        if not is_mine and self._claim_tasks:
+            snapshots = self._dispatcher.deactivate()
+            self._waves.is_active = False
+            for task in self._claim_tasks:
+                task.cancel()
+            self._claim_tasks = []
+            self._spawn(lambda: self._hand_over(snapshots), "hand over")
+            self._spawn(self._lease.release, "release lease")
+
+    async def _hand_over(self, snapshots: list[Any]) -> None:
+        if not snapshots:
+            return
+        until_s = time.monotonic() + HAND_OVER_S
+        while time.monotonic() < until_s:
+            claimer = self._claim.claimer
+            address = self._claim.claimer_address()
+            if claimer is None or address is None or claimer.node == self._me.node:
+                await asyncio.sleep(0.05)
+                continue
+            try:
+                await self._peers.hand_over(address, snapshots)
+            except PeerUnreachable as error:
+                logger.warning("dispatch: progress not handed over: {}", error.reason)
+                await asyncio.sleep(0.1)
+                continue
+            logger.info(
+                "dispatch: progress handed over", to=claimer.node, items=len(snapshots)
+            )
+            return
+
+    # -- life
+
+    def _spawn(self, part: Callable[[], Awaitable[None]], name: str) -> None:
+        """Run a part of the daemon; one that fails is started again."""
+        self._tasks.append(asyncio.create_task(_supervise(part, name), name=name))
+
+    def is_ready(self) -> bool:
+        """Whether clients may be sent here."""
+        return (
+            self._table is not None
+            and self._servers.is_synced
+            and not self._ingress.is_draining
+        )
+
+    async def _register(self) -> None:
+        """List this daemon in the store."""
+        path = f"{MEMBERS}{self._me.node}"
+        await self._members_feed.synced.wait()
+        while True:
+            stored = self._members_feed.objects.get(path)
+            version = 0 if stored is None else stored.version
+            try:
+                await self._store.write(path, msgspec.to_builtins(self._me), version)
+                return
+            except ObjectConflict as error:
+                logger.info("members: {}", error.reason)
+            except CodedError as error:
+                logger.warning("members: not registered: {}", error.reason)
+            await asyncio.sleep(REGISTER_PAUSE_S)
+
+    def _pong(self) -> Pong:
+        return Pong(self._me.node, self._me.incarnation, self._dispatcher.is_active)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then stop without cutting off requests."""
+        facts = self._facts
+        assert facts.front and facts.ready and facts.control
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        front = HttpServer(
+            bounded_config(
+                self._ingress,
+                timeout_graceful_shutdown=int(facts.grace_s),
+                backlog=BACKLOG,
+                date_header=False,
+            )
+        )
+        control = HttpServer(
+            bounded_config(
+                build_peer_application(
+                    self._pong, self._reader, self._dispatcher, self._call_store
+                ),
+                date_header=False,
+            )
+        )
+        status = HttpServer(bounded_config(self._status_application()))
+        sockets = [listening_socket(facts.ready)]
+        metrics = Address(facts.ip, METRICS_PORT)
+        sockets.append(listening_socket(metrics))
+        front_socket = listening_socket(facts.front)
+        serving = [
+            asyncio.create_task(status.serve(sockets=sockets)),
+            asyncio.create_task(
+                control.serve(sockets=[listening_socket(facts.control)])
+            ),
+            asyncio.create_task(front.serve(sockets=[front_socket])),
+        ]
+        logger.info(
+            "daemon: started",
+            incarnation=self._incarnation,
+            zone=facts.availability_zone,
+        )
+        for feed in (self._config, self._servers, self._members_feed, self._claims):
+            self._spawn(feed.run, "feed")
+        self._spawn(self._register, "register")
+        self._spawn(lambda: self._claim.run(self._peers), "claim")
+        self._spawn(self._dispatcher.run, "dispatch")
+        self._spawn(self._waves.run, "weights")
+        await self._stop.wait()
+        await self._shut_down(front, serving)
+
+    async def _shut_down(
+        self, front: uvicorn.Server, serving: list[asyncio.Task[None]]
+    ) -> None:
+        stopped_s = time.monotonic()
+        until_s = stopped_s + self._facts.grace_s - STOP_MARGIN_S
+        logger.info("daemon: stopping")
+        self._ingress.is_draining = True
+        await self._claim.give_up()
+        self._on_claim(False)
+        await asyncio.sleep(max(0.0, stopped_s + ROTATION_S - time.monotonic()))
+        front.should_exit = True
+        try:
+            async with asyncio.timeout(max(0.1, until_s - time.monotonic())):
+                await asyncio.shield(serving[-1])
+        except TimeoutError:
+            logger.warning("daemon: requests were still open at the end")
+        for task in [*self._tasks, *self._claim_tasks, *serving]:
+            task.cancel()
+        logger.info("daemon: stopped", ms=int((time.monotonic() - stopped_s) * 1000))
+
+    def _reload(self) -> None:
+        """Note a change of the settings file; no field that is used may change."""
+        logger.info("daemon: SIGHUP; the settings in force stay valid")
+
+    def _status_application(self) -> Starlette:
+        async def ready(request: Request) -> Response:
+            return Response(status_code=200 if self.is_ready() else 503)
+
+        async def metrics(request: Request) -> Response:
+            content = self._metrics.render()
+            return Response(content, media_type="text/plain; version=0.0.4")
+
+        return Starlette(routes=[Route("/readyz", ready), Route("/metrics", metrics)])
+
+
+async def _supervise(part: Callable[[], Awaitable[None]], name: str) -> None:
+    while True:
+        try:
+            await part()
+            return
+        except Exception as error:
+            logger.opt(exception=error).error("daemon: part failed", part=name)
+            await asyncio.sleep(RESTART_PAUSE_S)
--- /dev/null
+++ b/greengagetack/platform/ingress.py
@@ -0,0 +1,331 @@
+"""greengagetack.platform.ingress: what clients of the platform send to a daemon."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import parse_qs, unquote
+
+from loguru import logger
+
+from greengagetack.batches.dispatcher import Dispatcher
+from greengagetack.batches.ledger import Ledger
+from greengagetack.batches.reading import JobReader
+from greengagetack.daemons.responses import error_body
+from greengagetack.errors import (
+    CodedError,
+    DeadlineExceeded,
+    InvalidRequest,
+    NotFound,
+    NotReady,
+    Outcome,
+    RequestTooLarge,
+)
+from greengagetack.gateway.call import Call
+from greengagetack.gateway.forward import Forwarder, Reply
+from greengagetack.gateway.routes import Route, RouteTable
+from greengagetack.http1.message import AnswerHead
+from greengagetack.objects.base import WriteUnknown
+from greengagetack.observability.metrics import Metrics
+from greengagetack.platform import wire
+from greengagetack.platform.batch_api import decode_submission, encode_results
+
+__all__ = ["Ingress"]
+
+Scope = dict[str, Any]
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+MS_PER_S = 1_000
+# A client without a deadline is given this long.
+DEFAULT_DEADLINE_MS = 30_000.0
+MAX_WAIT_MS = 1_000.0
+# A submission is kept trying this long while the store does not answer.
+ACCEPT_LIMIT_S = 3.0
+# What a client is told to wait when the daemon itself cannot serve.
+RETRY_AFTER_S = 0.3
+NOT_RUN_STATUS = 503
+UNKNOWN_STATUS = 502
+NO_BODY_STATUSES = frozenset({204, 304})
+HOP_HEADERS = frozenset(
+    {b"connection", b"keep-alive", b"transfer-encoding", b"content-length", b"upgrade"}
+)
+RESULTS_PATH = "/lots/"
+BODIES_PATH = "/items/"
+
+
+class _ClientGone(Exception):
+    """The client closed its connection."""
+
+
+class Ingress:
+    """The ASGI application on a daemon's front address.
+
+    Parameters
+    ----------
+    table : callable
+        Returns the routes in force, None before the first configuration.
+    """
+
+    def __init__(
+        self,
+        table: Callable[[], RouteTable | None],
+        forwarder: Forwarder,
+        ledger: Ledger,
+        reader: JobReader,
+        dispatcher: Dispatcher,
+        metrics: Metrics,
+    ) -> None:
+        self._table = table
+        self._forwarder = forwarder
+        self._ledger = ledger
+        self._reader = reader
+        self._dispatcher = dispatcher
+        self._metrics = metrics
+        self.is_draining = False
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        if scope["type"] != "http":
+            return
+        arrived_s = time.monotonic()
+        headers = tuple(scope["headers"])
+        request_id = _header(headers, wire.REQUEST_ID)
+        kind = "unrouted"
+        try:
+            kind, answer = await self._answer(
+                scope, headers, request_id, receive, arrived_s
+            )
+            await self._send_reply(answer, send)
+        except _ClientGone:
+            logger.info("entry: client left", request_id=request_id)
+            self._metrics.add("requests", kind=kind, status="gone")
+            return
+        except CodedError as error:
+            await self._send_error(error, request_id, scope, arrived_s, send)
+            return
+        self._metrics.add("requests", kind=kind, status=str(answer.head.status))
+        self._metrics.observe_s("request_s", time.monotonic() - arrived_s, kind=kind)
+
+    async def _answer(
+        self,
+        scope: Scope,
+        headers: tuple[tuple[bytes, bytes], ...],
+        request_id: str,
+        receive: Receive,
+        arrived_s: float,
+    ) -> tuple[str, Reply]:
+        table = self._table()
+        if table is None:
+            raise NotReady("no configuration is known yet", RETRY_AFTER_S)
+        body = await _read_body(receive, table.configuration.limits.max_body_bytes)
+        path = scope["path"]
+        if path.startswith((RESULTS_PATH, BODIES_PATH)):
+            work = self._batch_call(scope, headers, request_id)
+            return "batch", await _while_connected(work, receive)
+        raw_path = scope["raw_path"].decode("latin-1")
+        route = table.find(_header(headers, b"host"), raw_path)
+        if route is None:
+            raise NotFound("no route matches the host and path")
+        if route.kind.is_batch:
+            if scope["method"] != "POST":
+                raise NotFound("jobs are submitted with POST")
+            return "submit", await self._submit(request_id, body, route, arrived_s)
+        if not request_id:
+            raise InvalidRequest("the request has no identifier")
+        target = scope["raw_path"]
+        if scope["query_string"]:
+            target += b"?" + scope["query_string"]
+        call = Call(request_id, scope["method"].encode(), target, headers, body)
+        deadline_ms = _number(_header(headers, wire.DEADLINE), DEFAULT_DEADLINE_MS)
+        limit_ms = min(deadline_ms, route.timeout_ms)
+        until_s = arrived_s + limit_ms / MS_PER_S
+        work = self._forwarder.forward(call, route, until_s)
+        reply = await _while_connected(work, receive)
+        logger.info(
+            "entry: answered",
+            request_id=request_id,
+            route=route.name,
+            config=table.configuration.version,
+            status=reply.head.status,
+            ms=int((time.monotonic() - arrived_s) * MS_PER_S),
+            limit_ms=int(limit_ms),
+        )
+        return route.kind.value, reply
+
+    # -- batch jobs
+
+    async def _submit(
+        self, job_id: str, body: bytes, route: Route, arrived_s: float
+    ) -> Reply:
+        if not job_id or "/" in job_id:
+            raise InvalidRequest("the job has no identifier")
+        job, items = decode_submission(job_id, body, route)
+        is_new = await self._ledger.accept(job, items, ACCEPT_LIMIT_S)
+        self._reader.keep_items(job_id, items)
+        logger.info(
+            "batch: job accepted",
+            request_id=job_id,
+            route=route.name,
+            step=job.step,
+            model=job.model,
+            min_version=job.min_version,
+            items=len(items),
+            is_new=is_new,
+            ms=int((time.monotonic() - arrived_s) * MS_PER_S),
+        )
+        return _reply(202, b"")
+
+    async def _batch_call(
+        self, scope: Scope, headers: tuple[tuple[bytes, bytes], ...], request_id: str
+    ) -> Reply:
+        method, path = scope["method"], scope["path"]
+        query = parse_qs(scope["query_string"].decode("latin-1"))
+        if path.startswith(BODIES_PATH):
+            if method != "GET":
+                raise NotFound("bodies are read with GET")
+            job = await self._reader.job(unquote(path.removeprefix(BODIES_PATH)))
+            item_id = query.get("id", [""])[0]
+            body = await self._reader.body(job, item_id)
+            return _reply(200, body, b"application/octet-stream")
+        job_id = unquote(path.removeprefix(RESULTS_PATH))
+        if method == "DELETE":
+            return await self._end(job_id)
+        if method != "GET":
+            raise NotFound("results are read with GET")
+        job = await self._reader.job(job_id)
+        after = int(_number(query.get("after", ["0"])[0], 0.0))
+        wait_ms = min(MAX_WAIT_MS, _number(_header(headers, wire.WAIT), 0.0))
+        log = await self._reader.log(job, after, wait_ms / MS_PER_S)
+        return _reply(200, encode_results(job.total, log.results, after))
+
+    async def _end(self, job_id: str) -> Reply:
+        is_known = await self._ledger.end(job_id)
+        logger.info("batch: job ended by its sender", request_id=job_id, known=is_known)
+        if not is_known:
+            raise NotFound(f"there is no job {job_id}")
+        return _reply(200, b"{}")
+
+    # -- answers
+
+    async def _send_reply(self, reply: Reply, send: Send) -> None:
+        headers = [
+            pair for pair in reply.head.headers if pair[0].lower() not in HOP_HEADERS
+        ]
+        if reply.parts is None and reply.head.status not in NO_BODY_STATUSES:
+            headers.append((b"content-length", b"%d" % len(reply.body)))
+        if self.is_draining:
+            headers.append((b"connection", b"close"))
+        start = {"type": "http.response.start", "status": reply.head.status}
+        await send({**start, "headers": headers})
+        if reply.parts is not None:
+            async for part in reply.parts:
+                await send(
+                    {"type": "http.response.body", "body": part, "more_body": True}
+                )
+        await send({"type": "http.response.body", "body": reply.body})
+
+    async def _send_error(
+        self,
+        error: CodedError,
+        request_id: str,
+        scope: Scope,
+        arrived_s: float,
+        send: Send,
+    ) -> None:
+        status = _status_of(error)
+        logger.info(
+            "entry: refused" if error.outcome is Outcome.NOT_RUN else "entry: failed",
+            request_id=request_id,
+            method=scope["method"],
+            path=scope["path"][:80],
+            status=status,
+            code=error.code,
+            reason=error.reason,
+            ms=int((time.monotonic() - arrived_s) * MS_PER_S),
+        )
+        self._metrics.add("requests", kind="refused", status=str(status))
+        body = error_body(error, request_id)
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"content-length", b"%d" % len(body)),
+        ]
+        if request_id:
+            headers.append((wire.REQUEST_ID, request_id.encode()))
+        if error.retry_after_s is not None:
+            headers.append((b"retry-after", b"%.2f" % error.retry_after_s))
+        if self.is_draining:
+            headers.append((b"connection", b"close"))
+        start = {"type": "http.response.start", "status": status, "headers": headers}
+        await send(start)
+        await send({"type": "http.response.body", "body": body})
+
+
+def _status_of(error: CodedError) -> int:
+    """Return the status; 429 and 503 promise that nothing ran and nothing will."""
+    if isinstance(error, DeadlineExceeded):
+        return error.http_status
+    is_promise = error.http_status in (429, NOT_RUN_STATUS)
+    if is_promise and isinstance(error, WriteUnknown):
+        return UNKNOWN_STATUS
+    return error.http_status
+
+
+def _header(headers: tuple[tuple[bytes, bytes], ...], name: bytes) -> str:
+    for key, value in headers:
+        if key == name:
+            return value.decode("latin-1")
+    return ""
+
+
+def _number(text: str, default: float) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        return default
+    return value if 0 <= value < 1e12 else default
+
+
+def _reply(status: int, body: bytes, kind: bytes = b"application/json") -> Reply:
+    return Reply(AnswerHead(status, ((b"content-type", kind),)), body)
+
+
+async def _read_body(receive: Receive, max_bytes: int) -> bytes:
+    parts: list[bytes] = []
+    size_bytes = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise _ClientGone
+        part = message.get("body", b"")
+        size_bytes += len(part)
+        if size_bytes > max_bytes:
+            raise RequestTooLarge(f"bodies may have {max_bytes} bytes")
+        parts.append(part)
+        if not message.get("more_body"):
+            return b"".join(parts)
+
+
+async def _while_connected(work: Awaitable[Reply], receive: Receive) -> Reply:
+    """Return the work's result; cancel it when the client leaves.
+
+    Raises
+    ------
+    _ClientGone
+        If the client leaves before.
+    """
+    task = asyncio.ensure_future(work)
+    leaving = asyncio.ensure_future(_until_disconnect(receive))
+    try:
+        await asyncio.wait({task, leaving}, return_when=asyncio.FIRST_COMPLETED)
+        if not task.done():
+            raise _ClientGone
+        return task.result()
+    finally:
+        task.cancel()
+        leaving.cancel()
+
+
+async def _until_disconnect(receive: Receive) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        continue
--- /dev/null
+++ b/greengagetack/platform/replica.py
@@ -0,0 +1,187 @@
+"""greengagetack.platform.replica: the dialect of the platform's replicas."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+from loguru import logger
+
+from greengagetack.gateway.call import Call, Verdict
+from greengagetack.http1.message import AnswerHead, ExchangeError, Request, header
+from greengagetack.http1.pool import Pool
+from greengagetack.platform import wire
+from greengagetack.replicas.replica import Replica
+from greengagetack.weights.orders import EngineReport, LoadMode, LoadOrder, OrderEnd
+
+__all__ = ["PlatformDialect", "ReplicaOrders"]
+
+# Headers that concern one connection, or that are set anew here.
+DROPPED = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        wire.REQUEST_ID,
+        wire.DEADLINE,
+        wire.EXPECT_INSTANCE,
+        wire.LAST_EVENT_ID,
+    }
+)
+MISDIRECTED = 421
+ORDER_TIMEOUT_S = 0.8
+REPORT_TIMEOUT_S = 0.6
+MAX_ANSWER_BYTES = 262_144
+MODES = {LoadMode.RETAIN: "retain", LoadMode.WAIT: "wait"}
+ORDER_ENDS = {
+    200: OrderEnd.ALREADY_SO,
+    202: OrderEnd.ACCEPTED,
+    409: OrderEnd.CONFLICT,
+    412: OrderEnd.FENCED,
+    421: OrderEnd.REFUSED,
+    400: OrderEnd.REFUSED,
+}
+
+
+class PlatformDialect:
+    """Implements `ReplicaDialect`."""
+
+    def attempt(
+        self,
+        call: Call,
+        replica: Replica,
+        left_ms: float | None,
+        after_event: str | None = None,
+    ) -> Request:
+        """Return the request for one replica, with the time that is left."""
+        headers = [pair for pair in call.headers if pair[0] not in DROPPED]
+        headers.append((wire.REQUEST_ID, call.request_id.encode()))
+        headers.append((wire.EXPECT_INSTANCE, replica.replica_id.encode()))
+        if left_ms is not None:
+            headers.append((wire.DEADLINE, b"%d" % max(1, int(left_ms))))
+        resume_after = after_event or header(call.headers, wire.LAST_EVENT_ID)
+        if isinstance(resume_after, str):
+            resume_after = resume_after.encode()
+        if resume_after:
+            headers.append((wire.LAST_EVENT_ID, resume_after))
+        return Request(call.method, call.target, tuple(headers), call.body)
+
+    def verdict(self, head: AnswerHead) -> Verdict:
+        """Tell whether the replica ran the request."""
+        if head.status == MISDIRECTED:
+            return Verdict.OTHER_REPLICA
+        if header(head.headers, wire.NOT_EXECUTED) is not None:
+            return Verdict.NOT_RUN
+        return Verdict.RAN
+
+    def is_genuine(self, head: AnswerHead) -> bool:
+        """Whether the answer bears the seal of the replica that made it."""
+        return header(head.headers, wire.RESPONSE_SEAL) is not None
+
+    def versions(self, head: AnswerHead) -> int | None:
+        """Return the version of the weights that the answer names."""
+        return _number(header(head.headers, wire.WEIGHT_VERSIONS))
+
+    def event_version(self, fields: tuple[tuple[str, str], ...]) -> int | None:
+        """Return the version that an event of a stream changes to, None for none."""
+        for name, value in fields:
+            if name == wire.WEIGHT_VERSIONS.decode():
+                return _number(value.encode())
+        return None
+
+
+def _number(value: bytes | None) -> int | None:
+    if value is None or not value.strip().isdigit():
+        return None
+    return int(value)
+
+
+class _ModelState(msgspec.Struct, frozen=True):
+    name: str
+    version: int
+
+
+class _Report(msgspec.Struct, frozen=True):
+    models: tuple[_ModelState, ...] = ()
+    # Whether an order is in progress.
+    busy: bool = False
+    # Number of orders accepted.
+    sequence: int = 0
+
+
+class ReplicaOrders:
+    """Implements `OrderSender`."""
+
+    def __init__(self, pool: Pool) -> None:
+        self._pool = pool
+
+    async def send(self, replica: Replica, order: LoadOrder) -> OrderEnd:
+        """Send one order."""
+        fields: dict[str, Any] = {
+            "operation": "version",
+            "model": order.model,
+            "version": order.version,
+            "mode": MODES[order.mode],
+            "holder": order.holder,
+            "fence": order.fence,
+        }
+        if order.expected_orders is not None:
+            # The replica carries the order out only if it has accepted as many.
+            fields["precondition"] = order.expected_orders
+        request = self._request(
+            b"POST", b"/order", replica, msgspec.json.encode(fields)
+        )
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                async with self._pool.connection(replica.address) as connection:
+                    head = await connection.send(request)
+                    body = await connection.read_all(MAX_ANSWER_BYTES)
+        except TimeoutError:
+            return OrderEnd.UNKNOWN
+        except ExchangeError as error:
+            return OrderEnd.UNKNOWN if error.sent else OrderEnd.REFUSED
+        end = ORDER_ENDS.get(head.status, OrderEnd.UNKNOWN)
+        if end not in (OrderEnd.ACCEPTED, OrderEnd.ALREADY_SO):
+            logger.info(
+                "weights: order refused",
+                replica=replica.replica_id,
+                status=head.status,
+                body=body[:200].decode(errors="replace"),
+            )
+        return end
+
+    async def report(self, replica: Replica) -> EngineReport | None:
+        """Return the replica's state, None if it does not answer."""
+        request = self._request(b"GET", b"/report", replica, b"")
+        try:
+            async with asyncio.timeout(REPORT_TIMEOUT_S):
+                async with self._pool.connection(replica.address) as connection:
+                    head = await connection.send(request)
+                    body = await connection.read_all(MAX_ANSWER_BYTES)
+            if head.status != 200:
+                return None
+            found = msgspec.json.decode(body, type=_Report)
+        except (ExchangeError, TimeoutError, msgspec.MsgspecError) as error:
+            logger.info(
+                "weights: no report", replica=replica.replica_id, reason=repr(error)
+            )
+            return None
+        versions = {model.name: model.version for model in found.models}
+        return EngineReport(versions, found.busy, found.sequence)
+
+    def _request(
+        self, method: bytes, target: bytes, replica: Replica, body: bytes
+    ) -> Request:
+        headers = (
+            (b"host", str(replica.address).encode()),
+            (b"content-type", b"application/json"),
+            (wire.EXPECT_INSTANCE, replica.replica_id.encode()),
+        )
+        return Request(method, target, headers, body)
--- /dev/null
+++ b/greengagetack/platform/wire.py
@@ -0,0 +1,41 @@
+"""greengagetack.platform.wire: names of headers, kinds and words on the wire."""
+
+__all__ = [
+    "CONFIG_KIND",
+    "DEADLINE",
+    "EXPECT_INSTANCE",
+    "INSTANCE_ID",
+    "LAST_EVENT_ID",
+    "MODEL",
+    "NOT_EXECUTED",
+    "PROMPT_PREFIX",
+    "REQUEST_ID",
+    "RESPONSE_SEAL",
+    "RETIREMENTS_KIND",
+    "SERVERS_KIND",
+    "TOKEN_USAGE",
+    "URGENCY",
+    "VERSIONS_KIND",
+    "WAIT",
+    "WEIGHT_VERSIONS",
+]
+
+REQUEST_ID = b"x-request-id"
+DEADLINE = b"x-deadline-ms"
+EXPECT_INSTANCE = b"x-expect-instance"
+INSTANCE_ID = b"x-instance-id"
+LAST_EVENT_ID = b"last-event-id"
+MODEL = b"x-model"
+NOT_EXECUTED = b"x-not-executed"
+PROMPT_PREFIX = b"x-prompt-prefix"
+RESPONSE_SEAL = b"x-response-seal"
+TOKEN_USAGE = b"x-token-usage"
+URGENCY = b"x-urgency-class"
+WAIT = b"x-wait-ms"
+WEIGHT_VERSIONS = b"x-weight-versions"
+
+# Kinds that the operator, the replicas and the trainers write.
+CONFIG_KIND = "config"
+SERVERS_KIND = "servers"
+VERSIONS_KIND = "versions"
+RETIREMENTS_KIND = "retirements"
--- /dev/null
+++ b/greengagetack/replicas/__init__.py
@@ -0,0 +1,1 @@
+"""greengagetack.replicas: the replicas of services, their health and load."""
--- a/greengagetack/settings/objects.py
+++ b/greengagetack/settings/objects.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from greengagetack.errors import NotFound
-from greengagetack.platform.objects import PlatformObject
+from greengagetack.objects.base import PlatformObject
 
 __all__ = [
     "FLEET_PATH",
--- a/greengagetack/settings/sync.py
+++ b/greengagetack/settings/sync.py
@@ -10,8 +10,8 @@
 from greengagetack.errors import CodedError, NotReady
 from greengagetack.leases.decisions import accept_version
 from greengagetack.membership.table import rendezvous_order
+from greengagetack.objects.base import PlatformObject
 from greengagetack.peers.messages import Done
-from greengagetack.platform.objects import PlatformObject
 from greengagetack.settings.exchange import PEER_TIMEOUT_S, SettingsExchange
 from greengagetack.settings.messages import (
     AskApplied,
--- a/greengagetack/settings/writer.py
+++ b/greengagetack/settings/writer.py
@@ -13,7 +13,7 @@
     PlatformUnavailable,
     RequestTooLarge,
 )
-from greengagetack.platform.objects import ObjectConflict, ObjectStore
+from greengagetack.objects.base import ObjectConflict, ObjectStore
 from greengagetack.settings.answers import (
     SettingsAnswer,
     SettingsConflict,
--- /dev/null
+++ b/greengagetack/siblings/claim.py
@@ -0,0 +1,164 @@
+"""greengagetack.siblings.claim: which daemon runs the jobs.
+
+Two daemons may run the jobs at once for a while: the ledger keeps results right,
+only work is wasted. So a claim needs no lease and is taken over early.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+
+import msgspec
+import xxhash
+from loguru import logger
+
+from greengagetack.errors import CodedError, PeerUnreachable
+from greengagetack.objects.base import ObjectConflict, PlatformObject, WatchedStore
+from greengagetack.objects.feed import Feed
+from greengagetack.siblings.client import PeerClient
+from greengagetack.siblings.messages import Member
+from greengagetack.world import Address
+
+__all__ = ["CLAIM_PATH", "ClaimDuty", "rank_of", "takeover_delay_s"]
+
+CLAIM_PATH = "dispatch/main"
+PING_INTERVAL_S = 0.25
+# Pings that are lost in a short stall are no reason to take over.
+SILENCE_S = 0.75
+# The next daemon in the ranking waits this much longer.
+RANK_STEP_S = 0.4
+VACANT_STEP_S = 0.15
+VACANT = ""
+
+
+def rank_of(node: str, nodes: Iterable[str], salt: str) -> int:
+    """Return a daemon's place in the order in which a claim is taken over."""
+
+    def weight(name: str) -> int:
+        return xxhash.xxh64_intdigest(f"{salt}/{name}".encode())
+
+    own = weight(node)
+    return sum(1 for name in set(nodes) if name != node and weight(name) > own)
+
+
+def takeover_delay_s(rank: int, is_vacant: bool) -> float:
+    """Return how long a claimer must have been silent before it is replaced.
+
+    Answers the failure of the daemon that runs the jobs, also together with the
+    daemons that would be next: each waits longer than the one before it.
+    """
+    if is_vacant:
+        return VACANT_STEP_S * rank
+    return SILENCE_S + RANK_STEP_S * rank
+
+
+class ClaimDuty:
+    """Watches the claimer and replaces it when it is gone."""
+
+    def __init__(
+        self,
+        me: Member,
+        store: WatchedStore,
+        feed: Feed,
+        members: Callable[[], dict[str, Member]],
+        on_change: Callable[[bool], None],
+    ) -> None:
+        self._me = me
+        self._store = store
+        self._feed = feed
+        self._members = members
+        self._on_change = on_change
+        self._heard_s = time.monotonic()
+        self._seen_version = -1
+        self.is_leaving = False
+        feed.subscribe(self._on_claim)
+
+    @property
+    def claimer(self) -> Member | None:
+        """The daemon that runs the jobs, None if nobody does."""
+        stored = self._feed.objects.get(CLAIM_PATH)
+        if stored is None:
+            return None
+        try:
+            member = msgspec.convert(stored.value, Member)
+        except msgspec.ValidationError as error:
+            logger.warning("claim: the claim cannot be read: {}", error)
+            return None
+        return None if member.node == VACANT else member
+
+    def claimer_address(self) -> Address | None:
+        """Return the claimer's control address."""
+        claimer = self.claimer
+        if claimer is None:
+            return None
+        host, _, port = claimer.control.rpartition(":")
+        return Address(host, int(port))
+
+    @property
+    def is_mine(self) -> bool:
+        """Whether this incarnation holds the claim."""
+        claimer = self.claimer
+        return claimer is not None and claimer.incarnation == self._me.incarnation
+
+    def _on_claim(
+        self, changed: tuple[PlatformObject, ...], gone: tuple[str, ...]
+    ) -> None:
+        self._heard_s = time.monotonic()
+        self._on_change(self.is_mine and not self.is_leaving)
+
+    async def run(self, peers: PeerClient) -> None:
+        """Watch the claimer until cancelled."""
+        while True:
+            await asyncio.sleep(PING_INTERVAL_S)
+            if not self._feed.is_synced or self.is_mine or self.is_leaving:
+                continue
+            await self._look(peers)
+
+    async def _look(self, peers: PeerClient) -> None:
+        claimer = self.claimer
+        salt = claimer.incarnation if claimer else ""
+        rank = rank_of(self._me.node, self._members(), salt)
+        is_own_past = claimer is not None and claimer.node == self._me.node
+        if claimer is not None and not is_own_past:
+            address = self.claimer_address()
+            assert address is not None
+            try:
+                pong = await peers.ping(address)
+                if pong.is_dispatcher and pong.node == claimer.node:
+                    self._heard_s = time.monotonic()
+                    return
+            except PeerUnreachable as error:
+                logger.debug("claim: no answer from {}: {}", claimer.node, error)
+        silent_s = time.monotonic() - self._heard_s
+        if not is_own_past and silent_s < takeover_delay_s(rank, claimer is None):
+            return
+        await self._take(claimer, silent_s)
+
+    async def _take(self, former: Member | None, silent_s: float) -> None:
+        stored = self._feed.objects.get(CLAIM_PATH)
+        version = 0 if stored is None else stored.version
+        logger.info(
+            "claim: taking over",
+            former=former.node if former else VACANT,
+            silent_ms=int(silent_s * 1000),
+            version=version,
+        )
+        try:
+            await self._store.write(CLAIM_PATH, msgspec.to_builtins(self._me), version)
+        except ObjectConflict:
+            logger.info("claim: another daemon was first")
+        except CodedError as error:
+            logger.warning("claim: not taken: {}", error.reason)
+        self._heard_s = time.monotonic()
+
+    async def give_up(self) -> None:
+        """Leave the claim to others."""
+        self.is_leaving = True
+        stored = self._feed.objects.get(CLAIM_PATH)
+        if not self.is_mine or stored is None:
+            return
+        vacant = msgspec.to_builtins(Member(VACANT, "", "", ""))
+        try:
+            await self._store.write(CLAIM_PATH, vacant, stored.version)
+        except CodedError as error:
+            logger.warning("claim: not given up: {}", error.reason)
--- /dev/null
+++ b/greengagetack/siblings/client.py
@@ -0,0 +1,151 @@
+"""greengagetack.siblings.client: calls to other daemons."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import TypeVar
+from urllib.parse import quote
+
+from greengagetack.batches.job import Segment
+from greengagetack.batches.progress import ProgressSnapshot
+from greengagetack.errors import NotFound, PeerUnreachable, PlatformUnavailable
+from greengagetack.http1.message import ExchangeError, Request
+from greengagetack.http1.pool import Pool
+from greengagetack.siblings.messages import (
+    HandOver,
+    Pong,
+    RelayAnswer,
+    RelayCall,
+    Segments,
+    decode,
+    encode,
+)
+from greengagetack.world import Address
+
+__all__ = ["PeerClient"]
+
+CONNECT_TIMEOUT_S = 0.4
+CALL_TIMEOUT_S = 0.5
+RELAY_TIMEOUT_S = 1.2
+HAND_OVER_TIMEOUT_S = 1.5
+RELAY_TRIES = 2
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+RETRY_AFTER_S = 0.5
+OK = 200
+NOT_FOUND = 404
+
+T = TypeVar("T")
+
+
+class PeerClient:
+    """Calls the dispatcher and, for relays to the store, any other daemon.
+
+    Parameters
+    ----------
+    dispatcher : callable
+        Returns the address of the daemon that runs the jobs, None if unknown.
+    others : callable
+        Returns the addresses of all other daemons.
+    """
+
+    def __init__(
+        self,
+        dispatcher: Callable[[], Address | None],
+        others: Callable[[], list[Address]],
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._others = others
+        self._pool = Pool(CONNECT_TIMEOUT_S)
+        self._rng = random.Random()
+        self._relay: Address | None = None
+
+    async def ping(self, address: Address) -> Pong:
+        """Ask a daemon who it is."""
+        body = await self._call(address, "GET", "/peer/ping", b"", CALL_TIMEOUT_S)
+        return _decoded(body, Pong)
+
+    async def segments(self, job_id: str, first: int, wait_s: float) -> list[Segment]:
+        """Return a job's segments from a number on, waiting for a new one.
+
+        Raises
+        ------
+        PeerUnreachable
+            If the dispatcher is unknown, does not answer or does not run the job.
+        """
+        path = f"/peer/segments/{quote(job_id)}?first={first}&wait_s={wait_s:.3f}"
+        address = self._known_dispatcher()
+        body = await self._call(address, "GET", path, b"", CALL_TIMEOUT_S + wait_s)
+        return _decoded(body, Segments).segments
+
+    async def body(self, job_id: str, item_id: str) -> bytes:
+        """Return an item's body from the dispatcher."""
+        path = f"/peer/bodies/{quote(job_id)}/{quote(item_id)}"
+        address = self._known_dispatcher()
+        return await self._call(address, "GET", path, b"", CALL_TIMEOUT_S)
+
+    async def hand_over(
+        self, address: Address, snapshots: list[ProgressSnapshot]
+    ) -> None:
+        """Give the progress of items to the next dispatcher."""
+        body = encode(HandOver(snapshots))
+        await self._call(address, "POST", "/peer/progress", body, HAND_OVER_TIMEOUT_S)
+
+    async def relay(
+        self, method: str, target: str, body: bytes, wait_s: float
+    ) -> RelayAnswer:
+        """Call the store through another daemon.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If no daemon that was asked reaches the store.
+        """
+        call = encode(RelayCall(method, target, body, wait_s))
+        for address in self._relay_candidates():
+            try:
+                answer = await self._call(
+                    address, "POST", "/peer/store", call, RELAY_TIMEOUT_S + wait_s
+                )
+            except (PeerUnreachable, NotFound):
+                continue
+            self._relay = address
+            return _decoded(answer, RelayAnswer)
+        self._relay = None
+        raise PlatformUnavailable("no daemon reaches the store", RETRY_AFTER_S)
+
+    def _relay_candidates(self) -> list[Address]:
+        others = self._others()
+        picked = self._rng.sample(others, min(RELAY_TRIES, len(others)))
+        if self._relay is None:
+            return picked
+        return [self._relay, *(other for other in picked if other != self._relay)]
+
+    def _known_dispatcher(self) -> Address:
+        address = self._dispatcher()
+        if address is None:
+            raise PeerUnreachable("no daemon runs the jobs now", RETRY_AFTER_S)
+        return address
+
+    async def _call(
+        self, address: Address, method: str, path: str, body: bytes, limit_s: float
+    ) -> bytes:
+        request = Request(
+            method.encode(), path.encode(), ((b"host", str(address).encode()),), body
+        )
+        try:
+            async with asyncio.timeout(limit_s):
+                async with self._pool.connection(address) as connection:
+                    head = await connection.send(request)
+                    content = await connection.read_all(MAX_ANSWER_BYTES)
+        except (ExchangeError, TimeoutError) as error:
+            raise PeerUnreachable(f"{address}: {error!r}", RETRY_AFTER_S) from error
+        if head.status != OK:
+            raise PeerUnreachable(f"{address} answered {head.status}", RETRY_AFTER_S)
+        return content
+
+
+def _decoded(body: bytes, kind: type[T]) -> T:
+    try:
+        return decode(body, type=kind)
+    except ValueError as error:
+        raise PeerUnreachable(f"an answer cannot be read: {error}") from error
--- /dev/null
+++ b/greengagetack/siblings/messages.py
@@ -0,0 +1,73 @@
+"""greengagetack.siblings.messages: what daemons send each other over HTTP."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from greengagetack.batches.job import Segment
+from greengagetack.batches.progress import ProgressSnapshot
+
+__all__ = [
+    "HandOver",
+    "Member",
+    "Pong",
+    "RelayAnswer",
+    "RelayCall",
+    "Segments",
+    "decode",
+    "encode",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A daemon as it lists itself in the store; `control` is HOST:PORT."""
+
+    node: str
+    incarnation: str
+    control: str
+    availability_zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class Pong:
+    """Answer to a ping."""
+
+    node: str
+    incarnation: str
+    is_dispatcher: bool
+
+
+class Segments(msgspec.Struct, frozen=True):
+    """Committed segments of a job."""
+
+    segments: list[Segment]
+
+
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """Progress of unfinished items for the next dispatcher."""
+
+    snapshots: list[ProgressSnapshot]
+
+
+@dataclass(frozen=True, slots=True)
+class RelayCall:
+    """A call to the store on behalf of a daemon that does not reach it."""
+
+    method: str
+    target: str
+    body: bytes
+    wait_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RelayAnswer:
+    """What the store answered to a relayed call."""
+
+    status: int
+    body: bytes
+
+
+encode = msgspec.msgpack.encode
+decode = msgspec.msgpack.decode
--- /dev/null
+++ b/greengagetack/siblings/server.py
@@ -0,0 +1,77 @@
+"""greengagetack.siblings.server: answers other daemons."""
+
+from collections.abc import Awaitable, Callable
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from greengagetack.batches.dispatcher import Dispatcher
+from greengagetack.batches.reading import JobReader
+from greengagetack.errors import CodedError
+from greengagetack.siblings.messages import (
+    HandOver,
+    Pong,
+    RelayAnswer,
+    RelayCall,
+    Segments,
+    decode,
+    encode,
+)
+
+__all__ = ["build_peer_application"]
+
+MAX_WAIT_S = 30.0
+BAD_REQUEST = 400
+NOT_FOUND = 404
+
+
+def build_peer_application(
+    pong: Callable[[], Pong],
+    reader: JobReader,
+    dispatcher: Dispatcher,
+    call_store: Callable[[RelayCall], Awaitable[RelayAnswer]],
+) -> Starlette:
+    """Return the HTTP application on a daemon's control address."""
+
+    async def ping(request: Request) -> Response:
+        return Response(encode(pong()))
+
+    async def segments(request: Request) -> Response:
+        job_id = request.path_params["job_id"]
+        first = int(request.query_params["first"])
+        wait_s = min(MAX_WAIT_S, float(request.query_params["wait_s"]))
+        found = await reader.segments(job_id, first, wait_s)
+        return Response(encode(Segments(found)))
+
+    async def body(request: Request) -> Response:
+        job_id, item_id = request.path_params["job_id"], request.path_params["item_id"]
+        item = dispatcher.item_of(job_id, item_id)
+        if item is None:
+            return Response(status_code=NOT_FOUND)
+        return Response(item.body)
+
+    async def progress(request: Request) -> Response:
+        hand_over = decode(await request.body(), type=HandOver)
+        dispatcher.adopt(hand_over.snapshots)
+        return Response()
+
+    async def store(request: Request) -> Response:
+        call = decode(await request.body(), type=RelayCall)
+        return Response(encode(await call_store(call)))
+
+    async def refuse(request: Request, error: Exception) -> Response:
+        status = error.http_status if isinstance(error, CodedError) else BAD_REQUEST
+        return Response(str(error), status)
+
+    return Starlette(
+        routes=[
+            Route("/peer/ping", ping),
+            Route("/peer/segments/{job_id}", segments),
+            Route("/peer/bodies/{job_id}/{item_id}", body),
+            Route("/peer/progress", progress, methods=["POST"]),
+            Route("/peer/store", store, methods=["POST"]),
+        ],
+        exception_handlers={CodedError: refuse, ValueError: refuse, KeyError: refuse},
+    )
--- a/greengagetack/weights/record.py
+++ b/greengagetack/weights/record.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from greengagetack.errors import CodedError
-from greengagetack.platform.objects import ObjectConflict, ObjectStore, PlatformObject
+from greengagetack.objects.base import ObjectConflict, ObjectStore, PlatformObject
 
 __all__ = ["RolloutRecord", "RolloutRecords"]
 
