Pass changes on between daemons; move runs from slow replicas

A watch that the store left hanging told of a configuration up to 6 s late, and a read of a job whose dispatcher had just died was answered from a copy that nobody had confirmed. Change: the dispatcher watches the store in short turns and passes changes on; the others fall back to the store. A read is answered only from a confirmed copy. Runs go on elsewhere when their replica is slower than the usual pace. Ruled out: lost acknowledgements of ours; the events were never delivered.

--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -12,6 +12,7 @@
 from greengagetack.batches.ledger import JOBS, Ledger, job_of
 from greengagetack.batches.log import JobLog
 from greengagetack.batches.order import rank_items
+from greengagetack.batches.pace import PaceBook, Running, choose_moves, usual_pace_s
 from greengagetack.batches.placement import Candidate, choose_candidate
 from greengagetack.batches.progress import ItemProgress, ProgressSnapshot
 from greengagetack.errors import CodedError
@@ -32,13 +33,13 @@
 REFUSAL_PAUSE_S = 0.1
 RETRY_PAUSE_S = 0.1
 OPEN_RETRY_S = 0.2
+# The watch usually tells of a new job within this time.
+HINT_PAUSE_S = 0.1
 KEPT_PROGRESSES = 2_000
-USUAL_EVENT_S = 0.05
-SMOOTHING = 0.1
 MS_PER_S = 1_000
 # Clocks of VMs differ; an item is given up only when all agree that it may be.
 TTL_MARGIN_S = 6.0
-TICK_S = 0.5
+TICK_S = 0.25
 DEFAULT_SLOTS = 8
 UNKNOWN_MEMORY_TOKENS = 1 << 40
 
@@ -76,8 +77,10 @@
         self._item_tasks: dict[str, asyncio.Task[None]] = {}
         self._progresses: OrderedDict[str, ItemProgress] = OrderedDict()
         self._group_homes: dict[tuple[str, str, int], None] = {}
+        self._hints: set[asyncio.Task[None]] = set()
         self._reserved: dict[str, int] = {}
-        self._paces: dict[str, float] = {}
+        self._paces = PaceBook()
+        self._running: dict[str, tuple[JobRun, ItemProgress, str]] = {}
         self.loading: set[str] = set()
         self._wake = asyncio.Event()
         self.is_active = False
@@ -157,6 +160,29 @@
             elif self.is_active:
                 self._open(job)
 
+    def take_hint(self, job_id: str, is_ended: bool) -> None:
+        """Take another daemon's word on a job, before the store's watch tells it."""
+        if not self.is_active:
+            return
+        if is_ended:
+            self._close(job_id)
+        elif job_id not in self._tasks:
+            task = asyncio.create_task(self._look_up(job_id), name=f"hint {job_id}")
+            self._hints.add(task)
+            task.add_done_callback(self._hints.discard)
+
+    async def _look_up(self, job_id: str) -> None:
+        await asyncio.sleep(HINT_PAUSE_S)
+        if job_id in self._tasks or not self.is_active:
+            return
+        try:
+            job = await self._ledger.find(job_id)
+        except CodedError as error:
+            logger.info("dispatch: hint", request_id=job_id, reason=error.reason)
+            return
+        if job is not None and not job.is_ended and self.is_active:
+            self._open(job)
+
     def _open(self, job: Job) -> None:
         if job.job_id in self._tasks:
             return
@@ -233,6 +259,7 @@
             if self.is_active:
                 self._give_up_old()
                 self._send_waiting()
+                self._move_from_slow()
             try:
                 async with asyncio.timeout(TICK_S):
                     await self._wake.wait()
@@ -277,6 +304,43 @@
                 continue
             self._start(run, progress, state)
 
+    def _move_from_slow(self) -> None:
+        """Take runs from slow replicas; they are sent again at the next turn."""
+        now_s = time.monotonic()
+        slow_s: dict[str, float] = {}
+        free: dict[str, int] = {}
+        for service in {run.job.service for run in self._runs.values()}:
+            for state in self._fleet.of_service(service):
+                replica_id = state.replica.replica_id
+                slow_s[replica_id] = self._paces.of(replica_id)
+                if state.is_usable(now_s) and replica_id not in self.loading:
+                    slots = state.replica.slots or DEFAULT_SLOTS
+                    free[replica_id] = max(0, slots - state.in_flight)
+        running = [
+            Running(item_id, replica_id, self._events_left(run, progress))
+            for item_id, (run, progress, replica_id) in self._running.items()
+        ]
+        for item_id in choose_moves(running, slow_s, free):
+            replica_id = self._running[item_id][2]
+            logger.info(
+                "dispatch: run moved from a slow replica",
+                request_id=item_id,
+                replica=replica_id,
+                pace_ms=int(slow_s[replica_id] * MS_PER_S),
+                usual_ms=int(usual_pace_s(slow_s.values()) * MS_PER_S),
+            )
+            self._metrics.add("moved_runs")
+            task = self._item_tasks.get(item_id)
+            if task is not None:
+                task.cancel()
+
+    def _events_left(self, run: JobRun, progress: ItemProgress) -> int:
+        per_event = self._facts.tokens_per_event.get(run.job.service, 1) or 1
+        made = len(progress.outputs)
+        hint = progress.item.output_hint // per_event
+        # The hint is often far too low; a run that is past it is taken to be long.
+        return max(hint - made, made // 2, 1)
+
     def _place(self, job: Job, progress: ItemProgress) -> ReplicaState | None:
         now_s = time.monotonic()
         group = progress.item.group
@@ -296,7 +360,7 @@
                     replica_id,
                     state.in_flight,
                     state.replica.slots or DEFAULT_SLOTS,
-                    self._paces.get(replica_id, USUAL_EVENT_S),
+                    self._paces.of(replica_id),
                     memory - self._reserved.get(replica_id, 0),
                     (replica_id, group, version) in self._group_homes,
                 )
@@ -319,13 +383,41 @@
         version = state.version_of(run.job.model)
         self._group_homes[(replica_id, progress.item.group, version)] = None
         item_id = progress.item.item_id
+        if not progress.fits(run.job.min_version, run.job.single_version):
+            progress.restart()
         task = asyncio.create_task(
-            self._run_item(run, progress, state, memory), name=f"item {item_id}"
+            self._run_item(run, progress, state), name=f"item {item_id}"
+        )
+        # A task that is cancelled before its first turn never runs its own code.
+        task.add_done_callback(
+            lambda done: self._release(progress, state, memory, done)
         )
         self._item_tasks[item_id] = task
+        self._running[item_id] = (run, progress, replica_id)
+
+    def _release(
+        self,
+        progress: ItemProgress,
+        state: ReplicaState,
+        memory: int,
+        task: asyncio.Task[None],
+    ) -> None:
+        item_id = progress.item.item_id
+        progress.is_running = False
+        state.in_flight -= 1
+        self._reserved[state.replica.replica_id] -= memory
+        if self._item_tasks.get(item_id) is task:
+            self._item_tasks.pop(item_id)
+            self._running.pop(item_id, None)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            logger.opt(exception=error).error(
+                "dispatch: run failed", request_id=item_id
+            )
+        self._wake.set()
 
     async def _run_item(
-        self, run: JobRun, progress: ItemProgress, state: ReplicaState, memory: int
+        self, run: JobRun, progress: ItemProgress, state: ReplicaState
     ) -> None:
         item, job = progress.item, run.job
         replica_id = state.replica.replica_id
@@ -343,8 +435,6 @@
         from_event = progress.last_event_id
         end, reason = RunEnd.BROKEN, "cancelled"
         try:
-            if not progress.fits(job.min_version, job.single_version):
-                progress.restart()
             end, reason = await run_item(
                 progress,
                 call,
@@ -352,13 +442,9 @@
                 self._pool,
                 self._dialect,
                 lambda: STALL_LOADING_S if replica_id in self.loading else STALL_S,
-                lambda gap_s: self._note_pace(replica_id, gap_s),
+                lambda gap_s: self._paces.note(replica_id, gap_s) if gap_s else None,
             )
         finally:
-            progress.is_running = False
-            state.in_flight -= 1
-            self._reserved[replica_id] -= memory
-            self._item_tasks.pop(item.item_id, None)
             logger.info(
                 "dispatch: run ended",
                 request_id=item.item_id,
@@ -373,7 +459,6 @@
                 in_flight=state.in_flight,
             )
             self._metrics.add("item_runs", end=end.value)
-            self._wake.set()
         self._settle(run, progress, state, end)
 
     def _settle(
@@ -406,9 +491,3 @@
             state.is_gone = True
             return
         state.note_failure()
-
-    def _note_pace(self, replica_id: str, gap_s: float) -> None:
-        if not gap_s:
-            return
-        known = self._paces.get(replica_id, USUAL_EVENT_S)
-        self._paces[replica_id] = known + SMOOTHING * (gap_s - known)
--- a/greengagetack/batches/job_run.py
+++ b/greengagetack/batches/job_run.py
@@ -17,7 +17,7 @@
 __all__ = ["JobRun"]
 
 # Results that finish within this time are committed together.
-COMMIT_DELAY_S = 0.08
+COMMIT_DELAY_S = 0.15
 COMMIT_RETRY_S = 0.2
 MS_PER_S = 1_000
 
@@ -100,12 +100,18 @@
                 self._news.clear()
                 await self._news.wait()
                 continue
-            await asyncio.sleep(COMMIT_DELAY_S)
+            # Once all that is needed is there, nothing more is worth waiting for.
+            if self._needs_more():
+                await asyncio.sleep(COMMIT_DELAY_S)
             await self._commit()
         logger.info(
             "batch: job whole", request_id=self.job.job_id, total=self.job.total
         )
 
+    def _needs_more(self) -> bool:
+        needed = self.needed()
+        return any(p.item.group in needed for p in self.unfinished.values())
+
     async def _commit(self) -> None:
         results = self._ledger.cut(list(self._finished.values()))
         segment = Segment(self.log.next_segment, len(self.log.results), tuple(results))
--- a/greengagetack/batches/placement.py
+++ b/greengagetack/batches/placement.py
@@ -3,13 +3,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from greengagetack.batches.pace import SLOW_RATIO, usual_pace_s
+
 __all__ = ["Candidate", "choose_candidate"]
 
 # A replica that holds the group's prompt may be this much fuller than the emptiest.
 AFFINITY_SLACK = 0.3
-# A replica this many times slower than the fastest gets work only when others are
-# full.
-SLOW_RATIO = 1.6
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,15 +50,15 @@
     ]
     if not open_ones:
         return None
-    fastest_s = min(candidate.pace_s for candidate in open_ones)
+    usual_s = usual_pace_s(candidate.pace_s for candidate in open_ones)
     best: Candidate | None = None
     best_cost = float("inf")
     for candidate in open_ones:
         cost = candidate.in_flight / candidate.slots
         if candidate.holds_prompt:
             cost -= AFFINITY_SLACK
-        if candidate.pace_s > SLOW_RATIO * fastest_s:
-            cost += candidate.pace_s / fastest_s
+        if candidate.pace_s > SLOW_RATIO * usual_s:
+            cost += candidate.pace_s / usual_s
         if cost < best_cost:
             best, best_cost = candidate, cost
     return best
--- a/greengagetack/batches/reading.py
+++ b/greengagetack/batches/reading.py
@@ -88,35 +88,31 @@
                 return log
 
     async def _synced(self, job: Job, log: JobLog, wait_s: float) -> None:
-        """Bring a log up to date; concurrent readers share one exchange."""
+        """Bring a log up to date; concurrent readers share one exchange.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If neither the dispatcher nor the store has answered.
+        """
         task = self._syncing.get(job.job_id)
         if task is None or task.done():
             task = asyncio.create_task(self._sync(job, log, wait_s))
             self._syncing[job.job_id] = task
-        try:
-            async with asyncio.timeout(wait_s + STORE_PAUSE_S):
-                await asyncio.shield(task)
-        except TimeoutError:
-            return
+        await asyncio.shield(task)
 
     async def _sync(self, job: Job, log: JobLog, wait_s: float) -> None:
         first = log.next_segment
         try:
             segments = await self._peers.segments(job.job_id, first, wait_s)
         except PeerUnreachable as unreachable:
-            try:
-                segments = await self._ledger.segments(job.job_id, first)
-            except CodedError as error:
-                logger.warning(
-                    "read: results not brought up to date",
-                    request_id=job.job_id,
-                    dispatcher=unreachable.reason,
-                    store=error.reason,
-                    known=len(log.results),
-                )
-                if not log.results:
-                    raise
-                return
+            logger.info(
+                "read: the dispatcher does not answer; reading the store",
+                request_id=job.job_id,
+                known=len(log.results),
+                reason=unreachable.reason,
+            )
+            segments = await self._ledger.segments(job.job_id, first)
         for segment in segments:
             log.absorb(segment)
 
--- a/greengagetack/objects/feed.py
+++ b/greengagetack/objects/feed.py
@@ -2,49 +2,68 @@
 
 import asyncio
 import time
+from collections import deque
 from collections.abc import Callable
+from typing import Protocol
 
 from loguru import logger
 
-from greengagetack.errors import CodedError
-from greengagetack.objects.base import (
-    HistoryGone,
-    PlatformObject,
-    WatchAnswer,
-    WatchedStore,
-)
+from greengagetack.errors import CodedError, PlatformUnavailable
+from greengagetack.objects.base import HistoryGone, PlatformObject, WatchAnswer
 
-__all__ = ["Feed", "FeedListener"]
+__all__ = ["Feed", "FeedListener", "FeedSource"]
 
 RETRY_FIRST_S = 0.05
 RETRY_MOST_S = 0.5
+KEPT_REMOVALS = 1_000
+# A copy that is not confirmed for longer is not passed on to others.
+STALE_S = 2.5
 
 FeedListener = Callable[[tuple[PlatformObject, ...], tuple[str, ...]], None]
 
 
+class FeedSource(Protocol):
+    """Where a feed gets its objects: the store, or another daemon's feed."""
+
+    async def list(self, prefix: str) -> WatchAnswer:
+        """Return all objects under a prefix with the current revision."""
+
+    async def watch(self, prefix: str, after: int, timeout_s: float) -> WatchAnswer:
+        """Wait for changes under a prefix after a revision."""
+
+
 class Feed:
     """Lists a prefix, then follows its changes; an object never goes back.
 
     Parameters
     ----------
-    store : WatchedStore
-        Where the objects are.
+    source : callable
+        Returns the source to use for the next call.
     prefix : str
         What is followed, such as ``jobs/``.
-    wait_s : float
-        How long a watch waits; a silent store is noticed after that time.
+    wait_s : callable
+        Returns how long the next watch waits; a source that has gone silent is
+        noticed after that time.
     """
 
-    def __init__(self, store: WatchedStore, prefix: str, wait_s: float) -> None:
-        self._store = store
-        self._prefix = prefix
+    def __init__(
+        self,
+        source: Callable[[], FeedSource],
+        prefix: str,
+        wait_s: Callable[[], float],
+    ) -> None:
+        self._source = source
+        self.prefix = prefix
         self._wait_s = wait_s
         self._listeners: list[FeedListener] = []
         self.objects: dict[str, PlatformObject] = {}
         self.synced = asyncio.Event()
-        self.last_answer_s = 0.0
-        self.last_failure_s = 0.0
-        self._revision = 0
+        self.last_answer_s = float("-inf")
+        self.last_failure_s = float("-inf")
+        self.revision = 0
+        self._first_revision = 0
+        self._removals: deque[tuple[int, str]] = deque()
+        self._changed = asyncio.Event()
 
     @property
     def is_synced(self) -> bool:
@@ -60,18 +79,17 @@
         retry_s = RETRY_FIRST_S
         needs_list = True
         while True:
+            source = self._source()
             try:
                 if needs_list:
-                    self._replace(await self._store.list(self._prefix))
+                    self._replace(await source.list(self.prefix))
                     needs_list = False
                 else:
                     self._apply(
-                        await self._store.watch(
-                            self._prefix, self._revision, self._wait_s
-                        )
+                        await source.watch(self.prefix, self.revision, self._wait_s())
                     )
             except HistoryGone:
-                logger.info("feed: the history of {} is gone; listing", self._prefix)
+                logger.info("feed: history gone; listing", prefix=self.prefix)
                 needs_list = True
                 continue
             except CodedError as error:
@@ -79,25 +97,39 @@
                 await asyncio.sleep(retry_s)
                 retry_s = min(RETRY_MOST_S, retry_s * 2)
                 continue
-            if self.last_failure_s > self.last_answer_s:
-                logger.info("feed: {} is followed again", self._prefix)
+            if self.last_failure_s > self.last_answer_s > float("-inf"):
+                logger.info(
+                    "feed: followed again",
+                    prefix=self.prefix,
+                    revision=self.revision,
+                    away_ms=int((time.monotonic() - self.last_answer_s) * 1000),
+                )
             self.last_answer_s = time.monotonic()
             retry_s = RETRY_FIRST_S
 
     def _note_failure(self, error: CodedError) -> None:
         if self.last_failure_s <= self.last_answer_s:
-            logger.warning("feed: {} is not followed: {}", self._prefix, error.reason)
+            logger.warning(
+                "feed: not followed",
+                prefix=self.prefix,
+                revision=self.revision,
+                reason=error.reason,
+            )
         self.last_failure_s = time.monotonic()
 
     def _replace(self, answer: WatchAnswer) -> None:
+        if answer.revision < self.revision:
+            raise PlatformUnavailable(f"the list of {self.prefix} is out of date")
         listed = {item.path for item in answer.objects}
         gone = tuple(path for path in self.objects if path not in listed)
-        self._revision = answer.revision
-        self.synced.set()
+        self.revision = answer.revision
+        if not self.is_synced:
+            self._first_revision = answer.revision
         self._publish(answer.objects, gone)
+        self.synced.set()
 
     def _apply(self, answer: WatchAnswer) -> None:
-        self._revision = answer.revision
+        self.revision = max(self.revision, answer.revision)
         self._publish(answer.objects, answer.deleted)
 
     def _publish(
@@ -113,5 +145,61 @@
         gone = tuple(path for path in deleted if self.objects.pop(path, None))
         if not changed and not gone:
             return
+        for path in gone:
+            self._removals.append((self.revision, path))
+        while len(self._removals) > KEPT_REMOVALS:
+            self._first_revision = self._removals.popleft()[0]
+        self._changed.set()
+        self._changed = asyncio.Event()
         for listener in self._listeners:
             listener(tuple(changed), gone)
+
+    # -- for other daemons
+
+    def snapshot(self) -> WatchAnswer:
+        """Return the whole copy.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If it is not known to be up to date.
+        """
+        self._check_fresh()
+        return WatchAnswer(self.revision, tuple(self.objects.values()))
+
+    async def changes(self, after: int, timeout_s: float) -> WatchAnswer:
+        """Return what has changed after a revision, waiting up to `timeout_s`.
+
+        Raises
+        ------
+        HistoryGone
+            If the changes since then are not all known here.
+        PlatformUnavailable
+            If the copy is not known to be up to date.
+        """
+        self._check_fresh()
+        if after < self._first_revision:
+            raise HistoryGone(f"changes of {self.prefix} after {after} are unknown")
+        answer = self._changes_since(after)
+        if answer.objects or answer.deleted:
+            return answer
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
+        except TimeoutError:
+            self._check_fresh()
+        return self._changes_since(after)
+
+    def _changes_since(self, after: int) -> WatchAnswer:
+        objects = [item for item in self.objects.values() if item.version > after]
+        deleted = [path for revision, path in self._removals if revision > after]
+        return WatchAnswer(
+            self.revision,
+            tuple(objects),
+            tuple(path for path in deleted if path not in self.objects),
+        )
+
+    def _check_fresh(self) -> None:
+        age_s = time.monotonic() - self.last_answer_s
+        if not self.is_synced or age_s > STALE_S:
+            raise PlatformUnavailable(f"{self.prefix} was last confirmed {age_s} s ago")
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -24,8 +24,8 @@
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.routes import RequestKind, RouteTable
 from greengagetack.http1.pool import Pool
-from greengagetack.objects.base import ObjectConflict, PlatformObject
-from greengagetack.objects.feed import Feed
+from greengagetack.objects.base import ObjectConflict, PlatformObject, WatchAnswer
+from greengagetack.objects.feed import Feed, FeedSource
 from greengagetack.observability.metrics import Metrics
 from greengagetack.peers.node import listening_socket
 from greengagetack.platform import documents, wire
@@ -52,8 +52,15 @@
 
 MEMBERS = "members/"
 CLAIMS = "dispatch/"
-# A store that has gone silent is noticed after this time.
-WATCH_S = 6.0
+# The claim changes seldom, and pings show its loss.
+CLAIM_WATCH_S = 10.0
+# A watch of the store that has gone silent is noticed after this time; the bound on
+# configurations is 2 s.
+LEAD_WATCH_S = 0.8
+PEER_WATCH_S = 1.0
+JOB_WATCH_S = 2.0
+# After a daemon has not answered, the store is watched for this long.
+PEER_PAUSE_S = 1.0
 REPLICA_CONNECT_S = 0.3
 REGISTER_PAUSE_S = 0.3
 # The platform takes a daemon out after two failed questions, one second apart.
@@ -83,13 +90,15 @@
         self._direct = DirectTransport(facts.store, self._metrics)
         transport = RelayedTransport(self._direct, self._relay)
         self._store = PlatformStore(transport, facts.value_limit_bytes)
-        self._config = Feed(self._store, f"{wire.CONFIG_KIND}/", WATCH_S)
-        self._servers = Feed(self._store, f"{wire.SERVERS_KIND}/", WATCH_S)
-        self._members_feed = Feed(self._store, MEMBERS, WATCH_S)
-        self._claims = Feed(self._store, CLAIMS, WATCH_S)
+        self._config = Feed(self._source, f"{wire.CONFIG_KIND}/", self._wait_s)
+        self._servers = Feed(self._source, f"{wire.SERVERS_KIND}/", self._wait_s)
+        self._members_feed = Feed(self._source, MEMBERS, self._wait_s)
+        self._claims = Feed(lambda: self._store, CLAIMS, lambda: CLAIM_WATCH_S)
         # Followed only by the daemon that runs the jobs.
-        self._versions = Feed(self._store, f"{wire.VERSIONS_KIND}/", WATCH_S)
-        self._jobs = Feed(self._store, JOBS, WATCH_S)
+        self._versions = Feed(
+            lambda: self._store, f"{wire.VERSIONS_KIND}/", lambda: JOB_WATCH_S
+        )
+        self._jobs = Feed(lambda: self._store, JOBS, lambda: JOB_WATCH_S)
         self._fleet = Fleet(lambda: self._servers.last_failure_s)
         self._table: RouteTable | None = None
         self._config_version = 0
@@ -109,7 +118,9 @@
         self._claim = ClaimDuty(
             self._me, self._store, self._claims, self._members, self._on_claim
         )
+        self._peer_failed_s = float("-inf")
         self._peers = PeerClient(self._dispatcher_address, self._other_addresses)
+        self._peer_source = _PeerSource(self._peers, self._claim, self._note_peer)
         self._reader = JobReader(self._ledger, self._dispatcher, self._peers)
         forwarder = Forwarder(
             self._fleet, pool, dialect, facts.availability_zone, self._metrics
@@ -120,6 +131,7 @@
             self._ledger,
             self._reader,
             self._dispatcher,
+            self._peers,
             self._metrics,
         )
         self._lease = OrderLease(facts.node, self._store, facts.orders_apart_s)
@@ -143,6 +155,26 @@
 
     # -- state of the surroundings
 
+    def _source(self) -> FeedSource:
+        """Return where to follow what all daemons follow.
+
+        Only the daemon that runs the jobs watches the store, so that calls do not
+        grow with daemons times changes; the others watch it, and the store while it
+        does not answer.
+        """
+        failed_s = time.monotonic() - self._peer_failed_s
+        is_known = self._claim.claimer is not None and not self._claim.is_mine
+        if is_known and failed_s > PEER_PAUSE_S:
+            return self._peer_source
+        return self._store
+
+    def _note_peer(self, answered: bool) -> None:
+        if not answered:
+            self._peer_failed_s = time.monotonic()
+
+    def _wait_s(self) -> float:
+        return LEAD_WATCH_S if self._claim.is_mine else PEER_WATCH_S
+
     def _members(self) -> dict[str, Member]:
         members: dict[str, Member] = {}
         for stored in self._members_feed.objects.values():
@@ -328,7 +360,14 @@
         control = HttpServer(
             bounded_config(
                 build_peer_application(
-                    self._pong, self._reader, self._dispatcher, self._call_store
+                    self._pong,
+                    self._reader,
+                    self._dispatcher,
+                    {
+                        feed.prefix: feed
+                        for feed in (self._config, self._servers, self._members_feed)
+                    },
+                    self._call_store,
                 ),
                 date_header=False,
             )
@@ -402,3 +441,31 @@
         except Exception as error:
             logger.opt(exception=error).error("daemon: part failed", part=name)
             await asyncio.sleep(RESTART_PAUSE_S)
+
+
+class _PeerSource:
+    """Follows the copy of the daemon that runs the jobs."""
+
+    def __init__(
+        self, peers: PeerClient, claim: ClaimDuty, note: Callable[[bool], None]
+    ) -> None:
+        self._peers = peers
+        self._claim = claim
+        self._note = note
+
+    async def list(self, prefix: str) -> WatchAnswer:
+        """Return all objects of the copy."""
+        return await self._noted(self._peers.snapshot(prefix))
+
+    async def watch(self, prefix: str, after: int, timeout_s: float) -> WatchAnswer:
+        """Wait for changes of the copy."""
+        return await self._noted(self._peers.changes(prefix, after, timeout_s))
+
+    async def _noted(self, call: Awaitable[WatchAnswer]) -> WatchAnswer:
+        try:
+            answer = await call
+        except PeerUnreachable:
+            self._note(False)
+            raise
+        self._claim.note_heard()
+        return answer
--- a/greengagetack/platform/ingress.py
+++ b/greengagetack/platform/ingress.py
@@ -29,6 +29,7 @@
 from greengagetack.observability.metrics import Metrics
 from greengagetack.platform import wire
 from greengagetack.platform.batch_api import decode_submission, encode_results
+from greengagetack.siblings.client import PeerClient
 
 __all__ = ["Ingress"]
 
@@ -74,6 +75,7 @@
         ledger: Ledger,
         reader: JobReader,
         dispatcher: Dispatcher,
+        peers: PeerClient,
         metrics: Metrics,
     ) -> None:
         self._table = table
@@ -81,6 +83,8 @@
         self._ledger = ledger
         self._reader = reader
         self._dispatcher = dispatcher
+        self._peers = peers
+        self._hints: set[asyncio.Task[None]] = set()
         self._metrics = metrics
         self.is_draining = False
 
@@ -163,6 +167,7 @@
         job, items = decode_submission(job_id, body, route)
         is_new = await self._ledger.accept(job, items, ACCEPT_LIMIT_S)
         self._reader.keep_items(job_id, items)
+        self._hint(job_id, is_ended=False)
         logger.info(
             "batch: job accepted",
             request_id=job_id,
@@ -201,11 +206,21 @@
 
     async def _end(self, job_id: str) -> Reply:
         is_known = await self._ledger.end(job_id)
+        if is_known:
+            self._hint(job_id, is_ended=True)
         logger.info("batch: job ended by its sender", request_id=job_id, known=is_known)
         if not is_known:
             raise NotFound(f"there is no job {job_id}")
         return _reply(200, b"{}")
 
+    def _hint(self, job_id: str, is_ended: bool) -> None:
+        if self._dispatcher.is_active:
+            self._dispatcher.take_hint(job_id, is_ended)
+            return
+        task = asyncio.create_task(self._peers.hint(job_id, is_ended))
+        self._hints.add(task)
+        task.add_done_callback(self._hints.discard)
+
     # -- answers
 
     async def _send_reply(self, reply: Reply, send: Send) -> None:
--- a/greengagetack/platform/storage.py
+++ b/greengagetack/platform/storage.py
@@ -31,7 +31,9 @@
         self._path = f"{wire.RETIREMENTS_KIND}/{facts.node}"
         transport = DirectTransport(facts.store, Metrics())
         self._store = PlatformStore(transport, facts.value_limit_bytes)
-        self._feed = Feed(self._store, f"{wire.RETIREMENTS_KIND}/", WATCH_S)
+        self._feed = Feed(
+            lambda: self._store, f"{wire.RETIREMENTS_KIND}/", lambda: WATCH_S
+        )
         self._feed.subscribe(self._on_request)
         self._asked = asyncio.Event()
 
--- a/greengagetack/siblings/claim.py
+++ b/greengagetack/siblings/claim.py
@@ -23,6 +23,9 @@
 
 CLAIM_PATH = "dispatch/main"
 PING_INTERVAL_S = 0.25
+# Daemons further down in the ranking look less often.
+FAR_RANK = 2
+FAR_PING_INTERVAL_S = 1.0
 # Pings that are lost in a short stall are no reason to take over.
 SILENCE_S = 0.75
 # The next daemon in the ranking waits this much longer.
@@ -109,11 +112,28 @@
     async def run(self, peers: PeerClient) -> None:
         """Watch the claimer until cancelled."""
         while True:
-            await asyncio.sleep(PING_INTERVAL_S)
+            await asyncio.sleep(self._ping_interval_s())
             if not self._feed.is_synced or self.is_mine or self.is_leaving:
                 continue
             await self._look(peers)
 
+    def _ping_interval_s(self) -> float:
+        claimer = self.claimer
+        salt = claimer.incarnation if claimer else ""
+        rank = rank_of(self._me.node, self._members(), salt)
+        is_silent = time.monotonic() - self._heard_s > FAR_PING_INTERVAL_S
+        is_far = rank >= FAR_RANK and claimer is not None and not is_silent
+        return FAR_PING_INTERVAL_S if is_far else PING_INTERVAL_S
+
+    @property
+    def silent_s(self) -> float:
+        """Seconds since the claimer was last heard of."""
+        return time.monotonic() - self._heard_s
+
+    def note_heard(self) -> None:
+        """Take an answer that shows that the claimer lives."""
+        self._heard_s = time.monotonic()
+
     async def _look(self, peers: PeerClient) -> None:
         claimer = self.claimer
         salt = claimer.incarnation if claimer else ""
--- a/greengagetack/siblings/client.py
+++ b/greengagetack/siblings/client.py
@@ -6,13 +6,17 @@
 from typing import TypeVar
 from urllib.parse import quote
 
+from loguru import logger
+
 from greengagetack.batches.job import Segment
 from greengagetack.batches.progress import ProgressSnapshot
-from greengagetack.errors import NotFound, PeerUnreachable, PlatformUnavailable
+from greengagetack.errors import PeerUnreachable, PlatformUnavailable
 from greengagetack.http1.message import ExchangeError, Request
 from greengagetack.http1.pool import Pool
+from greengagetack.objects.base import HistoryGone, WatchAnswer
 from greengagetack.siblings.messages import (
     HandOver,
+    JobHint,
     Pong,
     RelayAnswer,
     RelayCall,
@@ -26,13 +30,15 @@
 
 CONNECT_TIMEOUT_S = 0.4
 CALL_TIMEOUT_S = 0.5
+# The dispatcher answers a read this long after its wait at the latest.
+READ_MARGIN_S = 0.3
 RELAY_TIMEOUT_S = 1.2
 HAND_OVER_TIMEOUT_S = 1.5
 RELAY_TRIES = 2
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 RETRY_AFTER_S = 0.5
 OK = 200
-NOT_FOUND = 404
+GONE = 410
 
 T = TypeVar("T")
 
@@ -74,7 +80,7 @@
         """
         path = f"/peer/segments/{quote(job_id)}?first={first}&wait_s={wait_s:.3f}"
         address = self._known_dispatcher()
-        body = await self._call(address, "GET", path, b"", CALL_TIMEOUT_S + wait_s)
+        body = await self._call(address, "GET", path, b"", READ_MARGIN_S + wait_s)
         return _decoded(body, Segments).segments
 
     async def body(self, job_id: str, item_id: str) -> bytes:
@@ -83,6 +89,45 @@
         address = self._known_dispatcher()
         return await self._call(address, "GET", path, b"", CALL_TIMEOUT_S)
 
+    async def hint(self, job_id: str, is_ended: bool) -> None:
+        """Tell the dispatcher of a job; without an answer it finds out by itself."""
+        try:
+            body = encode(JobHint(job_id, is_ended))
+            address = self._known_dispatcher()
+            await self._call(address, "POST", "/peer/jobs", body, CALL_TIMEOUT_S)
+        except PeerUnreachable as error:
+            logger.debug("peers: hint on {} not sent: {}", job_id, error.reason)
+
+    async def snapshot(self, prefix: str) -> WatchAnswer:
+        """Return the dispatcher's copy of a prefix.
+
+        Raises
+        ------
+        PeerUnreachable
+            If it does not answer, or its copy is not up to date.
+        """
+        path = f"/peer/objects/{quote(prefix, safe='')}"
+        address = self._known_dispatcher()
+        body = await self._call(address, "GET", path, b"", CALL_TIMEOUT_S)
+        return _decoded(body, WatchAnswer)
+
+    async def changes(self, prefix: str, after: int, timeout_s: float) -> WatchAnswer:
+        """Wait for changes in the dispatcher's copy of a prefix.
+
+        Raises
+        ------
+        HistoryGone
+            If the dispatcher does not know all changes since then.
+        PeerUnreachable
+            If it does not answer, or its copy is not up to date.
+        """
+        path = f"/peer/objects/{quote(prefix, safe='')}"
+        path += f"?after={after}&wait_s={timeout_s:.3f}"
+        address = self._known_dispatcher()
+        limit_s = CALL_TIMEOUT_S + timeout_s
+        body = await self._call(address, "GET", path, b"", limit_s)
+        return _decoded(body, WatchAnswer)
+
     async def hand_over(
         self, address: Address, snapshots: list[ProgressSnapshot]
     ) -> None:
@@ -106,7 +151,7 @@
                 answer = await self._call(
                     address, "POST", "/peer/store", call, RELAY_TIMEOUT_S + wait_s
                 )
-            except (PeerUnreachable, NotFound):
+            except PeerUnreachable:
                 continue
             self._relay = address
             return _decoded(answer, RelayAnswer)
@@ -139,6 +184,8 @@
                     content = await connection.read_all(MAX_ANSWER_BYTES)
         except (ExchangeError, TimeoutError) as error:
             raise PeerUnreachable(f"{address}: {error!r}", RETRY_AFTER_S) from error
+        if head.status == GONE:
+            raise HistoryGone(f"{address} does not know the changes of {path}")
         if head.status != OK:
             raise PeerUnreachable(f"{address} answered {head.status}", RETRY_AFTER_S)
         return content
--- a/greengagetack/siblings/messages.py
+++ b/greengagetack/siblings/messages.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "HandOver",
+    "JobHint",
     "Member",
     "Pong",
     "RelayAnswer",
@@ -51,6 +52,14 @@
     snapshots: list[ProgressSnapshot]
 
 
+@dataclass(frozen=True, slots=True)
+class JobHint:
+    """Tells the dispatcher of a job that was accepted or ended just now."""
+
+    job_id: str
+    is_ended: bool
+
+
 @dataclass(frozen=True, slots=True)
 class RelayCall:
     """A call to the store on behalf of a daemon that does not reach it."""
--- a/greengagetack/siblings/server.py
+++ b/greengagetack/siblings/server.py
@@ -10,8 +10,10 @@
 from greengagetack.batches.dispatcher import Dispatcher
 from greengagetack.batches.reading import JobReader
 from greengagetack.errors import CodedError
+from greengagetack.objects.feed import Feed
 from greengagetack.siblings.messages import (
     HandOver,
+    JobHint,
     Pong,
     RelayAnswer,
     RelayCall,
@@ -31,6 +33,7 @@
     pong: Callable[[], Pong],
     reader: JobReader,
     dispatcher: Dispatcher,
+    feeds: dict[str, Feed],
     call_store: Callable[[RelayCall], Awaitable[RelayAnswer]],
 ) -> Starlette:
     """Return the HTTP application on a daemon's control address."""
@@ -52,6 +55,21 @@
             return Response(status_code=NOT_FOUND)
         return Response(item.body)
 
+    async def objects(request: Request) -> Response:
+        feed = feeds.get(request.path_params["prefix"])
+        if feed is None or not dispatcher.is_active:
+            return Response(status_code=NOT_FOUND)
+        after = request.query_params.get("after")
+        if after is None:
+            return Response(encode(feed.snapshot()))
+        wait_s = min(MAX_WAIT_S, float(request.query_params["wait_s"]))
+        return Response(encode(await feed.changes(int(after), wait_s)))
+
+    async def job(request: Request) -> Response:
+        hint = decode(await request.body(), type=JobHint)
+        dispatcher.take_hint(hint.job_id, hint.is_ended)
+        return Response()
+
     async def progress(request: Request) -> Response:
         hand_over = decode(await request.body(), type=HandOver)
         dispatcher.adopt(hand_over.snapshots)
@@ -70,6 +88,8 @@
             Route("/peer/ping", ping),
             Route("/peer/segments/{job_id}", segments),
             Route("/peer/bodies/{job_id}/{item_id}", body),
+            Route("/peer/objects/{prefix:path}", objects),
+            Route("/peer/jobs", job, methods=["POST"]),
             Route("/peer/progress", progress, methods=["POST"]),
             Route("/peer/store", store, methods=["POST"]),
         ],
