Name a successor when the daemon that runs the jobs stops

Ruled out: hand-over of progress (it arrived). Change: the claim goes to a daemon that was heard of in the last two seconds, and the stopping one opens jobs and runs items until it is asked for its progress.

--- a/features/run.py
+++ b/features/run.py
@@ -1,8 +1,10 @@
 """features.run: runs all features and holds them against the known failures."""
 
 import json
+import subprocess
 import sys
 import tempfile
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -14,6 +16,22 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 RED_PREFIX = "scenario: "
+# Passed to a process that runs one feature: where it writes its verdict.
+VERDICT_OPTION = "--verdict"
+# Features that run at once; each starts up to ten processes.
+AT_ONCE = 4
+# Their scenarios wait for real processes most of the time.
+LONG_FEATURES = frozenset(
+    {
+        "cell_processes.feature",
+        "platform_calls.feature",
+        "platform_jobs.feature",
+        "promises.feature",
+        "settings_daemons.feature",
+        "shards.feature",
+        "standins.feature",
+    }
+)
 
 
 @dataclass(frozen=True)
@@ -55,8 +73,8 @@
     return Verdict(tuple(passed), tuple(failed))
 
 
-def main(arguments: list[str]) -> int:
-    """Run behave and return 0 if only known scenarios failed."""
+def run_features(paths: list[str]) -> Verdict:
+    """Run features in this process."""
     with tempfile.TemporaryDirectory() as folder:
         report_path = Path(folder) / "report.json"
         # The formatter without a file of its own writes to standard output.
@@ -69,13 +87,54 @@
                 str(report_path),
                 "--format",
                 "progress",
-                *(arguments or [str(ROOT / "features")]),
+                *paths,
             ]
         )
         if not report_path.exists():
-            print("behave wrote no report")
-            return 1
-        verdict = collect_verdict(json.loads(report_path.read_text()))
+            return Verdict((), ("behave wrote no report",))
+        return collect_verdict(json.loads(report_path.read_text()))
+
+
+def run_apart(path: Path) -> Verdict:
+    """Run one feature in a process of its own; print its output once it has ended."""
+    with tempfile.TemporaryDirectory() as folder:
+        verdict_path = Path(folder) / "verdict.json"
+        child = subprocess.run(
+            [sys.executable, "-m", "features.run", VERDICT_OPTION, verdict_path, path],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            check=False,
+        )
+        print(child.stdout, end="", flush=True)
+        if not verdict_path.exists():
+            return Verdict((), (f"{path.name}: ended with {child.returncode}",))
+        passed, failed = json.loads(verdict_path.read_text())
+        return Verdict(tuple(passed), tuple(failed))
+
+
+def run_side_by_side() -> Verdict:
+    """Run all features, several at once; the longest start first."""
+    paths = sorted(
+        (ROOT / "features").glob("*.feature"),
+        key=lambda path: (path.name not in LONG_FEATURES, path.name),
+    )
+    with ThreadPoolExecutor(AT_ONCE) as pool:
+        verdicts = list(pool.map(run_apart, paths))
+    return Verdict(
+        tuple(name for verdict in verdicts for name in verdict.passed),
+        tuple(name for verdict in verdicts for name in verdict.failed),
+    )
+
+
+def main(arguments: list[str]) -> int:
+    """Run behave and return 0 if only known scenarios failed."""
+    if arguments[:1] == [VERDICT_OPTION]:
+        verdict = run_features(arguments[2:])
+        Path(arguments[1]).write_text(json.dumps([verdict.passed, verdict.failed]))
+        return 0
+    verdict = run_features(arguments) if arguments else run_side_by_side()
     known = read_known_red(KNOWN_RED)
     new = [name for name in verdict.failed if name not in known]
     for name in verdict.failed:
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -116,7 +116,10 @@
             self._me, self._store, self._claims, self._members, self._on_claim
         )
         self._peer_failed_s = float("-inf")
-        self._peers = PeerClient(self._dispatcher_address, self._other_addresses)
+        self._followers: dict[str, float] = {}
+        self._peers = PeerClient(
+            facts.node, self._dispatcher_address, self._other_addresses
+        )
         self._peer_source = _PeerSource(self._peers, self._claim, self._note_peer)
         self._reader = JobReader(self._ledger, self._dispatcher, self._peers)
         forwarder = Forwarder(
@@ -267,6 +270,17 @@
             replicas.append(replica)
         self._fleet.update(replicas, removed)
 
+    def _note_follower(self, node: str) -> None:
+        if node:
+            self._followers[node] = time.monotonic()
+
+    def _successor(self) -> Member | None:
+        """Return the daemon that was heard of last, None without a recent one."""
+        recent = max(self._followers.items(), key=lambda e: e[1], default=("", 0.0))
+        if time.monotonic() - recent[1] > 2 * PEER_WATCH_S:
+            return None
+        return self._members().get(recent[0])
+
     def _on_claim(self) -> None:
         """Begin or cease to run the jobs as the claim says."""
         is_mine = self._claim.is_mine and not self._claim.is_leaving
@@ -277,17 +291,19 @@
             ]
             self._waves.is_active = True
             self._spawn(self._activate, "activate")
-        if not is_mine and self._claim_tasks:
+        if not is_mine and self._waves.is_active:
             self._waves.is_active = False
+            self._spawn(self._lease.release, "release lease")
+        has_heir = not self._claim.is_leaving or self._claim.claimer is not None
+        if not is_mine and has_heir and self._claim_tasks:
             for task in self._claim_tasks:
                 task.cancel()
             self._claim_tasks = []
-            self._spawn(self._lease.release, "release lease")
         if not is_mine and self._dispatcher.is_active:
             # A daemon that gave up the claim keeps its runs until they are asked for.
             if not self._claim.is_leaving:
                 self._dispatcher.deactivate()
-            elif self._claim.claimer is not None:
+            elif has_heir:
                 loop = asyncio.get_running_loop()
                 loop.call_later(HAND_OVER_S, self._dispatcher.deactivate)
 
@@ -359,6 +375,7 @@
                         feed.prefix: feed
                         for feed in (self._config, self._servers, self._members_feed)
                     },
+                    self._note_follower,
                     self._call_store,
                 ),
                 date_header=False,
@@ -397,7 +414,8 @@
         until_s = stopped_s + self._facts.grace_s - STOP_MARGIN_S
         logger.info("daemon: stopping")
         self._ingress.is_draining = True
-        await self._claim.give_up()
+        self._peers.node = ""
+        await self._claim.give_up(self._successor())
         self._on_claim()
         await asyncio.sleep(max(0.0, stopped_s + ROTATION_S - time.monotonic()))
         front.should_exit = True
--- a/greengagetack/siblings/claim.py
+++ b/greengagetack/siblings/claim.py
@@ -178,14 +178,18 @@
             logger.warning("claim: not taken: {}", error.reason)
         self._heard_s = time.monotonic()
 
-    async def give_up(self) -> None:
-        """Leave the claim to others."""
+    async def give_up(self, successor: Member | None) -> None:
+        """Leave the claim to a successor, or to whoever takes it first."""
         self.is_leaving = True
         stored = self._feed.objects.get(CLAIM_PATH)
         if not self.is_mine or stored is None:
             return
-        vacant = msgspec.to_builtins(Member(VACANT, "", "", "", self._me.control))
+        heir = successor or Member(VACANT, "", "", "")
+        claim = dataclasses.replace(heir, former=self._me.control)
         try:
-            await self._store.write(CLAIM_PATH, vacant, stored.version)
+            await self._store.write(
+                CLAIM_PATH, msgspec.to_builtins(claim), stored.version
+            )
+            logger.info("claim: given up", successor=heir.node)
         except CodedError as error:
             logger.warning("claim: not given up: {}", error.reason)
--- a/greengagetack/siblings/client.py
+++ b/greengagetack/siblings/client.py
@@ -47,6 +47,8 @@
 
     Parameters
     ----------
+    node : str
+        This VM; empty once it is leaving and must not become the dispatcher.
     dispatcher : callable
         Returns the address of the daemon that runs the jobs, None if unknown.
     others : callable
@@ -55,9 +57,11 @@
 
     def __init__(
         self,
+        node: str,
         dispatcher: Callable[[], Address | None],
         others: Callable[[], list[Address]],
     ) -> None:
+        self.node = node
         self._dispatcher = dispatcher
         self._others = others
         self._pool = Pool(CONNECT_TIMEOUT_S)
@@ -121,7 +125,7 @@
             If it does not answer, or its copy is not up to date.
         """
         path = f"/peer/objects/{quote(prefix, safe='')}"
-        path += f"?after={after}&wait_s={timeout_s:.3f}"
+        path += f"?after={after}&wait_s={timeout_s:.3f}&node={quote(self.node)}"
         address = self._known_dispatcher()
         limit_s = CALL_TIMEOUT_S + timeout_s
         body = await self._call(address, "GET", path, b"", limit_s)
--- a/greengagetack/siblings/server.py
+++ b/greengagetack/siblings/server.py
@@ -34,6 +34,7 @@
     reader: JobReader,
     dispatcher: Dispatcher,
     feeds: dict[str, Feed],
+    on_follower: Callable[[str], None],
     call_store: Callable[[RelayCall], Awaitable[RelayAnswer]],
 ) -> Starlette:
     """Return the HTTP application on a daemon's control address."""
@@ -62,6 +63,7 @@
         after = request.query_params.get("after")
         if after is None:
             return Response(encode(feed.snapshot()))
+        on_follower(request.query_params.get("node", ""))
         wait_s = min(MAX_WAIT_S, float(request.query_params["wait_s"]))
         return Response(encode(await feed.changes(int(after), wait_s)))
 
