Load each model only on its share of the replicas

Change: replicas are divided among the models by the work they were asked for, and loads at a time are bounded for the whole fleet.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -67,16 +67,30 @@
       | released | 60    | 0    |
 
   Scenario Outline: Which engines load a version now
-    When engines <engines> are to load version 3
+    When engines <engines> are to load version 3 with room for <room>
     Then the loads begin at <chosen>
 
     Examples:
-      | engines                        | chosen |
-      | a:2/5 b:2/1 c:2/9 d:2/3 e:2/7  | b,d    |
-      | a:2/5 b:3/1 c:2/9:loading d:3/3 e:3/7 | a |
-      | a:2/5:waiting b:3/1            | none   |
-      | a:2/5                          | a      |
-      | a:1/9 b:2/0                    | a      |
+      | engines                               | room | chosen |
+      | a:2/5 b:2/1 c:2/9 d:2/3 e:2/7         | 2    | b,d    |
+      | a:2/5 b:3/1 c:2/9:loading d:3/3 e:3/7 | 1    | a      |
+      | a:2/5:waiting b:3/1                   | 1    | none   |
+      | a:2/5                                 | 1    | a      |
+      | a:2/5                                 | 0    | none   |
+      | a:1/9 b:2/0                           | 1    | a      |
+
+  Scenario Outline: Engines that keep the newest version of each model
+    When <count> engines serve models with demands <demands>
+    Then the models have <homes> engines, none of them shared <shared>
+
+    Examples:
+      | count | demands     | homes     | shared |
+      | 5     | a:10        | a:5       | no     |
+      | 22    | a:1 b:1     | a:11 b:11 | no     |
+      | 22    | a:0 b:0     | a:11 b:11 | no     |
+      | 22    | a:3 b:1     | a:16 b:6  | no     |
+      | 22    | a:1 b:0     | a:20 b:2  | no     |
+      | 3     | a:1 b:1     | a:3 b:3   | yes    |
 
   Scenario Outline: How long a claimer must be silent
     When the daemon of rank <rank> sees a claim that is <state>
--- a/features/steps/platform_decisions_steps.py
+++ b/features/steps/platform_decisions_steps.py
@@ -17,6 +17,7 @@
 from greengagetack.http1.connection import open_connection
 from greengagetack.http1.message import AnswerBroken, Request
 from greengagetack.siblings.claim import takeover_delay_s
+from greengagetack.weights.homes import assign_homes
 from greengagetack.weights.order_lease import OrderLeaseRecord, takeover_wait_s
 from greengagetack.weights.waves import LoadCandidate, choose_loads
 from greengagetack.world import Address
@@ -135,8 +136,8 @@
     assert abs(context.wait_s - wait) < 1e-9, context.wait_s
 
 
-@when("engines {engines} are to load version {version:d}")
-def step_loads(context: Context, engines: str, version: int) -> None:
+@when("engines {engines} are to load version {version:d} with room for {room:d}")
+def step_loads(context: Context, engines: str, version: int, room: int) -> None:
     candidates = []
     for text in engines.split():
         name, load, *marks = text.split(":")
@@ -150,7 +151,7 @@
                 "waiting" in marks,
             )
         )
-    context.loads = choose_loads(candidates, version)
+    context.loads = choose_loads(candidates, version, room)
 
 
 @then("the loads begin at {chosen}")
@@ -158,6 +159,20 @@
     assert _joined(context.loads) == chosen, context.loads
 
 
+@when("{count:d} engines serve models with demands {demands}")
+def step_homes(context: Context, count: int, demands: str) -> None:
+    wanted = {name: float(value) for name, value in _table(demands).items()}
+    context.homes = assign_homes((f"i-{number}" for number in range(count)), wanted)
+
+
+@then("the models have {homes} engines, none of them shared {shared}")
+def step_homes_are(context: Context, homes: str, shared: str) -> None:
+    sizes = {model: len(replicas) for model, replicas in context.homes.items()}
+    assert sizes == _table(homes), sizes
+    everywhere = [name for replicas in context.homes.values() for name in replicas]
+    assert (len(everywhere) != len(set(everywhere))) == (shared == "yes")
+
+
 @when("the daemon of rank {rank:d} sees a claim that is {state}")
 def step_rank(context: Context, rank: int, state: str) -> None:
     context.wait_s = takeover_delay_s(rank, state == "vacant")
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -83,6 +83,7 @@
         self._paces = PaceBook()
         self._running: dict[str, tuple[JobRun, ItemProgress, str]] = {}
         self.loading: set[str] = set()
+        self.demand: dict[str, float] = {}
         self._wake = asyncio.Event()
         self.is_active = False
         jobs.subscribe(self._on_jobs)
@@ -213,6 +214,7 @@
                 await asyncio.sleep(OPEN_RETRY_S)
         run = JobRun(job, items, log, self._ledger, self._metrics, self._progress_of)
         self._runs[job.job_id] = run
+        self.demand[job.model] = float(sum(item.tokens for item in items))
         logger.info(
             "dispatch: job opened",
             request_id=job.job_id,
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -142,6 +142,7 @@
             self._named_versions,
             self._services_of,
             self._is_single,
+            lambda: self._dispatcher.demand,
             self._dispatcher.loading,
             self._dispatcher.wake,
             self._metrics,
--- a/greengagetack/weights/wave_duty.py
+++ b/greengagetack/weights/wave_duty.py
@@ -11,9 +11,10 @@
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.replicas.replica import ReplicaState
+from greengagetack.weights.homes import assign_homes
 from greengagetack.weights.order_lease import OrderLease
 from greengagetack.weights.orders import LoadMode, LoadOrder, OrderEnd, OrderSender
-from greengagetack.weights.waves import LoadCandidate, choose_loads
+from greengagetack.weights.waves import LoadCandidate, choose_loads, most_loads
 
 __all__ = ["WaveDuty"]
 
@@ -49,6 +50,8 @@
         Returns the services whose replicas may serve a model.
     is_single : callable
         Whether results of a model must come from one version only.
+    demand : callable
+        Returns the tokens that each model was asked for of late.
     loading : set of str
         Replicas that are loading, shared with the part that sends items.
     """
@@ -61,6 +64,7 @@
         named: Callable[[], dict[str, int]],
         services_of: Callable[[str], list[str]],
         is_single: Callable[[str], bool],
+        demand: Callable[[], dict[str, float]],
         loading: set[str],
         on_loaded: Callable[[], None],
         metrics: Metrics,
@@ -72,6 +76,7 @@
         self._named = named
         self._services_of = services_of
         self._is_single = is_single
+        self._demand = demand
         self._loading = loading
         self._on_loaded = on_loaded
         self._metrics = metrics
@@ -101,29 +106,47 @@
             self._loading.clear()
 
     def _order_loads(self) -> None:
-        now_s = time.monotonic()
-        for model, version in self._named().items():
-            states = {
-                state.replica.replica_id: state
-                for service in self._services_of(model)
-                for state in self._fleet.of_service(service)
-                if not state.replica.is_draining
-                and state.replica.version_of(model) is not None
-            }
+        named = self._named()
+        states: dict[str, ReplicaState] = {}
+        for model in named:
+            for service in self._services_of(model):
+                for state in self._fleet.of_service(service):
+                    if not state.replica.is_draining:
+                        states[state.replica.replica_id] = state
+        demand = self._demand()
+        homes = assign_homes(states, {name: demand.get(name, 0.0) for name in named})
+        room = most_loads(len(states)) - len(self._loads)
+        # The model that is furthest behind comes first.
+        for model in sorted(named, key=lambda name: -self._behind(name, named, states)):
             candidates = [
-                LoadCandidate(
-                    replica_id,
-                    state.version_of(model),
-                    state.in_flight,
-                    replica_id in self._loads,
-                    replica_id in self._busy
-                    or now_s < self._pauses.get(replica_id, 0.0)
-                    or now_s < state.suspended_until_s,
-                )
-                for replica_id, state in states.items()
+                self._candidate(model, states[replica_id])
+                for replica_id in homes[model]
+                if states[replica_id].replica.version_of(model) is not None
             ]
-            for replica_id in choose_loads(candidates, version):
-                self._begin(states[replica_id], model, version)
+            for replica_id in choose_loads(candidates, named[model], room):
+                self._begin(states[replica_id], model, named[model])
+                room -= 1
+
+    def _behind(
+        self, model: str, named: dict[str, int], states: dict[str, ReplicaState]
+    ) -> int:
+        """Return by how many versions the best replica is behind."""
+        best = max((state.version_of(model) for state in states.values()), default=0)
+        return named[model] - best
+
+    def _candidate(self, model: str, state: ReplicaState) -> LoadCandidate:
+        replica_id = state.replica.replica_id
+        now_s = time.monotonic()
+        is_paused = (
+            now_s < self._pauses.get(replica_id, 0.0) or now_s < state.suspended_until_s
+        )
+        return LoadCandidate(
+            replica_id,
+            state.version_of(model),
+            state.in_flight,
+            replica_id in self._loads,
+            replica_id in self._busy or is_paused,
+        )
 
     def _begin(self, state: ReplicaState, model: str, version: int) -> None:
         replica_id = state.replica.replica_id
