--- a/features/platform_jobs.feature
+++ b/features/platform_jobs.feature
@@ -62,6 +62,24 @@
       | forgets its history                  |
       | refuses the daemon that runs the jobs |
 
+  Scenario: The store serves one daemon only
+    Given a platform with 2 engines and 4 daemons
+    When the platform's store refuses all daemons but edge-2
+    And job "j1" with 2 groups of 4 is submitted at edge-1
+    And job "j2" with 2 groups of 4 is submitted at edge-3
+    And job "j3" with 2 groups of 4 is submitted at edge-4
+    Then no submission took longer than 1500 ms
+    And job "j1" is whole at edge-4
+    And job "j2" is whole at edge-1
+    And job "j3" is whole at edge-3
+
+  Scenario: A repeated submission is confirmed while the store is away
+    Given a platform with 1 engines and 1 daemons
+    When job "j1" with 1 groups of 2 is submitted at edge-1
+    And the platform's store goes silent
+    And job "j1" with 1 groups of 2 is submitted at edge-1
+    Then no submission took longer than 1500 ms
+
   Scenario Outline: An engine misbehaves while a job runs
     Given a platform with 2 engines and 2 daemons
     When replica engine-1 <fault>
@@ -107,6 +125,12 @@
     When job "j1" with 2 groups of 4 is submitted at edge-1
     Then the body of item "j1-1-3" of "j1" is read at edge-2
 
+  Scenario: Bodies are readable after many later jobs
+    Given a platform with 1 engines and 1 daemons
+    And the engines make an event each 300 ms
+    When 9 jobs "a" with 2 groups of 2 are submitted at edge-1
+    Then the body of item "a1-1-1" of "a1" is read at edge-1
+
   Scenario: Items that come again in a later job go on from what was made of them
     Given a platform with 1 engines and 1 daemons
     And the engines make an event each 200 ms
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -33,6 +33,7 @@
     world = PlatformWorld()
     context.world = world
     context.submissions = {}
+    context.longest_submission_s = 0.0
     context.read_results = {}
     context.answers = {}
     context.add_cleanup(world.close)
@@ -77,7 +78,10 @@
 
 def _submit(context: Context, submission: Submission, edge: str) -> None:
     context.submissions[submission.job_id] = submission
+    started_s = time.monotonic()
     answer = _world(context).submit(edge, submission)
+    took_s = time.monotonic() - started_s
+    context.longest_submission_s = max(context.longest_submission_s, took_s)
     assert answer.status == 202, (answer.status, answer.body)
 
 
@@ -86,6 +90,16 @@
     _submit(context, Submission(job, groups, size), edge)
 
 
+@when(
+    '{count:d} jobs "{job}" with {groups:d} groups of {size:d} are submitted at {edge}'
+)
+def step_submit_many(
+    context: Context, count: int, job: str, groups: int, size: int, edge: str
+) -> None:
+    for number in range(1, count + 1):
+        _submit(context, Submission(f"{job}{number}", groups, size), edge)
+
+
 @when(
     'job "{job}" with {groups:d} groups of {size:d} and oldest version {version:d} '
     "is submitted at {edge}"
@@ -108,6 +122,11 @@
     context.submissions[later] = former
 
 
+@then("no submission took longer than {limit:d} ms")
+def step_submission_time(context: Context, limit: int) -> None:
+    assert context.longest_submission_s < limit / 1000, context.longest_submission_s
+
+
 def _is_whole(context: Context, job: str, edge: str) -> bool:
     submission: Submission = context.submissions[job]
     results = _world(context).all_results(edge, job)
@@ -348,10 +367,14 @@
         world.on_loop(world.store.forget_history)
         return
     if fault == "refuses the daemon that runs the jobs":
-        number = int(world.dispatcher().rpartition("-")[2])
-        found.refused_ips.add(f"127.0.0.{10 + number}")
+        found.refused_ips.add(world.ip_of(world.dispatcher()))
         return
     words = fault.split()
+    if words[:4] == ["refuses", "all", "daemons", "but"]:
+        refused = [name for name in world.edges if name != words[4]]
+        found.refused_ips.update(world.ip_of(name) for name in refused)
+        time.sleep(0.5)
+        return
     if words[0] == "loses":
         found.lose_answers = int(words[4])
         return
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -220,8 +220,7 @@
 
     def start_edge(self, name: str) -> Process:
         """Start a daemon, at its former address if it had one."""
-        number = int(name.rpartition("-")[2])
-        ip = f"127.0.0.{10 + number}"
+        ip = self.ip_of(name)
         if name not in self._addresses:
             ports = {part: _free_port(ip) for part in ("front", "ready", "control")}
             self._addresses[name] = {part: f"{ip}:{p}" for part, p in ports.items()}
@@ -233,6 +232,11 @@
         self.edges[name] = process
         return process
 
+    @staticmethod
+    def ip_of(name: str) -> str:
+        """Return a daemon's address number."""
+        return f"127.0.0.{10 + int(name.rpartition('-')[2])}"
+
     def _settings(self, name: str, ip: str) -> str:
         listen = "\n".join(
             f'{part} = "{address}"' for part, address in self._addresses[name].items()
--- a/greengagetack/batches/ledger.py
+++ b/greengagetack/batches/ledger.py
@@ -5,6 +5,7 @@
 runners of a job can waste work but never double or change a result.
 """
 
+import dataclasses
 from typing import Any, Protocol
 
 import msgspec
@@ -60,8 +61,10 @@
     def __init__(self, store: LedgerStore) -> None:
         self._store = store
 
-    async def accept(self, job: Job, items: tuple[Item, ...], limit_s: float) -> bool:
-        """Store a job with its items; return False if it was there already.
+    async def accept(
+        self, job: Job, items: tuple[Item, ...], limit_s: float
+    ) -> Job | None:
+        """Store a job with its items; return it, None if it was there already.
 
         Raises
         ------
@@ -80,13 +83,13 @@
                 )
             except ObjectConflict:
                 logger.debug("ledger: items of {} were stored before", job.job_id)
-        value = msgspec.to_builtins(job)
-        value["item_parts"] = len(parts)
+        accepted = dataclasses.replace(job, item_parts=len(parts))
+        value = msgspec.to_builtins(accepted)
         try:
             await self._store.write(f"{JOBS}{job.job_id}", value, 0, limit_s)
         except ObjectConflict:
-            return False
-        return True
+            return None
+        return accepted
 
     def _split(self, items: tuple[Item, ...]) -> list[list[Any]]:
         limit_bytes = int(self._store.value_limit_bytes * PART_RATIO)
--- a/greengagetack/batches/reading.py
+++ b/greengagetack/batches/reading.py
@@ -59,6 +59,10 @@
         self.keep_job(job)
         return job
 
+    def knows(self, job_id: str) -> bool:
+        """Whether a job is known to be accepted, without asking the store."""
+        return job_id in self._jobs or self._dispatcher.job_of(job_id) is not None
+
     def keep_job(self, job: Job) -> None:
         """Keep a job that is known to be accepted."""
         self._jobs[job.job_id] = job
--- /dev/null
+++ b/greengagetack/cli/commands/explain.py
@@ -0,0 +1,43 @@
+"""greengagetack.cli.commands.explain: ``greengagetack explain``."""
+
+from pathlib import Path
+
+import click
+
+from greengagetack.cli.registry import command
+from greengagetack.observability.explain import LogLine, parse_lines, tell
+
+__all__ = ["explain"]
+
+NOT_FOUND_EXIT_CODE = 6
+
+
+@command
+@click.command()
+@click.argument("request")
+@click.argument(
+    "files", nargs=-1, required=True, type=click.Path(exists=True, dir_okay=False)
+)
+@click.option("--state/--no-state", default=True, help="Show state changes around it.")
+def explain(request: str, files: tuple[str, ...], state: bool) -> None:
+    """Tell from daemons' logs in FILES what became of REQUEST.
+
+    REQUEST is the identifier of a call, of a batch job or of a job's item.
+    """
+    lines: list[LogLine] = []
+    for name in files:
+        with Path(name).open(encoding="utf-8", errors="replace") as file:
+            lines += parse_lines(file)
+    story = tell(lines, request)
+    if not story.own:
+        click.echo(f"no line of {len(files)} logs names {request}", err=True)
+        raise SystemExit(NOT_FOUND_EXIT_CODE)
+    if story.job_id:
+        click.echo(f"{request} is an item of job {story.job_id}")
+    own = set(story.own)
+    surroundings = set(story.state)
+    for offset_ms, line in story.rows():
+        if line in surroundings and not state:
+            continue
+        mark = "*" if line in own else " "
+        click.echo(f"{offset_ms:>9.1f} ms {mark} {line.node}: {line.text()}")
--- a/greengagetack/observability/logs.py
+++ b/greengagetack/observability/logs.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import sys
+import time
 from collections import deque
 from contextvars import ContextVar
 from typing import TYPE_CHECKING
@@ -79,23 +80,26 @@
             self._dropped += 1
             return
         self._budget -= 1
-        self._report_drops(now_s, record["time"].timestamp())
+        if now_s - self._drop_reported_s > DROP_REPORT_S:
+            self._drop_reported_s = now_s
+            self.report_dropped()
         self._pending.append(_line(record))
         self._flush()
 
-    def _report_drops(self, now_s: float, time_s: float) -> None:
-        if not self._dropped or now_s - self._drop_reported_s < DROP_REPORT_S:
+    def report_dropped(self) -> None:
+        """Write how many lines were dropped since the last report, if any."""
+        if not self._dropped:
             return
         fields = {
-            "time": round(time_s, 4),
+            "time": round(time.time(), 4),
             "level": "WARNING",
-            "node": self._node,
             "message": "logs: lines were dropped",
+            "node": self._node,
             "count": self._dropped,
         }
         self._dropped = 0
-        self._drop_reported_s = now_s
         self._pending.append(msgspec.json.encode(fields) + b"\n")
+        self._flush()
 
     def _flush(self) -> None:
         while self._pending:
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -18,7 +18,7 @@
 from greengagetack.batches.reading import JobReader
 from greengagetack.daemons.main import HttpServer
 from greengagetack.daemons.protocol import bounded_config
-from greengagetack.errors import CodedError, PeerUnreachable
+from greengagetack.errors import CodedError, PeerUnreachable, PlatformUnavailable
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.routes import RequestKind, RouteTable
 from greengagetack.http1.pool import Pool
@@ -85,8 +85,8 @@
             facts.availability_zone,
         )
         self._direct = DirectTransport(facts.store, self._metrics)
-        transport = RelayedTransport(self._direct, self._relay)
-        self._store = PlatformStore(transport, facts.value_limit_bytes)
+        self._transport = RelayedTransport(self._direct, self._relay)
+        self._store = PlatformStore(self._transport, facts.value_limit_bytes)
         self._config = Feed(self._source, f"{wire.CONFIG_KIND}/", self._wait_s)
         self._servers = Feed(self._source, f"{wire.SERVERS_KIND}/", self._wait_s)
         self._members_feed = Feed(self._source, MEMBERS, self._wait_s)
@@ -207,7 +207,15 @@
         return StoreAnswer(answer.status, answer.body)
 
     async def _call_store(self, call: RelayCall) -> RelayAnswer:
-        """Call the store for a daemon that does not reach it."""
+        """Call the store for a daemon that does not reach it.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If this daemon does not reach it either.
+        """
+        if self._transport.is_direct_failing:
+            raise PlatformUnavailable("this daemon does not reach the store either")
         answer = await self._direct.call(
             call.method, call.target, call.body, call.wait_s
         )
--- a/greengagetack/platform/ingress.py
+++ b/greengagetack/platform/ingress.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from greengagetack.batches.dispatcher import Dispatcher
+from greengagetack.batches.job import Job
 from greengagetack.batches.ledger import Ledger
 from greengagetack.batches.reading import JobReader
 from greengagetack.daemons.responses import error_body
@@ -94,7 +95,7 @@
             return
         arrived_s = time.monotonic()
         headers = tuple(scope["headers"])
-        request_id = _header(headers, wire.REQUEST_ID)
+        request_id = _header(headers, wire.REQUEST_ID) or _job_id(scope["path"])
         kind = "unrouted"
         try:
             kind, answer = await self._answer(
@@ -125,7 +126,7 @@
         body = await _read_body(receive, table.configuration.limits.max_body_bytes)
         path = scope["path"]
         if path.startswith((RESULTS_PATH, BODIES_PATH)):
-            work = self._batch_call(scope, headers, request_id)
+            work = self._batch_call(scope, headers)
             return "batch", await _while_connected(work, receive)
         raw_path = scope["raw_path"].decode("latin-1")
         route = table.find(_header(headers, b"host"), raw_path)
@@ -165,9 +166,13 @@
         if not job_id or "/" in job_id:
             raise InvalidRequest("the job has no identifier")
         job, items = decode_submission(job_id, body, route)
-        is_new = await self._ledger.accept(job, items, ACCEPT_LIMIT_S)
-        self._reader.keep_items(job_id, items)
-        self._hint(job_id, is_ended=False)
+        accepted: Job | None = None
+        if not self._reader.knows(job_id):
+            accepted = await self._ledger.accept(job, items, ACCEPT_LIMIT_S)
+            self._reader.keep_items(job_id, items)
+            self._hint(job_id, is_ended=False)
+        if accepted is not None:
+            self._reader.keep_job(accepted)
         logger.info(
             "batch: job accepted",
             request_id=job_id,
@@ -176,13 +181,13 @@
             model=job.model,
             min_version=job.min_version,
             items=len(items),
-            is_new=is_new,
+            is_new=accepted is not None,
             ms=int((time.monotonic() - arrived_s) * MS_PER_S),
         )
         return _reply(202, b"")
 
     async def _batch_call(
-        self, scope: Scope, headers: tuple[tuple[bytes, bytes], ...], request_id: str
+        self, scope: Scope, headers: tuple[tuple[bytes, bytes], ...]
     ) -> Reply:
         method, path = scope["method"], scope["path"]
         query = parse_qs(scope["query_string"].decode("latin-1"))
@@ -286,6 +291,14 @@
     return error.http_status
 
 
+def _job_id(path: str) -> str:
+    """Return the job that a path names, which identifies reads in the log."""
+    for prefix in (RESULTS_PATH, BODIES_PATH):
+        if path.startswith(prefix):
+            return unquote(path.removeprefix(prefix))
+    return ""
+
+
 def _header(headers: tuple[tuple[bytes, bytes], ...], name: bytes) -> str:
     for key, value in headers:
         if key == name:
--- a/greengagetack/platform/store.py
+++ b/greengagetack/platform/store.py
@@ -169,6 +169,11 @@
         self._relay = relay
         self._direct_failed_s = float("-inf")
 
+    @property
+    def is_direct_failing(self) -> bool:
+        """Whether the store refused this VM or did not answer it just now."""
+        return time.monotonic() - self._direct_failed_s < DIRECT_PAUSE_S
+
     async def call(
         self, method: str, target: str, body: bytes, wait_s: float
     ) -> StoreAnswer:
@@ -179,8 +184,7 @@
         PlatformUnavailable
             If no way gave an answer.
         """
-        now_s = time.monotonic()
-        if self._relay is not None and now_s - self._direct_failed_s < DIRECT_PAUSE_S:
+        if self._relay is not None and self.is_direct_failing:
             try:
                 answer = await self._relay(method, target, body, wait_s)
                 if answer.status not in REFUSED:
--- a/greengagetack/siblings/client.py
+++ b/greengagetack/siblings/client.py
@@ -33,11 +33,12 @@
 # The dispatcher answers a read this long after its wait at the latest.
 READ_MARGIN_S = 0.3
 RELAY_TIMEOUT_S = 1.2
-RELAY_TRIES = 2
+RELAY_TRIES = 4
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 RETRY_AFTER_S = 0.5
 OK = 200
 GONE = 410
+REFUSED = frozenset({429, 503})
 
 T = TypeVar("T")
 
@@ -154,8 +155,11 @@
                 )
             except PeerUnreachable:
                 continue
+            relayed = _decoded(answer, RelayAnswer)
+            if relayed.status in REFUSED:
+                continue
             self._relay = address
-            return _decoded(answer, RelayAnswer)
+            return relayed
         self._relay = None
         raise PlatformUnavailable("no daemon reaches the store", RETRY_AFTER_S)
 
