--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -60,7 +60,6 @@
 
     Examples:
       | state    | quiet | wait |
-      | none     | 0     | 0    |
       | held     | 0     | 4.9  |
       | released | 0     | 3.3  |
       | released | 2     | 1.3  |
--- a/features/steps/platform_decisions_steps.py
+++ b/features/steps/platform_decisions_steps.py
@@ -18,7 +18,7 @@
 from greengagetack.http1.message import AnswerBroken, Request
 from greengagetack.siblings.claim import takeover_delay_s
 from greengagetack.weights.homes import assign_homes
-from greengagetack.weights.order_lease import OrderLeaseRecord, takeover_wait_s
+from greengagetack.weights.order_lease import takeover_wait_s
 from greengagetack.weights.waves import LoadCandidate, choose_loads
 from greengagetack.world import Address
 
@@ -125,10 +125,7 @@
 
 @when("a lease of {state} with {quiet:g} s of quiet is seen, orders apart {apart:g} s")
 def step_lease(context: Context, state: str, quiet: float, apart: float) -> None:
-    record = None
-    if state != "none":
-        record = OrderLeaseRecord("a", 1, 0, state == "released", quiet)
-    context.wait_s = takeover_wait_s(record, apart)
+    context.wait_s = takeover_wait_s(state == "released", quiet, apart)
 
 
 @then("it may be taken after {wait:g} s")
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -302,7 +302,7 @@
             self._spawn(self._activate, "activate")
         if not is_mine and self._waves.is_active:
             self._waves.is_active = False
-            self._spawn(self._lease.release, "release lease")
+            self._spawn(self._release_lease, "release lease")
         has_heir = not self._claim.is_leaving or self._claim.claimer is not None
         if not is_mine and has_heir and self._claim_tasks:
             for task in self._claim_tasks:
@@ -316,6 +316,11 @@
                 loop = asyncio.get_running_loop()
                 loop.call_later(HAND_OVER_S, self._dispatcher.deactivate)
 
+    async def _release_lease(self) -> None:
+        # An order under way would reach its replica after the release.
+        await self._waves.settled()
+        await self._lease.release()
+
     async def _activate(self) -> None:
         claimer = self._claim.claimer
         if claimer is not None and claimer.former:
--- a/greengagetack/weights/order_lease.py
+++ b/greengagetack/weights/order_lease.py
@@ -37,13 +37,27 @@
     quiet_s: float = 0.0
 
 
-def takeover_wait_s(record: OrderLeaseRecord | None, apart_s: float) -> float:
-    """Return how long a lease must be seen unchanged before another may take it."""
-    if record is None:
-        return 0.0
-    if record.is_released:
-        return max(0.0, apart_s + DRIFT_MARGIN_S - record.quiet_s)
-    return LEASE_S + apart_s + DRIFT_MARGIN_S
+def takeover_wait_s(
+    is_released: bool,
+    quiet_s: float,
+    apart_s: float,
+    lease_s: float = LEASE_S,
+    drift_s: float = DRIFT_MARGIN_S,
+) -> float:
+    """Return how long a lease must be seen unchanged before another may take it.
+
+    The model calls this with ticks for seconds.
+
+    Parameters
+    ----------
+    quiet_s : float
+        How long ago the holder had sent its last order when it released the lease.
+    apart_s : float
+        How far orders of two holders must lie apart.
+    """
+    if is_released:
+        return max(0.0, apart_s + drift_s - quiet_s)
+    return lease_s + apart_s + drift_s
 
 
 def _pause_proof_s() -> float:
@@ -108,13 +122,17 @@
             self._seen_version = version
             self._seen_s = now_s
         is_own = record is not None and record.node == self._node
-        wait_s = 0.0 if is_own else takeover_wait_s(record, self._apart_s)
+        wait_s = 0.0
+        if record is not None and not is_own:
+            wait_s = takeover_wait_s(record.is_released, record.quiet_s, self._apart_s)
         left_s = self._seen_s + wait_s - now_s
         if left_s > 0:
             self._next_look_s = now_s + min(LOOK_S, left_s)
             return
         fence = record.fence + 1 if record else 1
         sent_s = _pause_proof_s()
+        # Orders from before a lapse or a restart are not remembered.
+        self._last_order_s = sent_s
         await self._write(OrderLeaseRecord(self._node, fence, 0), version, sent_s)
         if self._is_held:
             logger.info(
--- a/greengagetack/weights/wave_duty.py
+++ b/greengagetack/weights/wave_duty.py
@@ -100,6 +100,11 @@
             if self._lease.may_order():
                 self._order_loads()
 
+    async def settled(self) -> None:
+        """Wait until no order is under way any more."""
+        while self._exchanges:
+            await asyncio.wait(self._exchanges)
+
     def _forget(self) -> None:
         if self._loads:
             self._loads.clear()
