Pass streams on event by event and resume them where allowed

Cause: a route for streams sent the replica's bytes on as they came, so that a break in the middle of an event reached the caller, and a caller that left went unseen. Change: whole events only; a resumable stream goes on after its last event at another replica, another one ends with its connection; a caller that leaves ends the run. Reads of ended jobs are answered from the dispatcher's log if every commit of it is known.

--- a/features/platform_calls.feature
+++ b/features/platform_calls.feature
@@ -89,3 +89,24 @@
     Then "r1" is answered with 200 and its replica's bytes
     And edge-1 is not ready
     And edge-1 ends with code 0
+
+  Scenario: A stream that breaks goes on at another replica where that is allowed
+    Given a platform with 2 engines and 1 daemons
+    When replica engine-1 breaks each stream off after 2 events
+    And replica engine-2 breaks each stream off after 3 events
+    And a chat stream "s1" is read at edge-1
+    Then stream "s1" is whole, each event once
+    And "s1" was sent on from a later event
+
+  Scenario: A stream that may not be resumed ends without looking whole
+    Given a platform with 1 engines and 1 daemons
+    When replica engine-1 breaks each stream off after 2 events
+    And a plain stream "s1" is read at edge-1
+    Then stream "s1" is cut after 2 whole events
+    And "s1" reached the replicas 1 times
+
+  Scenario: A caller that leaves its stream ends the run
+    Given a platform with 1 engines and 1 daemons
+    And the engines make an event each 100 ms
+    When a client reads 2 events of chat stream "s1" at edge-1 and leaves
+    Then the run of "s1" is cut within 700 ms
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,5 +1,6 @@
 """features.steps.platform_steps: daemons on the platform, as processes."""
 
+import http.client
 import json
 import socket
 import threading
@@ -11,18 +12,21 @@
 
 from features.support.platform_world import (
     BOOKING_PREFIX,
+    CHAT_PREFIX,
     ENGINE_SERVICE,
     HOST_NAME,
     JOBS_PREFIX,
     LOOKUP_PREFIX,
     PLAIN_SERVICE,
+    STREAM_PREFIX,
     PlatformWorld,
     Submission,
     wait_for,
 )
-from standins.replica import output_of
+from standins.replica import MODEL, output_of
 
 BREAK_OFF_S = 2.0
+MANY_EVENTS = 1_000
 
 
 def _world(context: Context) -> PlatformWorld:
@@ -608,6 +612,80 @@
     assert _world(context).edges[edge].wait() == code
 
 
+# -- streams
+
+
+def _stream(
+    context: Context, prefix: str, request_id: str, edge: str, most: int
+) -> None:
+    world = _world(context)
+    connection = world.connect(edge)
+    headers = {"Host": HOST_NAME, "X-Request-Id": request_id, "X-Model": MODEL}
+    connection.request("POST", f"{prefix}{request_id}", b"prompt", headers)
+    response = connection.getresponse()
+    assert response.status == 200, response.status
+    context.stream, context.is_cut = b"", False
+    try:
+        while context.stream.count(b"\n\n") < most:
+            part = response.read1(1_024)
+            if not part:
+                break
+            context.stream += part
+    except (http.client.IncompleteRead, OSError):
+        context.is_cut = True
+    response.close()
+    connection.close()
+
+
+@when('a chat stream "{request_id}" is read at {edge}')
+def step_chat(context: Context, request_id: str, edge: str) -> None:
+    _stream(context, CHAT_PREFIX, request_id, edge, MANY_EVENTS)
+
+
+@when('a plain stream "{request_id}" is read at {edge}')
+def step_stream(context: Context, request_id: str, edge: str) -> None:
+    _stream(context, STREAM_PREFIX, request_id, edge, MANY_EVENTS)
+
+
+@when(
+    'a client reads {most:d} events of chat stream "{request_id}" at {edge} and leaves'
+)
+def step_leave_stream(context: Context, most: int, request_id: str, edge: str) -> None:
+    _stream(context, CHAT_PREFIX, request_id, edge, most)
+
+
+def _events(context: Context, request_id: str) -> list[str]:
+    blocks = context.stream.decode().split("\n\n")[:-1]
+    data = [line for block in blocks for line in block.split("\n") if "data:" in line]
+    return [line.removeprefix("data: ") for line in data]
+
+
+@then('stream "{request_id}" is whole, each event once')
+def step_stream_whole(context: Context, request_id: str) -> None:
+    events = next(iter(_world(context).replicas.values())).events
+    expected = output_of(request_id, events).split("\n")
+    assert _events(context, request_id) == expected, context.stream
+    assert not context.is_cut
+
+
+@then('"{request_id}" was sent on from a later event')
+def step_sent_on(context: Context, request_id: str) -> None:
+    arrivals = [
+        arrival
+        for replica in _world(context).replicas.values()
+        for arrival in replica.arrivals
+        if arrival[0] == request_id
+    ]
+    assert any(after for _, after, _ in arrivals), arrivals
+
+
+@then('stream "{request_id}" is cut after {count:d} whole events')
+def step_stream_cut(context: Context, request_id: str, count: int) -> None:
+    assert context.is_cut, context.stream
+    assert len(_events(context, request_id)) == count, context.stream
+    assert context.stream.endswith(b"\n\n"), context.stream
+
+
 # -- weights
 
 
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -26,6 +26,9 @@
 JOBS_PREFIX = "/jobs/"
 LOOKUP_PREFIX = "/lookup/"
 BOOKING_PREFIX = "/booking/"
+CHAT_PREFIX = "/chat/"
+STREAM_PREFIX = "/stream/"
+RESUMABLE = {"resumable": True}
 ENGINE_SERVICE = "summariser"
 PLAIN_SERVICE = "fieldbook"
 WAIT_LIMIT_S = 30.0
@@ -156,6 +159,8 @@
             _route("jobs", JOBS_PREFIX, "rollout", ENGINE_SERVICE),
             _route("lookup", LOOKUP_PREFIX, "idempotent", PLAIN_SERVICE),
             _route("booking", BOOKING_PREFIX, "non_idempotent", PLAIN_SERVICE),
+            {**_route("chat", CHAT_PREFIX, "streaming", ENGINE_SERVICE), **RESUMABLE},
+            _route("feed", STREAM_PREFIX, "streaming", ENGINE_SERVICE),
         ]
         routes += [
             _route(f"r{prefix}", prefix, "idempotent", PLAIN_SERVICE)
@@ -277,6 +282,14 @@
 
     # -- clients
 
+    def connect(
+        self, edge: str, part: str = "front", timeout_s: float = 10.0
+    ) -> http.client.HTTPConnection:
+        """Return a new connection to a daemon."""
+        return http.client.HTTPConnection(
+            self._addresses[edge][part], timeout=timeout_s
+        )
+
     def call(
         self,
         edge: str,
@@ -288,9 +301,7 @@
         timeout_s: float = 10.0,
     ) -> Answer:
         """Send one request on a connection of its own."""
-        connection = http.client.HTTPConnection(
-            self._addresses[edge][part], timeout=timeout_s
-        )
+        connection = self.connect(edge, part, timeout_s)
         try:
             connection.request(
                 method, path, body, {"Host": HOST_NAME, **(headers or {})}
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -36,6 +36,8 @@
 # The watch usually tells of a new job within this time.
 HINT_PAUSE_S = 0.1
 KEPT_PROGRESSES = 2_000
+# Jobs that ended a while ago are still read by others.
+KEPT_CLOSED_LOGS = 12
 MS_PER_S = 1_000
 # Clocks of VMs differ; an item is given up only when all agree that it may be.
 TTL_MARGIN_S = 6.0
@@ -77,6 +79,7 @@
         self._item_tasks: dict[str, asyncio.Task[None]] = {}
         self._progresses: OrderedDict[str, ItemProgress] = OrderedDict()
         self._group_homes: dict[tuple[str, str, int], None] = {}
+        self._closed_logs: OrderedDict[str, JobLog] = OrderedDict()
         self._adopted: dict[str, ProgressSnapshot] = {}
         self._hints: set[asyncio.Task[None]] = set()
         self._reserved: dict[str, int] = {}
@@ -106,6 +109,7 @@
             return []
         self.is_active = False
         logger.info("dispatch: this daemon no longer runs the jobs")
+        self._closed_logs.clear()
         running = [run for run in self._runs.values()]
         for job_id in list(self._tasks):
             self._close(job_id)
@@ -134,7 +138,9 @@
     def log_of(self, job_id: str) -> JobLog | None:
         """Return the committed results of a job that runs here."""
         run = self._runs.get(job_id)
-        return None if run is None else run.log
+        if run is not None:
+            return run.log
+        return self._closed_logs.get(job_id) if self.is_active else None
 
     def item_of(self, job_id: str, item_id: str) -> Item | None:
         """Return an item of a job that runs here."""
@@ -191,6 +197,10 @@
         run = self._runs.pop(job_id, None)
         if run is None:
             return
+        if not run.is_unsure:
+            self._closed_logs[job_id] = run.log
+        while len(self._closed_logs) > KEPT_CLOSED_LOGS:
+            self._closed_logs.popitem(last=False)
         for item_id in run.unfinished:
             item_task = self._item_tasks.get(item_id)
             if item_task is not None:
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -23,6 +23,7 @@
     next_step,
 )
 from greengagetack.gateway.routes import RequestKind, Route
+from greengagetack.gateway.stream import resumed_stream
 from greengagetack.http1.connection import Connection
 from greengagetack.http1.message import AnswerHead, ExchangeError
 from greengagetack.http1.pool import Pool
@@ -39,6 +40,9 @@
 FULL_PAUSE_S = 0.05
 # The answer leaves this long before the caller stops waiting.
 DEADLINE_MARGIN_S = 0.03
+# Pause before a broken stream looks for a replica again.
+REOPEN_PAUSE_S = 0.05
+OK = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +95,10 @@
         finally:
             run.cancel()
 
+    def listed(self, service: str) -> list[ReplicaState]:
+        """Return the replicas that discovery lists for a service."""
+        return self._fleet.of_service(service)
+
     def pick(self, service: str, tried: set[str]) -> ReplicaState | None:
         """Return the replica for the next attempt."""
         states = self._fleet.of_service(service)
@@ -98,12 +106,17 @@
         return choose_replica(states, tried, self._zone, now_s, self._rng)
 
     async def attempt(
-        self, call: Call, state: ReplicaState, until_s: float, streams: bool
+        self,
+        call: Call,
+        state: ReplicaState,
+        until_s: float,
+        streams: bool,
+        after_event: str | None = None,
     ) -> _Attempt:
-        """Send a call to one replica."""
+        """Send a call to one replica, for a stream after an event."""
         left_s = until_s - time.monotonic()
         replica = state.replica
-        request = self._dialect.attempt(call, replica, left_s * 1000)
+        request = self._dialect.attempt(call, replica, left_s * 1000, after_event)
         state.in_flight += 1
         started_s = time.monotonic()
         sent = False
@@ -115,7 +128,8 @@
                 sent = True
                 head = await connection.send(request, call.request_id.encode())
                 verdict = self._dialect.verdict(head)
-                if verdict is Verdict.RAN and streams:
+                is_stream = streams and head.status == OK
+                if verdict is Verdict.RAN and is_stream:
                     is_handed_over = True
                     parts = self._stream(connection, lease, state)
                     return _Attempt(AttemptResult.ANSWERED, Reply(head, b"", parts), "")
@@ -184,11 +198,18 @@
             self._route.objective_ms, self._route.may_repeat, self._route.max_attempts
         )
         if not self._start():
-            raise NoEndpoint(f"no replica of {self._service} is usable", RETRY_AFTER_S)
+            known = len(self._forwarder.listed(self._service))
+            raise NoEndpoint(
+                f"none of the {known} replicas of {self._service} is usable",
+                RETRY_AFTER_S,
+            )
         while True:
             left_s = self._until_s - time.monotonic() - DEADLINE_MARGIN_S
             if left_s <= 0:
-                raise DeadlineExceeded("no replica answered in time")
+                asked = ", ".join(sorted(self._tried))
+                raise DeadlineExceeded(
+                    f"no answer in time on route {self._route.name} from {asked}"
+                )
             done, _ = await asyncio.wait(
                 self._open,
                 timeout=min(left_s, hedge_s),
@@ -221,7 +242,7 @@
             self._until_s - time.monotonic() - DEADLINE_MARGIN_S,
         )
         if step is NextStep.DELIVER:
-            return attempt.reply
+            return self._delivered(attempt.reply)
         if step is NextStep.RETRY and self._start():
             return None
         if self._open:
@@ -230,6 +251,29 @@
             raise EndpointRefused(attempt.reason, RETRY_AFTER_S)
         raise EndpointFailed(attempt.reason)
 
+    def _delivered(self, reply: Reply | None) -> Reply | None:
+        if reply is None or reply.parts is None:
+            return reply
+        reopen = self._reopen if self._route.is_resumable else None
+        parts = resumed_stream(self._call, reply.parts, reopen)
+        return Reply(reply.head, reply.body, parts)
+
+    async def _reopen(self, after_event: str) -> AsyncIterator[bytes] | None:
+        """Open the stream again after an event, at another replica if there is one."""
+        while time.monotonic() < self._until_s:
+            state = self._forwarder.pick(self._service, self._tried)
+            if state is None:
+                self._tried.clear()
+                await asyncio.sleep(REOPEN_PAUSE_S)
+                continue
+            self._tried.add(state.replica.replica_id)
+            attempt = await self._forwarder.attempt(
+                self._call, state, self._until_s, True, after_event
+            )
+            if attempt.result is AttemptResult.ANSWERED:
+                return attempt.reply.parts if attempt.reply else None
+        return None
+
     def _start(self) -> bool:
         state = self._forwarder.pick(self._service, self._tried)
         if state is None:
--- a/greengagetack/platform/__main__.py
+++ b/greengagetack/platform/__main__.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import logging
 import signal
 import sys
 from typing import Protocol
@@ -60,6 +61,9 @@
         click.echo(f"{error.code}: {error.reason}\n{error.remedy}", err=True)
         sys.exit(USAGE_EXIT_CODE)
     configure_structured_logs(facts.node)
+    # The server prints a trace for each stream that is broken off on purpose; the
+    # parts log their own errors.
+    logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
     try:
         asyncio.run(_run(dataclasses.replace(facts, metrics_port=metrics_port)))
     except asyncio.CancelledError:
--- a/greengagetack/platform/ingress.py
+++ b/greengagetack/platform/ingress.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import parse_qs, unquote
 
 from loguru import logger
@@ -12,20 +12,18 @@
 from greengagetack.batches.job import Job
 from greengagetack.batches.ledger import Ledger
 from greengagetack.batches.reading import JobReader
-from greengagetack.daemons.responses import error_body
+from greengagetack.daemons.responses import error_body, unexpected_error
 from greengagetack.errors import (
     CodedError,
-    DeadlineExceeded,
     InvalidRequest,
     NotFound,
     NotReady,
-    Outcome,
     RequestTooLarge,
 )
 from greengagetack.gateway.call import Call
 from greengagetack.gateway.forward import Forwarder, Reply
 from greengagetack.gateway.routes import Route, RouteTable
-from greengagetack.http1.message import AnswerHead
+from greengagetack.http1.message import AnswerHead, ExchangeError
 from greengagetack.objects.base import WriteUnknown
 from greengagetack.observability.metrics import Metrics
 from greengagetack.platform import wire
@@ -34,6 +32,7 @@
 
 __all__ = ["Ingress"]
 
+T = TypeVar("T")
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -46,7 +45,8 @@
 ACCEPT_LIMIT_S = 3.0
 # What a client is told to wait when the daemon itself cannot serve.
 RETRY_AFTER_S = 0.3
-NOT_RUN_STATUS = 503
+# These promise that nothing ran and nothing will.
+PROMISE_STATUSES = frozenset({408, 421, 429, 503})
 UNKNOWN_STATUS = 502
 NO_BODY_STATUSES = frozenset({204, 304})
 HOP_HEADERS = frozenset(
@@ -56,6 +56,10 @@
 BODIES_PATH = "/items/"
 
 
+class _StreamBroken(Exception):
+    """Makes the server end the connection without the end of the answer."""
+
+
 class _ClientGone(Exception):
     """The client closed its connection."""
 
@@ -101,7 +105,7 @@
             kind, answer = await self._answer(
                 scope, headers, request_id, receive, arrived_s
             )
-            await self._send_reply(answer, send)
+            await _while_connected(self._send_reply(answer, send), receive)
         except _ClientGone:
             logger.info("entry: client left", request_id=request_id)
             self._metrics.add("requests", kind=kind, status="gone")
@@ -109,6 +113,20 @@
         except CodedError as error:
             await self._send_error(error, request_id, scope, arrived_s, send)
             return
+        except ExchangeError as error:
+            # The answer has begun; only a broken connection shows that it is not whole.
+            logger.warning(
+                "entry: stream broken off", request_id=request_id, reason=str(error)
+            )
+            self._metrics.add("requests", kind=kind, status="broken")
+            raise _StreamBroken from error
+        except Exception as error:
+            logger.opt(exception=error).error(
+                "entry: part failed", request_id=request_id
+            )
+            unexpected = unexpected_error()
+            await self._send_error(unexpected, request_id, scope, arrived_s, send)
+            return
         self._metrics.add("requests", kind=kind, status=str(answer.head.status))
         self._metrics.observe_s("request_s", time.monotonic() - arrived_s, kind=kind)
 
@@ -255,7 +273,7 @@
     ) -> None:
         status = _status_of(error)
         logger.info(
-            "entry: refused" if error.outcome is Outcome.NOT_RUN else "entry: failed",
+            "entry: refused" if status in PROMISE_STATUSES else "entry: failed",
             request_id=request_id,
             method=scope["method"],
             path=scope["path"][:80],
@@ -283,10 +301,7 @@
 
 def _status_of(error: CodedError) -> int:
     """Return the status; 429 and 503 promise that nothing ran and nothing will."""
-    if isinstance(error, DeadlineExceeded):
-        return error.http_status
-    is_promise = error.http_status in (429, NOT_RUN_STATUS)
-    if is_promise and isinstance(error, WriteUnknown):
+    if error.http_status in PROMISE_STATUSES and isinstance(error, WriteUnknown):
         return UNKNOWN_STATUS
     return error.http_status
 
@@ -334,7 +349,7 @@
             return b"".join(parts)
 
 
-async def _while_connected(work: Awaitable[Reply], receive: Receive) -> Reply:
+async def _while_connected(work: Awaitable[T], receive: Receive) -> T:
     """Return the work's result; cancel it when the client leaves.
 
     Raises
