--- a/features/platform_jobs.feature
+++ b/features/platform_jobs.feature
@@ -95,6 +95,14 @@
       | answers 2 requests under another's name |
       | refuses everything but one run          |
 
+  Scenario: Runs are not moved to and fro while the fast engine has no memory left
+    Given a platform with 2 engines of 60 tokens and 1 daemons
+    And the engines make an event each 60 ms
+    When replica engine-1 is 6 times slower
+    And job "j1" with 3 groups of 4 is submitted at edge-1
+    Then job "j1" is whole at edge-1
+    And the log of edge-1 has at most 24 lines on moved runs
+
   Scenario: An item that can never be made is listed as lost after one try
     Given a platform with 1 engines and 1 daemons
     When replica engine-1 calls item "j1-0-1" hopeless
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -53,6 +53,27 @@
     wait_for("a daemon runs the jobs", lambda: world.dispatcher() != "")
 
 
+@given(
+    "a platform with {engines:d} engines of {tokens:d} tokens and {daemons:d} daemons"
+)
+def step_small_engines(
+    context: Context, engines: int, tokens: int, daemons: int
+) -> None:
+    world = _start(context)
+    world.memory_tokens = tokens
+    world.configure(2)
+    for number in range(1, engines + 1):
+        world.add_replica(f"engine-{number}", events=30)
+    world.start_edges(daemons)
+
+
+@then("the log of {edge} has at most {most:d} lines on moved runs")
+def step_moves(context: Context, edge: str, most: int) -> None:
+    lines = [line["message"] for line in _world(context).logs(edge)]
+    moved = [line for line in lines if "moved from a slow" in line]
+    assert 0 < len(moved) <= most, len(moved)
+
+
 @given("a platform with {replicas:d} plain replicas and {daemons:d} daemons")
 def step_plain(context: Context, replicas: int, daemons: int) -> None:
     world = _start(context)
@@ -415,6 +436,8 @@
         replica.fault.foreign_answers = int(words[1])
     elif words[0] == "calls":
         replica.fault.hopeless.add(words[2].strip('"'))
+    elif words[0] == "is" and words[2:] == ["times", "slower"]:
+        replica.fault.slow_x = float(words[1])
     elif words[0] == "leaves":
         replica.fault.ignore_orders = int(words[1])
     else:
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -124,6 +124,7 @@
         self._addresses: dict[str, dict[str, str]] = {}
         self._serving: dict[str, asyncio.Task[None]] = {}
         self._store_address = self.loop.run(self._serve(self.store.app, "store"))
+        self.memory_tokens = 100_000
         self.configure(1)
 
     def close(self) -> None:
@@ -166,7 +167,7 @@
             _route(f"r{prefix}", prefix, "idempotent", PLAIN_SERVICE)
             for prefix in extra_routes
         ]
-        engine = {"slots": 4, "kv_capacity": 100_000, "stride": 1}
+        engine = {"slots": 4, "kv_capacity": self.memory_tokens, "stride": 1}
         services = [
             {"name": ENGINE_SERVICE, "health_path": "/healthz", "engine": engine},
             {"name": PLAIN_SERVICE, "health_path": "/healthz"},
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -42,6 +42,9 @@
 # Clocks of VMs differ; an item is given up only when all agree that it may be.
 TTL_MARGIN_S = 6.0
 TICK_S = 0.25
+# A run stays at least this long before it is moved, and does not go back at once.
+SETTLED_S = 0.3
+AVOID_S = 1.0
 DEFAULT_SLOTS = 8
 UNKNOWN_MEMORY_TOKENS = 1 << 40
 
@@ -328,9 +331,12 @@
         running = [
             Running(item_id, replica_id, self._events_left(run, progress))
             for item_id, (run, progress, replica_id) in self._running.items()
+            if now_s - progress.run_started_s > SETTLED_S
         ]
         for item_id in choose_moves(running, slow_s, free):
-            replica_id = self._running[item_id][2]
+            _, progress, replica_id = self._running[item_id]
+            progress.avoided_replica = replica_id
+            progress.avoided_until_s = now_s + AVOID_S
             logger.info(
                 "dispatch: run moved from a slow replica",
                 request_id=item_id,
@@ -361,6 +367,9 @@
                 continue
             if version < job.min_version:
                 continue
+            is_avoided = now_s < progress.avoided_until_s
+            if is_avoided and replica_id == progress.avoided_replica:
+                continue
             if job.single_version and progress.versions not in ([], [version]):
                 continue
             memory = self._facts.memory_tokens.get(job.service, UNKNOWN_MEMORY_TOKENS)
@@ -384,7 +393,8 @@
 
     def _start(self, run: JobRun, progress: ItemProgress, state: ReplicaState) -> None:
         progress.is_running = True
-        progress.started_s = progress.started_s or time.monotonic()
+        progress.run_started_s = time.monotonic()
+        progress.started_s = progress.started_s or progress.run_started_s
         state.in_flight += 1
         replica_id = state.replica.replica_id
         memory = self._expected_memory(progress)
--- a/greengagetack/batches/progress.py
+++ b/greengagetack/batches/progress.py
@@ -33,6 +33,10 @@
     is_hopeless: bool = False
     retry_at_s: float = 0.0
     started_s: float = 0.0
+    run_started_s: float = 0.0
+    # A replica that it was taken from, and until when it does not go back there.
+    avoided_replica: str = ""
+    avoided_until_s: float = 0.0
 
     def restart(self) -> None:
         """Forget the events; the next run starts from the beginning."""
