--- a/features/docs.feature
+++ b/features/docs.feature
@@ -25,3 +25,23 @@
       | settings.md             |
       | teams.md                |
       | following-a-request.md  |
+
+  Scenario Outline: Words of the users' platform stand only in its adapter
+    Then no module outside the adapter contains <word>
+
+    Examples:
+      | word               |
+      | x-deadline-ms      |
+      | x-expect-instance  |
+      | x-not-executed     |
+      | x-prompt-prefix    |
+      | x-response-seal    |
+      | x-token-usage      |
+      | x-weight-versions  |
+      | /lots/             |
+      | kv_capacity        |
+      | store_revision     |
+      | target_latency_ms  |
+      | traffic_split      |
+      | enforce_fencing    |
+      | num_waiting        |
--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -125,3 +125,19 @@
       | 200 id=r1 none ok                                                  | resets | broken | no   |
       | 200 id=r0 length=3 old + 200 id=r1 length=2 ok                     | stays  | 200 ok | no   |
       | garbage                                                            | stays  | broken | no   |
+
+  Scenario Outline: Jobs that are no longer owed
+    When a job of <age> s that is <state> is looked at, results kept 120 s
+    Then the job is <verdict>
+
+    Examples:
+      | age | state | verdict |
+      | 60  | ended | kept    |
+      | 230 | ended | kept    |
+      | 250 | ended | removed |
+      | 999 | open  | kept    |
+
+  Scenario: A removed job leaves nothing behind
+    Given a store with an ended job of 2 segments and 1 part
+    When the job is removed
+    Then the store is empty
--- a/features/steps/docs_steps.py
+++ b/features/steps/docs_steps.py
@@ -170,3 +170,15 @@
         if any(parameter.name == "server" for parameter in command.params):
             options += ["--server", "http://x"]
         command.make_context("greengagetack", options, parent=environment)
+
+
+@then("no module outside the adapter contains {word}")
+def step_no_word(context: Context, word: str) -> None:
+    package = ROOT / "greengagetack"
+    found = [
+        str(path.relative_to(ROOT))
+        for path in sorted(package.rglob("*.py"))
+        if "platform" not in path.relative_to(package).parts
+        and word in path.read_text().lower()
+    ]
+    assert found == [], found
--- a/features/steps/platform_decisions_steps.py
+++ b/features/steps/platform_decisions_steps.py
@@ -5,17 +5,20 @@
 import socket
 import struct
 
-from behave import then, when
+from behave import given, then, when
 from behave.runner import Context
 
 from features.support.loops import BackgroundLoop
 from greengagetack.batches.events import EventParser
+from greengagetack.batches.job import Job
+from greengagetack.batches.ledger import Ledger, is_forgettable
 from greengagetack.batches.order import WaitingGroup, needed_groups
 from greengagetack.batches.pace import Running, choose_moves
 from greengagetack.batches.placement import Candidate, choose_candidate
 from greengagetack.gateway.retry import AttemptResult, next_step
 from greengagetack.http1.connection import open_connection
 from greengagetack.http1.message import AnswerBroken, Request
+from greengagetack.objects.base import PlatformObject, WatchAnswer
 from greengagetack.siblings.claim import takeover_delay_s
 from greengagetack.weights.homes import assign_homes
 from greengagetack.weights.order_lease import takeover_wait_s
@@ -180,6 +183,68 @@
     assert abs(context.wait_s - wait) < 1e-9, context.wait_s
 
 
+def _job(job_id: str, is_ended: bool) -> Job:
+    return Job(
+        job_id, "r", "h", "s", 0, 7_500, 40, 3, 1, item_parts=1, is_ended=is_ended
+    )
+
+
+@when("a job of {age:d} s that is {state} is looked at, results kept {kept:d} s")
+def step_old_job(context: Context, age: int, state: str, kept: int) -> None:
+    job = _job("j1", state == "ended")
+    context.is_removed = is_forgettable(job, age * 1_000, kept)
+
+
+@then("the job is {verdict}")
+def step_removed(context: Context, verdict: str) -> None:
+    assert context.is_removed == (verdict == "removed")
+
+
+class _Names:
+    """A store that only lists and deletes."""
+
+    value_limit_bytes = 1_000
+
+    def __init__(self, paths: list[str]) -> None:
+        self.paths = paths
+
+    async def list(self, prefix: str, after: str = "") -> WatchAnswer:
+        segment = {"number": 0, "start": 0, "results": []}
+        found = [path for path in self.paths if path.startswith(prefix)]
+        return WatchAnswer(
+            1,
+            tuple(
+                PlatformObject(path, 1, "", {**segment, "number": number})
+                for number, path in enumerate(found)
+            ),
+        )
+
+    async def delete(self, path: str) -> None:
+        self.paths.remove(path)
+
+
+@given("a store with an ended job of 2 segments and 1 part")
+def step_store_of_job(context: Context) -> None:
+    context.store = _Names(
+        [
+            "jobs/j1",
+            "job-items/j1.000",
+            "job-results/j1.000000",
+            "job-results/j1.000001",
+        ]
+    )
+
+
+@when("the job is removed")
+def step_remove(context: Context) -> None:
+    asyncio.run(Ledger(context.store).forget(_job("j1", True)))
+
+
+@then("the store is empty")
+def step_empty(context: Context) -> None:
+    assert context.store.paths == [], context.store.paths
+
+
 @when("the bytes {text} arrive in parts of {size:d}")
 def step_event_bytes(context: Context, text: str, size: int) -> None:
     data = codecs.decode(text, "unicode_escape").encode()
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -9,7 +9,7 @@
 from greengagetack.batches.item_run import RunEnd, run_item
 from greengagetack.batches.job import Item, Job
 from greengagetack.batches.job_run import JobRun, expected_tokens_left
-from greengagetack.batches.ledger import JOBS, Ledger, job_of
+from greengagetack.batches.ledger import JOBS, Ledger, is_forgettable, job_of
 from greengagetack.batches.log import JobLog
 from greengagetack.batches.order import rank_items
 from greengagetack.batches.pace import PaceBook, Running, choose_moves, usual_pace_s
@@ -69,7 +69,9 @@
         dialect: ReplicaDialect,
         facts: EngineFacts,
         metrics: Metrics,
+        results_kept_s: float,
     ) -> None:
+        self._results_kept_s = results_kept_s
         self._ledger = ledger
         self._jobs = jobs
         self._fleet = fleet
@@ -258,6 +260,26 @@
         known.is_hopeless = False
         return known
 
+    async def sweep(self) -> None:
+        """Remove ended jobs whose results are no longer owed."""
+        if not self.is_active:
+            return
+        now_ms = time.time() * MS_PER_S
+        jobs = [job_of(stored) for stored in list(self._jobs.objects.values())]
+        for job in jobs:
+            if job is None or not is_forgettable(job, now_ms, self._results_kept_s):
+                continue
+            try:
+                await self._ledger.forget(job)
+            except CodedError as error:
+                logger.warning(
+                    "dispatch: job not removed",
+                    request_id=job.job_id,
+                    reason=error.reason,
+                )
+                return
+            logger.info("dispatch: job removed", request_id=job.job_id)
+
     # -- sending items
 
     def wake(self) -> None:
--- a/greengagetack/batches/ledger.py
+++ b/greengagetack/batches/ledger.py
@@ -15,7 +15,7 @@
 from greengagetack.errors import InvalidRequest, NotFound
 from greengagetack.objects.base import ObjectConflict, PlatformObject, WatchAnswer
 
-__all__ = ["JOBS", "Ledger", "LedgerStore", "job_of"]
+__all__ = ["JOBS", "Ledger", "LedgerStore", "is_forgettable", "job_of"]
 
 JOBS = "jobs/"
 ITEMS = "job-items/"
@@ -24,6 +24,9 @@
 PART_RATIO = 0.6
 SEGMENT_RATIO = 0.6
 END_ATTEMPTS = 5
+MS_PER_S = 1_000
+# Clocks of VMs may differ by this much.
+CLOCK_MARGIN_S = 120.0
 
 
 class LedgerStore(Protocol):
@@ -55,6 +58,18 @@
         return None
 
 
+def is_forgettable(job: Job, now_ms: float, kept_s: float) -> bool:
+    """Return whether nobody may ask for a job any more.
+
+    Parameters
+    ----------
+    kept_s : float
+        How long after its submission results stay readable, in seconds.
+    """
+    age_s = (now_ms - job.submitted_ms) / MS_PER_S
+    return job.is_ended and age_s > kept_s + CLOCK_MARGIN_S
+
+
 class Ledger:
     """Accepts jobs, commits their results and ends them."""
 
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -42,6 +42,7 @@
 from greengagetack.siblings.client import PeerClient
 from greengagetack.siblings.messages import Member, Pong, RelayAnswer, RelayCall
 from greengagetack.siblings.server import build_peer_application
+from greengagetack.timer import Timer
 from greengagetack.weights.order_lease import OrderLease
 from greengagetack.weights.wave_duty import WaveDuty
 from greengagetack.world import Address
@@ -68,6 +69,7 @@
 HAND_OVER_S = 1.0
 BACKLOG = 1_024
 RESTART_PAUSE_S = 0.2
+SWEEP_INTERVAL_S = 15.0
 
 
 class EdgeDaemon:
@@ -111,6 +113,7 @@
             dialect,
             self._engines,
             self._metrics,
+            facts.results_kept_s,
         )
         self._claim = ClaimDuty(
             self._me, self._store, self._claims, self._members, self._on_claim
@@ -151,6 +154,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._claim_tasks: list[asyncio.Task[None]] = []
         self._stop = asyncio.Event()
+        self._timer = Timer()
         self._config.subscribe(self._on_config)
         self._servers.subscribe(self._on_servers)
 
@@ -418,6 +422,7 @@
         self._spawn(lambda: self._claim.run(self._peers), "claim")
         self._spawn(self._dispatcher.run, "dispatch")
         self._spawn(self._waves.run, "weights")
+        self._timer.subscribe(SWEEP_INTERVAL_S, self._dispatcher.sweep, "sweep")
         await self._stop.wait()
         await self._shut_down(front, serving)
 
@@ -438,6 +443,7 @@
                 await asyncio.shield(serving[-1])
         except TimeoutError:
             logger.warning("daemon: requests were still open at the end")
+        self._timer.close()
         for task in [*self._tasks, *self._claim_tasks, *serving]:
             task.cancel()
         logger.info("daemon: stopped", ms=int((time.monotonic() - stopped_s) * 1000))
