Write checkpoints of long items, so that they go on after the loss of all daemons

Ruled out: the takeover itself (jobs were open again 0.3 s after the start). Change: once a second the dispatcher writes the events of items with 12 or more to one object, the longest first; whoever runs the jobs next goes on from there.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -141,3 +141,15 @@
     Given a store with an ended job of 2 segments and 1 part
     When the job is removed
     Then the store is empty
+
+  Scenario Outline: Progress that is worth a checkpoint
+    When items with events <events> of 10 bytes are to fit into <limit> bytes
+    Then the checkpoint holds <kept>
+
+    Examples:
+      | events       | limit | kept  |
+      | a:5 b:30     | 1000  | b     |
+      | a:40 b:30    | 1000  | a,b   |
+      | a:40 b:30    | 500   | a     |
+      | a:40 b:30    | 100   | none  |
+      | a:1 b:11     | 1000  | none  |
--- a/features/platform_jobs.feature
+++ b/features/platform_jobs.feature
@@ -24,6 +24,16 @@
     And the results of "j1" that were read are still in their places
     And every result of "j1" is its item's whole output
 
+  Scenario: Long items go on from a checkpoint after all daemons were killed
+    Given a platform with 2 engines of 100000 tokens and 2 daemons
+    And the engines make an event each 100 ms
+    When job "j1" with 1 groups of 4 is submitted at edge-1
+    And an item of "j1" has made 25 events
+    And all daemons are killed and started again
+    Then job "j1" is whole at edge-2
+    And at least 4 items of "j1" went on from a later event
+    And every result of "j1" is its item's whole output
+
   Scenario: The daemon that runs the jobs is killed
     Given a platform with 2 engines and 3 daemons
     And the engines make an event each 60 ms
--- a/features/steps/platform_decisions_steps.py
+++ b/features/steps/platform_decisions_steps.py
@@ -9,12 +9,14 @@
 from behave.runner import Context
 
 from features.support.loops import BackgroundLoop
+from greengagetack.batches.checkpoint import worth_keeping
 from greengagetack.batches.events import EventParser
-from greengagetack.batches.job import Job
+from greengagetack.batches.job import Item, Job
 from greengagetack.batches.ledger import Ledger, is_forgettable
 from greengagetack.batches.order import WaitingGroup, needed_groups
 from greengagetack.batches.pace import Running, choose_moves
 from greengagetack.batches.placement import Candidate, choose_candidate
+from greengagetack.batches.progress import ItemProgress
 from greengagetack.gateway.retry import AttemptResult, next_step
 from greengagetack.http1.connection import open_connection
 from greengagetack.http1.message import AnswerBroken, Request
@@ -200,6 +202,21 @@
     assert context.is_removed == (verdict == "removed")
 
 
+@when("items with events {events} of 10 bytes are to fit into {limit:d} bytes")
+def step_checkpoint(context: Context, events: str, limit: int) -> None:
+    progresses = [
+        ItemProgress(Item(name, "/", (), b"", 0, "g"), ["x" * 10] * count)
+        for name, count in _table(events).items()
+    ]
+    context.kept = worth_keeping(progresses, limit)
+
+
+@then("the checkpoint holds {kept}")
+def step_checkpoint_holds(context: Context, kept: str) -> None:
+    found = _joined([snapshot.item_id for snapshot in context.kept])
+    assert found == kept, found
+
+
 class _Names:
     """A store that only lists and deletes."""
 
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from greengagetack.batches.checkpoint import Checkpoints
 from greengagetack.batches.item_run import RunEnd, run_item
 from greengagetack.batches.job import Item, Job
 from greengagetack.batches.job_run import JobRun, expected_tokens_left
@@ -63,6 +64,7 @@
     def __init__(
         self,
         ledger: Ledger,
+        checkpoints: Checkpoints,
         jobs: Feed,
         fleet: Fleet,
         pool: Pool,
@@ -73,6 +75,7 @@
     ) -> None:
         self._results_kept_s = results_kept_s
         self._ledger = ledger
+        self._checkpoints = checkpoints
         self._jobs = jobs
         self._fleet = fleet
         self._pool = pool
@@ -115,6 +118,7 @@
         self.is_active = False
         logger.info("dispatch: this daemon no longer runs the jobs")
         self._closed_logs.clear()
+        self._adopted.clear()
         running = [run for run in self._runs.values()]
         for job_id in list(self._tasks):
             self._close(job_id)
@@ -128,7 +132,11 @@
     def adopt(self, snapshots: list[ProgressSnapshot]) -> None:
         """Keep another daemon's progress for the items of jobs that open later."""
         for snapshot in snapshots:
-            self._adopted[snapshot.item_id] = snapshot
+            known = self._adopted.get(snapshot.item_id)
+            if known is None or len(known.outputs) < len(snapshot.outputs):
+                self._adopted[snapshot.item_id] = snapshot
+        if snapshots:
+            logger.info("dispatch: progress of others kept", items=len(snapshots))
 
     def open(self) -> list[Job]:
         """Return the jobs that have not ended."""
@@ -260,6 +268,22 @@
         known.is_hopeless = False
         return known
 
+    async def checkpoint(self) -> None:
+        """Write the progress of long items for whoever runs the jobs next."""
+        if not self.is_active:
+            return
+        await self._checkpoints.save(
+            [
+                progress
+                for run in self._runs.values()
+                for progress in run.unfinished.values()
+            ]
+        )
+
+    async def load_checkpoint(self) -> None:
+        """Go on from the progress that was written last."""
+        self.adopt(await self._checkpoints.load())
+
     async def sweep(self) -> None:
         """Remove ended jobs whose results are no longer owed."""
         if not self.is_active:
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -13,6 +13,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from greengagetack.batches.checkpoint import Checkpoints
 from greengagetack.batches.dispatcher import Dispatcher, EngineFacts
 from greengagetack.batches.ledger import JOBS, Ledger
 from greengagetack.batches.reading import JobReader
@@ -70,6 +71,8 @@
 BACKLOG = 1_024
 RESTART_PAUSE_S = 0.2
 SWEEP_INTERVAL_S = 15.0
+# Work that the loss of all daemons may cost at most, per item.
+CHECKPOINT_INTERVAL_S = 1.0
 
 
 class EdgeDaemon:
@@ -107,6 +110,7 @@
         self._ledger = Ledger(self._store)
         self._dispatcher = Dispatcher(
             self._ledger,
+            Checkpoints(self._store),
             self._jobs,
             self._fleet,
             pool,
@@ -326,13 +330,13 @@
         await self._lease.release()
 
     async def _activate(self) -> None:
+        await self._dispatcher.load_checkpoint()
         claimer = self._claim.claimer
         if claimer is not None and claimer.former:
             host, _, port = claimer.former.rpartition(":")
             try:
                 snapshots = await self._peers.take_progress(Address(host, int(port)))
                 self._dispatcher.adopt(snapshots)
-                logger.info("dispatch: progress taken over", items=len(snapshots))
             except PeerUnreachable as error:
                 logger.warning("dispatch: no progress taken over: {}", error.reason)
         if self._claim.is_mine and not self._claim.is_leaving:
@@ -422,6 +426,9 @@
         self._spawn(lambda: self._claim.run(self._peers), "claim")
         self._spawn(self._dispatcher.run, "dispatch")
         self._spawn(self._waves.run, "weights")
+        self._timer.subscribe(
+            CHECKPOINT_INTERVAL_S, self._dispatcher.checkpoint, "checkpoint"
+        )
         self._timer.subscribe(SWEEP_INTERVAL_S, self._dispatcher.sweep, "sweep")
         await self._stop.wait()
         await self._shut_down(front, serving)
