--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: setup test demo model soak measure capacity lint format
+.PHONY: setup test demo platform-demo model soak measure capacity lint format
 
 $(READY): requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -30,6 +30,12 @@
 demo: setup
 	$(BIN)/python -m bench.demo
 
+# A job on the platform's stand-ins: every daemon is killed in the middle, and each
+# result is whole and in its place afterwards.
+platform-demo: setup
+	$(BIN)/python -m behave --no-color features/platform_jobs.feature \
+		-n "All daemons are killed in the middle"
+
 model: setup
 	$(BIN)/python -m model
 
--- a/greengagetack/gateway/choice.py
+++ b/greengagetack/gateway/choice.py
@@ -11,7 +11,8 @@
 USUAL_SERVICE_TIME_S = 0.04
 # Time added for a replica in another availability zone.
 OTHER_ZONE_S = 0.004
-# A suspended replica is tried only where no other is left.
+# Spreads equal choices of many daemons.
+SPREAD_RATIO = 0.1
 
 
 def choose_replica(
@@ -43,7 +44,7 @@
         service_time_s = state.service_time_s or USUAL_SERVICE_TIME_S
         cost = service_time_s * (1 + state.in_flight / max(1, replica.slots))
         cost += OTHER_ZONE_S * (replica.availability_zone != zone)
-        cost *= 1 + 0.1 * rng.random()
+        cost *= 1 + SPREAD_RATIO * rng.random()
         if cost < best_cost:
             best, best_cost = state, cost
     return best or spare
