--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -153,3 +153,16 @@
       | a:40 b:30    | 500   | a     |
       | a:40 b:30    | 100   | none  |
       | a:1 b:11     | 1000  | none  |
+
+  Scenario Outline: Another daemon's progress is taken where its versions fit
+    When progress of <events> events by versions <versions> meets one of <own> with oldest version <oldest>, single <single>
+    Then the item goes on from <result> events
+
+    Examples:
+      | events | versions | own | oldest | single | result |
+      | 9      | 3        | 2   | 2      | no     | 9      |
+      | 9      | 3        | 12  | 2      | no     | 12     |
+      | 9      | 1,2      | 2   | 2      | no     | 2      |
+      | 9      | 2,3      | 2   | 2      | no     | 9      |
+      | 9      | 2,3      | 2   | 2      | yes    | 2      |
+      | 9      | 3        | 2   | 2      | yes    | 9      |
--- a/features/steps/platform_decisions_steps.py
+++ b/features/steps/platform_decisions_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import codecs
+import dataclasses
 import socket
 import struct
 
@@ -16,7 +17,7 @@
 from greengagetack.batches.order import WaitingGroup, needed_groups
 from greengagetack.batches.pace import Running, choose_moves
 from greengagetack.batches.placement import Candidate, choose_candidate
-from greengagetack.batches.progress import ItemProgress
+from greengagetack.batches.progress import ItemProgress, ProgressSnapshot
 from greengagetack.gateway.retry import AttemptResult, next_step
 from greengagetack.http1.connection import open_connection
 from greengagetack.http1.message import AnswerBroken, Request
@@ -217,6 +218,28 @@
     assert found == kept, found
 
 
+@when(
+    "progress of {events:d} events by versions {versions} meets one of {own:d} "
+    "with oldest version {oldest:d}, single {single}"
+)
+def step_adopt(
+    context: Context, events: int, versions: str, own: int, oldest: int, single: str
+) -> None:
+    job = dataclasses.replace(
+        _job("j1", False), min_version=oldest, single_version=single == "yes"
+    )
+    made_by = tuple(int(version) for version in versions.split(","))
+    snapshot = ProgressSnapshot("i", ("x",) * events, made_by, str(events), False)
+    progress = ItemProgress(Item("i", "/", (), b"", 0, "g"), ["x"] * own, [oldest])
+    progress.adopt(snapshot, job)
+    context.progress = progress
+
+
+@then("the item goes on from {count:d} events")
+def step_adopted(context: Context, count: int) -> None:
+    assert len(context.progress.outputs) == count, context.progress
+
+
 class _Names:
     """A store that only lists and deletes."""
 
--- a/greengagetack/batches/progress.py
+++ b/greengagetack/batches/progress.py
@@ -97,6 +97,8 @@
             return
         if any(version < job.min_version for version in snapshot.versions):
             return
+        if job.single_version and len(set(snapshot.versions)) > 1:
+            return
         self.outputs = list(snapshot.outputs)
         self.versions = list(snapshot.versions)
         self.last_event_id = snapshot.last_event_id
