Read the platform change once more: one piece of code where there were several

Addresses were parsed in five places, the expected output of an item in two, the way through a peer was written twice, each configuration was decoded twice, and the paces of all replicas were worked out again for each waiting item and replica. Some names had no use left. Ruled out: one reader for the three kinds of event streams; they keep different things.

--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -13,7 +13,13 @@
 from greengagetack.batches.ledger import JOBS, Ledger, is_forgettable, job_of
 from greengagetack.batches.log import JobLog
 from greengagetack.batches.order import rank_items
-from greengagetack.batches.pace import PaceBook, Running, choose_moves, usual_pace_s
+from greengagetack.batches.pace import (
+    PaceBook,
+    Paces,
+    Running,
+    choose_moves,
+    usual_pace_s,
+)
 from greengagetack.batches.placement import Candidate, choose_candidate
 from greengagetack.batches.progress import ItemProgress, ProgressSnapshot
 from greengagetack.errors import CodedError
@@ -119,7 +125,7 @@
         logger.info("dispatch: this daemon no longer runs the jobs")
         self._closed_logs.clear()
         self._adopted.clear()
-        running = [run for run in self._runs.values()]
+        running = list(self._runs.values())
         for job_id in list(self._tasks):
             self._close(job_id)
         return [
@@ -265,7 +271,6 @@
             known.adopt(snapshot, job)
         known.item = item
         known.server_failures = 0
-        known.is_hopeless = False
         return known
 
     async def checkpoint(self) -> None:
@@ -356,8 +361,9 @@
                 )
                 waiting.append((key, run, progress))
         waiting.sort(key=lambda entry: entry[0])
+        paces = self._paces.current()
         for _, run, progress in waiting:
-            state = self._place(run.job, progress)
+            state = self._place(run.job, progress, paces)
             if state is None:
                 continue
             self._start(run, progress, state)
@@ -365,12 +371,13 @@
     def _move_from_slow(self) -> None:
         """Take runs from slow replicas; they are sent again at the next turn."""
         now_s = time.monotonic()
+        paces = self._paces.current()
         slow_s: dict[str, float] = {}
         free: dict[str, int] = {}
         for service in {run.job.service for run in self._runs.values()}:
             for state in self._fleet.of_service(service):
                 replica_id = state.replica.replica_id
-                slow_s[replica_id] = self._paces.of(replica_id)
+                slow_s[replica_id] = paces.of(replica_id)
                 if state.is_usable(now_s) and replica_id not in self.loading:
                     slots = state.replica.slots or DEFAULT_SLOTS
                     free[replica_id] = max(0, slots - state.in_flight)
@@ -402,7 +409,9 @@
         # The hint is often far too low; a run that is past it is taken to be long.
         return max(hint - made, made // 2, 1)
 
-    def _place(self, job: Job, progress: ItemProgress) -> ReplicaState | None:
+    def _place(
+        self, job: Job, progress: ItemProgress, paces: Paces
+    ) -> ReplicaState | None:
         now_s = time.monotonic()
         group = progress.item.group
         candidates = []
@@ -424,26 +433,21 @@
                     replica_id,
                     state.in_flight,
                     state.replica.slots or DEFAULT_SLOTS,
-                    self._paces.of(replica_id),
+                    paces.of(replica_id),
                     memory - self._reserved.get(replica_id, 0),
                     (replica_id, group, version) in self._group_homes,
                 )
             )
-        chosen = choose_candidate(candidates, self._expected_memory(progress))
+        chosen = choose_candidate(candidates, _expected_memory(progress.item))
         return None if chosen is None else self._fleet.get(chosen.replica_id)
 
-    def _expected_memory(self, progress: ItemProgress) -> int:
-        item = progress.item
-        output = item.output_hint or max(0, item.tokens - item.prompt_tokens)
-        return item.prompt_tokens + output
-
     def _start(self, run: JobRun, progress: ItemProgress, state: ReplicaState) -> None:
         progress.is_running = True
         progress.run_started_s = time.monotonic()
         progress.started_s = progress.started_s or progress.run_started_s
         state.in_flight += 1
         replica_id = state.replica.replica_id
-        memory = self._expected_memory(progress)
+        memory = _expected_memory(progress.item)
         self._reserved[replica_id] = self._reserved.get(replica_id, 0) + memory
         version = state.version_of(run.job.model)
         self._group_homes[(replica_id, progress.item.group, version)] = None
@@ -556,3 +560,7 @@
             state.is_gone = True
             return
         state.note_failure()
+
+
+def _expected_memory(item: Item) -> int:
+    return item.prompt_tokens + item.expected_output_tokens
--- a/greengagetack/batches/job_run.py
+++ b/greengagetack/batches/job_run.py
@@ -19,7 +19,6 @@
 # Results that finish within this time are committed together.
 COMMIT_DELAY_S = 0.15
 COMMIT_RETRY_S = 0.2
-MS_PER_S = 1_000
 
 
 class JobRun:
@@ -149,7 +148,4 @@
 
 def expected_tokens_left(progress: ItemProgress) -> int:
     """Return the output tokens that an item is still expected to make."""
-    made = len(progress.outputs)
-    item = progress.item
-    hint = item.output_hint or max(0, item.tokens - item.prompt_tokens)
-    return max(1, hint - made)
+    return max(1, progress.item.expected_output_tokens - len(progress.outputs))
--- a/greengagetack/batches/pace.py
+++ b/greengagetack/batches/pace.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-__all__ = ["SLOW_RATIO", "PaceBook", "Running", "choose_moves", "usual_pace_s"]
+__all__ = ["SLOW_RATIO", "PaceBook", "Paces", "Running", "choose_moves", "usual_pace_s"]
 
 SMOOTHING = 0.06
 # Fewer observations than this say little: prompts of others are read meanwhile.
@@ -26,6 +26,18 @@
     seen_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Paces:
+    """Times per event of replicas at one moment, in seconds."""
+
+    trusted: dict[str, float]
+    usual_s: float
+
+    def of(self, replica_id: str) -> float:
+        """Return a replica's time per event; the usual one's if it is not known."""
+        return self.trusted.get(replica_id, self.usual_s)
+
+
 class PaceBook:
     """Moving averages of the time per event of each replica."""
 
@@ -41,18 +53,15 @@
         pace_s = known.event_s + SMOOTHING * (gap_s - known.event_s)
         self._paces[replica_id] = _Pace(pace_s, known.count + 1, now_s)
 
-    def of(self, replica_id: str) -> float:
-        """Return a replica's time per event; the usual one's if it is not known."""
-        trusted = self._trusted()
-        return trusted.get(replica_id, usual_pace_s(trusted.values()))
-
-    def _trusted(self) -> dict[str, float]:
+    def current(self) -> Paces:
+        """Return the paces that are recent and observed often enough."""
         oldest_s = time.monotonic() - MEMORY_S
-        return {
+        trusted = {
             replica_id: pace.event_s
             for replica_id, pace in self._paces.items()
             if pace.seen_s > oldest_s and pace.count >= TRUSTED_COUNT
         }
+        return Paces(trusted, usual_pace_s(trusted.values()))
 
 
 def usual_pace_s(paces_s: Iterable[float]) -> float:
--- a/greengagetack/batches/progress.py
+++ b/greengagetack/batches/progress.py
@@ -30,7 +30,6 @@
     is_complete: bool = False
     server_failures: int = 0
     is_running: bool = False
-    is_hopeless: bool = False
     retry_at_s: float = 0.0
     started_s: float = 0.0
     run_started_s: float = 0.0
--- a/greengagetack/batches/reading.py
+++ b/greengagetack/batches/reading.py
@@ -20,7 +20,6 @@
 KEPT_ITEM_SETS = 6
 # While the daemon that runs a job does not answer, the store is asked this often.
 STORE_PAUSE_S = 0.4
-POLL_WAIT_S = 1.0
 
 
 class JobReader:
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -27,7 +27,6 @@
 from greengagetack.http1.connection import Connection
 from greengagetack.http1.message import AnswerHead, ExchangeError
 from greengagetack.http1.pool import Pool
-from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.replicas.replica import ReplicaState
 
@@ -70,13 +69,11 @@
         pool: Pool,
         dialect: ReplicaDialect,
         zone: str,
-        metrics: Metrics,
     ) -> None:
         self._fleet = fleet
         self._pool = pool
         self._dialect = dialect
         self._zone = zone
-        self._metrics = metrics
         self._rng = random.Random()
 
     async def forward(self, call: Call, route: Route, until_s: float) -> Reply:
--- a/greengagetack/gateway/retry.py
+++ b/greengagetack/gateway/retry.py
@@ -2,8 +2,6 @@
 
 import enum
 
-from greengagetack.gateway.call import Verdict
-
 __all__ = ["AttemptResult", "NextStep", "hedge_delay_s", "next_step"]
 
 # Share of the latency objective after which a second replica is asked.
@@ -20,11 +18,6 @@
     # The request was sent, but no whole answer came.
     UNKNOWN = "unknown"
 
-    @classmethod
-    def of(cls, verdict: Verdict) -> "AttemptResult":
-        """Return the result that an answer's head stands for."""
-        return cls.ANSWERED if verdict is Verdict.RAN else cls.NOT_RUN
-
 
 class NextStep(enum.Enum):
     """What follows an attempt."""
--- a/greengagetack/gateway/routes.py
+++ b/greengagetack/gateway/routes.py
@@ -5,7 +5,14 @@
 
 import xxhash
 
-__all__ = ["Configuration", "Limits", "RequestKind", "Route", "RouteTable"]
+__all__ = [
+    "Configuration",
+    "EngineSpec",
+    "Limits",
+    "RequestKind",
+    "Route",
+    "RouteTable",
+]
 
 
 class RequestKind(enum.StrEnum):
@@ -72,6 +79,15 @@
     idle_timeout_ms: float = 15_000.0
 
 
+@dataclass(frozen=True, slots=True)
+class EngineSpec:
+    """Memory and event size of a service's engines."""
+
+    service: str
+    memory_tokens: int
+    tokens_per_event: int
+
+
 @dataclass(frozen=True, slots=True)
 class Configuration:
     """A whole configuration; `version` is the operator's number for it."""
@@ -79,7 +95,7 @@
     version: int
     routes: tuple[Route, ...]
     limits: Limits = Limits()
-    health_paths: tuple[tuple[str, str], ...] = ()
+    engines: tuple[EngineSpec, ...] = ()
 
 
 class RouteTable:
@@ -104,10 +120,3 @@
             if path.startswith(route.path_prefix):
                 return route
         return None
-
-    def named(self, name: str) -> Route | None:
-        """Return a route by its name."""
-        for route in self.configuration.routes:
-            if route.name == name:
-                return route
-        return None
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -127,11 +127,11 @@
         self._peers = PeerClient(
             facts.node, self._dispatcher_address, self._other_addresses
         )
-        self._peer_source = _PeerSource(self._peers, self._claim, self._note_peer)
-        self._reader = JobReader(self._ledger, self._dispatcher, self._peers)
-        forwarder = Forwarder(
-            self._fleet, pool, dialect, facts.availability_zone, self._metrics
+        self._peer_source = _PeerSource(
+            self._peers, self._claim, self._note_peer_failure
         )
+        self._reader = JobReader(self._ledger, self._dispatcher, self._peers)
+        forwarder = Forwarder(self._fleet, pool, dialect, facts.availability_zone)
         self._ingress = Ingress(
             lambda: self._table,
             forwarder,
@@ -177,9 +177,8 @@
             return self._peer_source
         return self._store
 
-    def _note_peer(self, answered: bool) -> None:
-        if not answered:
-            self._peer_failed_s = time.monotonic()
+    def _note_peer_failure(self) -> None:
+        self._peer_failed_s = time.monotonic()
 
     def _wait_s(self) -> float:
         return LEAD_WATCH_S if self._claim.is_mine else PEER_WATCH_S
@@ -199,11 +198,7 @@
         addresses = {member.control for member in self._members().values()}
         addresses.update(str(seed) for seed in self._facts.seeds)
         addresses.discard(self._me.control)
-        parsed = []
-        for text in sorted(addresses):
-            host, _, port = text.rpartition(":")
-            parsed.append(Address(host, int(port)))
-        return parsed
+        return [Address.parse(text) for text in sorted(addresses)]
 
     def _dispatcher_address(self) -> Address | None:
         return self._claim.claimer_address()
@@ -264,7 +259,7 @@
                 continue
             self._config_version = configuration.version
             self._table = RouteTable(configuration)
-            for engine in documents.engines_of(stored):
+            for engine in configuration.engines:
                 self._engines.memory_tokens[engine.service] = engine.memory_tokens
                 self._engines.tokens_per_event[engine.service] = engine.tokens_per_event
             logger.info(
@@ -333,9 +328,9 @@
         await self._dispatcher.load_checkpoint()
         claimer = self._claim.claimer
         if claimer is not None and claimer.former:
-            host, _, port = claimer.former.rpartition(":")
+            former = Address.parse(claimer.former)
             try:
-                snapshots = await self._peers.take_progress(Address(host, int(port)))
+                snapshots = await self._peers.take_progress(former)
                 self._dispatcher.adopt(snapshots)
             except PeerUnreachable as error:
                 logger.warning("dispatch: no progress taken over: {}", error.reason)
@@ -488,11 +483,11 @@
     """Follows the copy of the daemon that runs the jobs."""
 
     def __init__(
-        self, peers: PeerClient, claim: ClaimDuty, note: Callable[[bool], None]
+        self, peers: PeerClient, claim: ClaimDuty, on_failure: Callable[[], None]
     ) -> None:
         self._peers = peers
         self._claim = claim
-        self._note = note
+        self._on_failure = on_failure
 
     async def list(self, prefix: str) -> WatchAnswer:
         """Return all objects of the copy."""
@@ -506,7 +501,7 @@
         try:
             answer = await call
         except PeerUnreachable:
-            self._note(False)
+            self._on_failure()
             raise
         self._claim.note_heard()
         return answer
--- a/greengagetack/platform/documents.py
+++ b/greengagetack/platform/documents.py
@@ -3,15 +3,19 @@
 import msgspec
 from loguru import logger
 
-from greengagetack.gateway.routes import Configuration, Limits, RequestKind, Route
+from greengagetack.gateway.routes import (
+    Configuration,
+    EngineSpec,
+    Limits,
+    RequestKind,
+    Route,
+)
 from greengagetack.objects.base import PlatformObject
 from greengagetack.replicas.replica import Replica
 from greengagetack.world import Address
 
 __all__ = [
-    "EngineSpec",
     "configuration_of",
-    "engines_of",
     "named_version_of",
     "replica_of",
 ]
@@ -100,14 +104,6 @@
     version: int
 
 
-class EngineSpec(msgspec.Struct, frozen=True):
-    """Memory and event size of a service's engines."""
-
-    service: str
-    memory_tokens: int
-    tokens_per_event: int
-
-
 def configuration_of(stored: PlatformObject) -> Configuration | None:
     """Return the configuration that an object holds, None if it holds none."""
     try:
@@ -124,7 +120,11 @@
             found.limits.header_timeout_ms,
             found.limits.idle_timeout_ms,
         ),
-        health_paths=tuple((s.name, s.health_path) for s in found.services),
+        engines=tuple(
+            EngineSpec(service.name, service.engine.kv_capacity, service.engine.stride)
+            for service in found.services
+            if service.engine is not None
+        ),
     )
 
 
@@ -147,30 +147,15 @@
     )
 
 
-def engines_of(stored: PlatformObject) -> tuple[EngineSpec, ...]:
-    """Return what a configuration says of the services' engines."""
-    try:
-        found = msgspec.convert(stored.value, _Configuration)
-    except msgspec.ValidationError:
-        # `configuration_of` has logged it.
-        return ()
-    return tuple(
-        EngineSpec(service.name, service.engine.kv_capacity, service.engine.stride)
-        for service in found.services
-        if service.engine is not None
-    )
-
-
 def replica_of(stored: PlatformObject) -> Replica | None:
     """Return the replica of an entry; None for an entry that names none to use."""
     try:
         found = msgspec.convert(stored.value, _Server)
-        host, _, port = found.address.rpartition(":")
-        address = Address(host, int(port))
+        address = Address.parse(found.address)
     except (msgspec.ValidationError, ValueError) as error:
         logger.warning("replicas: passing over entry {}: {}", stored.path, error)
         return None
-    if found.state not in (READY, DRAINING) or not host:
+    if found.state not in (READY, DRAINING) or not address.host:
         logger.warning("replicas: passing over {}: state {}", stored.path, found.state)
         return None
     return Replica(
--- a/greengagetack/platform/settings.py
+++ b/greengagetack/platform/settings.py
@@ -81,13 +81,8 @@
     metrics_port: int = METRICS_PORT
 
 
-def _address(text: str) -> Address:
-    host, _, port = text.rpartition(":")
-    return Address(host, int(port))
-
-
 def _optional(text: str) -> Address | None:
-    return _address(text) if text else None
+    return Address.parse(text) if text else None
 
 
 def load_vm_facts(path: str | None = None) -> VmFacts:
@@ -109,9 +104,9 @@
             machine_class=file.machine_class,
             availability_zone=file.zone,
             ip=file.ip,
-            store=_address(file.provider.address),
+            store=Address.parse(file.provider.address),
             value_limit_bytes=file.provider.value_bytes,
-            seeds=tuple(_address(seed) for seed in file.seeds),
+            seeds=tuple(Address.parse(seed) for seed in file.seeds),
             front=_optional(file.listen.front),
             ready=_optional(file.listen.ready),
             control=_optional(file.listen.control),
--- a/greengagetack/platform/store.py
+++ b/greengagetack/platform/store.py
@@ -156,14 +156,15 @@
     ----------
     direct : Transport
         The store itself.
-    relay : callable or None
-        Sends a call through some peer; raises `PlatformUnavailable` if none can.
+    relay : callable
+        Sends a call through some peer that the store serves; raises
+        `PlatformUnavailable` if there is none.
     """
 
     def __init__(
         self,
         direct: Transport,
-        relay: Callable[[str, str, bytes, float], Awaitable[StoreAnswer]] | None,
+        relay: Callable[[str, str, bytes, float], Awaitable[StoreAnswer]],
     ) -> None:
         self._direct = direct
         self._relay = relay
@@ -184,14 +185,9 @@
         PlatformUnavailable
             If no way gave an answer.
         """
-        if self._relay is not None and self.is_direct_failing:
-            try:
-                answer = await self._relay(method, target, body, wait_s)
-                if answer.status not in REFUSED:
-                    return answer
-            except PlatformUnavailable as error:
-                logger.debug("store: no relay: {}", error.reason)
-            return await self._direct.call(method, target, body, wait_s)
+        if self.is_direct_failing:
+            relayed = await self._relayed(method, target, body, wait_s)
+            return relayed or await self._direct.call(method, target, body, wait_s)
         failure: PlatformUnavailable | None = None
         try:
             answer = await self._direct.call(method, target, body, wait_s)
@@ -206,15 +202,23 @@
             reason = failure.reason if failure else f"status {answer.status}"
             logger.warning("store: not reached directly: {}", reason)
         self._direct_failed_s = time.monotonic()
-        if self._relay is not None:
-            try:
-                return await self._relay(method, target, body, wait_s)
-            except PlatformUnavailable as error:
-                logger.debug("store: no relay: {}", error.reason)
+        relayed = await self._relayed(method, target, body, wait_s)
+        if relayed is not None:
+            return relayed
         if failure is not None:
             raise failure
         return answer
 
+    async def _relayed(
+        self, method: str, target: str, body: bytes, wait_s: float
+    ) -> StoreAnswer | None:
+        """Return the answer that a peer got, None if no peer reaches the store."""
+        try:
+            return await self._relay(method, target, body, wait_s)
+        except PlatformUnavailable as error:
+            logger.debug("store: no relay: {}", error.reason)
+            return None
+
 
 class PlatformStore:
     """Implements `ObjectStore`: a path is a kind and a name, versions are revisions."""
--- a/greengagetack/siblings/claim.py
+++ b/greengagetack/siblings/claim.py
@@ -96,10 +96,7 @@
     def claimer_address(self) -> Address | None:
         """Return the claimer's control address."""
         claimer = self.claimer
-        if claimer is None:
-            return None
-        host, _, port = claimer.control.rpartition(":")
-        return Address(host, int(port))
+        return None if claimer is None else Address.parse(claimer.control)
 
     @property
     def is_mine(self) -> bool:
--- a/greengagetack/world.py
+++ b/greengagetack/world.py
@@ -47,6 +47,18 @@
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
 
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Return the address that ``HOST:PORT`` names.
+
+        Raises
+        ------
+        ValueError
+            If the port is no number.
+        """
+        host, _, port = text.rpartition(":")
+        return cls(host, int(port))
+
 
 @dataclass(frozen=True, slots=True)
 class AvailabilityZone:
