Read a job's segments by name, and order items by the events that they have left

Ruled out: the hand-over itself (claim taken 1.3 s after the loss), the order lease, the store (up until 24.9 s). Change: segments are read by name, 1, 2, 4, 8 at a time, until one does not exist. Found on the way: events were taken off an estimate in tokens (an event holds 47 to 63), so that the order of items ignored their progress; groups that come again were known only to the daemon that had begun them; what is known of replicas that are gone was kept for ever; limits of the configuration on heads and rest were decoded but not applied.

--- /dev/null
+++ b/features/batches.feature
@@ -0,0 +1,52 @@
+Feature: Jobs on a ledger in memory
+
+  Scenario Outline: Groups that come again are found by whoever runs the job
+    Given jobs <earlier> of trainer "r" in the ledger, read by <runner>
+    When job "k2" of step 2 with groups <groups> is opened
+    Then its groups that the trainer waits for in any case are <carried>
+
+    Examples:
+      | earlier              | runner             | groups | carried |
+      | k1=1:a,b             | the same daemon    | b,c    | b       |
+      | k1=1:a,b             | another daemon     | b,c    | b       |
+      | k0=0:a k1=1:b        | another daemon     | a,b,c  | a,b     |
+      | k1=1:a               | another daemon     | b,c    | none    |
+      | other@k1=1:b         | another daemon     | b,c    | none    |
+      | k2=2:b               | the same daemon    | b,c    | none    |
+      | k3=3:b               | another daemon     | b,c    | none    |
+
+  Scenario: A job is opened although an earlier one cannot be read
+    Given jobs k1=1:a,b of trainer "r" in the ledger, read by another daemon
+    And the ledger's store is away
+    When job "k2" of step 2 with groups b,c is opened
+    Then its groups that the trainer waits for in any case are none
+
+  Scenario Outline: A job's segments are read without those of other jobs
+    Given a ledger with <others> other jobs and job "j1", each with <count> segments
+    When the segments of "j1" from number <first> on are read
+    Then segments <found> are returned, and at most <reads> objects are read
+
+    Examples:
+      | others | count | first | found | reads |
+      | 9      | 0     | 0     | none  | 1     |
+      | 9      | 1     | 0     | 0-0   | 3     |
+      | 9      | 1     | 1     | none  | 1     |
+      | 9      | 12    | 0     | 0-11  | 15    |
+      | 9      | 40    | 0     | 0-39  | 47    |
+      | 9      | 40    | 38    | 38-39 | 3     |
+
+  Scenario Outline: What is known of a replica is dropped with it
+    Given a fleet with replica "a" of incarnation 1, whose prompts and pace are known
+    When the fleet hears <news>
+    Then the incarnations that are gone are <gone>, and its prompts are known <known>
+
+    Examples:
+      | news                  | gone | known |
+      | a is removed          | 1    | no    |
+      | a is listed again     | none | yes   |
+      | a starts again        | 1    | no    |
+      | b is removed          | none | yes   |
+
+  Scenario: Prompts known of a replica that lives for days are bounded
+    When 5000 groups have been sent to a replica
+    Then the first group's prompt is no longer known there, the last one's is
--- a/features/http_limits.feature
+++ b/features/http_limits.feature
@@ -48,6 +48,23 @@
     When limits meet a handler that is busy
     Then limits answer with Retry-After 3 and a remedy
 
+  Scenario Outline: A change of the bounds is in force on connections that are open
+    Given an HTTP server that gives a connection 60 s of rest, 60 s and 4000 bytes a head
+    When a connection has had a good answer and the bounds change to <bounds>
+    Then the connection meets <next> with <outcome>
+
+    Examples:
+      | bounds        | next                   | outcome       |
+      | 1 s, 60, 4000 | a good body and a rest | 200, closed   |
+      | 60 s, 1, 4000 | half a head            | 408, closed   |
+      | 60 s, 60, 100 | a head of 300 bytes    | 413, closed   |
+      | 60 s, 60, 4000 | a good body           | 200, kept     |
+
+  Scenario: A connection on which nothing is sent is closed after its time of rest
+    Given an HTTP server that gives a connection 1 s of rest, 60 s and 4000 bytes a head
+    When a connection is opened and nothing is sent
+    Then the connection is closed without an answer
+
   Scenario: A refused sender can use its connection again
     Given an HTTP server with small limits
     When limits meet malformed JSON and then a good body on one connection
--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -27,6 +27,21 @@
       | a:5 b:3               | 0      | a,b     |
       | a!:50 b!:60 c:1 d:2   | 3      | a,b,c   |
 
+  Scenario Outline: Events that an item is still expected to make
+    When an item with hint <hint> and at most <most> tokens has made <made> events of 50 tokens
+    Then it is expected to make <left> more
+
+    Examples:
+      | hint | most | made | left |
+      | 1000 | 9000 | 0    | 20   |
+      | 1000 | 9000 | 15   | 7    |
+      | 1000 | 9000 | 20   | 10   |
+      | 1000 | 9000 | 100  | 50   |
+      | 1000 | 9000 | 170  | 10   |
+      | 0    | 9000 | 10   | 170  |
+      | 0    | 0    | 10   | 5    |
+      | 10   | 9000 | 0    | 1    |
+
   Scenario Outline: Where an item is placed
     When replicas <replicas> are free for an item of 100 tokens
     Then the item goes to <chosen>
--- /dev/null
+++ b/features/steps/batches_steps.py
@@ -0,0 +1,154 @@
+"""features.steps.batches_steps: jobs on a ledger in memory."""
+
+import asyncio
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.support.memory_ledger import MemoryLedgerStore
+from greengagetack.batches.carried import CarriedGroups
+from greengagetack.batches.job import Item, Job, Segment
+from greengagetack.batches.ledger import Ledger
+from greengagetack.batches.prompts import PromptHomes
+from greengagetack.replicas.fleet import Fleet
+from greengagetack.replicas.replica import Replica
+from greengagetack.world import Address
+
+GROUP_SIZE = 2
+
+
+def _items(groups: str) -> tuple[Item, ...]:
+    return tuple(
+        Item(f"{group}-{number}", "/", (), b"", 10, group)
+        for group in groups.split(",")
+        for number in range(GROUP_SIZE)
+    )
+
+
+def _job(job_id: str, step: int, total: int, route: str) -> Job:
+    return Job(
+        job_id, route, "host", "service", 0, 0.0, 0.0, 3, total, 0, step, "model"
+    )
+
+
+@given('jobs {earlier} of trainer "{route}" in the ledger, read by {runner}')
+def step_earlier(context: Context, earlier: str, route: str, runner: str) -> None:
+    context.store = MemoryLedgerStore()
+    context.ledger = Ledger(context.store)
+    context.carried = CarriedGroups(context.ledger)
+    context.jobs = []
+    context.route = route
+
+    async def store_jobs() -> None:
+        for text in earlier.split():
+            name, _, rest = text.partition("=")
+            step, _, groups = rest.partition(":")
+            other, _, job_id = name.rpartition("@")
+            items = _items(groups)
+            job = _job(job_id, int(step), len(items), other or route)
+            accepted = await context.ledger.accept(job, items, 1.0)
+            assert accepted is not None
+            context.jobs.append(accepted)
+            if runner == "the same daemon":
+                await context.carried.of(accepted, items, ())
+
+    asyncio.run(store_jobs())
+
+
+@given("the ledger's store is away")
+def step_away(context: Context) -> None:
+    context.store.is_away = True
+
+
+@when('job "{job_id}" of step {step:d} with groups {groups} is opened')
+def step_open(context: Context, job_id: str, step: int, groups: str) -> None:
+    items = _items(groups)
+    job = _job(job_id, step, len(items), context.route)
+    context.found = asyncio.run(context.carried.of(job, items, context.jobs))
+
+
+@then("its groups that the trainer waits for in any case are {carried}")
+def step_carried(context: Context, carried: str) -> None:
+    expected = set() if carried == "none" else set(carried.split(","))
+    assert context.found == expected, context.found
+
+
+@given('a ledger with {others:d} other jobs and job "j1", each with {count:d} segments')
+def step_segments(context: Context, others: int, count: int) -> None:
+    context.store = MemoryLedgerStore()
+    context.ledger = Ledger(context.store)
+
+    async def commit_all() -> None:
+        for job_id in ["j1", *(f"j1{number}" for number in range(others))]:
+            for number in range(count):
+                await context.ledger.commit(job_id, Segment(number, number, ()))
+
+    asyncio.run(commit_all())
+
+
+@when('the segments of "j1" from number {first:d} on are read')
+def step_read_segments(context: Context, first: int) -> None:
+    context.store.reads.clear()
+    context.segments = asyncio.run(context.ledger.segments("j1", first))
+
+
+@then("segments {found} are returned, and at most {reads:d} objects are read")
+def step_segments_found(context: Context, found: str, reads: int) -> None:
+    numbers = [segment.number for segment in context.segments]
+    first, _, last = found.partition("-")
+    expected = [] if found == "none" else list(range(int(first), int(last) + 1))
+    assert numbers == expected, numbers
+    assert len(context.store.reads) <= reads, context.store.reads
+
+
+def _replica(started_ms: int) -> Replica:
+    return Replica(
+        "a", "service", Address("10.0.0.1", 80), "zone", 4, False, (), started_ms
+    )
+
+
+@given('a fleet with replica "a" of incarnation 1, whose prompts and pace are known')
+def step_fleet(context: Context) -> None:
+    context.fleet = Fleet(lambda: float("-inf"))
+    context.fleet.update([_replica(1)], [])
+    context.prompts = PromptHomes()
+    context.prompts.note("a", "g", 1)
+    context.gone = []
+    context.fleet.subscribe_removals(
+        lambda replica: context.gone.append(replica.started_ms)
+    )
+    context.fleet.subscribe_removals(
+        lambda replica: context.prompts.forget(replica.replica_id)
+    )
+
+
+@when("the fleet hears {news}")
+def step_news(context: Context, news: str) -> None:
+    changes: dict[str, tuple[list[Replica], list[str]]] = {
+        "a is removed": ([], ["a"]),
+        "a is listed again": ([_replica(1)], []),
+        "a starts again": ([_replica(2)], []),
+        "b is removed": ([], ["b"]),
+    }
+    context.fleet.update(*changes[news])
+
+
+@then("the incarnations that are gone are {gone}, and its prompts are known {known}")
+def step_gone(context: Context, gone: str, known: str) -> None:
+    expected = [] if gone == "none" else [int(gone)]
+    assert context.gone == expected, context.gone
+    assert context.prompts.holds("a", "g", 1) == (known == "yes")
+
+
+@when("{count:d} groups have been sent to a replica")
+def step_many_groups(context: Context, count: int) -> None:
+    context.prompts = PromptHomes()
+    for number in range(count):
+        context.prompts.note("a", f"g{number}", 1)
+    context.last_group = f"g{count - 1}"
+
+
+@then("the first group's prompt is no longer known there, the last one's is")
+def step_bounded(context: Context) -> None:
+    assert not context.prompts.holds("a", "g0", 1)
+    assert context.prompts.holds("a", context.last_group, 1)
--- a/features/steps/platform_decisions_steps.py
+++ b/features/steps/platform_decisions_steps.py
@@ -21,7 +21,7 @@
 from greengagetack.gateway.retry import AttemptResult, next_step
 from greengagetack.http1.connection import open_connection
 from greengagetack.http1.message import AnswerBroken, Request
-from greengagetack.objects.base import PlatformObject, WatchAnswer
+from greengagetack.objects.base import PlatformObject
 from greengagetack.siblings.claim import takeover_delay_s
 from greengagetack.weights.homes import assign_homes
 from greengagetack.weights.order_lease import takeover_wait_s
@@ -80,6 +80,23 @@
     assert context.needed == set(needed.split(",")), context.needed
 
 
+@when(
+    "an item with hint {hint:d} and at most {most:d} tokens has made {made:d} events "
+    "of {size:d} tokens"
+)
+def step_events_left(
+    context: Context, hint: int, most: int, made: int, size: int
+) -> None:
+    item = Item("i", "/", (), b"", most, "g", output_hint=hint)
+    progress = ItemProgress(item, outputs=["x"] * made)
+    context.events_left = progress.events_left(size)
+
+
+@then("it is expected to make {left:d} more")
+def step_events_expected(context: Context, left: int) -> None:
+    assert context.events_left == left, context.events_left
+
+
 @when("replicas {replicas} are free for an item of 100 tokens")
 def step_replicas(context: Context, replicas: str) -> None:
     candidates = []
@@ -241,22 +258,19 @@
 
 
 class _Names:
-    """A store that only lists and deletes."""
+    """A store that only reads and deletes."""
 
     value_limit_bytes = 1_000
 
     def __init__(self, paths: list[str]) -> None:
         self.paths = paths
 
-    async def list(self, prefix: str, after: str = "") -> WatchAnswer:
-        segment = {"number": 0, "start": 0, "results": []}
-        found = [path for path in self.paths if path.startswith(prefix)]
-        return WatchAnswer(
-            1,
-            tuple(
-                PlatformObject(path, 1, "", {**segment, "number": number})
-                for number, path in enumerate(found)
-            ),
+    async def read(self, path: str) -> PlatformObject | None:
+        if path not in self.paths:
+            return None
+        number = int(path.rpartition(".")[2])
+        return PlatformObject(
+            path, 1, "", {"number": number, "start": 0, "results": []}
         )
 
     async def delete(self, path: str) -> None:
--- a/features/support/raw_http.py
+++ b/features/support/raw_http.py
@@ -4,12 +4,13 @@
 import json
 import socket
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 import uvicorn
 
-from greengagetack.daemons.protocol import bounded_config
+from greengagetack.daemons.protocol import HttpBounds, bounded_config
 from greengagetack.peers.node import listening_socket
 from greengagetack.world import Address
 
@@ -34,10 +35,13 @@
 class ServedApp:
     """Serves an ASGI application from a thread of its own."""
 
-    def __init__(self, app: Any) -> None:
+    def __init__(
+        self, app: Any, bounds: Callable[[], HttpBounds] | None = None
+    ) -> None:
         self._listener = listening_socket(Address("127.0.0.1", 0))
         self.address = Address(*self._listener.getsockname())
-        self._server = uvicorn.Server(bounded_config(app))
+        config = bounded_config(app, bounds) if bounds else bounded_config(app)
+        self._server = uvicorn.Server(config)
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
 
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -6,10 +6,11 @@
 
 from loguru import logger
 
+from greengagetack.batches.carried import CarriedGroups
 from greengagetack.batches.checkpoint import Checkpoints
 from greengagetack.batches.item_run import RunEnd, run_item
 from greengagetack.batches.job import Item, Job
-from greengagetack.batches.job_run import JobRun, expected_tokens_left
+from greengagetack.batches.job_run import JobRun
 from greengagetack.batches.ledger import JOBS, Ledger, is_forgettable, job_of
 from greengagetack.batches.log import JobLog
 from greengagetack.batches.order import rank_items
@@ -22,6 +23,7 @@
 )
 from greengagetack.batches.placement import Candidate, choose_candidate
 from greengagetack.batches.progress import ItemProgress, ProgressSnapshot
+from greengagetack.batches.prompts import PromptHomes
 from greengagetack.errors import CodedError
 from greengagetack.gateway.call import Call, ReplicaDialect
 from greengagetack.http1.pool import Pool
@@ -29,7 +31,7 @@
 from greengagetack.objects.feed import Feed
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
-from greengagetack.replicas.replica import ReplicaState
+from greengagetack.replicas.replica import Replica, ReplicaState
 
 __all__ = ["Dispatcher", "EngineFacts"]
 
@@ -63,6 +65,10 @@
         self.memory_tokens: dict[str, int] = {}
         self.tokens_per_event: dict[str, int] = {}
 
+    def tokens_per_event_of(self, service: str) -> int:
+        """Return how many tokens an event of a service's streams holds."""
+        return self.tokens_per_event.get(service, 1) or 1
+
 
 class Dispatcher:
     """Runs items while this daemon holds the claim; commits go to the ledger."""
@@ -82,6 +88,7 @@
         self._results_kept_s = results_kept_s
         self._ledger = ledger
         self._checkpoints = checkpoints
+        self._carried = CarriedGroups(ledger)
         self._jobs = jobs
         self._fleet = fleet
         self._pool = pool
@@ -92,7 +99,7 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._item_tasks: dict[str, asyncio.Task[None]] = {}
         self._progresses: OrderedDict[str, ItemProgress] = OrderedDict()
-        self._group_homes: dict[tuple[str, str, int], None] = {}
+        self._prompts = PromptHomes()
         self._closed_logs: OrderedDict[str, JobLog] = OrderedDict()
         self._adopted: dict[str, ProgressSnapshot] = {}
         self._hints: set[asyncio.Task[None]] = set()
@@ -105,6 +112,7 @@
         self.is_active = False
         jobs.subscribe(self._on_jobs)
         fleet.subscribe(self._wake.set)
+        fleet.subscribe_removals(self._on_removal)
 
     # -- the claim
 
@@ -146,8 +154,11 @@
 
     def open(self) -> list[Job]:
         """Return the jobs that have not ended."""
+        return [job for job in self._known_jobs() if not job.is_ended]
+
+    def _known_jobs(self) -> list[Job]:
         jobs = [job_of(stored) for stored in self._jobs.objects.values()]
-        return [job for job in jobs if job is not None and not job.is_ended]
+        return [job for job in jobs if job is not None]
 
     def job_of(self, job_id: str) -> Job | None:
         """Return a job that runs here."""
@@ -166,6 +177,10 @@
         run = self._runs.get(job_id)
         return None if run is None else run.items.get(item_id)
 
+    def _on_removal(self, replica: Replica) -> None:
+        self._prompts.forget(replica.replica_id)
+        self._paces.forget(replica.replica_id)
+
     def _on_jobs(
         self, changed: tuple[PlatformObject, ...], gone: tuple[str, ...]
     ) -> None:
@@ -241,7 +256,17 @@
                     "dispatch: job not read", request_id=job.job_id, reason=error.reason
                 )
                 await asyncio.sleep(OPEN_RETRY_S)
-        run = JobRun(job, items, log, self._ledger, self._metrics, self._progress_of)
+        carried = await self._carried.of(job, items, self._known_jobs())
+        run = JobRun(
+            job,
+            items,
+            log,
+            self._ledger,
+            self._metrics,
+            self._progress_of,
+            lambda: self._facts.tokens_per_event_of(job.service),
+            carried,
+        )
         self._runs[job.job_id] = run
         self.demand[job.model] = float(sum(item.tokens for item in items))
         logger.info(
@@ -294,9 +319,8 @@
         if not self.is_active:
             return
         now_ms = time.time() * MS_PER_S
-        jobs = [job_of(stored) for stored in list(self._jobs.objects.values())]
-        for job in jobs:
-            if job is None or not is_forgettable(job, now_ms, self._results_kept_s):
+        for job in self._known_jobs():
+            if not is_forgettable(job, now_ms, self._results_kept_s):
                 continue
             try:
                 await self._ledger.forget(job)
@@ -349,6 +373,7 @@
         waiting: list[tuple[tuple[bool, float, bool, int], JobRun, ItemProgress]] = []
         for run in self._runs.values():
             needed = run.needed()
+            service = run.job.service
             for progress in run.unfinished.values():
                 if progress.is_running or now_s < progress.retry_at_s:
                     continue
@@ -357,7 +382,7 @@
                     run.due_ms,
                     group in needed,
                     group in run.required,
-                    expected_tokens_left(progress),
+                    progress.events_left(self._facts.tokens_per_event_of(service)),
                 )
                 waiting.append((key, run, progress))
         waiting.sort(key=lambda entry: entry[0])
@@ -382,7 +407,11 @@
                     slots = state.replica.slots or DEFAULT_SLOTS
                     free[replica_id] = max(0, slots - state.in_flight)
         running = [
-            Running(item_id, replica_id, self._events_left(run, progress))
+            Running(
+                item_id,
+                replica_id,
+                progress.events_left(self._facts.tokens_per_event_of(run.job.service)),
+            )
             for item_id, (run, progress, replica_id) in self._running.items()
             if now_s - progress.run_started_s > SETTLED_S
         ]
@@ -402,13 +431,6 @@
             if task is not None:
                 task.cancel()
 
-    def _events_left(self, run: JobRun, progress: ItemProgress) -> int:
-        per_event = self._facts.tokens_per_event.get(run.job.service, 1) or 1
-        made = len(progress.outputs)
-        hint = progress.item.output_hint // per_event
-        # The hint is often far too low; a run that is past it is taken to be long.
-        return max(hint - made, made // 2, 1)
-
     def _place(
         self, job: Job, progress: ItemProgress, paces: Paces
     ) -> ReplicaState | None:
@@ -435,7 +457,7 @@
                     state.replica.slots or DEFAULT_SLOTS,
                     paces.of(replica_id),
                     memory - self._reserved.get(replica_id, 0),
-                    (replica_id, group, version) in self._group_homes,
+                    self._prompts.holds(replica_id, group, version),
                 )
             )
         chosen = choose_candidate(candidates, _expected_memory(progress.item))
@@ -444,13 +466,12 @@
     def _start(self, run: JobRun, progress: ItemProgress, state: ReplicaState) -> None:
         progress.is_running = True
         progress.run_started_s = time.monotonic()
-        progress.started_s = progress.started_s or progress.run_started_s
         state.in_flight += 1
         replica_id = state.replica.replica_id
         memory = _expected_memory(progress.item)
-        self._reserved[replica_id] = self._reserved.get(replica_id, 0) + memory
+        self._reserve(state, memory)
         version = state.version_of(run.job.model)
-        self._group_homes[(replica_id, progress.item.group, version)] = None
+        self._prompts.note(replica_id, progress.item.group, version)
         item_id = progress.item.item_id
         if not progress.fits(run.job.min_version, run.job.single_version):
             progress.restart()
@@ -474,7 +495,7 @@
         item_id = progress.item.item_id
         progress.is_running = False
         state.in_flight -= 1
-        self._reserved[state.replica.replica_id] -= memory
+        self._reserve(state, -memory)
         if self._item_tasks.get(item_id) is task:
             self._item_tasks.pop(item_id)
             self._running.pop(item_id, None)
@@ -485,6 +506,12 @@
             )
         self._wake.set()
 
+    def _reserve(self, state: ReplicaState, tokens: int) -> None:
+        replica_id = state.replica.replica_id
+        reserved = self._reserved.pop(replica_id, 0) + tokens
+        if reserved:
+            self._reserved[replica_id] = reserved
+
     async def _run_item(
         self, run: JobRun, progress: ItemProgress, state: ReplicaState
     ) -> None:
--- a/greengagetack/batches/job_run.py
+++ b/greengagetack/batches/job_run.py
@@ -35,6 +35,10 @@
     progress_of : callable
         Returns the progress of an item, from an earlier job or another daemon
         where there is any.
+    tokens_per_event : callable
+        Returns how many tokens an event of the job's service holds.
+    carried : set of str
+        Groups that an earlier job left open; the trainer waits for them.
     """
 
     def __init__(
@@ -45,23 +49,24 @@
         ledger: Ledger,
         metrics: Metrics,
         progress_of: Callable[[Item, Job], ItemProgress],
+        tokens_per_event: Callable[[], int],
+        carried: set[str],
     ) -> None:
         self.job = job
         self.log = log
         self._ledger = ledger
         self._metrics = metrics
+        self._tokens_per_event = tokens_per_event
         self._finished: dict[str, Result] = {}
         # Whether a segment may be in the store that the log does not have yet.
         self.is_unsure = False
         self._news = asyncio.Event()
         self.unfinished: dict[str, ItemProgress] = {}
-        self.required: set[str] = set()
+        self.required = carried
         for item in items:
             if item.item_id in log.listed:
                 continue
             progress = progress_of(item, job)
-            if progress.started_s:
-                self.required.add(item.group)
             self.unfinished[item.item_id] = progress
             if progress.is_complete:
                 self.finish(progress.result())
@@ -77,11 +82,12 @@
         left: dict[str, list[int]] = {}
         for progress in self.unfinished.values():
             item = progress.item
-            left.setdefault(item.group, []).append(expected_tokens_left(progress))
+            events_left = progress.events_left(self._tokens_per_event())
+            left.setdefault(item.group, []).append(events_left)
         whole = {item.group for item in self.items.values()} - set(left)
         groups = [
-            WaitingGroup(group, group in self.required, tuple(tokens))
-            for group, tokens in left.items()
+            WaitingGroup(group, group in self.required, tuple(events))
+            for group, events in left.items()
         ]
         target = self.job.target_groups
         return needed_groups(groups, max(1, target - len(whole)) if target else 0)
@@ -144,8 +150,3 @@
             items=",".join(result.item_id for result in committed.results),
             by_other=committed is not segment,
         )
-
-
-def expected_tokens_left(progress: ItemProgress) -> int:
-    """Return the output tokens that an item is still expected to make."""
-    return max(1, progress.item.expected_output_tokens - len(progress.outputs))
--- a/greengagetack/batches/ledger.py
+++ b/greengagetack/batches/ledger.py
@@ -5,6 +5,7 @@
 runners of a job can waste work but never double or change a result.
 """
 
+import asyncio
 import dataclasses
 from typing import Any, Protocol
 
@@ -13,7 +14,7 @@
 
 from greengagetack.batches.job import Item, Job, Result, Segment
 from greengagetack.errors import InvalidRequest, NotFound
-from greengagetack.objects.base import ObjectConflict, PlatformObject, WatchAnswer
+from greengagetack.objects.base import ObjectConflict, PlatformObject
 
 __all__ = ["JOBS", "Ledger", "LedgerStore", "is_forgettable", "job_of"]
 
@@ -24,6 +25,8 @@
 PART_RATIO = 0.6
 SEGMENT_RATIO = 0.6
 END_ATTEMPTS = 5
+# Segments that are read at the same time at most.
+MOST_READS = 8
 MS_PER_S = 1_000
 # Clocks of VMs may differ by this much.
 CLOCK_MARGIN_S = 120.0
@@ -42,9 +45,6 @@
     ) -> int:
         """Write under a condition."""
 
-    async def list(self, prefix: str, after: str = "") -> WatchAnswer:
-        """Return the objects of a prefix."""
-
     async def delete(self, path: str) -> None:
         """Remove an object."""
 
@@ -70,6 +70,10 @@
     return job.is_ended and age_s > kept_s + CLOCK_MARGIN_S
 
 
+def _segment_path(job_id: str, number: int) -> str:
+    return f"{RESULTS}{job_id}.{number:06d}"
+
+
 class Ledger:
     """Accepts jobs, commits their results and ends them."""
 
@@ -169,7 +173,7 @@
         PlatformUnavailable, WriteUnknown
             If no answer came; committing the same number again is safe.
         """
-        path = f"{RESULTS}{job_id}.{segment.number:06d}"
+        path = _segment_path(job_id, segment.number)
         value = msgspec.to_builtins(segment)
         try:
             await self._store.write(path, value, 0)
@@ -181,11 +185,24 @@
         return segment
 
     async def segments(self, job_id: str, first: int) -> list[Segment]:
-        """Return the committed segments from a number on."""
-        after = f"{job_id}.{first - 1:06d}" if first else f"{job_id}."
-        answer = await self._store.list(f"{RESULTS}{job_id}.", after)
-        found = [msgspec.convert(item.value, Segment) for item in answer.objects]
-        return sorted(found, key=lambda segment: segment.number)
+        """Return the committed segments from a number on.
+
+        They are read by name, ever more at a time until one does not exist: a list
+        of their kind would bring those of other jobs along, a megabyte at a time.
+        """
+        found: list[Segment] = []
+        count = 1
+        while True:
+            start = first + len(found)
+            reads = [
+                self._store.read(_segment_path(job_id, number))
+                for number in range(start, start + count)
+            ]
+            for stored in await asyncio.gather(*reads):
+                if stored is None:
+                    return found
+                found.append(msgspec.convert(stored.value, Segment))
+            count = min(MOST_READS, 2 * count)
 
     def cut(self, results: list[Result]) -> list[Result]:
         """Return as many results as fit into one segment, at least one."""
@@ -202,7 +219,7 @@
     async def forget(self, job: Job) -> None:
         """Remove a job that is no longer owed, its results first."""
         for segment in await self.segments(job.job_id, 0):
-            await self._store.delete(f"{RESULTS}{job.job_id}.{segment.number:06d}")
+            await self._store.delete(_segment_path(job.job_id, segment.number))
         for number in range(job.item_parts):
             await self._store.delete(f"{ITEMS}{job.job_id}.{number:03d}")
         await self._store.delete(f"{JOBS}{job.job_id}")
--- a/greengagetack/batches/order.py
+++ b/greengagetack/batches/order.py
@@ -8,14 +8,14 @@
 
 @dataclass(frozen=True, slots=True)
 class WaitingGroup:
-    """A group of a job with the expected tokens left of each unfinished item.
+    """A group of a job with the expected events left of each unfinished item.
 
     `is_required` marks a group that the trainer waits for in any case.
     """
 
     group: str
     is_required: bool
-    tokens_left: tuple[int, ...]
+    events_left: tuple[int, ...]
 
 
 def needed_groups(groups: Iterable[WaitingGroup], target_groups: int) -> set[str]:
@@ -27,14 +27,14 @@
     """
     ranked = sorted(
         groups,
-        key=lambda group: (not group.is_required, max(group.tokens_left, default=0)),
+        key=lambda group: (not group.is_required, max(group.events_left, default=0)),
     )
     count = target_groups if target_groups > 0 else len(ranked)
     return {group.group for group in ranked[:count]}
 
 
 def rank_items(
-    due_ms: float, is_needed: bool, is_required: bool, tokens_left: int
+    due_ms: float, is_needed: bool, is_required: bool, events_left: int
 ) -> tuple[bool, float, bool, int]:
     """Return the sort key of a waiting item; the smallest is sent first.
 
@@ -42,4 +42,4 @@
     groups that are needed, the longest items start first, as they decide when the
     job is whole. An older job goes before a newer one.
     """
-    return (not is_needed, due_ms, not is_required, -tokens_left)
+    return (not is_needed, due_ms, not is_required, -events_left)
--- a/greengagetack/batches/pace.py
+++ b/greengagetack/batches/pace.py
@@ -53,6 +53,10 @@
         pace_s = known.event_s + SMOOTHING * (gap_s - known.event_s)
         self._paces[replica_id] = _Pace(pace_s, known.count + 1, now_s)
 
+    def forget(self, replica_id: str) -> None:
+        """Drop what is known of a replica that is gone."""
+        self._paces.pop(replica_id, None)
+
     def current(self) -> Paces:
         """Return the paces that are recent and observed often enough."""
         oldest_s = time.monotonic() - MEMORY_S
--- a/greengagetack/batches/progress.py
+++ b/greengagetack/batches/progress.py
@@ -31,7 +31,6 @@
     server_failures: int = 0
     is_running: bool = False
     retry_at_s: float = 0.0
-    started_s: float = 0.0
     run_started_s: float = 0.0
     # A replica that it was taken from, and until when it does not go back there.
     avoided_replica: str = ""
@@ -61,6 +60,18 @@
         if version not in self.versions:
             self.versions.append(version)
 
+    def events_left(self, tokens_per_event: int) -> int:
+        """Return the events that the item is still expected to make, at least one.
+
+        The hint is right at the median but often far too low; of the items that are
+        past it, the median makes about half as many events again.
+        """
+        most = max(0, self.item.tokens - self.item.prompt_tokens) // tokens_per_event
+        hint = -(-self.item.output_hint // tokens_per_event) or most
+        made = len(self.outputs)
+        expected = max(1, hint - made, made // 2)
+        return min(expected, most - made) if most > made else expected
+
     def fits(self, min_version: int, single_version: bool) -> bool:
         """Whether the events so far may be part of a result."""
         if any(version < min_version for version in self.versions):
--- a/greengagetack/batches/reading.py
+++ b/greengagetack/batches/reading.py
@@ -102,8 +102,13 @@
         if task is None or task.done():
             task = asyncio.create_task(self._sync(job, log, wait_s))
             self._syncing[job.job_id] = task
+            task.add_done_callback(lambda done: self._sync_ended(job.job_id, done))
         await asyncio.shield(task)
 
+    def _sync_ended(self, job_id: str, task: asyncio.Task[None]) -> None:
+        if self._syncing.get(job_id) is task:
+            del self._syncing[job_id]
+
     async def _sync(self, job: Job, log: JobLog, wait_s: float) -> None:
         first = log.next_segment
         try:
--- a/greengagetack/daemons/protocol.py
+++ b/greengagetack/daemons/protocol.py
@@ -1,6 +1,9 @@
 """greengagetack.daemons.protocol: uvicorn's HTTP protocol with bounds on headers."""
 
 import asyncio
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import uvicorn
@@ -15,41 +18,53 @@
     RequestTooSlow,
 )
 
-__all__ = ["BoundedHttpProtocol", "bounded_config"]
+__all__ = ["BoundedHttpProtocol", "HttpBounds", "bounded_config"]
 
 HEADER_TIMEOUT_S = 10.0
-KEEP_ALIVE_S = 65
+KEEP_ALIVE_S = 65.0
 MAX_HEADER_BYTES = 65_536
 MAX_CONNECTIONS = 20_000
 REASON_PHRASES = {400: "Bad Request", 408: "Request Timeout", 413: "Content Too Large"}
 
 
+@dataclass(frozen=True, slots=True)
+class HttpBounds:
+    """Bounds on what one connection may send, and how long it may rest."""
+
+    header_timeout_s: float
+    idle_timeout_s: float
+    max_header_bytes: int
+
+
+def _default_bounds() -> HttpBounds:
+    return HttpBounds(HEADER_TIMEOUT_S, KEEP_ALIVE_S, MAX_HEADER_BYTES)
+
+
 class BoundedHttpProtocol(HttpToolsProtocol):
     """Refuses heads of requests that come too slowly or grow too large.
 
     A sender that closes its side in the middle of a request gets an error and
-    nothing is run; one that closes it afterwards is taken to have left.
+    nothing is run; one that closes it afterwards is taken to have left. `bounds` is
+    asked for each request and each rest anew, so that a change is in force at once.
     """
 
+    bounds: Callable[[], HttpBounds] = staticmethod(_default_bounds)
     _head_timer: asyncio.TimerHandle | None = None
     _head_bytes = 0
 
     def connection_made(self, transport: Any) -> None:
-        """Start the time of the first request's head."""
+        """Start the time in which the first request has to begin."""
         super().connection_made(transport)
-        self._start_head_timer()
+        self._start_head_timer(self.bounds().idle_timeout_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Release the timer."""
         self._stop_head_timer()
         super().connection_lost(exc)
 
-    def _start_head_timer(self) -> None:
-        self._head_bytes = 0
-        if self._head_timer is None:
-            self._head_timer = self.loop.call_later(
-                HEADER_TIMEOUT_S, self._on_head_timeout
-            )
+    def _start_head_timer(self, limit_s: float) -> None:
+        self._stop_head_timer()
+        self._head_timer = self.loop.call_later(limit_s, self._on_head_timeout)
 
     def _stop_head_timer(self) -> None:
         if self._head_timer is not None:
@@ -63,7 +78,8 @@
         if not self._head_bytes:
             self.transport.close()
             return
-        self._refuse(RequestTooSlow(f"headers took over {HEADER_TIMEOUT_S:g} s"))
+        limit_s = self.bounds().header_timeout_s
+        self._refuse(RequestTooSlow(f"headers took over {limit_s:g} s"))
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes; refuse a head that has too many."""
@@ -72,15 +88,14 @@
         self._head_bytes += len(data)
         super().data_received(data)
         is_head_open = self._head_timer is not None
-        if is_head_open and self._head_bytes > MAX_HEADER_BYTES:
-            self._refuse(RequestTooLarge(f"headers may have {MAX_HEADER_BYTES} bytes"))
+        limit_bytes = self.bounds().max_header_bytes
+        if is_head_open and self._head_bytes > limit_bytes:
+            self._refuse(RequestTooLarge(f"headers may have {limit_bytes} bytes"))
 
     def on_message_begin(self) -> None:
         """Start the time of a request's head."""
         super().on_message_begin()
-        received_bytes = self._head_bytes
-        self._start_head_timer()
-        self._head_bytes = received_bytes
+        self._start_head_timer(self.bounds().header_timeout_s)
 
     def on_headers_complete(self) -> None:
         """End the time of a request's head."""
@@ -90,6 +105,7 @@
     def on_response_complete(self) -> None:
         """Forget the former request's bytes."""
         self._head_bytes = 0
+        self.timeout_keep_alive = math.ceil(self.bounds().idle_timeout_s)
         super().on_response_complete()
 
     def eof_received(self) -> None:
@@ -124,16 +140,29 @@
             self.transport.close()
 
 
-def bounded_config(app: Any, **options: Any) -> uvicorn.Config:
-    """Return uvicorn's configuration with all bounds of the HTTP side."""
+def bounded_config(
+    app: Any, bounds: Callable[[], HttpBounds] = _default_bounds, **options: Any
+) -> uvicorn.Config:
+    """Return uvicorn's configuration with all bounds of the HTTP side.
+
+    Parameters
+    ----------
+    bounds : callable
+        Returns the bounds in force.
+    """
+    protocol = type(
+        "ConfiguredHttpProtocol",
+        (BoundedHttpProtocol,),
+        {"bounds": staticmethod(bounds)},
+    )
     return uvicorn.Config(
         app,
-        http=BoundedHttpProtocol,
+        http=protocol,
         ws="none",
         lifespan="off",
         access_log=False,
         log_config=None,
-        timeout_keep_alive=KEEP_ALIVE_S,
+        timeout_keep_alive=int(KEEP_ALIVE_S),
         limit_concurrency=MAX_CONNECTIONS,
         server_header=False,
         proxy_headers=False,
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -18,10 +18,10 @@
 from greengagetack.batches.ledger import JOBS, Ledger
 from greengagetack.batches.reading import JobReader
 from greengagetack.daemons.main import HttpServer
-from greengagetack.daemons.protocol import bounded_config
+from greengagetack.daemons.protocol import HttpBounds, bounded_config
 from greengagetack.errors import CodedError, PeerUnreachable, PlatformUnavailable
 from greengagetack.gateway.forward import Forwarder
-from greengagetack.gateway.routes import RequestKind, RouteTable
+from greengagetack.gateway.routes import Limits, RequestKind, RouteTable
 from greengagetack.http1.pool import Pool
 from greengagetack.objects.base import ObjectConflict, PlatformObject, WatchAnswer
 from greengagetack.objects.feed import Feed, FeedSource
@@ -70,6 +70,7 @@
 HAND_OVER_S = 1.0
 BACKLOG = 1_024
 RESTART_PAUSE_S = 0.2
+MS_PER_S = 1_000
 SWEEP_INTERVAL_S = 15.0
 # Work that the loss of all daemons may cost at most, per item.
 CHECKPOINT_INTERVAL_S = 1.0
@@ -105,6 +106,7 @@
         self._table: RouteTable | None = None
         self._config_version = 0
         pool = Pool(REPLICA_CONNECT_S)
+        self._fleet.subscribe_removals(lambda replica: pool.drop(replica.address))
         dialect = PlatformDialect()
         self._engines = EngineFacts()
         self._ledger = Ledger(self._store)
@@ -269,6 +271,15 @@
                 routes=len(configuration.routes),
             )
 
+    def _http_bounds(self) -> HttpBounds:
+        """Return what the configuration in force allows a connection."""
+        limits = Limits() if self._table is None else self._table.configuration.limits
+        return HttpBounds(
+            limits.header_timeout_ms / MS_PER_S,
+            limits.idle_timeout_ms / MS_PER_S,
+            limits.max_header_bytes,
+        )
+
     def _on_servers(
         self, changed: tuple[PlatformObject, ...], gone: tuple[str, ...]
     ) -> None:
@@ -377,6 +388,7 @@
         front = HttpServer(
             bounded_config(
                 self._ingress,
+                self._http_bounds,
                 timeout_graceful_shutdown=int(facts.grace_s),
                 backlog=BACKLOG,
                 date_header=False,
--- a/greengagetack/replicas/fleet.py
+++ b/greengagetack/replicas/fleet.py
@@ -31,11 +31,16 @@
         self._states: dict[str, ReplicaState] = {}
         self._lapsed: set[str] = set()
         self._listeners: list[Callable[[], None]] = []
+        self._removal_listeners: list[Callable[[Replica], None]] = []
 
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call `listener` after each change."""
         self._listeners.append(listener)
 
+    def subscribe_removals(self, listener: Callable[[Replica], None]) -> None:
+        """Call `listener` with each incarnation that is gone for good."""
+        self._removal_listeners.append(listener)
+
     def get(self, replica_id: str) -> ReplicaState | None:
         """Return a replica's state, None if it is not listed."""
         return self._states.get(replica_id)
@@ -60,7 +65,7 @@
         is_new = state is None or state.replica.started_ms != replica.started_ms
         if state is None or is_new or state.replica.address != replica.address:
             if state is not None:
-                state.is_gone = True
+                self._forget(state)
             self._states[replica.replica_id] = ReplicaState(replica)
             logger.info(
                 "replicas: {} of {} at {} is listed",
@@ -89,11 +94,16 @@
             self._notify()
 
     def _remove(self, replica_id: str, state: ReplicaState) -> None:
-        state.is_gone = True
         self._lapsed.discard(replica_id)
         self._states.pop(replica_id, None)
+        self._forget(state)
         logger.info("replicas: {} is gone", replica_id)
 
+    def _forget(self, state: ReplicaState) -> None:
+        state.is_gone = True
+        for listener in self._removal_listeners:
+            listener(state.replica)
+
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
--- a/greengagetack/weights/wave_duty.py
+++ b/greengagetack/weights/wave_duty.py
@@ -10,7 +10,7 @@
 
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
-from greengagetack.replicas.replica import ReplicaState
+from greengagetack.replicas.replica import Replica, ReplicaState
 from greengagetack.weights.homes import assign_homes
 from greengagetack.weights.order_lease import OrderLease
 from greengagetack.weights.orders import LoadMode, LoadOrder, OrderEnd, OrderSender
@@ -87,6 +87,11 @@
         self._busy: set[str] = set()
         self._exchanges: set[asyncio.Task[None]] = set()
         self.is_active = False
+        fleet.subscribe_removals(self._on_removal)
+
+    def _on_removal(self, replica: Replica) -> None:
+        self._pauses.pop(replica.replica_id, None)
+        self._orders.pop((replica.replica_id, replica.started_ms), None)
 
     async def run(self) -> None:
         """Keep the lease and order loads while active, until cancelled."""
