Ask the daemon that runs the jobs for jobs and bodies before the store

Change: GET /peer/jobs/ID at the dispatcher; bodies from it first. Only the store says that a job does not exist.

--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -161,9 +161,12 @@
         return [job for job in jobs if job is not None]
 
     def job_of(self, job_id: str) -> Job | None:
-        """Return a job that runs here."""
+        """Return a job that runs here, or that the store has listed lately."""
         run = self._runs.get(job_id)
-        return None if run is None else run.job
+        if run is not None:
+            return run.job
+        stored = self._jobs.objects.get(f"{JOBS}{job_id}") if self.is_active else None
+        return None if stored is None else job_of(stored)
 
     def log_of(self, job_id: str) -> JobLog | None:
         """Return the committed results of a job that runs here."""
--- a/greengagetack/batches/reading.py
+++ b/greengagetack/batches/reading.py
@@ -10,7 +10,7 @@
 from greengagetack.batches.job import Item, Job, Segment
 from greengagetack.batches.ledger import Ledger
 from greengagetack.batches.log import JobLog
-from greengagetack.errors import CodedError, NotFound, PeerUnreachable
+from greengagetack.errors import NotFound, PeerUnreachable
 from greengagetack.siblings.client import PeerClient
 
 __all__ = ["JobReader"]
@@ -52,10 +52,22 @@
         """
         job = self._jobs.get(job_id) or self._dispatcher.job_of(job_id)
         if job is None:
-            job = await self._ledger.find(job_id)
+            job = await self._found(job_id)
+        self.keep_job(job)
+        return job
+
+    async def _found(self, job_id: str) -> Job:
+        """Ask the daemon that runs the jobs, and the store for what it does not know.
+
+        Readers come to any daemon; only the store can say that a job does not exist.
+        """
+        try:
+            return await self._peers.job(job_id)
+        except PeerUnreachable as unknown:
+            logger.debug("read: {} is unknown to the dispatcher: {}", job_id, unknown)
+        job = await self._ledger.find(job_id)
         if job is None:
             raise NotFound(f"there is no job {job_id}")
-        self.keep_job(job)
         return job
 
     def knows(self, job_id: str) -> bool:
@@ -153,16 +165,18 @@
         NotFound
             If the job has no such item.
         PlatformUnavailable
-            If neither the store nor the daemon that runs the job answers.
+            If neither the daemon that runs the job nor the store answers.
         """
         item = self._dispatcher.item_of(job.job_id, item_id)
-        if item is None and job.job_id not in self._items:
+        if item is not None:
+            return item.body
+        if job.job_id not in self._items:
             try:
-                self.keep_items(job.job_id, await self._ledger.items(job))
-            except CodedError:
                 return await self._peers.body(job.job_id, item_id)
-        if item is None:
-            item = self._items[job.job_id].get(item_id)
+            except PeerUnreachable as unknown:
+                logger.debug("read: no body from the dispatcher: {}", unknown.reason)
+            self.keep_items(job.job_id, await self._ledger.items(job))
+        item = self._items[job.job_id].get(item_id)
         if item is None:
             raise NotFound(f"job {job.job_id} has no item {item_id}")
         return item.body
--- a/greengagetack/siblings/client.py
+++ b/greengagetack/siblings/client.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from greengagetack.batches.job import Segment
+from greengagetack.batches.job import Job, Segment
 from greengagetack.batches.progress import ProgressSnapshot
 from greengagetack.errors import PeerUnreachable, PlatformUnavailable
 from greengagetack.http1.message import ExchangeError, Request
@@ -87,6 +87,19 @@
         body = await self._call(address, "GET", path, b"", READ_MARGIN_S + wait_s)
         return _decoded(body, Segments).segments
 
+    async def job(self, job_id: str) -> Job:
+        """Return a job that the dispatcher runs or knows to be accepted.
+
+        Raises
+        ------
+        PeerUnreachable
+            If the dispatcher is unknown, does not answer or does not know the job.
+        """
+        address = self._known_dispatcher()
+        path = f"/peer/jobs/{quote(job_id)}"
+        body = await self._call(address, "GET", path, b"", CALL_TIMEOUT_S)
+        return _decoded(body, Job)
+
     async def body(self, job_id: str, item_id: str) -> bytes:
         """Return an item's body from the dispatcher."""
         path = f"/peer/bodies/{quote(job_id)}/{quote(item_id)}"
--- a/greengagetack/siblings/server.py
+++ b/greengagetack/siblings/server.py
@@ -49,6 +49,12 @@
         found = await reader.segments(job_id, first, wait_s)
         return Response(encode(Segments(found)))
 
+    async def known_job(request: Request) -> Response:
+        job = dispatcher.job_of(request.path_params["job_id"])
+        if job is None:
+            return Response(status_code=NOT_FOUND)
+        return Response(encode(job))
+
     async def body(request: Request) -> Response:
         job_id, item_id = request.path_params["job_id"], request.path_params["item_id"]
         item = dispatcher.item_of(job_id, item_id)
@@ -87,6 +93,7 @@
         routes=[
             Route("/peer/ping", ping),
             Route("/peer/segments/{job_id}", segments),
+            Route("/peer/jobs/{job_id}", known_job),
             Route("/peer/bodies/{job_id}/{item_id}", body),
             Route("/peer/objects/{prefix:path}", objects),
             Route("/peer/jobs", job, methods=["POST"]),
