Seal the log of an ended job, and read jobs of others through one daemon

Ruled out: keeping more closed logs alone; a log that another dispatcher may still extend must be confirmed at each read. Change: an ended job's last items are listed as lost by one more segment, after which its log is whole and final for every reader; the dispatcher reads jobs that it does not run for all others; logs are kept by size; results wait 0.4 s for others unless the job is nearly due; the claim is watched for 30 s a call, and listed again after a conflict.

--- a/features/batches.feature
+++ b/features/batches.feature
@@ -35,6 +35,37 @@
       | 9      | 40    | 0     | 0-39  | 47    |
       | 9      | 40    | 38    | 38-39 | 3     |
 
+  Scenario Outline: An ended job is sealed, so that its log is final
+    Given an open job "j1" of 4 items with <listed> listed and <finished> finished ones
+    And <other> of them were listed by another daemon meanwhile
+    When the job is sealed while the store <store>
+    Then its log has <results> results, <completed> of them completed, and is final <final>
+
+    Examples:
+      | listed | finished | other | store                | results | completed | final |
+      | 0      | 0        | 0     | answers              | 4       | 0         | yes   |
+      | 2      | 1        | 0     | answers              | 4       | 3         | yes   |
+      | 4      | 0        | 0     | answers              | 4       | 4         | yes   |
+      | 1      | 2        | 1     | answers              | 4       | 3         | yes   |
+      | 1      | 1        | 0     | is away for a while  | 4       | 2         | yes   |
+      | 1      | 1        | 0     | is away              | 1       | 1         | no    |
+
+  Scenario Outline: Logs are kept up to a size
+    When logs of sizes <sizes> are kept within 100 bytes, "a" being used again
+    Then the logs kept are <kept>
+
+    Examples:
+      | sizes            | kept  |
+      | a:40 b:40        | a,b   |
+      | a:40 b:40 c:40   | a,c   |
+      | a:40 b:400       | b     |
+
+  Scenario: A feed whose watch hangs is listed again when it is known to be out of date
+    Given a feed on a store whose watches hear nothing
+    When an object is written and the feed is told to list again
+    Then the feed has the object before its watch ends
+    And the feed ends when it is cancelled
+
   Scenario Outline: What is known of a replica is dropped with it
     Given a fleet with replica "a" of incarnation 1, whose prompts and pace are known
     When the fleet hears <news>
--- a/features/steps/batches_steps.py
+++ b/features/steps/batches_steps.py
@@ -7,9 +7,15 @@
 
 from features.support.memory_ledger import MemoryLedgerStore
 from greengagetack.batches.carried import CarriedGroups
-from greengagetack.batches.job import Item, Job, Segment
+from greengagetack.batches.job import Item, Job, Result, ResultState, Segment
+from greengagetack.batches.job_run import JobRun
 from greengagetack.batches.ledger import Ledger
+from greengagetack.batches.log import JobLog, LogCache
+from greengagetack.batches.progress import ItemProgress
 from greengagetack.batches.prompts import PromptHomes
+from greengagetack.objects.base import PlatformObject, WatchAnswer
+from greengagetack.objects.feed import Feed
+from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.replicas.replica import Replica
 from greengagetack.world import Address
@@ -101,6 +107,141 @@
     assert len(context.store.reads) <= reads, context.store.reads
 
 
+def _result(number: int) -> Result:
+    return Result(f"i-{number}", ResultState.COMPLETED, "output", (1,))
+
+
+@given(
+    'an open job "j1" of 4 items with {listed:d} listed and {finished:d} finished ones'
+)
+def step_open_job(context: Context, listed: int, finished: int) -> None:
+    context.store = MemoryLedgerStore()
+    context.ledger = Ledger(context.store)
+    items = tuple(Item(f"i-{n}", "/", (), b"", 10, "g") for n in range(4))
+    log = JobLog()
+    segment = Segment(0, 0, tuple(_result(number) for number in range(listed)))
+    asyncio.run(context.ledger.commit("j1", segment))
+    log.absorb(segment)
+    job = _job("j1", 0, len(items), "r")
+    context.run = JobRun(
+        job,
+        items,
+        log,
+        context.ledger,
+        Metrics(),
+        lambda item, _: ItemProgress(item),
+        lambda: 1,
+        set(),
+    )
+    for number in range(listed, listed + finished):
+        context.run.finish(_result(number))
+    context.first_finished = listed
+
+
+@given("{count:d} of them were listed by another daemon meanwhile")
+def step_listed_elsewhere(context: Context, count: int) -> None:
+    if not count:
+        return
+    first = context.first_finished
+    results = tuple(_result(number) for number in range(first, first + count))
+    asyncio.run(context.ledger.commit("j1", Segment(1, first, results)))
+
+
+@when("the job is sealed while the store {state}")
+def step_seal(context: Context, state: str) -> None:
+    context.store.refusals_left = {
+        "answers": 0,
+        "is away for a while": 3,
+        "is away": 1_000,
+    }[state]
+    asyncio.run(context.run.seal())
+
+
+@then(
+    "its log has {results:d} results, {completed:d} of them completed, and is final "
+    "{final}"
+)
+def step_sealed(context: Context, results: int, completed: int, final: str) -> None:
+    log = context.run.log
+    assert len(log.results) == results, log.results
+    assert len({result.item_id for result in log.results}) == results
+    states = [result.state for result in log.results]
+    assert states.count(ResultState.COMPLETED) == completed, states
+    assert (results == context.run.job.total) == (final == "yes")
+
+
+@when('logs of sizes {sizes} are kept within 100 bytes, "a" being used again')
+def step_logs(context: Context, sizes: str) -> None:
+    cache = LogCache(100)
+    for text in sizes.split():
+        name, _, size = text.partition(":")
+        log = JobLog()
+        output = Result("i", ResultState.COMPLETED, "x" * int(size), (1,))
+        log.absorb(Segment(0, 0, (output,)))
+        cache.put(name, log)
+        cache.get("a")
+    context.cache = cache
+
+
+@then("the logs kept are {kept}")
+def step_logs_kept(context: Context, kept: str) -> None:
+    found = [name for name in "abc" if context.cache.get(name) is not None]
+    assert ",".join(found) == kept, found
+
+
+class _DeafStore:
+    """Lists one object more each time; its watches never hear of it."""
+
+    def __init__(self) -> None:
+        self.lists = 0
+
+    async def list(self, prefix: str) -> WatchAnswer:
+        self.lists += 1
+        found = [
+            PlatformObject(f"{prefix}{number}", number, "", {})
+            for number in range(1, self.lists + 1)
+        ]
+        return WatchAnswer(self.lists, tuple(found))
+
+    async def watch(self, prefix: str, after: int, timeout_s: float) -> WatchAnswer:
+        await asyncio.sleep(timeout_s)
+        return WatchAnswer(after, ())
+
+
+@given("a feed on a store whose watches hear nothing")
+def step_deaf_feed(context: Context) -> None:
+    store = _DeafStore()
+    context.feed = Feed(lambda: store, "claims/", lambda: 3_600.0)
+
+
+@when("an object is written and the feed is told to list again")
+def step_refresh(context: Context) -> None:
+    async def refreshed() -> None:
+        task = asyncio.create_task(context.feed.run())
+        await context.feed.synced.wait()
+        await asyncio.sleep(0)
+        changed = asyncio.Event()
+        context.feed.subscribe(lambda objects, gone: changed.set())
+        context.feed.refresh()
+        async with asyncio.timeout(20):
+            await changed.wait()
+        task.cancel()
+        done, _ = await asyncio.wait({task}, timeout=20)
+        context.is_ended = bool(done)
+
+    asyncio.run(refreshed())
+
+
+@then("the feed has the object before its watch ends")
+def step_refreshed(context: Context) -> None:
+    assert set(context.feed.objects) == {"claims/1", "claims/2"}
+
+
+@then("the feed ends when it is cancelled")
+def step_feed_ended(context: Context) -> None:
+    assert context.is_ended
+
+
 def _replica(started_ms: int) -> Replica:
     return Replica(
         "a", "service", Address("10.0.0.1", 80), "zone", 4, False, (), started_ms
--- a/features/support/memory_ledger.py
+++ b/features/support/memory_ledger.py
@@ -9,7 +9,10 @@
 
 
 class MemoryLedgerStore:
-    """Keeps objects in a dictionary; `reads` lists the paths that were read."""
+    """Keeps objects in a dictionary; `reads` lists the paths that were read.
+
+    `refusals_left` counts the next calls that it refuses.
+    """
 
     value_limit_bytes = 1_000_000
 
@@ -17,11 +20,15 @@
         self.objects: dict[str, PlatformObject] = {}
         self.reads: list[str] = []
         self.is_away = False
+        self.refusals_left = 0
         self._revision = 0
 
     def _check(self) -> None:
-        if self.is_away:
-            raise PlatformUnavailable("the store is away as asked", 0.1)
+        if self.refusals_left:
+            self.refusals_left -= 1
+        elif not self.is_away:
+            return
+        raise PlatformUnavailable("the store is away as asked", 0.1)
 
     async def read(self, path: str) -> PlatformObject | None:
         """Return an object, None if there is none."""
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -12,7 +12,7 @@
 from greengagetack.batches.job import Item, Job
 from greengagetack.batches.job_run import JobRun
 from greengagetack.batches.ledger import JOBS, Ledger, is_forgettable, job_of
-from greengagetack.batches.log import JobLog
+from greengagetack.batches.log import JobLog, LogCache
 from greengagetack.batches.order import rank_items
 from greengagetack.batches.pace import (
     PaceBook,
@@ -46,7 +46,7 @@
 HINT_PAUSE_S = 0.1
 KEPT_PROGRESSES = 2_000
 # Jobs that ended a while ago are still read by others.
-KEPT_CLOSED_LOGS = 12
+KEPT_CLOSED_LOG_BYTES = 16 * 1024 * 1024
 MS_PER_S = 1_000
 # Clocks of VMs differ; an item is given up only when all agree that it may be.
 TTL_MARGIN_S = 6.0
@@ -100,7 +100,9 @@
         self._item_tasks: dict[str, asyncio.Task[None]] = {}
         self._progresses: OrderedDict[str, ItemProgress] = OrderedDict()
         self._prompts = PromptHomes()
-        self._closed_logs: OrderedDict[str, JobLog] = OrderedDict()
+        self._closed_logs = LogCache(KEPT_CLOSED_LOG_BYTES)
+        self._sealing: dict[str, JobRun] = {}
+        self._seals: set[asyncio.Task[None]] = set()
         self._adopted: dict[str, ProgressSnapshot] = {}
         self._hints: set[asyncio.Task[None]] = set()
         self._reserved: dict[str, int] = {}
@@ -170,10 +172,10 @@
 
     def log_of(self, job_id: str) -> JobLog | None:
         """Return the committed results of a job that runs here."""
-        run = self._runs.get(job_id)
-        if run is not None:
-            return run.log
-        return self._closed_logs.get(job_id) if self.is_active else None
+        if not self.is_active:
+            return None
+        run = self._runs.get(job_id) or self._sealing.get(job_id)
+        return self._closed_logs.get(job_id) if run is None else run.log
 
     def item_of(self, job_id: str, item_id: str) -> Item | None:
         """Return an item of a job that runs here."""
@@ -234,10 +236,6 @@
         run = self._runs.pop(job_id, None)
         if run is None:
             return
-        if not run.is_unsure:
-            self._closed_logs[job_id] = run.log
-        while len(self._closed_logs) > KEPT_CLOSED_LOGS:
-            self._closed_logs.popitem(last=False)
         for item_id in run.unfinished:
             item_task = self._item_tasks.get(item_id)
             if item_task is not None:
@@ -245,6 +243,26 @@
         logger.info(
             "dispatch: job closed", request_id=job_id, unfinished=len(run.unfinished)
         )
+        if self.is_active:
+            self._sealing[job_id] = run
+            seal = asyncio.create_task(self._seal(run), name=f"seal {job_id}")
+            self._seals.add(seal)
+            seal.add_done_callback(self._seals.discard)
+
+    async def _seal(self, run: JobRun) -> None:
+        job_id = run.job.job_id
+        try:
+            await run.seal()
+        finally:
+            del self._sealing[job_id]
+        if len(run.log.results) == run.job.total:
+            self._closed_logs.put(job_id, run.log)
+        else:
+            logger.warning(
+                "dispatch: ended job not sealed; it is read from the store",
+                request_id=job_id,
+                listed=len(run.log.results),
+            )
 
     async def _run_job(self, job: Job) -> None:
         log = JobLog()
--- a/greengagetack/batches/job_run.py
+++ b/greengagetack/batches/job_run.py
@@ -16,9 +16,13 @@
 
 __all__ = ["JobRun"]
 
-# Results that finish within this time are committed together.
-COMMIT_DELAY_S = 0.15
+# Results that finish within this time are committed together; less before they are due.
+COMMIT_DELAY_S = 0.4
+SHORT_COMMIT_DELAY_S = 0.1
+NEARLY_DUE_S = 1.5
 COMMIT_RETRY_S = 0.2
+SEAL_ATTEMPTS = 10
+MS_PER_S = 1_000
 
 
 class JobRun:
@@ -109,12 +113,30 @@
                 continue
             # Once all that is needed is there, nothing more is worth waiting for.
             if self._needs_more():
-                await asyncio.sleep(COMMIT_DELAY_S)
+                await asyncio.sleep(self._commit_delay_s())
             await self._commit()
         logger.info(
             "batch: job whole", request_id=self.job.job_id, total=self.job.total
         )
 
+    async def seal(self) -> None:
+        """List what is left of an ended job as lost, so that its log is final.
+
+        Readers everywhere then know without asking that nothing can follow. While
+        the store does not answer, the log stays as it is and readers ask the store.
+        """
+        for progress in list(self.unfinished.values()):
+            self.finish(progress.lost())
+        for _ in range(SEAL_ATTEMPTS):
+            if not self._finished:
+                return
+            await self._commit()
+
+    def _commit_delay_s(self) -> float:
+        due_in_s = self.due_ms / MS_PER_S - time.time()
+        is_nearly_due = 0 < due_in_s < NEARLY_DUE_S
+        return SHORT_COMMIT_DELAY_S if is_nearly_due else COMMIT_DELAY_S
+
     def _needs_more(self) -> bool:
         needed = self.needed()
         return any(p.item.group in needed for p in self.unfinished.values())
--- a/greengagetack/batches/reading.py
+++ b/greengagetack/batches/reading.py
@@ -9,14 +9,14 @@
 from greengagetack.batches.dispatcher import Dispatcher
 from greengagetack.batches.job import Item, Job, Segment
 from greengagetack.batches.ledger import Ledger
-from greengagetack.batches.log import JobLog
+from greengagetack.batches.log import JobLog, LogCache
 from greengagetack.errors import NotFound, PeerUnreachable
 from greengagetack.siblings.client import PeerClient
 
 __all__ = ["JobReader"]
 
 KEPT_JOBS = 500
-KEPT_LOGS = 24
+KEPT_LOG_BYTES = 16 * 1024 * 1024
 KEPT_ITEM_SETS = 6
 # While the daemon that runs a job does not answer, the store is asked this often.
 STORE_PAUSE_S = 0.4
@@ -36,7 +36,7 @@
         self._jobs: OrderedDict[str, Job] = OrderedDict()
         self._dispatcher = dispatcher
         self._peers = peers
-        self._logs: OrderedDict[str, JobLog] = OrderedDict()
+        self._logs = LogCache(KEPT_LOG_BYTES)
         self._syncing: dict[str, asyncio.Task[None]] = {}
         self._items: OrderedDict[str, dict[str, Item]] = OrderedDict()
 
@@ -62,6 +62,8 @@
         Readers come to any daemon; only the store can say that a job does not exist.
         """
         try:
+            if self._dispatcher.is_active:
+                raise PeerUnreachable("this daemon runs the jobs, but not this one")
             return await self._peers.job(job_id)
         except PeerUnreachable as unknown:
             logger.debug("read: {} is unknown to the dispatcher: {}", job_id, unknown)
@@ -86,10 +88,7 @@
         if own is not None:
             await _wait_beyond(own, beyond, wait_s)
             return own
-        log = self._logs.setdefault(job.job_id, JobLog())
-        self._logs.move_to_end(job.job_id)
-        while len(self._logs) > KEPT_LOGS:
-            self._logs.popitem(last=False)
+        log = self._copy(job)
         if len(log.results) > beyond or len(log.results) >= job.total:
             return log
         until_s = time.monotonic() + wait_s
@@ -102,6 +101,11 @@
             if len(log.results) > beyond:
                 return log
 
+    def _copy(self, job: Job) -> JobLog:
+        log = self._logs.get(job.job_id) or JobLog()
+        self._logs.put(job.job_id, log)
+        return log
+
     async def _synced(self, job: Job, log: JobLog, wait_s: float) -> None:
         """Bring a log up to date; concurrent readers share one exchange.
 
@@ -124,10 +128,12 @@
     async def _sync(self, job: Job, log: JobLog, wait_s: float) -> None:
         first = log.next_segment
         try:
+            if self._dispatcher.is_active:
+                raise PeerUnreachable("this daemon runs the jobs, but not this one")
             segments = await self._peers.segments(job.job_id, first, wait_s)
         except PeerUnreachable as unreachable:
             logger.info(
-                "read: the dispatcher does not answer; reading the store",
+                "read: no answer from the dispatcher; reading the store",
                 request_id=job.job_id,
                 known=len(log.results),
                 reason=unreachable.reason,
@@ -137,16 +143,27 @@
             log.absorb(segment)
 
     async def segments(self, job_id: str, first: int, wait_s: float) -> list[Segment]:
-        """Return the segments of a job that runs here, for another daemon.
+        """Return the segments of a job for another daemon.
+
+        The dispatcher also reads jobs that it does not run, so that the store is
+        asked once and not by each daemon.
 
         Raises
         ------
         NotFound
-            If the job does not run here.
+            If this daemon does not run the jobs, or there is no such job.
+        PlatformUnavailable
+            If the store cannot be asked.
         """
         log = self._dispatcher.log_of(job_id)
         if log is None:
-            raise NotFound(f"job {job_id} does not run here")
+            if not self._dispatcher.is_active:
+                raise NotFound("this daemon does not run the jobs")
+            job = await self.job(job_id)
+            log = self._copy(job)
+            if len(log.results) < job.total:
+                await self._synced(job, log, 0.0)
+            return log.segments[first:]
         if log.next_segment <= first and wait_s:
             await _wait_beyond(log, len(log.results), wait_s)
         return log.segments[first:]
--- a/greengagetack/objects/feed.py
+++ b/greengagetack/objects/feed.py
@@ -64,6 +64,8 @@
         self._first_revision = 0
         self._removals: deque[tuple[int, str]] = deque()
         self._changed = asyncio.Event()
+        self._needs_list = True
+        self._call: asyncio.Task[WatchAnswer] | None = None
 
     @property
     def is_synced(self) -> bool:
@@ -77,20 +79,12 @@
     async def run(self) -> None:
         """Follow the prefix until cancelled."""
         retry_s = RETRY_FIRST_S
-        needs_list = True
         while True:
-            source = self._source()
             try:
-                if needs_list:
-                    self._replace(await source.list(self.prefix))
-                    needs_list = False
-                else:
-                    self._apply(
-                        await source.watch(self.prefix, self.revision, self._wait_s())
-                    )
+                await self._turn(self._source())
             except HistoryGone:
                 logger.info("feed: history gone; listing", prefix=self.prefix)
-                needs_list = True
+                self._needs_list = True
                 continue
             except CodedError as error:
                 self._note_failure(error)
@@ -107,6 +101,33 @@
             self.last_answer_s = time.monotonic()
             retry_s = RETRY_FIRST_S
 
+    async def _turn(self, source: FeedSource) -> None:
+        if self._needs_list:
+            self._needs_list = False
+            try:
+                self._replace(await source.list(self.prefix))
+            except CodedError:
+                self._needs_list = True
+                raise
+            return
+        watch = source.watch(self.prefix, self.revision, self._wait_s())
+        self._call = asyncio.ensure_future(watch)
+        try:
+            self._apply(await self._call)
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if task is None or task.cancelling():
+                raise
+        finally:
+            self._call.cancel()
+            self._call = None
+
+    def refresh(self) -> None:
+        """List the prefix again; something has shown that the copy is out of date."""
+        self._needs_list = True
+        if self._call is not None:
+            self._call.cancel()
+
     def _note_failure(self, error: CodedError) -> None:
         if self.last_failure_s <= self.last_answer_s:
             logger.warning(
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -52,8 +52,9 @@
 
 MEMBERS = "members/"
 CLAIMS = "dispatch/"
-# The claim changes seldom, and pings show its loss.
-CLAIM_WATCH_S = 10.0
+# The claim changes seldom, pings show its loss, and a conflict that it has changed; the
+# longest wait that the platform allows.
+CLAIM_WATCH_S = 30.0
 # A watch of the store that has gone silent is noticed after this time; the bound on
 # configurations is 2 s.
 LEAD_WATCH_S = 0.8
--- a/greengagetack/siblings/claim.py
+++ b/greengagetack/siblings/claim.py
@@ -171,6 +171,8 @@
             await self._store.write(CLAIM_PATH, msgspec.to_builtins(claim), version)
         except ObjectConflict:
             logger.info("claim: another daemon was first")
+            # The watch may have gone silent; it would tell only when its wait ends.
+            self._feed.refresh()
         except CodedError as error:
             logger.warning("claim: not taken: {}", error.reason)
         self._heard_s = time.monotonic()
--- a/model/ledger.py
+++ b/model/ledger.py
@@ -18,6 +18,7 @@
 
 ONCE = "no item stands at two positions"
 KEPT = "what a reader was shown stays in its place"
+FINAL = "a log that lists all items does not grow"
 
 
 class Daemon(NamedTuple):
@@ -42,6 +43,12 @@
     return tuple(item for segment in segments for item in segment)
 
 
+def _is_final(state: State, daemon: Daemon) -> bool:
+    """Whether a daemon that knows all items knows all there ever will be."""
+    is_whole = set(_flat(daemon.known)) >= set(ITEMS)
+    return not is_whole or daemon.known == state.store
+
+
 @specification
 class LedgerSpecification(Specification):
     """Results committed by conditional creation of numbered segments."""
@@ -64,6 +71,7 @@
         return {
             ONCE: lambda s: len(set(_flat(s.store))) == len(_flat(s.store)),
             KEPT: lambda s: _flat(s.store)[: len(s.shown)] == s.shown,
+            FINAL: lambda s: all(_is_final(s, daemon) for daemon in s.daemons),
         }
 
     def goal(self, state: State) -> bool:
