--- /dev/null
+++ b/bench/platform_soak.py
@@ -0,0 +1,109 @@
+"""bench.platform_soak: load and seeded faults on the platform, then an audit."""
+
+import json
+import sys
+import threading
+import time
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+import click
+
+from bench.platform_audit import PlatformAudit
+from bench.platform_faults import FaultPlan
+from bench.platform_load import CallerLoad, TrainerLoad
+from standins.platform_world import (
+    ORDERS_APART_S,
+    PLAIN_SERVICE,
+    PlatformWorld,
+    wait_for,
+)
+
+__all__ = ["main", "run_soak"]
+
+DEFAULT_DURATION_S = 60.0
+DAEMONS = 4
+ENGINES = 3
+PLAIN_REPLICAS = 2
+TRAINERS = 1
+CALLERS = 4
+EVENTS = 5
+EVENT_S = 0.05
+MAX_BREACHES_SHOWN = 40
+
+
+def run_soak(
+    seed: int, duration_s: float, say: Callable[[str], None] = lambda text: None
+) -> tuple[PlatformAudit, PlatformWorld]:
+    """Run load and faults; return the audit and the world, which is still open."""
+    world = PlatformWorld()
+    audit = PlatformAudit(EVENTS)
+    for number in range(1, ENGINES + 1):
+        world.add_replica(f"engine-{number}", events=EVENTS, event_s=EVENT_S)
+    for number in range(1, PLAIN_REPLICAS + 1):
+        world.add_replica(f"plain-{number}", PLAIN_SERVICE)
+    for number in range(1, DAEMONS + 1):
+        world.add_relay(f"edge-{number}")
+    world.start_edges(DAEMONS)
+    wait_for("a daemon runs the jobs", lambda: world.dispatcher() != "")
+    stop = threading.Event()
+    trainers = [TrainerLoad(world, audit, 100 * seed + n) for n in range(TRAINERS)]
+    callers = [CallerLoad(world, audit, 100 * seed + n) for n in range(CALLERS)]
+    threads = [
+        threading.Thread(target=load.run, args=(stop,)) for load in trainers + callers
+    ]
+    for thread in threads:
+        thread.start()
+    FaultPlan(world, audit, seed).run(duration_s, say)
+    stop.set()
+    for thread in threads:
+        thread.join()
+    _check_recovery(world, audit, trainers[0])
+    audit.check_end(world.replicas.values(), ORDERS_APART_S)
+    return audit, world
+
+
+def _check_recovery(
+    world: PlatformWorld, audit: PlatformAudit, trainer: TrainerLoad
+) -> None:
+    """Run one more step without faults, and read all jobs once more."""
+    for name in world.edges:
+        wait_for(f"{name} is ready", partial(world.is_ready, name))
+    steps = audit.counts["steps"]
+    trainer.step(steps, threading.Event())
+    for submission in audit.accepted():
+        trainer.read_again(submission)
+
+
+@click.command()
+@click.option("--seed", default=None, type=int, help="Chosen by the clock if left out.")
+@click.option("--duration-s", default=DEFAULT_DURATION_S, show_default=True)
+@click.option("--quiet", is_flag=True, help="Print no line for each fault.")
+@click.option("--logs", default="", help="Folder for the logs of a failed run.")
+def main(seed: int | None, duration_s: float, quiet: bool, logs: str) -> None:
+    """Soak the daemons of the platform; exit code 1 if a promise was broken."""
+    seed = int(time.time()) % 1_000_000 if seed is None else seed
+    started_s = time.monotonic()
+
+    def say(text: str) -> None:
+        if not quiet:
+            click.echo(f"{time.monotonic() - started_s:7.2f} s  {text}")
+
+    audit, world = run_soak(seed, duration_s, say)
+    if audit.breaches and logs:
+        for name in world.edges:
+            world.save_logs(name, logs)
+    world.close()
+    report: dict[str, Any] = {
+        "seed": seed,
+        "duration_s": duration_s,
+        "counts": dict(sorted(audit.counts.items())),
+        "breaches": audit.breaches[:MAX_BREACHES_SHOWN],
+    }
+    click.echo(json.dumps(report))
+    sys.exit(1 if audit.breaches else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/features/batches.feature
+++ b/features/batches.feature
@@ -50,6 +50,30 @@
       | 1      | 1        | 0     | is away for a while  | 4       | 2         | yes   |
       | 1      | 1        | 0     | is away              | 1       | 1         | no    |
 
+  Scenario Outline: A replica's own answer goes before what was believed of its weights
+    Given a replica that lists version <listed> and is believed to have <believed>
+    When it answers by version <answered>
+    Then it is believed to have version <now>
+
+    Examples:
+      | listed | believed | answered | now |
+      | 1      | 0        | 2        | 2   |
+      | 1      | 4        | 2        | 2   |
+      | 3      | 4        | 2        | 3   |
+
+  Scenario Outline: Which versions may go on with an item
+    Given an item with events of versions <made> of a job from version 2 on, single <single>
+    Then version <version> may go on with it <admitted>
+
+    Examples:
+      | made | single | version | admitted |
+      | none | no     | 2       | yes      |
+      | none | no     | 1       | no       |
+      | 2    | no     | 3       | yes      |
+      | 2    | yes    | 3       | no       |
+      | 2    | yes    | 2       | yes      |
+      | none | yes    | 3       | yes      |
+
   Scenario Outline: Logs are kept up to a size
     When logs of sizes <sizes> are kept within 100 bytes, "a" being used again
     Then the logs kept are <kept>
--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -116,6 +116,8 @@
       | 2    | held   | 1.55 |
       | 0    | vacant | 0    |
       | 2    | vacant | 0.3  |
+      | 0    | unset  | 0.6  |
+      | 2    | unset  | 0.9  |
 
   Scenario Outline: Events from a stream's bytes
     When the bytes <bytes> arrive in parts of <size>
--- a/features/platform_jobs.feature
+++ b/features/platform_jobs.feature
@@ -113,6 +113,15 @@
     Then job "j1" is whole at edge-1
     And the log of edge-1 has at most 24 lines on moved runs
 
+  Scenario: An engine with older weights than it lists loses its items at once
+    Given a platform with 2 engines and 2 daemons
+    And the engines make an event each 60 ms
+    And replica engine-1 lists version 2 and engine-2 serves it, but engine-1 does not
+    When job "j1" with 3 groups of 4 and oldest version 2 is submitted at edge-1
+    Then job "j1" is whole at edge-2
+    And no result of "j1" names a version below 2
+    And no item ran to its end at replica engine-1
+
   Scenario: An item that can never be made is listed as lost after one try
     Given a platform with 1 engines and 1 daemons
     When replica engine-1 calls item "j1-0-1" hopeless
--- a/features/steps/batches_steps.py
+++ b/features/steps/batches_steps.py
@@ -1,11 +1,12 @@
 """features.steps.batches_steps: jobs on a ledger in memory."""
 
 import asyncio
+import dataclasses
 
 from behave import given, then, when
 from behave.runner import Context
 
-from features.support.memory_ledger import MemoryLedgerStore
+from features.support.memory_objects import MemoryObjects
 from greengagetack.batches.carried import CarriedGroups
 from greengagetack.batches.job import Item, Job, Result, ResultState, Segment
 from greengagetack.batches.job_run import JobRun
@@ -17,7 +18,7 @@
 from greengagetack.objects.feed import Feed
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
-from greengagetack.replicas.replica import Replica
+from greengagetack.replicas.replica import Replica, ReplicaState
 from greengagetack.world import Address
 
 GROUP_SIZE = 2
@@ -39,7 +40,7 @@
 
 @given('jobs {earlier} of trainer "{route}" in the ledger, read by {runner}')
 def step_earlier(context: Context, earlier: str, route: str, runner: str) -> None:
-    context.store = MemoryLedgerStore()
+    context.store = MemoryObjects()
     context.ledger = Ledger(context.store)
     context.carried = CarriedGroups(context.ledger)
     context.jobs = []
@@ -81,7 +82,7 @@
 
 @given('a ledger with {others:d} other jobs and job "j1", each with {count:d} segments')
 def step_segments(context: Context, others: int, count: int) -> None:
-    context.store = MemoryLedgerStore()
+    context.store = MemoryObjects()
     context.ledger = Ledger(context.store)
 
     async def commit_all() -> None:
@@ -115,7 +116,7 @@
     'an open job "j1" of 4 items with {listed:d} listed and {finished:d} finished ones'
 )
 def step_open_job(context: Context, listed: int, finished: int) -> None:
-    context.store = MemoryLedgerStore()
+    context.store = MemoryObjects()
     context.ledger = Ledger(context.store)
     items = tuple(Item(f"i-{n}", "/", (), b"", 10, "g") for n in range(4))
     log = JobLog()
@@ -293,3 +294,37 @@
 def step_bounded(context: Context) -> None:
     assert not context.prompts.holds("a", "g0", 1)
     assert context.prompts.holds("a", context.last_group, 1)
+
+
+@given("a replica that lists version {listed:d} and is believed to have {believed:d}")
+def step_believed(context: Context, listed: int, believed: int) -> None:
+    replica = dataclasses.replace(_replica(1), model_versions=(("model", listed),))
+    context.state = ReplicaState(replica)
+    context.state.note_version("model", believed)
+
+
+@when("it answers by version {version:d}")
+def step_answered(context: Context, version: int) -> None:
+    context.state.correct_version("model", version)
+
+
+@then("it is believed to have version {version:d}")
+def step_now_believed(context: Context, version: int) -> None:
+    assert context.state.version_of("model") == version
+
+
+@given(
+    "an item with events of versions {made} of a job from version {oldest:d} on, "
+    "single {single}"
+)
+def step_item_versions(context: Context, made: str, oldest: int, single: str) -> None:
+    versions = [] if made == "none" else [int(made)]
+    item = Item("i", "/", (), b"", 0, "g")
+    context.progress = ItemProgress(item, ["x"] * len(versions), versions)
+    context.bounds = (oldest, single == "yes")
+
+
+@then("version {version:d} may go on with it {admitted}")
+def step_admitted(context: Context, version: int, admitted: str) -> None:
+    found = context.progress.admits(version, *context.bounds)
+    assert found == (admitted == "yes")
--- a/features/steps/peer_tls_steps.py
+++ b/features/steps/peer_tls_steps.py
@@ -9,7 +9,6 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.support.loops import BackgroundLoop
 from features.support.settings_cell import settle
 from features.support.throwaway_keys import Authority
 from greengagetack.errors import CodedError
@@ -18,6 +17,7 @@
 from greengagetack.peers.tls import BadTlsFiles, PeerTls, peer_tls
 from greengagetack.timer import Timer
 from greengagetack.world import Address
+from standins.loops import BackgroundLoop
 
 LOOPBACK = Address("127.0.0.1", 0)
 
--- a/features/steps/platform_decisions_steps.py
+++ b/features/steps/platform_decisions_steps.py
@@ -9,7 +9,6 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.support.loops import BackgroundLoop
 from greengagetack.batches.checkpoint import worth_keeping
 from greengagetack.batches.events import EventParser
 from greengagetack.batches.job import Item, Job
@@ -27,6 +26,7 @@
 from greengagetack.weights.order_lease import takeover_wait_s
 from greengagetack.weights.waves import LoadCandidate, choose_loads
 from greengagetack.world import Address
+from standins.loops import BackgroundLoop
 
 USUAL_PACE_S = 0.04
 SLOW_PACE_S = 0.16
@@ -195,7 +195,8 @@
 
 @when("the daemon of rank {rank:d} sees a claim that is {state}")
 def step_rank(context: Context, rank: int, state: str) -> None:
-    context.wait_s = takeover_delay_s(rank, state == "vacant")
+    is_first = state == "unset"
+    context.wait_s = takeover_delay_s(rank, state == "vacant" or is_first, is_first)
 
 
 @then("it takes over after {wait:g} s")
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -10,7 +10,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.support.platform_world import (
+from standins.platform_world import (
     BOOKING_PREFIX,
     CHAT_PREFIX,
     ENGINE_SERVICE,
@@ -98,6 +98,23 @@
         replica.event_s = pause / 1000
 
 
+@given("replica {older} lists version 2 and {newer} serves it, but {same} does not")
+def step_listed_newer(context: Context, older: str, newer: str, same: str) -> None:
+    world = _world(context)
+    for name in (older, newer):
+        world.replicas[name].version = 2
+        world.list_replica(name)
+    world.replicas[older].version = 1
+
+
+@then("no item ran to its end at replica {name}")
+def step_none_ended(context: Context, name: str) -> None:
+    replica = _world(context).replicas[name]
+    begun = {request_id for request_id, _, _ in replica.arrivals}
+    assert begun, "nothing was sent there, so nothing is shown"
+    assert begun <= set(replica.cut), begun - set(replica.cut)
+
+
 # -- jobs
 
 
--- a/features/steps/settings_daemons_steps.py
+++ b/features/steps/settings_daemons_steps.py
@@ -12,7 +12,6 @@
 
 from bench.deployment import Deployment, send_json
 from features.support.deployments import address_of, shared_tls_deployment
-from features.support.loops import BackgroundLoop
 from features.support.raw_http import RawAnswer, request_bytes, send_raw
 from features.support.settings_cell import settle
 from features.support.throwaway_keys import Authority
@@ -23,6 +22,7 @@
 from greengagetack.settings.messages import CompareSettings
 from greengagetack.timer import Timer
 from greengagetack.world import Address
+from standins.loops import BackgroundLoop
 
 VICTIM = "vm-3"
 IN_FORCE_LIMIT_S = 20.0
--- a/features/steps/settings_http_steps.py
+++ b/features/steps/settings_http_steps.py
@@ -8,7 +8,6 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.support.loops import BackgroundLoop
 from features.support.raw_http import RawAnswer, request_bytes, send_raw
 from features.support.settings_cell import SettingsCell, wait_until
 from features.support.settings_documents import (
@@ -20,6 +19,7 @@
 from greengagetack.daemons.auth import hash_token
 from greengagetack.settings.objects import stored_value
 from greengagetack.world import Address
+from standins.loops import BackgroundLoop
 
 
 @given("a settings server with the teams quetzal and kestrel")
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -6,7 +6,6 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.support.loops import BackgroundLoop
 from features.support.settings_cell import SettingsCell, wait_until
 from features.support.settings_documents import fleet_value
 from greengagetack.membership.table import rendezvous_order
@@ -17,6 +16,7 @@
     SpreadSettings,
 )
 from greengagetack.settings.objects import stored_value
+from standins.loops import BackgroundLoop
 
 FLEET_OBJECT = "settings/fleet"
 
--- a/features/support/loops.py
+++ b/features/support/loops.py
@@ -1,34 +1,11 @@
 """features.support.loops: event loops for synchronous steps."""
 
 import asyncio
-import threading
-from collections.abc import Coroutine
 from typing import Any
 
 from behave.runner import Context
 
-__all__ = ["BackgroundLoop", "run_on_loop", "start_loop"]
-
-CALL_TIMEOUT_S = 60.0
-
-
-class BackgroundLoop:
-    """Runs coroutines on a loop that lives in a thread of its own."""
-
-    def __init__(self) -> None:
-        self._loop = asyncio.new_event_loop()
-        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
-        self._thread.start()
-
-    def run(self, work: Coroutine[Any, Any, Any]) -> Any:
-        """Run a coroutine to its end and return its result."""
-        return asyncio.run_coroutine_threadsafe(work, self._loop).result(CALL_TIMEOUT_S)
-
-    def close(self) -> None:
-        """Stop the loop."""
-        self._loop.call_soon_threadsafe(self._loop.stop)
-        self._thread.join(CALL_TIMEOUT_S)
-        self._loop.close()
+__all__ = ["run_on_loop", "start_loop"]
 
 
 def start_loop(context: Context) -> None:
--- /dev/null
+++ b/features/support/memory_objects.py
@@ -0,0 +1,96 @@
+"""features.support.memory_objects: objects with one revision counter, in memory."""
+
+import asyncio
+from typing import Any
+
+from greengagetack.errors import PlatformUnavailable
+from greengagetack.objects.base import ObjectConflict, PlatformObject, WatchAnswer
+
+__all__ = ["MemoryObjects"]
+
+
+class MemoryObjects:
+    """Keeps objects in a dictionary; `reads` lists the paths that were read.
+
+    `refusals_left` counts the next calls that it refuses.
+    """
+
+    value_limit_bytes = 1_000_000
+
+    def __init__(self) -> None:
+        self.objects: dict[str, PlatformObject] = {}
+        self.reads: list[str] = []
+        self.is_away = False
+        self.refusals_left = 0
+        self.writes = 0
+        self._revision = 0
+        self._removed: dict[str, int] = {}
+        self._changed = asyncio.Event()
+
+    def _check(self) -> None:
+        if self.refusals_left:
+            self.refusals_left -= 1
+        elif not self.is_away:
+            return
+        raise PlatformUnavailable("the store is away as asked", 0.1)
+
+    async def read(self, path: str) -> PlatformObject | None:
+        """Return an object, None if there is none."""
+        self._check()
+        self.reads.append(path)
+        return self.objects.get(path)
+
+    async def write(
+        self, path: str, value: Any, expected_version: int, limit_s: float = 2.0
+    ) -> int:
+        """Write under a condition."""
+        self._check()
+        self.writes += 1
+        known = self.objects.get(path)
+        if (known.version if known else 0) != expected_version:
+            raise ObjectConflict(f"{path} has another version")
+        self._advance()
+        self.objects[path] = PlatformObject(path, self._revision, "", value)
+        self._removed.pop(path, None)
+        return self._revision
+
+    def _advance(self) -> None:
+        self._revision += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def list(self, prefix: str) -> WatchAnswer:
+        """Return all objects under a prefix."""
+        self._check()
+        return self._after(prefix, 0)
+
+    async def watch(self, prefix: str, after: int, timeout_s: float) -> WatchAnswer:
+        """Wait for changes under a prefix after a revision."""
+        self._check()
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self._revision <= after:
+                    await self._changed.wait()
+        except TimeoutError:
+            return WatchAnswer(after, ())
+        return self._after(prefix, after)
+
+    def _after(self, prefix: str, after: int) -> WatchAnswer:
+        found = [
+            stored
+            for stored in self.objects.values()
+            if stored.path.startswith(prefix) and stored.version > after
+        ]
+        gone = [
+            path
+            for path, revision in self._removed.items()
+            if path.startswith(prefix) and revision > after
+        ]
+        return WatchAnswer(self._revision, tuple(found), tuple(gone))
+
+    async def delete(self, path: str) -> None:
+        """Remove an object."""
+        self._check()
+        if self.objects.pop(path, None) is not None:
+            self._advance()
+            self._removed[path] = self._revision
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -438,8 +438,7 @@
         ]
         for item_id in choose_moves(running, slow_s, free):
             _, progress, replica_id = self._running[item_id]
-            progress.avoided_replica = replica_id
-            progress.avoided_until_s = now_s + AVOID_S
+            self._avoid(progress, replica_id)
             logger.info(
                 "dispatch: run moved from a slow replica",
                 request_id=item_id,
@@ -452,11 +451,17 @@
             if task is not None:
                 task.cancel()
 
+    def _avoid(self, progress: ItemProgress, replica_id: str) -> None:
+        progress.avoided_replica = replica_id
+        progress.avoided_until_s = time.monotonic() + AVOID_S
+
     def _place(
         self, job: Job, progress: ItemProgress, paces: Paces
     ) -> ReplicaState | None:
         now_s = time.monotonic()
         group = progress.item.group
+        if job.single_version and not self._is_served(job, progress.versions):
+            progress.restart()
         candidates = []
         for state in self._fleet.of_service(job.service):
             version = state.version_of(job.model)
@@ -484,6 +489,13 @@
         chosen = choose_candidate(candidates, _expected_memory(progress.item))
         return None if chosen is None else self._fleet.get(chosen.replica_id)
 
+    def _is_served(self, job: Job, versions: list[int]) -> bool:
+        """Whether some replica still has the one version that began an item."""
+        return not versions or any(
+            state.version_of(job.model) == versions[0]
+            for state in self._fleet.of_service(job.service)
+        )
+
     def _start(self, run: JobRun, progress: ItemProgress, state: ReplicaState) -> None:
         progress.is_running = True
         progress.run_started_s = time.monotonic()
@@ -560,6 +572,7 @@
                 self._dialect,
                 lambda: STALL_LOADING_S if replica_id in self.loading else STALL_S,
                 lambda gap_s: self._paces.note(replica_id, gap_s) if gap_s else None,
+                lambda version: self._admits(job, progress, state, version),
             )
         finally:
             logger.info(
@@ -578,13 +591,17 @@
             self._metrics.add("item_runs", end=end.value)
         self._settle(run, progress, state, end)
 
+    def _admits(
+        self, job: Job, progress: ItemProgress, state: ReplicaState, version: int
+    ) -> bool:
+        state.correct_version(job.model, version)
+        return progress.admits(version, job.min_version, job.single_version)
+
     def _settle(
         self, run: JobRun, progress: ItemProgress, state: ReplicaState, end: RunEnd
     ) -> None:
         """Draw the consequences of a run's end."""
         job = run.job
-        if progress.versions:
-            state.note_version(job.model, max(progress.versions))
         if end is RunEnd.COMPLETED:
             state.note_success()
             if progress.fits(job.min_version, job.single_version):
@@ -604,6 +621,9 @@
         if end is RunEnd.REFUSED:
             state.note_refusal(REFUSAL_PAUSE_S)
             return
+        if end is RunEnd.OTHER_VERSION:
+            self._avoid(progress, state.replica.replica_id)
+            return
         if end is RunEnd.OTHER_REPLICA:
             state.is_gone = True
             return
--- a/greengagetack/batches/item_run.py
+++ b/greengagetack/batches/item_run.py
@@ -30,6 +30,8 @@
     # The replica answered with a failure of its own.
     FAILED = "failed"
     HOPELESS = "hopeless"
+    # The replica's weights are none that the job allows.
+    OTHER_VERSION = "other_version"
     # The stream broke or went silent; its events so far are kept.
     BROKEN = "broken"
     NOT_SENT = "not_sent"
@@ -43,6 +45,7 @@
     dialect: ReplicaDialect,
     stall_s: Callable[[], float],
     on_event: Callable[[float], None],
+    admits: Callable[[int], bool],
 ) -> tuple[RunEnd, str]:
     """Run an item from its last event on; return how it ended and why.
 
@@ -52,6 +55,9 @@
         Returns how long the replica may be silent now, in seconds.
     on_event : callable
         Called with the seconds since the event before, 0 for a run's first.
+    admits : callable
+        Called with the version of the weights that the answer names before any event
+        is taken; returns whether the item may be made by it.
     """
     after = progress.last_event_id or None
     request = dialect.attempt(call, state.replica, None, after)
@@ -75,8 +81,10 @@
             version = dialect.versions(head)
             if version is None or not dialect.is_genuine(head):
                 return RunEnd.BROKEN, "the answer does not name its weights"
+            if not admits(version):
+                return RunEnd.OTHER_VERSION, f"version {version}"
             return await _follow(
-                progress, connection, dialect, version, stall_s, on_event
+                progress, connection, dialect, version, stall_s, on_event, admits
             )
     except TimeoutError:
         return RunEnd.BROKEN, "silent"
@@ -95,6 +103,7 @@
     version: int,
     stall_s: Callable[[], float],
     on_event: Callable[[float], None],
+    admits: Callable[[int], bool],
 ) -> tuple[RunEnd, str]:
     parser = EventParser()
     last_s = 0.0
@@ -107,7 +116,10 @@
             progress.is_complete = True
             return RunEnd.COMPLETED, ""
         for event in parser.feed(part):
-            version = dialect.event_version(event.fields) or version
+            changed = dialect.event_version(event.fields)
+            if changed is not None and not admits(changed):
+                return RunEnd.OTHER_VERSION, f"version {changed}"
+            version = changed or version
             progress.take(event, version)
             now_s = time.monotonic()
             on_event(now_s - last_s if last_s else 0.0)
--- a/greengagetack/batches/progress.py
+++ b/greengagetack/batches/progress.py
@@ -78,6 +78,12 @@
             return False
         return not (single_version and len(self.versions) > 1)
 
+    def admits(self, version: int, min_version: int, single_version: bool) -> bool:
+        """Whether the item may go on with events that a version makes."""
+        if version < min_version:
+            return False
+        return not single_version or self.versions in ([], [version])
+
     def result(self) -> Result:
         """Return the result of the complete item."""
         return Result(
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -5,7 +5,6 @@
 import uuid
 from collections.abc import Awaitable, Callable
 
-import msgspec
 import uvicorn
 from loguru import logger
 from starlette.applications import Starlette
@@ -19,30 +18,33 @@
 from greengagetack.batches.reading import JobReader
 from greengagetack.daemons.main import HttpServer
 from greengagetack.daemons.protocol import HttpBounds, bounded_config
-from greengagetack.errors import CodedError, PeerUnreachable, PlatformUnavailable
+from greengagetack.daemons.supervise import supervise
+from greengagetack.errors import PeerUnreachable, PlatformUnavailable
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.routes import Limits, RequestKind, RouteTable
 from greengagetack.http1.pool import Pool
-from greengagetack.objects.base import ObjectConflict, PlatformObject, WatchAnswer
-from greengagetack.objects.feed import Feed, FeedSource
+from greengagetack.objects.base import PlatformObject
+from greengagetack.objects.feed import Feed
+from greengagetack.objects.transport import (
+    DirectTransport,
+    RelayedTransport,
+    StoreAnswer,
+)
 from greengagetack.observability.metrics import Metrics
 from greengagetack.peers.node import listening_socket
 from greengagetack.platform import documents, wire
 from greengagetack.platform.ingress import Ingress
 from greengagetack.platform.replica import PlatformDialect, ReplicaOrders
 from greengagetack.platform.settings import VmFacts
-from greengagetack.platform.store import (
-    DirectTransport,
-    PlatformStore,
-    RelayedTransport,
-    StoreAnswer,
-)
+from greengagetack.platform.store import PlatformStore
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.replicas.replica import Replica
 from greengagetack.siblings.claim import ClaimDuty
 from greengagetack.siblings.client import PeerClient
-from greengagetack.siblings.messages import Member, Pong, RelayAnswer, RelayCall
+from greengagetack.siblings.messages import Member, Pong, RelayCall
+from greengagetack.siblings.roster import Roster
 from greengagetack.siblings.server import build_peer_application
+from greengagetack.siblings.source import SharedSource
 from greengagetack.timer import Timer
 from greengagetack.weights.order_lease import OrderLease
 from greengagetack.weights.wave_duty import WaveDuty
@@ -55,22 +57,14 @@
 # The claim changes seldom, pings show its loss, and a conflict that it has changed; the
 # longest wait that the platform allows.
 CLAIM_WATCH_S = 30.0
-# A watch of the store that has gone silent is noticed after this time; the bound on
-# configurations is 2 s.
-LEAD_WATCH_S = 0.8
-PEER_WATCH_S = 1.0
 JOB_WATCH_S = 2.0
-# After a daemon has not answered, the store is watched for this long.
-PEER_PAUSE_S = 1.0
 REPLICA_CONNECT_S = 0.3
-REGISTER_PAUSE_S = 0.3
 # The platform takes a daemon out after two failed questions, one second apart.
 ROTATION_S = 2.6
 # Time before the end of the grace period by which everything has stopped.
 STOP_MARGIN_S = 0.8
 HAND_OVER_S = 1.0
 BACKLOG = 1_024
-RESTART_PAUSE_S = 0.2
 MS_PER_S = 1_000
 SWEEP_INTERVAL_S = 15.0
 # Work that the loss of all daemons may cost at most, per item.
@@ -90,13 +84,14 @@
             self._incarnation,
             str(facts.control),
             facts.availability_zone,
+            cores=facts.cores,
         )
         self._direct = DirectTransport(facts.store, self._metrics)
         self._transport = RelayedTransport(self._direct, self._relay)
         self._store = PlatformStore(self._transport, facts.value_limit_bytes)
-        self._config = Feed(self._source, f"{wire.CONFIG_KIND}/", self._wait_s)
-        self._servers = Feed(self._source, f"{wire.SERVERS_KIND}/", self._wait_s)
-        self._members_feed = Feed(self._source, MEMBERS, self._wait_s)
+        self._config = self._shared_feed(f"{wire.CONFIG_KIND}/")
+        self._servers = self._shared_feed(f"{wire.SERVERS_KIND}/")
+        self._members_feed = self._shared_feed(MEMBERS)
         self._claims = Feed(lambda: self._store, CLAIMS, lambda: CLAIM_WATCH_S)
         # Followed only by the daemon that runs the jobs.
         self._versions = Feed(
@@ -122,17 +117,16 @@
             self._metrics,
             facts.results_kept_s,
         )
+        self._roster = Roster(
+            self._me, self._store, self._members_feed, MEMBERS, facts.seeds
+        )
         self._claim = ClaimDuty(
-            self._me, self._store, self._claims, self._members, self._on_claim
+            self._me, self._store, self._claims, self._roster, self._on_claim
         )
-        self._peer_failed_s = float("-inf")
-        self._followers: dict[str, float] = {}
         self._peers = PeerClient(
-            facts.node, self._dispatcher_address, self._other_addresses
-        )
-        self._peer_source = _PeerSource(
-            self._peers, self._claim, self._note_peer_failure
+            facts.node, self._claim.claimer_address, self._roster.addresses
         )
+        self._shared = SharedSource(self._store, self._peers, self._claim)
         self._reader = JobReader(self._ledger, self._dispatcher, self._peers)
         forwarder = Forwarder(self._fleet, pool, dialect, facts.availability_zone)
         self._ingress = Ingress(
@@ -167,52 +161,17 @@
 
     # -- state of the surroundings
 
-    def _source(self) -> FeedSource:
-        """Return where to follow what all daemons follow.
-
-        Only the daemon that runs the jobs watches the store, so that calls do not
-        grow with daemons times changes; the others watch it, and the store while it
-        does not answer.
-        """
-        failed_s = time.monotonic() - self._peer_failed_s
-        is_known = self._claim.claimer is not None and not self._claim.is_mine
-        if is_known and failed_s > PEER_PAUSE_S:
-            return self._peer_source
-        return self._store
-
-    def _note_peer_failure(self) -> None:
-        self._peer_failed_s = time.monotonic()
-
-    def _wait_s(self) -> float:
-        return LEAD_WATCH_S if self._claim.is_mine else PEER_WATCH_S
-
-    def _members(self) -> dict[str, Member]:
-        members: dict[str, Member] = {}
-        for stored in self._members_feed.objects.values():
-            try:
-                member = msgspec.convert(stored.value, Member)
-            except msgspec.ValidationError as error:
-                logger.warning("members: passing over {}: {}", stored.path, error)
-                continue
-            members[member.node] = member
-        return members
-
-    def _other_addresses(self) -> list[Address]:
-        addresses = {member.control for member in self._members().values()}
-        addresses.update(str(seed) for seed in self._facts.seeds)
-        addresses.discard(self._me.control)
-        return [Address.parse(text) for text in sorted(addresses)]
-
-    def _dispatcher_address(self) -> Address | None:
-        return self._claim.claimer_address()
+    def _shared_feed(self, prefix: str) -> Feed:
+        return Feed(
+            lambda: self._shared.choose(), prefix, lambda: self._shared.wait_s()
+        )
 
     async def _relay(
         self, method: str, target: str, body: bytes, wait_s: float
     ) -> StoreAnswer:
-        answer = await self._peers.relay(method, target, body, wait_s)
-        return StoreAnswer(answer.status, answer.body)
+        return await self._peers.relay(method, target, body, wait_s)
 
-    async def _call_store(self, call: RelayCall) -> RelayAnswer:
+    async def _call_store(self, call: RelayCall) -> StoreAnswer:
         """Call the store for a daemon that does not reach it.
 
         Raises
@@ -226,7 +185,7 @@
             call.method, call.target, call.body, call.wait_s
         )
         self._metrics.add("relayed_calls")
-        return RelayAnswer(answer.status, answer.body)
+        return answer
 
     def _named_versions(self) -> dict[str, int]:
         named: dict[str, int] = {}
@@ -294,24 +253,13 @@
             replicas.append(replica)
         self._fleet.update(replicas, removed)
 
-    def _note_follower(self, node: str) -> None:
-        if node:
-            self._followers[node] = time.monotonic()
-
-    def _successor(self) -> Member | None:
-        """Return the daemon that was heard of last, None without a recent one."""
-        recent = max(self._followers.items(), key=lambda e: e[1], default=("", 0.0))
-        if time.monotonic() - recent[1] > 2 * PEER_WATCH_S:
-            return None
-        return self._members().get(recent[0])
-
     def _on_claim(self) -> None:
         """Begin or cease to run the jobs as the claim says."""
         is_mine = self._claim.is_mine and not self._claim.is_leaving
         if is_mine and not self._claim_tasks:
             self._claim_tasks = [
-                asyncio.create_task(_supervise(self._versions.run, "versions")),
-                asyncio.create_task(_supervise(self._jobs.run, "jobs")),
+                asyncio.create_task(supervise(self._versions.run, "versions")),
+                asyncio.create_task(supervise(self._jobs.run, "jobs")),
             ]
             self._waves.is_active = True
             self._spawn(self._activate, "activate")
@@ -353,7 +301,7 @@
 
     def _spawn(self, part: Callable[[], Awaitable[None]], name: str) -> None:
         """Run a part of the daemon; one that fails is started again."""
-        self._tasks.append(asyncio.create_task(_supervise(part, name), name=name))
+        self._tasks.append(asyncio.create_task(supervise(part, name), name=name))
 
     def is_ready(self) -> bool:
         """Whether clients may be sent here."""
@@ -363,21 +311,8 @@
             and not self._ingress.is_draining
         )
 
-    async def _register(self) -> None:
-        """List this daemon in the store."""
-        path = f"{MEMBERS}{self._me.node}"
-        await self._members_feed.synced.wait()
-        while True:
-            stored = self._members_feed.objects.get(path)
-            version = 0 if stored is None else stored.version
-            try:
-                await self._store.write(path, msgspec.to_builtins(self._me), version)
-                return
-            except ObjectConflict as error:
-                logger.info("members: {}", error.reason)
-            except CodedError as error:
-                logger.warning("members: not registered: {}", error.reason)
-            await asyncio.sleep(REGISTER_PAUSE_S)
+    async def _sweep_roster(self) -> None:
+        await self._roster.sweep(lambda: self._dispatcher.is_active)
 
     def _pong(self) -> Pong:
         return Pong(self._me.node, self._me.incarnation, self._dispatcher.is_active)
@@ -405,7 +340,7 @@
                         feed.prefix: feed
                         for feed in (self._config, self._servers, self._members_feed)
                     },
-                    self._note_follower,
+                    self._roster.note_heard,
                     self._call_store,
                 ),
                 date_header=False,
@@ -430,7 +365,7 @@
         )
         for feed in (self._config, self._servers, self._members_feed, self._claims):
             self._spawn(feed.run, "feed")
-        self._spawn(self._register, "register")
+        self._spawn(self._roster.run, "register")
         self._spawn(lambda: self._claim.run(self._peers), "claim")
         self._spawn(self._dispatcher.run, "dispatch")
         self._spawn(self._waves.run, "weights")
@@ -438,6 +373,7 @@
             CHECKPOINT_INTERVAL_S, self._dispatcher.checkpoint, "checkpoint"
         )
         self._timer.subscribe(SWEEP_INTERVAL_S, self._dispatcher.sweep, "sweep")
+        self._timer.subscribe(SWEEP_INTERVAL_S, self._sweep_roster, "roster")
         await self._stop.wait()
         await self._shut_down(front, serving)
 
@@ -449,7 +385,7 @@
         logger.info("daemon: stopping")
         self._ingress.is_draining = True
         self._peers.node = ""
-        await self._claim.give_up(self._successor())
+        await self._claim.give_up(self._roster.successor())
         self._on_claim()
         await asyncio.sleep(max(0.0, stopped_s + ROTATION_S - time.monotonic()))
         front.should_exit = True
@@ -480,41 +416,3 @@
             return Response(content, media_type="text/plain; version=0.0.4")
 
         return Starlette(routes=[Route("/readyz", ready), Route("/metrics", metrics)])
-
-
-async def _supervise(part: Callable[[], Awaitable[None]], name: str) -> None:
-    while True:
-        try:
-            await part()
-            return
-        except Exception as error:
-            logger.opt(exception=error).error("daemon: part failed", part=name)
-            await asyncio.sleep(RESTART_PAUSE_S)
-
-
-class _PeerSource:
-    """Follows the copy of the daemon that runs the jobs."""
-
-    def __init__(
-        self, peers: PeerClient, claim: ClaimDuty, on_failure: Callable[[], None]
-    ) -> None:
-        self._peers = peers
-        self._claim = claim
-        self._on_failure = on_failure
-
-    async def list(self, prefix: str) -> WatchAnswer:
-        """Return all objects of the copy."""
-        return await self._noted(self._peers.snapshot(prefix))
-
-    async def watch(self, prefix: str, after: int, timeout_s: float) -> WatchAnswer:
-        """Wait for changes of the copy."""
-        return await self._noted(self._peers.changes(prefix, after, timeout_s))
-
-    async def _noted(self, call: Awaitable[WatchAnswer]) -> WatchAnswer:
-        try:
-            answer = await call
-        except PeerUnreachable:
-            self._on_failure()
-            raise
-        self._claim.note_heard()
-        return answer
--- a/greengagetack/platform/ingress.py
+++ b/greengagetack/platform/ingress.py
@@ -2,8 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
-from typing import Any, TypeVar
+from collections.abc import Callable
 from urllib.parse import parse_qs, unquote
 
 from loguru import logger
@@ -18,9 +17,16 @@
     InvalidRequest,
     NotFound,
     NotReady,
-    RequestTooLarge,
 )
 from greengagetack.gateway.call import Call
+from greengagetack.gateway.clients import (
+    ClientGone,
+    Receive,
+    Scope,
+    Send,
+    read_body,
+    while_connected,
+)
 from greengagetack.gateway.forward import Forwarder, Reply
 from greengagetack.gateway.routes import Route, RouteTable
 from greengagetack.http1.message import AnswerHead, ExchangeError
@@ -32,11 +38,6 @@
 
 __all__ = ["Ingress"]
 
-T = TypeVar("T")
-Scope = dict[str, Any]
-Receive = Callable[[], Awaitable[dict[str, Any]]]
-Send = Callable[[dict[str, Any]], Awaitable[None]]
-
 MS_PER_S = 1_000
 # A client without a deadline is given this long.
 DEFAULT_DEADLINE_MS = 30_000.0
@@ -60,10 +61,6 @@
     """Makes the server end the connection without the end of the answer."""
 
 
-class _ClientGone(Exception):
-    """The client closed its connection."""
-
-
 class Ingress:
     """The ASGI application on a daemon's front address.
 
@@ -105,8 +102,8 @@
             kind, answer = await self._answer(
                 scope, headers, request_id, receive, arrived_s
             )
-            await _while_connected(self._send_reply(answer, send), receive)
-        except _ClientGone:
+            await while_connected(self._send_reply(answer, send), receive)
+        except ClientGone:
             logger.info("entry: client left", request_id=request_id)
             self._metrics.add("requests", kind=kind, status="gone")
             return
@@ -141,11 +138,11 @@
         table = self._table()
         if table is None:
             raise NotReady("no configuration is known yet", RETRY_AFTER_S)
-        body = await _read_body(receive, table.configuration.limits.max_body_bytes)
+        body = await read_body(receive, table.configuration.limits.max_body_bytes)
         path = scope["path"]
         if path.startswith((RESULTS_PATH, BODIES_PATH)):
             work = self._batch_call(scope, headers)
-            return "batch", await _while_connected(work, receive)
+            return "batch", await while_connected(work, receive)
         raw_path = scope["raw_path"].decode("latin-1")
         route = table.find(_header(headers, b"host"), raw_path)
         if route is None:
@@ -164,7 +161,7 @@
         limit_ms = min(deadline_ms, route.timeout_ms)
         until_s = arrived_s + limit_ms / MS_PER_S
         work = self._forwarder.forward(call, route, until_s)
-        reply = await _while_connected(work, receive)
+        reply = await while_connected(work, receive)
         logger.info(
             "entry: answered",
             request_id=request_id,
@@ -331,44 +328,3 @@
 
 def _reply(status: int, body: bytes, kind: bytes = b"application/json") -> Reply:
     return Reply(AnswerHead(status, ((b"content-type", kind),)), body)
-
-
-async def _read_body(receive: Receive, max_bytes: int) -> bytes:
-    parts: list[bytes] = []
-    size_bytes = 0
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            raise _ClientGone
-        part = message.get("body", b"")
-        size_bytes += len(part)
-        if size_bytes > max_bytes:
-            raise RequestTooLarge(f"bodies may have {max_bytes} bytes")
-        parts.append(part)
-        if not message.get("more_body"):
-            return b"".join(parts)
-
-
-async def _while_connected(work: Awaitable[T], receive: Receive) -> T:
-    """Return the work's result; cancel it when the client leaves.
-
-    Raises
-    ------
-    _ClientGone
-        If the client leaves before.
-    """
-    task = asyncio.ensure_future(work)
-    leaving = asyncio.ensure_future(_until_disconnect(receive))
-    try:
-        await asyncio.wait({task, leaving}, return_when=asyncio.FIRST_COMPLETED)
-        if not task.done():
-            raise _ClientGone
-        return task.result()
-    finally:
-        task.cancel()
-        leaving.cancel()
-
-
-async def _until_disconnect(receive: Receive) -> None:
-    while (await receive())["type"] != "http.disconnect":
-        continue
--- a/greengagetack/platform/settings.py
+++ b/greengagetack/platform/settings.py
@@ -43,6 +43,12 @@
     status_s: float = 120.0
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    # Share of a core that the daemon may use, and how many times as fast it is.
+    cpu_share: float = 1.0
+    cores: float = 1.0
+
+
 class _Provider(msgspec.Struct, frozen=True):
     # Address of the platform's store.
     address: str
@@ -59,6 +65,7 @@
     seeds: tuple[str, ...] = ()
     listen: _Listen = _Listen()
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +85,7 @@
     grace_s: float
     orders_apart_s: float
     results_kept_s: float
+    cores: float
     metrics_port: int = METRICS_PORT
 
 
@@ -113,6 +121,7 @@
             grace_s=file.bounds.grace_s,
             orders_apart_s=file.bounds.lease_ms / 1000,
             results_kept_s=file.bounds.status_s,
+            cores=round(file.limits.cpu_share * file.limits.cores, 2),
         )
     except (OSError, ValueError) as error:
         raise SettingsUnreadable(f"{name}: {error}") from error
--- a/greengagetack/platform/storage.py
+++ b/greengagetack/platform/storage.py
@@ -11,10 +11,11 @@
 from greengagetack.errors import CodedError
 from greengagetack.objects.base import PlatformObject
 from greengagetack.objects.feed import Feed
+from greengagetack.objects.transport import DirectTransport
 from greengagetack.observability.metrics import Metrics
 from greengagetack.platform import wire
 from greengagetack.platform.settings import VmFacts
-from greengagetack.platform.store import DirectTransport, PlatformStore
+from greengagetack.platform.store import PlatformStore
 
 __all__ = ["StorageDaemon"]
 
--- a/greengagetack/replicas/replica.py
+++ b/greengagetack/replicas/replica.py
@@ -3,6 +3,8 @@
 import time
 from dataclasses import dataclass, field
 
+from loguru import logger
+
 from greengagetack.world import Address
 
 __all__ = ["Replica", "ReplicaState"]
@@ -68,6 +70,22 @@
         if version > self.known_versions.get(model, 0):
             self.known_versions[model] = version
 
+    def correct_version(self, model: str, version: int) -> None:
+        """Take the version that an answer was made by, also a lower one.
+
+        What was believed before may have been said of the replica's former weights.
+        """
+        if version < self.version_of(model):
+            logger.warning(
+                "replicas: older weights than believed",
+                replica=self.replica.replica_id,
+                model=model,
+                version=version,
+                believed=self.version_of(model),
+                listed=self.replica.version_of(model) or 0,
+            )
+        self.known_versions[model] = version
+
     def is_usable(self, now_s: float) -> bool:
         """Whether new work may be sent to it now."""
         return not (
--- a/greengagetack/siblings/claim.py
+++ b/greengagetack/siblings/claim.py
@@ -7,10 +7,9 @@
 import asyncio
 import dataclasses
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import msgspec
-import xxhash
 from loguru import logger
 
 from greengagetack.errors import CodedError, PeerUnreachable
@@ -18,9 +17,10 @@
 from greengagetack.objects.feed import Feed
 from greengagetack.siblings.client import PeerClient
 from greengagetack.siblings.messages import Member
+from greengagetack.siblings.roster import Roster
 from greengagetack.world import Address
 
-__all__ = ["CLAIM_PATH", "ClaimDuty", "rank_of", "takeover_delay_s"]
+__all__ = ["CLAIM_PATH", "ClaimDuty", "takeover_delay_s"]
 
 CLAIM_PATH = "dispatch/main"
 PING_INTERVAL_S = 0.25
@@ -32,27 +32,19 @@
 # The next daemon in the ranking waits this much longer.
 RANK_STEP_S = 0.4
 VACANT_STEP_S = 0.15
+# When all start for the first time, the list of daemons is whole only after a while.
+FIRST_CLAIM_S = 0.6
 VACANT = ""
 
 
-def rank_of(node: str, nodes: Iterable[str], salt: str) -> int:
-    """Return a daemon's place in the order in which a claim is taken over."""
-
-    def weight(name: str) -> int:
-        return xxhash.xxh64_intdigest(f"{salt}/{name}".encode())
-
-    own = weight(node)
-    return sum(1 for name in set(nodes) if name != node and weight(name) > own)
-
-
-def takeover_delay_s(rank: int, is_vacant: bool) -> float:
+def takeover_delay_s(rank: int, is_vacant: bool, is_first: bool = False) -> float:
     """Return how long a claimer must have been silent before it is replaced.
 
     Answers the failure of the daemon that runs the jobs, also together with the
     daemons that would be next: each waits longer than the one before it.
     """
     if is_vacant:
-        return VACANT_STEP_S * rank
+        return FIRST_CLAIM_S * is_first + VACANT_STEP_S * rank
     return SILENCE_S + RANK_STEP_S * rank
 
 
@@ -64,13 +56,13 @@
         me: Member,
         store: WatchedStore,
         feed: Feed,
-        members: Callable[[], dict[str, Member]],
+        roster: Roster,
         on_change: Callable[[], None],
     ) -> None:
         self._me = me
         self._store = store
         self._feed = feed
-        self._members = members
+        self._roster = roster
         self._on_change = on_change
         self._heard_s = time.monotonic()
         self._seen_version = -1
@@ -120,12 +112,16 @@
 
     def _ping_interval_s(self) -> float:
         claimer = self.claimer
-        salt = claimer.incarnation if claimer else ""
-        rank = rank_of(self._me.node, self._members(), salt)
+        rank = self._rank(claimer)
         is_silent = time.monotonic() - self._heard_s > FAR_PING_INTERVAL_S
         is_far = rank >= FAR_RANK and claimer is not None and not is_silent
         return FAR_PING_INTERVAL_S if is_far else PING_INTERVAL_S
 
+    def _rank(self, claimer: Member | None) -> int:
+        if claimer is None:
+            return self._roster.rank("", "")
+        return self._roster.rank(claimer.incarnation, claimer.node)
+
     @property
     def silent_s(self) -> float:
         """Seconds since the claimer was last heard of."""
@@ -137,8 +133,7 @@
 
     async def _look(self, peers: PeerClient) -> None:
         claimer = self.claimer
-        salt = claimer.incarnation if claimer else ""
-        rank = rank_of(self._me.node, self._members(), salt)
+        rank = self._rank(claimer)
         is_own_past = claimer is not None and claimer.node == self._me.node
         if claimer is not None and not is_own_past:
             address = self.claimer_address()
@@ -151,7 +146,9 @@
             except PeerUnreachable as error:
                 logger.debug("claim: no answer from {}: {}", claimer.node, error)
         silent_s = time.monotonic() - self._heard_s
-        if not is_own_past and silent_s < takeover_delay_s(rank, claimer is None):
+        is_first = not self._feed.objects
+        delay_s = takeover_delay_s(rank, claimer is None, is_first)
+        if not is_own_past and silent_s < delay_s:
             return
         await self._take(claimer, silent_s)
 
--- a/greengagetack/siblings/client.py
+++ b/greengagetack/siblings/client.py
@@ -14,11 +14,11 @@
 from greengagetack.http1.message import ExchangeError, Request
 from greengagetack.http1.pool import Pool
 from greengagetack.objects.base import HistoryGone, WatchAnswer
+from greengagetack.objects.transport import StoreAnswer
 from greengagetack.siblings.messages import (
     HandOver,
     JobHint,
     Pong,
-    RelayAnswer,
     RelayCall,
     Segments,
     decode,
@@ -152,7 +152,7 @@
 
     async def relay(
         self, method: str, target: str, body: bytes, wait_s: float
-    ) -> RelayAnswer:
+    ) -> StoreAnswer:
         """Call the store through another daemon.
 
         Raises
@@ -168,7 +168,7 @@
                 )
             except PeerUnreachable:
                 continue
-            relayed = _decoded(answer, RelayAnswer)
+            relayed = _decoded(answer, StoreAnswer)
             if relayed.status in REFUSED:
                 continue
             self._relay = address
--- a/greengagetack/siblings/messages.py
+++ b/greengagetack/siblings/messages.py
@@ -12,7 +12,6 @@
     "JobHint",
     "Member",
     "Pong",
-    "RelayAnswer",
     "RelayCall",
     "Segments",
     "decode",
@@ -25,7 +24,8 @@
     """A daemon as it lists itself in the store.
 
     `control` is HOST:PORT; `former` is that of the daemon that has given the claim
-    up and still has the progress of its runs.
+    up and still has the progress of its runs. `cores` is the speed of its processor in
+    cores of the platform.
     """
 
     node: str
@@ -33,6 +33,7 @@
     control: str
     availability_zone: str
     former: str = ""
+    cores: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,13 +76,5 @@
     wait_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class RelayAnswer:
-    """What the store answered to a relayed call."""
-
-    status: int
-    body: bytes
-
-
 encode = msgspec.msgpack.encode
 decode = msgspec.msgpack.decode
--- /dev/null
+++ b/greengagetack/siblings/roster.py
@@ -0,0 +1,180 @@
+"""greengagetack.siblings.roster: the daemons that list themselves in the store."""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+import msgspec
+import xxhash
+from loguru import logger
+
+from greengagetack.errors import CodedError
+from greengagetack.objects.base import ObjectConflict, WatchedStore
+from greengagetack.objects.feed import Feed
+from greengagetack.siblings.messages import Member
+from greengagetack.world import Address
+
+__all__ = ["Roster", "RosterStore", "rank_of"]
+
+REGISTER_PAUSE_S = 0.3
+# A follower asks for changes about once a second; it lives if it did so this lately.
+RECENT_S = 2.0
+# A daemon that the dispatcher has not heard of for this long is taken off the list; if
+# it lives, it lists itself again.
+SILENT_S = 120.0
+
+
+class RosterStore(WatchedStore, Protocol):
+    """What the roster needs of the object store."""
+
+    async def delete(self, path: str) -> None:
+        """Remove an object."""
+
+
+def rank_of(member: Member, others: Iterable[Member], salt: str) -> int:
+    """Return a daemon's place in the order in which a claim is taken over.
+
+    Answers VMs of different sizes: the daemon that runs the jobs reads all their
+    streams, so larger VMs come first; equal ones in an order that differs by `salt`.
+    """
+
+    def weight(of: Member) -> tuple[float, int]:
+        return of.cores, xxhash.xxh64_intdigest(f"{salt}/{of.node}".encode())
+
+    own = weight(member)
+    return sum(
+        1 for other in others if other.node != member.node and weight(other) > own
+    )
+
+
+class Roster:
+    """Lists this daemon, and knows the others.
+
+    Parameters
+    ----------
+    me : Member
+        This daemon.
+    feed : Feed
+        The list as the store has it.
+    prefix : str
+        Where the list lies in the store.
+    seeds : tuple of Address
+        Daemons to ask before the list is known.
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        store: RosterStore,
+        feed: Feed,
+        prefix: str,
+        seeds: tuple[Address, ...],
+    ) -> None:
+        self._me = me
+        self._store = store
+        self._feed = feed
+        self._prefix = prefix
+        self._seeds = seeds
+        self._heard_s: dict[str, float] = {}
+        self._watched_since_s = float("inf")
+        self._written_version = 0
+        self._changed = asyncio.Event()
+        feed.subscribe(lambda changed, gone: self._changed.set())
+
+    def members(self) -> dict[str, Member]:
+        """Return the listed daemons by VM, without entries that cannot be read."""
+        members: dict[str, Member] = {}
+        for stored in self._feed.objects.values():
+            try:
+                member = msgspec.convert(stored.value, Member)
+            except msgspec.ValidationError as error:
+                logger.warning("members: passing over {}: {}", stored.path, error)
+                continue
+            members[member.node] = member
+        return members
+
+    def rank(self, salt: str, without: str) -> int:
+        """Return this daemon's place among all but the one named `without`."""
+        others = [m for m in self.members().values() if m.node != without]
+        return rank_of(self._me, others, salt)
+
+    def addresses(self) -> list[Address]:
+        """Return the addresses of all other daemons, and of the seeds."""
+        addresses = {member.control for member in self.members().values()}
+        addresses.update(str(seed) for seed in self._seeds)
+        addresses.discard(self._me.control)
+        return [Address.parse(text) for text in sorted(addresses)]
+
+    def note_heard(self, node: str) -> None:
+        """Take that a daemon has asked this one for changes."""
+        if node:
+            self._heard_s[node] = time.monotonic()
+
+    def successor(self) -> Member | None:
+        """Return the first in rank of those heard of lately, None without any."""
+        oldest_s = time.monotonic() - RECENT_S
+        members = self.members()
+        recent = [
+            members[node]
+            for node, heard_s in self._heard_s.items()
+            if heard_s > oldest_s and node in members
+        ]
+        ranked = sorted(recent, key=lambda m: rank_of(m, recent, self._me.incarnation))
+        return ranked[0] if ranked else None
+
+    async def run(self) -> None:
+        """Keep this daemon listed until cancelled."""
+        await self._feed.synced.wait()
+        while True:
+            self._changed.clear()
+            if not self._is_listed() and not await self._register():
+                await asyncio.sleep(REGISTER_PAUSE_S)
+                continue
+            await self._changed.wait()
+
+    def _path(self, node: str) -> str:
+        return f"{self._prefix}{node}"
+
+    def _is_listed(self) -> bool:
+        """Whether this daemon's entry is there, or its writing not yet seen."""
+        stored = self._feed.objects.get(self._path(self._me.node))
+        if stored is None:
+            return self._feed.revision < self._written_version
+        is_older = stored.version < self._written_version
+        return is_older or self.members().get(self._me.node) == self._me
+
+    async def _register(self) -> bool:
+        path = self._path(self._me.node)
+        stored = self._feed.objects.get(path)
+        version = 0 if stored is None else stored.version
+        try:
+            value = msgspec.to_builtins(self._me)
+            self._written_version = await self._store.write(path, value, version)
+            return True
+        except ObjectConflict as error:
+            logger.info("members: {}", error.reason)
+        except CodedError as error:
+            logger.warning("members: not registered: {}", error.reason)
+        return False
+
+    async def sweep(self, is_dispatcher: Callable[[], bool]) -> None:
+        """Take daemons off the list that the dispatcher has not heard of for long."""
+        now_s = time.monotonic()
+        if not is_dispatcher():
+            self._watched_since_s = float("inf")
+            return
+        self._watched_since_s = min(self._watched_since_s, now_s)
+        if now_s - self._watched_since_s < SILENT_S:
+            return
+        for node in self.members():
+            heard_s = self._heard_s.get(node, self._watched_since_s)
+            if node == self._me.node or now_s - heard_s < SILENT_S:
+                continue
+            try:
+                await self._store.delete(self._path(node))
+            except CodedError as error:
+                logger.warning("members: {} not removed: {}", node, error.reason)
+                return
+            self._heard_s.pop(node, None)
+            logger.info("members: removed", member=node, silent_s=int(now_s - heard_s))
--- a/greengagetack/siblings/server.py
+++ b/greengagetack/siblings/server.py
@@ -11,11 +11,11 @@
 from greengagetack.batches.reading import JobReader
 from greengagetack.errors import CodedError
 from greengagetack.objects.feed import Feed
+from greengagetack.objects.transport import StoreAnswer
 from greengagetack.siblings.messages import (
     HandOver,
     JobHint,
     Pong,
-    RelayAnswer,
     RelayCall,
     Segments,
     decode,
@@ -35,7 +35,7 @@
     dispatcher: Dispatcher,
     feeds: dict[str, Feed],
     on_follower: Callable[[str], None],
-    call_store: Callable[[RelayCall], Awaitable[RelayAnswer]],
+    call_store: Callable[[RelayCall], Awaitable[StoreAnswer]],
 ) -> Starlette:
     """Return the HTTP application on a daemon's control address."""
 
--- a/features/support/platform_world.py
+++ b/standins/platform_world.py
@@ -1,4 +1,4 @@
-"""features.support.platform_world: daemons as processes among in-process stand-ins."""
+"""standins.platform_world: daemons as processes among in-process stand-ins."""
 
 import asyncio
 import base64
@@ -9,17 +9,21 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
 from typing import Any
 
 import uvicorn
 
-from features.support.loops import BackgroundLoop
+from greengagetack.world import Address
 from standins.kv_store import KvStore
+from standins.loops import BackgroundLoop
 from standins.processes import Process, ProcessGroup
+from standins.proxy import Relay
 from standins.replica import MODEL, Replica
 from standins.server import StandInServer
 
-__all__ = ["HOST_NAME", "PlatformWorld", "Submission", "wait_for"]
+__all__ = ["HOST_NAME", "ORDERS_APART_S", "PlatformWorld", "Submission", "wait_for"]
 
 MODULE = "greengagetack.platform"
 HOST_NAME = "kiosk.example"
@@ -31,6 +35,8 @@
 RESUMABLE = {"resumable": True}
 ENGINE_SERVICE = "summariser"
 PLAIN_SERVICE = "fieldbook"
+# How far orders of two daemons to one replica must lie apart.
+ORDERS_APART_S = 0.6
 WAIT_LIMIT_S = 30.0
 POLL_S = 0.05
 
@@ -125,6 +131,8 @@
         self._serving: dict[str, asyncio.Task[None]] = {}
         self._store_address = self.loop.run(self._serve(self.store.app, "store"))
         self.memory_tokens = 100_000
+        # Relays between daemons and the store, where there are any.
+        self.relays: dict[str, Relay] = {}
         self.configure(1)
 
     def close(self) -> None:
@@ -222,7 +230,17 @@
         for number in range(1, count + 1):
             self.start_edge(f"edge-{number}")
         for name in self.edges:
-            wait_for(f"{name} is ready", lambda name=name: self.is_ready(name))
+            wait_for(f"{name} is ready", partial(self.is_ready, name))
+
+    def add_relay(self, edge: str) -> None:
+        """Put a relay between a daemon that is started later and the store."""
+
+        async def start() -> Relay:
+            relay = Relay(Address.parse(self._store_address))
+            await relay.start()
+            return relay
+
+        self.relays[edge] = self.loop.run(start())
 
     def start_edge(self, name: str) -> Process:
         """Start a daemon, at its former address if it had one."""
@@ -247,6 +265,8 @@
         listen = "\n".join(
             f'{part} = "{address}"' for part, address in self._addresses[name].items()
         )
+        relay = self.relays.get(name)
+        store = self._store_address if relay is None else str(relay.address)
         return f"""
 node = "{name}"
 role = "edge"
@@ -258,9 +278,9 @@
 {listen}
 [bounds]
 grace_s = 8
-lease_ms = 600
+lease_ms = {int(ORDERS_APART_S * 1000)}
 [provider]
-address = "{self._store_address}"
+address = "{store}"
 value_bytes = 1048576
 """
 
@@ -277,6 +297,17 @@
             return str(self.store.value("dispatch", "main")["node"])
         return ""
 
+    def save_logs(self, name: str, folder: str) -> None:
+        """Write the log of a daemon's last process into a folder."""
+        path = Path(folder)
+        path.mkdir(parents=True, exist_ok=True)
+        text = "".join(self.edges[name].printed())
+        (path / f"{name}.log").write_text(text)
+
+    def has_logged(self, name: str, message: str) -> bool:
+        """Whether a daemon's last process has logged a message."""
+        return any(message in line for line in self.edges[name].printed())
+
     def logs(self, name: str) -> list[dict[str, Any]]:
         """Return the structured log lines of a daemon so far."""
         return [json.loads(line) for line in self.edges[name].printed()]
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -77,6 +77,8 @@
         self.arrivals: list[tuple[str, str, int]] = []
         self.cut: list[str] = []
         self.orders: list[tuple[str, int, int]] = []
+        # Monotonic time, holder and fence of each order that arrived.
+        self.order_arrivals: list[tuple[float, str, int]] = []
         self.bodies: dict[str, bytes] = {}
         self.app = Starlette(
             routes=[
@@ -99,6 +101,8 @@
 
     async def _order(self, request: Request) -> Response:
         order = await request.json()
+        arrival = (time.monotonic(), order["holder"], order["fence"])
+        self.order_arrivals.append(arrival)
         if request.headers.get("x-expect-instance", self.replica_id) != self.replica_id:
             return Response(status_code=421)
         if self.fault.ignore_orders > 0:
