Move what decides out of the adapter, and give job fields names of ours

Change: siblings.duty, batches.service, daemons.retirement, daemons.status; the relay of a peer's call is the transport's own; give_up_after_s, due_after_ms, wanted_groups. Groups that come again are looked up beside the run and no longer before it; a successor counts the wait for the order lease from the last renewal that it has heard of.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: setup test demo platform-demo model soak measure capacity lint format
+.PHONY: setup test demo platform-demo model soak platform-soak measure capacity lint format
 
 $(READY): requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -42,6 +42,10 @@
 soak: setup
 	$(BIN)/python -m bench.soak
 
+# Load and seeded faults on the daemons of the users' platform.
+platform-soak: setup
+	$(BIN)/python -m bench.platform_soak
+
 measure: setup
 	$(BIN)/python -m bench.settings_propagation
 	$(BIN)/python -m bench.measure
--- a/features/steps/batches_steps.py
+++ b/features/steps/batches_steps.py
@@ -132,7 +132,6 @@
         Metrics(),
         lambda item, _: ItemProgress(item),
         lambda: 1,
-        set(),
     )
     for number in range(listed, listed + finished):
         context.run.finish(_result(number))
--- /dev/null
+++ b/features/steps/order_lease_steps.py
@@ -0,0 +1,56 @@
+"""features.steps.order_lease_steps: the order lease on a store in memory."""
+
+import asyncio
+from unittest import mock
+
+import msgspec
+from behave import given, then, when
+from behave.runner import Context
+
+from features.support.memory_objects import MemoryObjects
+from greengagetack.weights import order_lease
+from greengagetack.weights.order_lease import (
+    LEASE_PATH,
+    OrderLease,
+    OrderLeaseRecord,
+)
+
+STEP_S = 0.05
+MOST_WAIT_S = 20.0
+
+
+@given("another daemon holds the order lease, orders apart {apart:g} s")
+def step_held(context: Context, apart: float) -> None:
+    context.store = MemoryObjects()
+    context.lease = OrderLease("b", context.store, apart)
+    context.record = OrderLeaseRecord("a", 1, 0)
+    context.version = asyncio.run(_write(context, 0))
+
+
+async def _write(context: Context, version: int) -> int:
+    value = msgspec.to_builtins(context.record)
+    written: int = await context.store.write(LEASE_PATH, value, version)
+    return written
+
+
+@when("its version is heard of {heard:g} s before the first look, {renewed} since")
+def step_heard(context: Context, heard: float, renewed: str) -> None:
+    now_s = [1_000.0]
+    with mock.patch.object(order_lease, "_pause_proof_s", lambda: now_s[0]):
+        if heard:
+            context.lease.note_seen(context.version)
+        if renewed == "renewed":
+            asyncio.run(_write(context, context.version))
+        now_s[0] += heard
+        first_look_s = now_s[0]
+        while not context.lease.held_version:
+            asyncio.run(context.lease.keep())
+            assert now_s[0] < first_look_s + MOST_WAIT_S
+            now_s[0] += STEP_S
+        context.waited_s = now_s[0] - STEP_S - first_look_s
+
+
+@then("the lease is taken {wait:g} s after the first look")
+def step_taken(context: Context, wait: float) -> None:
+    assert wait <= context.waited_s + 1e-6, context.waited_s
+    assert context.waited_s <= wait + 2 * STEP_S, context.waited_s
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -277,7 +277,6 @@
                     "dispatch: job not read", request_id=job.job_id, reason=error.reason
                 )
                 await asyncio.sleep(OPEN_RETRY_S)
-        carried = await self._carried.of(job, items, self._known_jobs())
         run = JobRun(
             job,
             items,
@@ -286,7 +285,6 @@
             self._metrics,
             self._progress_of,
             lambda: self._facts.tokens_per_event_of(job.service),
-            carried,
         )
         self._runs[job.job_id] = run
         self.demand[job.model] = float(sum(item.tokens for item in items))
@@ -297,11 +295,18 @@
             min_version=job.min_version,
             total=job.total,
             listed=len(log.listed),
-            required=len(run.required),
             age_ms=int(time.time() * MS_PER_S - job.submitted_ms),
         )
         self._wake.set()
-        await run.run()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(run.run())
+            # Not waited for: after a takeover this reads the jobs before as well.
+            run.required = await self._carried.of(job, items, self._known_jobs())
+            logger.info(
+                "dispatch: groups that come again",
+                request_id=job.job_id,
+                groups=",".join(sorted(run.required)),
+            )
 
     def _progress_of(self, item: Item, job: Job) -> ItemProgress:
         known = self._progresses.get(item.item_id)
@@ -378,7 +383,10 @@
         now_ms = time.time() * MS_PER_S
         for run in self._runs.values():
             age_s = (now_ms - run.job.submitted_ms) / MS_PER_S
-            if age_s < run.job.item_ttl_s + TTL_MARGIN_S or not run.job.item_ttl_s:
+            if (
+                age_s < run.job.give_up_after_s + TTL_MARGIN_S
+                or not run.job.give_up_after_s
+            ):
                 continue
             for progress in list(run.unfinished.values()):
                 logger.warning(
--- a/greengagetack/batches/job.py
+++ b/greengagetack/batches/job.py
@@ -46,6 +46,12 @@
     ----------
     submitted_ms : int
         Unix time of the first submission, in milliseconds.
+    due_after_ms : float
+        All results are due this long after the submission, in milliseconds.
+    give_up_after_s : float
+        An item may be given up this long after the submission, 0 for never.
+    wanted_groups : int
+        Whole groups that the trainer waits for, 0 for all.
     item_parts : int
         Number of objects that hold the items.
     is_ended : bool
@@ -57,15 +63,15 @@
     host: str
     service: str
     submitted_ms: int
-    run_target_ms: float
-    item_ttl_s: float
+    due_after_ms: float
+    give_up_after_s: float
     max_attempts: int
     total: int
     item_parts: int
     step: int = 0
     model: str = ""
     min_version: int = 0
-    target_groups: int = 0
+    wanted_groups: int = 0
     single_version: bool = False
     is_ended: bool = False
 
--- a/greengagetack/batches/job_run.py
+++ b/greengagetack/batches/job_run.py
@@ -41,8 +41,6 @@
         where there is any.
     tokens_per_event : callable
         Returns how many tokens an event of the job's service holds.
-    carried : set of str
-        Groups that an earlier job left open; the trainer waits for them.
     """
 
     def __init__(
@@ -54,7 +52,6 @@
         metrics: Metrics,
         progress_of: Callable[[Item, Job], ItemProgress],
         tokens_per_event: Callable[[], int],
-        carried: set[str],
     ) -> None:
         self.job = job
         self.log = log
@@ -66,7 +63,8 @@
         self.is_unsure = False
         self._news = asyncio.Event()
         self.unfinished: dict[str, ItemProgress] = {}
-        self.required = carried
+        # Groups that an earlier job left open; the trainer waits for them.
+        self.required: set[str] = set()
         for item in items:
             if item.item_id in log.listed:
                 continue
@@ -79,7 +77,7 @@
     @property
     def due_ms(self) -> float:
         """Unix time at which the results are due, in milliseconds."""
-        return self.job.submitted_ms + self.job.run_target_ms
+        return self.job.submitted_ms + self.job.due_after_ms
 
     def needed(self) -> set[str]:
         """Return the groups that the trainer is to get."""
@@ -93,7 +91,7 @@
             WaitingGroup(group, group in self.required, tuple(events))
             for group, events in left.items()
         ]
-        target = self.job.target_groups
+        target = self.job.wanted_groups
         return needed_groups(groups, max(1, target - len(whole)) if target else 0)
 
     def finish(self, result: Result) -> None:
--- a/greengagetack/batches/order.py
+++ b/greengagetack/batches/order.py
@@ -18,7 +18,7 @@
     events_left: tuple[int, ...]
 
 
-def needed_groups(groups: Iterable[WaitingGroup], target_groups: int) -> set[str]:
+def needed_groups(groups: Iterable[WaitingGroup], wanted_groups: int) -> set[str]:
     """Return the groups that the trainer is to get.
 
     A trainer waits for a number of whole groups, and the slowest member of a group
@@ -29,7 +29,7 @@
         groups,
         key=lambda group: (not group.is_required, max(group.events_left, default=0)),
     )
-    count = target_groups if target_groups > 0 else len(ranked)
+    count = wanted_groups if wanted_groups > 0 else len(ranked)
     return {group.group for group in ranked[:count]}
 
 
--- a/greengagetack/gateway/routes.py
+++ b/greengagetack/gateway/routes.py
@@ -48,8 +48,8 @@
     max_attempts: int
     is_resumable: bool = False
     single_version: bool = False
-    item_ttl_s: float = 0.0
-    run_target_ms: float = 0.0
+    give_up_after_s: float = 0.0
+    due_after_ms: float = 0.0
 
     @property
     def may_repeat(self) -> bool:
@@ -97,6 +97,24 @@
     limits: Limits = Limits()
     engines: tuple[EngineSpec, ...] = ()
 
+    def rollout_services(self) -> list[str]:
+        """Return the services that trainers' jobs may go to."""
+        return sorted(
+            {
+                service
+                for route in self.routes
+                if route.kind is RequestKind.ROLLOUT
+                for service, _ in route.services
+            }
+        )
+
+    def has_single_version(self) -> bool:
+        """Whether some trainer's results must come from one version only."""
+        return any(
+            route.kind is RequestKind.ROLLOUT and route.single_version
+            for route in self.routes
+        )
+
 
 class RouteTable:
     """Finds the route of a request in one configuration."""
--- a/greengagetack/objects/transport.py
+++ b/greengagetack/objects/transport.py
@@ -159,6 +159,20 @@
             raise failure
         return answer
 
+    async def relayed_for_peer(
+        self, method: str, target: str, body: bytes, wait_s: float
+    ) -> StoreAnswer:
+        """Call the store for a daemon that does not reach it.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If this daemon does not reach it either.
+        """
+        if self.is_direct_failing:
+            raise PlatformUnavailable("this daemon does not reach the store either")
+        return await self._direct.call(method, target, body, wait_s)
+
     async def _relayed(
         self, method: str, target: str, body: bytes, wait_s: float
     ) -> StoreAnswer | None:
--- a/greengagetack/platform/batch_api.py
+++ b/greengagetack/platform/batch_api.py
@@ -66,15 +66,15 @@
         host=route.host,
         service=service,
         submitted_ms=int(time.time() * MS_PER_S),
-        run_target_ms=route.run_target_ms,
-        item_ttl_s=route.item_ttl_s,
+        due_after_ms=route.due_after_ms,
+        give_up_after_s=route.give_up_after_s,
         max_attempts=route.max_attempts,
         total=len(items),
         item_parts=0,
         step=found.step,
         model=found.model,
         min_version=found.min_version,
-        target_groups=found.target_groups,
+        wanted_groups=found.target_groups,
         single_version=route.single_version,
     )
     return job, items
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -7,21 +7,18 @@
 
 import uvicorn
 from loguru import logger
-from starlette.applications import Starlette
-from starlette.requests import Request
-from starlette.responses import Response
-from starlette.routing import Route
 
 from greengagetack.batches.checkpoint import Checkpoints
 from greengagetack.batches.dispatcher import Dispatcher, EngineFacts
 from greengagetack.batches.ledger import JOBS, Ledger
 from greengagetack.batches.reading import JobReader
+from greengagetack.batches.service import JobService
 from greengagetack.daemons.main import HttpServer
 from greengagetack.daemons.protocol import HttpBounds, bounded_config
+from greengagetack.daemons.status import build_status_application
 from greengagetack.daemons.supervise import supervise
-from greengagetack.errors import PeerUnreachable, PlatformUnavailable
 from greengagetack.gateway.forward import Forwarder
-from greengagetack.gateway.routes import Limits, RequestKind, RouteTable
+from greengagetack.gateway.routes import Configuration, Limits, RouteTable
 from greengagetack.http1.pool import Pool
 from greengagetack.objects.base import PlatformObject
 from greengagetack.objects.feed import Feed
@@ -41,7 +38,8 @@
 from greengagetack.replicas.replica import Replica
 from greengagetack.siblings.claim import ClaimDuty
 from greengagetack.siblings.client import PeerClient
-from greengagetack.siblings.messages import Member, Pong, RelayCall
+from greengagetack.siblings.duty import DispatchDuty
+from greengagetack.siblings.messages import Member, Pong
 from greengagetack.siblings.roster import Roster
 from greengagetack.siblings.server import build_peer_application
 from greengagetack.siblings.source import SharedSource
@@ -63,7 +61,6 @@
 ROTATION_S = 2.6
 # Time before the end of the grace period by which everything has stopped.
 STOP_MARGIN_S = 0.8
-HAND_OVER_S = 1.0
 BACKLOG = 1_024
 MS_PER_S = 1_000
 SWEEP_INTERVAL_S = 15.0
@@ -121,7 +118,12 @@
             self._me, self._store, self._members_feed, MEMBERS, facts.seeds
         )
         self._claim = ClaimDuty(
-            self._me, self._store, self._claims, self._roster, self._on_claim
+            self._me,
+            self._store,
+            self._claims,
+            self._roster,
+            lambda: self._duty.on_claim(),
+            lambda pong: self._lease.note_seen(pong.lease_version),
         )
         self._peers = PeerClient(
             facts.node, self._claim.claimer_address, self._roster.addresses
@@ -132,10 +134,8 @@
         self._ingress = Ingress(
             lambda: self._table,
             forwarder,
-            self._ledger,
+            JobService(self._ledger, self._reader, self._dispatcher, self._peers),
             self._reader,
-            self._dispatcher,
-            self._peers,
             self._metrics,
         )
         self._lease = OrderLease(facts.node, self._store, facts.orders_apart_s)
@@ -143,9 +143,9 @@
             self._lease,
             self._fleet,
             ReplicaOrders(pool),
-            self._named_versions,
-            self._services_of,
-            self._is_single,
+            lambda: documents.named_versions_of(self._versions.objects.values()),
+            lambda model: self._rollouts().rollout_services(),
+            lambda model: self._rollouts().has_single_version(),
             lambda: self._dispatcher.demand,
             self._dispatcher.loading,
             self._dispatcher.wake,
@@ -153,7 +153,14 @@
             facts.node,
         )
         self._tasks: list[asyncio.Task[None]] = []
-        self._claim_tasks: list[asyncio.Task[None]] = []
+        self._duty = DispatchDuty(
+            self._claim,
+            self._dispatcher,
+            self._waves,
+            self._lease,
+            self._peers,
+            (self._versions, self._jobs),
+        )
         self._stop = asyncio.Event()
         self._timer = Timer()
         self._config.subscribe(self._on_config)
@@ -171,46 +178,10 @@
     ) -> StoreAnswer:
         return await self._peers.relay(method, target, body, wait_s)
 
-    async def _call_store(self, call: RelayCall) -> StoreAnswer:
-        """Call the store for a daemon that does not reach it.
-
-        Raises
-        ------
-        PlatformUnavailable
-            If this daemon does not reach it either.
-        """
-        if self._transport.is_direct_failing:
-            raise PlatformUnavailable("this daemon does not reach the store either")
-        answer = await self._direct.call(
-            call.method, call.target, call.body, call.wait_s
+    def _rollouts(self) -> Configuration:
+        return (
+            Configuration(0, ()) if self._table is None else self._table.configuration
         )
-        self._metrics.add("relayed_calls")
-        return answer
-
-    def _named_versions(self) -> dict[str, int]:
-        named: dict[str, int] = {}
-        for stored in self._versions.objects.values():
-            found = documents.named_version_of(stored)
-            if found is not None:
-                named[found[0]] = found[1]
-        return named
-
-    def _batch_services(self, single_only: bool = False) -> list[str]:
-        if self._table is None:
-            return []
-        return [
-            service
-            for route in self._table.configuration.routes
-            if route.kind is RequestKind.ROLLOUT
-            and (route.single_version or not single_only)
-            for service, _ in route.services
-        ]
-
-    def _services_of(self, model: str) -> list[str]:
-        return sorted(set(self._batch_services()))
-
-    def _is_single(self, model: str) -> bool:
-        return bool(self._batch_services(single_only=True))
 
     def _on_config(
         self, changed: tuple[PlatformObject, ...], gone: tuple[str, ...]
@@ -253,50 +224,6 @@
             replicas.append(replica)
         self._fleet.update(replicas, removed)
 
-    def _on_claim(self) -> None:
-        """Begin or cease to run the jobs as the claim says."""
-        is_mine = self._claim.is_mine and not self._claim.is_leaving
-        if is_mine and not self._claim_tasks:
-            self._claim_tasks = [
-                asyncio.create_task(supervise(self._versions.run, "versions")),
-                asyncio.create_task(supervise(self._jobs.run, "jobs")),
-            ]
-            self._waves.is_active = True
-            self._spawn(self._activate, "activate")
-        if not is_mine and self._waves.is_active:
-            self._waves.is_active = False
-            self._spawn(self._release_lease, "release lease")
-        has_heir = not self._claim.is_leaving or self._claim.claimer is not None
-        if not is_mine and has_heir and self._claim_tasks:
-            for task in self._claim_tasks:
-                task.cancel()
-            self._claim_tasks = []
-        if not is_mine and self._dispatcher.is_active:
-            # A daemon that gave up the claim keeps its runs until they are asked for.
-            if not self._claim.is_leaving:
-                self._dispatcher.deactivate()
-            elif has_heir:
-                loop = asyncio.get_running_loop()
-                loop.call_later(HAND_OVER_S, self._dispatcher.deactivate)
-
-    async def _release_lease(self) -> None:
-        # An order under way would reach its replica after the release.
-        await self._waves.settled()
-        await self._lease.release()
-
-    async def _activate(self) -> None:
-        await self._dispatcher.load_checkpoint()
-        claimer = self._claim.claimer
-        if claimer is not None and claimer.former:
-            former = Address.parse(claimer.former)
-            try:
-                snapshots = await self._peers.take_progress(former)
-                self._dispatcher.adopt(snapshots)
-            except PeerUnreachable as error:
-                logger.warning("dispatch: no progress taken over: {}", error.reason)
-        if self._claim.is_mine and not self._claim.is_leaving:
-            self._dispatcher.activate()
-
     # -- life
 
     def _spawn(self, part: Callable[[], Awaitable[None]], name: str) -> None:
@@ -315,7 +242,12 @@
         await self._roster.sweep(lambda: self._dispatcher.is_active)
 
     def _pong(self) -> Pong:
-        return Pong(self._me.node, self._me.incarnation, self._dispatcher.is_active)
+        return Pong(
+            self._me.node,
+            self._me.incarnation,
+            self._dispatcher.is_active,
+            self._lease.held_version,
+        )
 
     async def run(self) -> None:
         """Serve until `stop`, then end what is open and return."""
@@ -341,12 +273,16 @@
                         for feed in (self._config, self._servers, self._members_feed)
                     },
                     self._roster.note_heard,
-                    self._call_store,
+                    lambda call: self._transport.relayed_for_peer(
+                        call.method, call.target, call.body, call.wait_s
+                    ),
                 ),
                 date_header=False,
             )
         )
-        status = HttpServer(bounded_config(self._status_application()))
+        status = HttpServer(
+            bounded_config(build_status_application(self.is_ready, self._metrics))
+        )
         sockets = [listening_socket(facts.ready)]
         metrics = Address(facts.ip, facts.metrics_port)
         sockets.append(listening_socket(metrics))
@@ -386,7 +322,7 @@
         self._ingress.is_draining = True
         self._peers.node = ""
         await self._claim.give_up(self._roster.successor())
-        self._on_claim()
+        self._duty.on_claim()
         await asyncio.sleep(max(0.0, stopped_s + ROTATION_S - time.monotonic()))
         front.should_exit = True
         try:
@@ -395,7 +331,8 @@
         except TimeoutError:
             logger.warning("daemon: requests were still open at the end")
         self._timer.close()
-        for task in [*self._tasks, *self._claim_tasks, *serving]:
+        self._duty.close()
+        for task in [*self._tasks, *serving]:
             task.cancel()
         logger.info("daemon: stopped", ms=int((time.monotonic() - stopped_s) * 1000))
 
@@ -406,13 +343,3 @@
     def reload(self) -> None:
         """Note a change of the settings file; no field that is used may change."""
         logger.info("daemon: SIGHUP; the settings in force stay valid")
-
-    def _status_application(self) -> Starlette:
-        async def ready(request: Request) -> Response:
-            return Response(status_code=200 if self.is_ready() else 503)
-
-        async def metrics(request: Request) -> Response:
-            content = self._metrics.render()
-            return Response(content, media_type="text/plain; version=0.0.4")
-
-        return Starlette(routes=[Route("/readyz", ready), Route("/metrics", metrics)])
--- a/greengagetack/platform/documents.py
+++ b/greengagetack/platform/documents.py
@@ -1,5 +1,7 @@
 """greengagetack.platform.documents: objects that others write, in our own types."""
 
+from collections.abc import Iterable
+
 import msgspec
 from loguru import logger
 
@@ -16,7 +18,7 @@
 
 __all__ = [
     "configuration_of",
-    "named_version_of",
+    "named_versions_of",
     "replica_of",
 ]
 
@@ -50,7 +52,9 @@
     max_attempts: int = 1
     resumable: bool = False
     single_version: bool = False
+    # An item may be given up this long after its job's submission.
     item_ttl_s: float = 0.0
+    # All results are due this long after their job's submission.
     run_target_ms: float = 0.0
 
 
@@ -142,8 +146,8 @@
         max_attempts=route.max_attempts,
         is_resumable=route.resumable,
         single_version=route.single_version,
-        item_ttl_s=route.item_ttl_s,
-        run_target_ms=route.run_target_ms,
+        give_up_after_s=route.item_ttl_s,
+        due_after_ms=route.run_target_ms,
     )
 
 
@@ -171,11 +175,14 @@
     )
 
 
-def named_version_of(stored: PlatformObject) -> tuple[str, int] | None:
-    """Return the model and version that a trainer has named, None if unreadable."""
-    try:
-        found = msgspec.convert(stored.value, _NamedVersion)
-    except msgspec.ValidationError as error:
-        logger.warning("weights: passing over {}: {}", stored.path, error)
-        return None
-    return found.model, found.version
+def named_versions_of(objects: Iterable[PlatformObject]) -> dict[str, int]:
+    """Return the version that a trainer has named of each model."""
+    named: dict[str, int] = {}
+    for stored in objects:
+        try:
+            found = msgspec.convert(stored.value, _NamedVersion)
+        except msgspec.ValidationError as error:
+            logger.warning("weights: passing over {}: {}", stored.path, error)
+            continue
+        named[found.model] = found.version
+    return named
--- a/greengagetack/platform/ingress.py
+++ b/greengagetack/platform/ingress.py
@@ -1,16 +1,13 @@
 """greengagetack.platform.ingress: what clients of the platform send to a daemon."""
 
-import asyncio
 import time
 from collections.abc import Callable
 from urllib.parse import parse_qs, unquote
 
 from loguru import logger
 
-from greengagetack.batches.dispatcher import Dispatcher
-from greengagetack.batches.job import Job
-from greengagetack.batches.ledger import Ledger
 from greengagetack.batches.reading import JobReader
+from greengagetack.batches.service import JobService
 from greengagetack.daemons.responses import error_body, unexpected_error
 from greengagetack.errors import (
     CodedError,
@@ -34,7 +31,6 @@
 from greengagetack.observability.metrics import Metrics
 from greengagetack.platform import wire
 from greengagetack.platform.batch_api import decode_submission, encode_results
-from greengagetack.siblings.client import PeerClient
 
 __all__ = ["Ingress"]
 
@@ -42,8 +38,6 @@
 # A client without a deadline is given this long.
 DEFAULT_DEADLINE_MS = 30_000.0
 MAX_WAIT_MS = 1_000.0
-# A submission is kept trying this long while the store does not answer.
-ACCEPT_LIMIT_S = 3.0
 # What a client is told to wait when the daemon itself cannot serve.
 RETRY_AFTER_S = 0.3
 # These promise that nothing ran and nothing will.
@@ -74,19 +68,14 @@
         self,
         table: Callable[[], RouteTable | None],
         forwarder: Forwarder,
-        ledger: Ledger,
+        jobs: JobService,
         reader: JobReader,
-        dispatcher: Dispatcher,
-        peers: PeerClient,
         metrics: Metrics,
     ) -> None:
         self._table = table
         self._forwarder = forwarder
-        self._ledger = ledger
+        self._jobs = jobs
         self._reader = reader
-        self._dispatcher = dispatcher
-        self._peers = peers
-        self._hints: set[asyncio.Task[None]] = set()
         self._metrics = metrics
         self.is_draining = False
 
@@ -181,13 +170,7 @@
         if not job_id or "/" in job_id:
             raise InvalidRequest("the job has no identifier")
         job, items = decode_submission(job_id, body, route)
-        accepted: Job | None = None
-        if not self._reader.knows(job_id):
-            accepted = await self._ledger.accept(job, items, ACCEPT_LIMIT_S)
-            self._reader.keep_items(job_id, items)
-            self._hint(job_id, is_ended=False)
-        if accepted is not None:
-            self._reader.keep_job(accepted)
+        is_new = await self._jobs.submit(job, items)
         logger.info(
             "batch: job accepted",
             request_id=job_id,
@@ -196,7 +179,7 @@
             model=job.model,
             min_version=job.min_version,
             items=len(items),
-            is_new=accepted is not None,
+            is_new=is_new,
             ms=int((time.monotonic() - arrived_s) * MS_PER_S),
         )
         return _reply(202, b"")
@@ -215,7 +198,8 @@
             return _reply(200, body, b"application/octet-stream")
         job_id = unquote(path.removeprefix(RESULTS_PATH))
         if method == "DELETE":
-            return await self._end(job_id)
+            await self._jobs.end(job_id)
+            return _reply(200, b"{}")
         if method != "GET":
             raise NotFound("results are read with GET")
         job = await self._reader.job(job_id)
@@ -224,23 +208,6 @@
         log = await self._reader.log(job, after, wait_ms / MS_PER_S)
         return _reply(200, encode_results(job.total, log.results, after))
 
-    async def _end(self, job_id: str) -> Reply:
-        is_known = await self._ledger.end(job_id)
-        if is_known:
-            self._hint(job_id, is_ended=True)
-        logger.info("batch: job ended by its sender", request_id=job_id, known=is_known)
-        if not is_known:
-            raise NotFound(f"there is no job {job_id}")
-        return _reply(200, b"{}")
-
-    def _hint(self, job_id: str, is_ended: bool) -> None:
-        if self._dispatcher.is_active:
-            self._dispatcher.take_hint(job_id, is_ended)
-            return
-        task = asyncio.create_task(self._peers.hint(job_id, is_ended))
-        self._hints.add(task)
-        task.add_done_callback(self._hints.discard)
-
     # -- answers
 
     async def _send_reply(self, reply: Reply, send: Send) -> None:
--- a/greengagetack/platform/storage.py
+++ b/greengagetack/platform/storage.py
@@ -8,8 +8,7 @@
 
 from loguru import logger
 
-from greengagetack.errors import CodedError
-from greengagetack.objects.base import PlatformObject
+from greengagetack.daemons.retirement import RetirementDuty
 from greengagetack.objects.feed import Feed
 from greengagetack.objects.transport import DirectTransport
 from greengagetack.observability.metrics import Metrics
@@ -20,42 +19,20 @@
 __all__ = ["StorageDaemon"]
 
 WATCH_S = 8.0
-RETRY_S = 0.5
 EMPTY = {"state": "completed"}
 
 
 class StorageDaemon:
-    """Follows the requests to empty VMs and confirms its own at once."""
+    """Runs the duty to confirm that the VM is empty."""
 
     def __init__(self, facts: VmFacts) -> None:
-        self._path = f"{wire.RETIREMENTS_KIND}/{facts.node}"
         transport = DirectTransport(facts.store, Metrics())
-        self._store = PlatformStore(transport, facts.value_limit_bytes)
-        self._feed = Feed(
-            lambda: self._store, f"{wire.RETIREMENTS_KIND}/", lambda: WATCH_S
-        )
-        self._feed.subscribe(self._on_request)
-        self._asked = asyncio.Event()
+        store = PlatformStore(transport, facts.value_limit_bytes)
+        prefix = f"{wire.RETIREMENTS_KIND}/"
+        feed = Feed(lambda: store, prefix, lambda: WATCH_S)
+        self._duty = RetirementDuty(store, feed, prefix + facts.node, EMPTY)
         self._stop = asyncio.Event()
 
-    def _on_request(
-        self, changed: tuple[PlatformObject, ...], gone: tuple[str, ...]
-    ) -> None:
-        if any(stored.path == self._path for stored in changed):
-            self._asked.set()
-
-    async def _confirm(self) -> None:
-        await self._asked.wait()
-        while True:
-            try:
-                await self._store.write_status(self._path, EMPTY)
-            except CodedError as error:
-                logger.warning("storage: not confirmed as empty: {}", error.reason)
-                await asyncio.sleep(RETRY_S)
-                continue
-            logger.info("storage: confirmed as empty")
-            return
-
     def stop(self) -> None:
         """Begin to stop."""
         self._stop.set()
@@ -67,11 +44,7 @@
     async def run(self) -> None:
         """Serve until `stop`."""
         logger.info("storage: started")
-        tasks = [
-            asyncio.create_task(self._feed.run()),
-            asyncio.create_task(self._confirm()),
-        ]
+        duty = asyncio.create_task(self._duty.run())
         await self._stop.wait()
-        for task in tasks:
-            task.cancel()
+        duty.cancel()
         logger.info("storage: stopped")
--- a/greengagetack/siblings/claim.py
+++ b/greengagetack/siblings/claim.py
@@ -16,7 +16,7 @@
 from greengagetack.objects.base import ObjectConflict, PlatformObject, WatchedStore
 from greengagetack.objects.feed import Feed
 from greengagetack.siblings.client import PeerClient
-from greengagetack.siblings.messages import Member
+from greengagetack.siblings.messages import Member, Pong
 from greengagetack.siblings.roster import Roster
 from greengagetack.world import Address
 
@@ -58,12 +58,14 @@
         feed: Feed,
         roster: Roster,
         on_change: Callable[[], None],
+        on_pong: Callable[[Pong], None],
     ) -> None:
         self._me = me
         self._store = store
         self._feed = feed
         self._roster = roster
         self._on_change = on_change
+        self._on_pong = on_pong
         self._heard_s = time.monotonic()
         self._seen_version = -1
         self.is_leaving = False
@@ -142,6 +144,7 @@
                 pong = await peers.ping(address)
                 if pong.is_dispatcher and pong.node == claimer.node:
                     self._heard_s = time.monotonic()
+                    self._on_pong(pong)
                     return
             except PeerUnreachable as error:
                 logger.debug("claim: no answer from {}: {}", claimer.node, error)
--- a/greengagetack/siblings/messages.py
+++ b/greengagetack/siblings/messages.py
@@ -38,11 +38,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Pong:
-    """Answer to a ping."""
+    """Answer to a ping; `lease_version` is that of the order lease held, 0 for none."""
 
     node: str
     incarnation: str
     is_dispatcher: bool
+    lease_version: int = 0
 
 
 class Segments(msgspec.Struct, frozen=True):
--- a/greengagetack/weights/order_lease.py
+++ b/greengagetack/weights/order_lease.py
@@ -95,6 +95,21 @@
         """The fencing token of this holder's orders."""
         return self._record.fence if self._record else 0
 
+    @property
+    def held_version(self) -> int:
+        """The version of the lease in the store while it is held, else 0."""
+        return self._version if self._is_held else 0
+
+    def note_seen(self, version: int) -> None:
+        """Take the holder's word that the lease had a version; it counts as a look.
+
+        A successor that has heard of the last renewal waits from then on, not from
+        its own first look.
+        """
+        if version > self._seen_version:
+            self._seen_version = version
+            self._seen_s = _pause_proof_s()
+
     def may_order(self) -> bool:
         """Whether an order may be sent right now."""
         return self._is_held and _pause_proof_s() < self._valid_until_s - SEND_MARGIN_S
