Ask the store less while it fails, and log what nobody waits for

Change: retries back off to 1 s, members are followed with waits of 10 s at the store; errors of tasks that nobody waits for are lines of the structured log.

--- a/features/docs.feature
+++ b/features/docs.feature
@@ -45,3 +45,7 @@
       | traffic_split      |
       | enforce_fencing    |
       | num_waiting        |
+      | item_ttl_s         |
+      | run_target_ms      |
+      | target_groups      |
+      | finalizers         |
--- a/greengagetack/batches/reading.py
+++ b/greengagetack/batches/reading.py
@@ -124,6 +124,12 @@
     def _sync_ended(self, job_id: str, task: asyncio.Task[None]) -> None:
         if self._syncing.get(job_id) is task:
             del self._syncing[job_id]
+        # Readers that are still there get the error; all of them may have left.
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            logger.info(
+                "read: not brought up to date", request_id=job_id, reason=str(error)
+            )
 
     async def _sync(self, job: Job, log: JobLog, wait_s: float) -> None:
         first = log.next_segment
--- a/greengagetack/objects/feed.py
+++ b/greengagetack/objects/feed.py
@@ -14,7 +14,8 @@
 __all__ = ["Feed", "FeedListener", "FeedSource"]
 
 RETRY_FIRST_S = 0.05
-RETRY_MOST_S = 0.5
+# Half of the bound on configurations, as each refused call is paid for as well.
+RETRY_MOST_S = 1.0
 KEPT_REMOVALS = 1_000
 # A copy that is not confirmed for longer is not passed on to others.
 STALE_S = 2.5
--- a/greengagetack/platform/__main__.py
+++ b/greengagetack/platform/__main__.py
@@ -5,7 +5,7 @@
 import logging
 import signal
 import sys
-from typing import Protocol
+from typing import Any, Protocol
 
 import click
 from loguru import logger
@@ -41,9 +41,19 @@
     return EdgeDaemon(facts)
 
 
+def _log_loop_error(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Write what nobody waits for to the structured log."""
+    logger.error(
+        "daemon: unhandled: {}",
+        context["message"],
+        reason=repr(context.get("exception")),
+    )
+
+
 async def _run(facts: VmFacts) -> None:
     daemon = _make_daemon(facts)
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(_log_loop_error)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.stop)
     loop.add_signal_handler(signal.SIGHUP, daemon.reload)
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -88,7 +88,9 @@
         self._store = PlatformStore(self._transport, facts.value_limit_bytes)
         self._config = self._shared_feed(f"{wire.CONFIG_KIND}/")
         self._servers = self._shared_feed(f"{wire.SERVERS_KIND}/")
-        self._members_feed = self._shared_feed(MEMBERS)
+        self._members_feed = Feed(
+            lambda: self._shared.choose(), MEMBERS, lambda: self._shared.long_wait_s()
+        )
         self._claims = Feed(lambda: self._store, CLAIMS, lambda: CLAIM_WATCH_S)
         # Followed only by the daemon that runs the jobs.
         self._versions = Feed(
--- a/greengagetack/siblings/source.py
+++ b/greengagetack/siblings/source.py
@@ -19,6 +19,8 @@
 # configurations is 2 s.
 DISPATCHER_WATCH_S = 0.8
 FOLLOWER_WATCH_S = 1.0
+# A follower that reaches the store only learns of new daemons at the latest then.
+STORE_WATCH_S = 10.0
 # After the dispatcher has not answered, the store is watched for this long.
 PEER_PAUSE_S = 1.0
 
@@ -41,6 +43,11 @@
         """Return how long the next watch waits."""
         return DISPATCHER_WATCH_S if self._claim.is_mine else FOLLOWER_WATCH_S
 
+    def long_wait_s(self) -> float:
+        """Return how long the next watch of something that may be late waits."""
+        follows_store = self.choose() is self._store and not self._claim.is_mine
+        return STORE_WATCH_S if follows_store else self.wait_s()
+
 
 class _DispatcherCopy:
     """Follows the copy of the daemon that runs the jobs."""
