Keep room for what an item takes soon, not for its whole length

Ruled out: slots, versions, the order of items (the longest came first in the list). Change: an item needs room for what it holds within the next second; replicas are compared by the fuller of slots and expected memory, which spreads the long ones.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -55,6 +55,24 @@
       | a:0/4:slow b:2/4 c:2/4                     | b      |
       | a:0/4:slow b:4/4 c:4/4                     | a      |
       | a:1/4:full b:3/4                           | b      |
+      | a:1/4:long b:3/4                           | b      |
+      | a:1/4:long b:4/4                           | a      |
+
+  Scenario Outline: What an item takes of a replica's memory
+    When an item with prompt <prompt> and hint <hint> has made <made> events of 50 tokens, one each 50 ms
+    Then it takes <soon> tokens soon and <final> in the end
+
+    Examples:
+      | prompt | hint | made | soon | final |
+      | 300    | 500  | 0    | 800  | 800   |
+      | 300    | 5000 | 0    | 1350 | 5300  |
+      | 300    | 5000 | 95   | 6100 | 7400  |
+      | 300    | 5000 | 50   | 3850 | 5300  |
+
+  Scenario: Long items do not wait behind short ones that fit
+    Given a replica of 8 slots and memory for 6000 tokens, an event of 50 tokens each 50 ms
+    When items of 4000,4000,300,300 tokens are placed, the longest first
+    Then items of 4000,4000,300,300 tokens run
 
   Scenario Outline: Runs that are taken from slow replicas
     When runs <runs> are at replicas of pace <paces> with free slots <free>
--- a/features/steps/platform_decisions_steps.py
+++ b/features/steps/platform_decisions_steps.py
@@ -13,6 +13,7 @@
 from greengagetack.batches.events import EventParser
 from greengagetack.batches.job import Item, Job
 from greengagetack.batches.ledger import Ledger, is_forgettable
+from greengagetack.batches.memory import MemoryBook, MemoryNeed, memory_need
 from greengagetack.batches.order import WaitingGroup, needed_groups
 from greengagetack.batches.pace import Running, choose_moves
 from greengagetack.batches.placement import Candidate, choose_candidate
@@ -110,6 +111,7 @@
                 int(slots),
                 SLOW_PACE_S if "slow" in marks else USUAL_PACE_S,
                 50 if "full" in marks else 1_000,
+                0.9 if "long" in marks else 0.0,
                 "holds" in marks,
             )
         )
@@ -122,6 +124,63 @@
     assert found == chosen, context.chosen
 
 
+def _progress(prompt: int, hint: int, made: int) -> ItemProgress:
+    most = prompt + 20_000
+    item = Item("i", "/", (), b"", most, "g", prompt_tokens=prompt, output_hint=hint)
+    return ItemProgress(item, outputs=["x"] * made)
+
+
+@when(
+    "an item with prompt {prompt:d} and hint {hint:d} has made {made:d} events of "
+    "{size:d} tokens, one each {pause:d} ms"
+)
+def step_memory(
+    context: Context, prompt: int, hint: int, made: int, size: int, pause: int
+) -> None:
+    context.need = memory_need(_progress(prompt, hint, made), size, pause / 1000)
+
+
+@then("it takes {soon:d} tokens soon and {final:d} in the end")
+def step_memory_taken(context: Context, soon: int, final: int) -> None:
+    assert context.need == MemoryNeed(soon, final), context.need
+
+
+@given(
+    "a replica of {slots:d} slots and memory for {memory:d} tokens, an event of "
+    "{size:d} tokens each {pause:d} ms"
+)
+def step_replica(
+    context: Context, slots: int, memory: int, size: int, pause: int
+) -> None:
+    context.slots, context.memory = slots, memory
+    context.size, context.event_s = size, pause / 1000
+
+
+@when("items of {sizes} tokens are placed, the longest first")
+def step_place_all(context: Context, sizes: str) -> None:
+    book = MemoryBook()
+    context.placed = []
+    for hint in (int(size) for size in sizes.split(",")):
+        need = memory_need(_progress(0, hint, 0), context.size, context.event_s)
+        candidate = Candidate(
+            "a",
+            len(context.placed),
+            context.slots,
+            USUAL_PACE_S,
+            context.memory - book.soon_tokens("a"),
+            book.final_tokens("a") / context.memory,
+            False,
+        )
+        if choose_candidate([candidate], need.soon_tokens) is not None:
+            book.add("a", need)
+            context.placed.append(hint)
+
+
+@then("items of {sizes} tokens run")
+def step_placed(context: Context, sizes: str) -> None:
+    assert context.placed == [int(size) for size in sizes.split(",")], context.placed
+
+
 @when("runs {runs} are at replicas of pace {paces} with free slots {free}")
 def step_runs(context: Context, runs: str, paces: str, free: str) -> None:
     running = []
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -13,6 +13,7 @@
 from greengagetack.batches.job_run import JobRun
 from greengagetack.batches.ledger import JOBS, Ledger, is_forgettable, job_of
 from greengagetack.batches.log import JobLog, LogCache
+from greengagetack.batches.memory import MemoryBook, MemoryNeed, memory_need
 from greengagetack.batches.order import rank_items
 from greengagetack.batches.pace import (
     PaceBook,
@@ -105,7 +106,6 @@
         self._seals: set[asyncio.Task[None]] = set()
         self._adopted: dict[str, ProgressSnapshot] = {}
         self._hints: set[asyncio.Task[None]] = set()
-        self._reserved: dict[str, int] = {}
         self._paces = PaceBook()
         self._running: dict[str, tuple[JobRun, ItemProgress, str]] = {}
         self.loading: set[str] = set()
@@ -415,13 +415,24 @@
                 )
                 waiting.append((key, run, progress))
         waiting.sort(key=lambda entry: entry[0])
+        if not waiting:
+            return
         paces = self._paces.current()
+        book = MemoryBook()
+        for run, progress, replica_id in self._running.values():
+            book.add(replica_id, self._need(run.job, progress, paces))
         for _, run, progress in waiting:
-            state = self._place(run.job, progress, paces)
+            need = self._need(run.job, progress, paces)
+            state = self._place(run.job, progress, paces, need, book)
             if state is None:
                 continue
+            book.add(state.replica.replica_id, need)
             self._start(run, progress, state)
 
+    def _need(self, job: Job, progress: ItemProgress, paces: Paces) -> MemoryNeed:
+        per_event = self._facts.tokens_per_event_of(job.service)
+        return memory_need(progress, per_event, paces.usual_s)
+
     def _move_from_slow(self) -> None:
         """Take runs from slow replicas; they are sent again at the next turn."""
         now_s = time.monotonic()
@@ -464,7 +475,12 @@
         progress.avoided_until_s = time.monotonic() + AVOID_S
 
     def _place(
-        self, job: Job, progress: ItemProgress, paces: Paces
+        self,
+        job: Job,
+        progress: ItemProgress,
+        paces: Paces,
+        need: MemoryNeed,
+        book: MemoryBook,
     ) -> ReplicaState | None:
         now_s = time.monotonic()
         group = progress.item.group
@@ -490,11 +506,12 @@
                     state.in_flight,
                     state.replica.slots or DEFAULT_SLOTS,
                     paces.of(replica_id),
-                    memory - self._reserved.get(replica_id, 0),
+                    memory - book.soon_tokens(replica_id),
+                    book.final_tokens(replica_id) / memory,
                     self._prompts.holds(replica_id, group, version),
                 )
             )
-        chosen = choose_candidate(candidates, _expected_memory(progress.item))
+        chosen = choose_candidate(candidates, need.soon_tokens)
         return None if chosen is None else self._fleet.get(chosen.replica_id)
 
     def _is_served(self, job: Job, versions: list[int]) -> bool:
@@ -509,8 +526,6 @@
         progress.run_started_s = time.monotonic()
         state.in_flight += 1
         replica_id = state.replica.replica_id
-        memory = _expected_memory(progress.item)
-        self._reserve(state, memory)
         version = state.version_of(run.job.model)
         self._prompts.note(replica_id, progress.item.group, version)
         item_id = progress.item.item_id
@@ -520,9 +535,7 @@
             self._run_item(run, progress, state), name=f"item {item_id}"
         )
         # A task that is cancelled before its first turn never runs its own code.
-        task.add_done_callback(
-            lambda done: self._release(progress, state, memory, done)
-        )
+        task.add_done_callback(lambda done: self._release(progress, state, done))
         self._item_tasks[item_id] = task
         self._running[item_id] = (run, progress, replica_id)
 
@@ -530,13 +543,11 @@
         self,
         progress: ItemProgress,
         state: ReplicaState,
-        memory: int,
         task: asyncio.Task[None],
     ) -> None:
         item_id = progress.item.item_id
         progress.is_running = False
         state.in_flight -= 1
-        self._reserve(state, -memory)
         if self._item_tasks.get(item_id) is task:
             self._item_tasks.pop(item_id)
             self._running.pop(item_id, None)
@@ -547,12 +558,6 @@
             )
         self._wake.set()
 
-    def _reserve(self, state: ReplicaState, tokens: int) -> None:
-        replica_id = state.replica.replica_id
-        reserved = self._reserved.pop(replica_id, 0) + tokens
-        if reserved:
-            self._reserved[replica_id] = reserved
-
     async def _run_item(
         self, run: JobRun, progress: ItemProgress, state: ReplicaState
     ) -> None:
@@ -636,7 +641,3 @@
             state.is_gone = True
             return
         state.note_failure()
-
-
-def _expected_memory(item: Item) -> int:
-    return item.prompt_tokens + item.expected_output_tokens
--- a/greengagetack/batches/job.py
+++ b/greengagetack/batches/job.py
@@ -32,11 +32,6 @@
     prompt_tokens: int = 0
     output_hint: int = 0
 
-    @property
-    def expected_output_tokens(self) -> int:
-        """The client's estimate, else the most that the item may make."""
-        return self.output_hint or max(0, self.tokens - self.prompt_tokens)
-
 
 @dataclass(frozen=True, slots=True)
 class Job:
--- a/greengagetack/batches/placement.py
+++ b/greengagetack/batches/placement.py
@@ -20,7 +20,10 @@
     pace_s : float
         Time per event as observed, in seconds.
     free_tokens : int
-        Memory that is not spoken for, in tokens.
+        Memory that its runs leave within the next moments, in tokens.
+    memory_share : float
+        Share of the memory that its runs would fill if all came to their ends
+        together; it may be over 1.
     holds_prompt : bool
         Whether an item of the same group was sent there under the same weights.
     """
@@ -30,6 +33,7 @@
     slots: int
     pace_s: float
     free_tokens: int
+    memory_share: float
     holds_prompt: bool
 
 
@@ -38,9 +42,15 @@
 ) -> Candidate | None:
     """Return the replica for an item, None if all are full.
 
-    Answers batches of equal slots with shared prompts: the emptiest replica by
-    share of slots, one that holds the prompt if it is not much fuller, and a slow
-    one only when the others are full.
+    Answers batches of equal slots with shared prompts, and memory that a few long
+    items fill: the emptiest replica by share of slots or of memory, whichever is
+    larger, one that holds the prompt if it is not much fuller, and a slow one only
+    when the others are full.
+
+    Parameters
+    ----------
+    expected_tokens : int
+        What the item takes within the next moments.
     """
     open_ones = [
         candidate
@@ -54,7 +64,7 @@
     best: Candidate | None = None
     best_cost = float("inf")
     for candidate in open_ones:
-        cost = candidate.in_flight / candidate.slots
+        cost = max(candidate.in_flight / candidate.slots, candidate.memory_share)
         if candidate.holds_prompt:
             cost -= AFFINITY_SLACK
         if candidate.pace_s > SLOW_RATIO * usual_s:
