Count relayed calls again, and start the dispatch duty again when it fails

Cause: reading the change: the counter of calls made for peers was lost when the relay moved into the transport, and an unexpected error in the first step of the duty would have left a daemon with the claim that runs nothing. Change: the transport counts; both steps are supervised as before.

--- a/greengagetack/objects/transport.py
+++ b/greengagetack/objects/transport.py
@@ -109,15 +109,19 @@
     relay : callable
         Sends a call through some peer that the store serves; raises
         `PlatformUnavailable` if there is none.
+    metrics : Metrics
+        Counts the calls that are made for peers.
     """
 
     def __init__(
         self,
         direct: Transport,
         relay: Callable[[str, str, bytes, float], Awaitable[StoreAnswer]],
+        metrics: Metrics,
     ) -> None:
         self._direct = direct
         self._relay = relay
+        self._metrics = metrics
         self._direct_failed_s = float("-inf")
 
     @property
@@ -171,7 +175,9 @@
         """
         if self.is_direct_failing:
             raise PlatformUnavailable("this daemon does not reach the store either")
-        return await self._direct.call(method, target, body, wait_s)
+        answer = await self._direct.call(method, target, body, wait_s)
+        self._metrics.add("relayed_calls")
+        return answer
 
     async def _relayed(
         self, method: str, target: str, body: bytes, wait_s: float
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -84,7 +84,7 @@
             cores=facts.cores,
         )
         self._direct = DirectTransport(facts.store, self._metrics)
-        self._transport = RelayedTransport(self._direct, self._relay)
+        self._transport = RelayedTransport(self._direct, self._relay, self._metrics)
         self._store = PlatformStore(self._transport, facts.value_limit_bytes)
         self._config = self._shared_feed(f"{wire.CONFIG_KIND}/")
         self._servers = self._shared_feed(f"{wire.SERVERS_KIND}/")
--- a/greengagetack/siblings/duty.py
+++ b/greengagetack/siblings/duty.py
@@ -59,12 +59,12 @@
                 for feed in self._feeds
             ]
             self._waves.is_active = True
-            self._start(self._activate())
+            self._start(supervise(self._activate, "activate"))
         if is_mine:
             return
         if self._waves.is_active:
             self._waves.is_active = False
-            self._start(self._release_lease())
+            self._start(supervise(self._release_lease, "release lease"))
         has_heir = not self._claim.is_leaving or self._claim.claimer is not None
         if has_heir:
             self._stop_following()
@@ -90,13 +90,7 @@
     def _start(self, step: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(step)
         self._steps.add(task)
-        task.add_done_callback(self._step_ended)
-
-    def _step_ended(self, task: asyncio.Task[None]) -> None:
-        self._steps.discard(task)
-        error = None if task.cancelled() else task.exception()
-        if error is not None:
-            logger.opt(exception=error).error("dispatch: duty not begun or ended")
+        task.add_done_callback(self._steps.discard)
 
     async def _release_lease(self) -> None:
         # An order under way would reach its replica after the release.
