Read the change once more: drop what nothing reads, and weigh moves only when there are any

Cause: a last read of the change. Since logs are sealed nothing read JobRun.is_unsure; the claim kept a version and the pool a counter that nothing used, and the pool could be closed by nobody. The rule on versions that may stand in one result was written twice, the events that an item has left were asked for in three ways, and the memory of all runs was added up at each turn even when no run was to move. Ruled out: one shape for the reader's two ways round the dispatcher; the call that would skip itself belongs into the peers' client and changes when it is asked. Change: as said; behaviour is meant to be the same, no test, bound or constant is touched.

--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -403,7 +403,6 @@
         waiting: list[tuple[tuple[bool, float, bool, int], JobRun, ItemProgress]] = []
         for run in self._runs.values():
             needed = run.needed()
-            service = run.job.service
             for progress in run.unfinished.values():
                 if progress.is_running or now_s < progress.retry_at_s:
                     continue
@@ -412,12 +411,12 @@
                     run.due_ms,
                     group in needed,
                     group in run.required,
-                    progress.events_left(self._facts.tokens_per_event_of(service)),
+                    self._events_left(run.job, progress),
                 )
                 waiting.append((key, run, progress))
-        waiting.sort(key=lambda entry: entry[0])
         if not waiting:
             return
+        waiting.sort(key=lambda entry: entry[0])
         paces = self._paces.current()
         book = self._book(paces)
         for _, run, progress in waiting:
@@ -434,6 +433,9 @@
             book.add(replica_id, self._need(run.job, progress, paces))
         return book
 
+    def _events_left(self, job: Job, progress: ItemProgress) -> int:
+        return progress.events_left(self._facts.tokens_per_event_of(job.service))
+
     def _need(self, job: Job, progress: ItemProgress, paces: Paces) -> MemoryNeed:
         per_event = self._facts.tokens_per_event_of(job.service)
         return memory_need(progress, per_event, paces.usual_s)
@@ -455,14 +457,17 @@
             Running(
                 item_id,
                 replica_id,
-                progress.events_left(self._facts.tokens_per_event_of(run.job.service)),
+                self._events_left(run.job, progress),
             )
             for item_id, (run, progress, replica_id) in self._running.items()
             if now_s - progress.run_started_s > SETTLED_S
         ]
+        moves = choose_moves(running, slow_s, free)
+        if not moves:
+            return
         book = self._book(paces)
         taken: set[str] = set()
-        for item_id in choose_moves(running, slow_s, free):
+        for item_id in moves:
             run, progress, replica_id = self._running[item_id]
             target = self._faster_replica(run.job, progress, replica_id, paces, book)
             # The slots that one turn frees are not counted yet.
--- a/greengagetack/batches/job_run.py
+++ b/greengagetack/batches/job_run.py
@@ -59,8 +59,6 @@
         self._metrics = metrics
         self._tokens_per_event = tokens_per_event
         self._finished: dict[str, Result] = {}
-        # Whether a segment may be in the store that the log does not have yet.
-        self.is_unsure = False
         self._news = asyncio.Event()
         self.unfinished: dict[str, ItemProgress] = {}
         # Groups that an earlier job left open; the trainer waits for them.
@@ -143,7 +141,6 @@
         results = self._ledger.cut(list(self._finished.values()))
         segment = Segment(self.log.next_segment, len(self.log.results), tuple(results))
         started_s = time.monotonic()
-        self.is_unsure = True
         try:
             committed = await self._ledger.commit(self.job.job_id, segment)
         except CodedError as error:
@@ -157,7 +154,6 @@
             return
         self._metrics.observe_s("commit_s", time.monotonic() - started_s)
         self.log.absorb(committed)
-        self.is_unsure = False
         for result in committed.results:
             self._finished.pop(result.item_id, None)
             self.unfinished.pop(result.item_id, None)
--- a/greengagetack/batches/progress.py
+++ b/greengagetack/batches/progress.py
@@ -1,5 +1,6 @@
 """greengagetack.batches.progress: what is known of an item that is being made."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from greengagetack.batches.events import Event
@@ -74,9 +75,7 @@
 
     def fits(self, min_version: int, single_version: bool) -> bool:
         """Whether the events so far may be part of a result."""
-        if any(version < min_version for version in self.versions):
-            return False
-        return not (single_version and len(self.versions) > 1)
+        return _may_be_joined(self.versions, min_version, single_version)
 
     def admits(self, version: int, min_version: int, single_version: bool) -> bool:
         """Whether the item may go on with events that a version makes."""
@@ -111,11 +110,18 @@
         """Go on from another daemon's progress if it is further."""
         if self.is_complete or len(snapshot.outputs) <= len(self.outputs):
             return
-        if any(version < job.min_version for version in snapshot.versions):
-            return
-        if job.single_version and len(set(snapshot.versions)) > 1:
+        if not _may_be_joined(snapshot.versions, job.min_version, job.single_version):
             return
         self.outputs = list(snapshot.outputs)
         self.versions = list(snapshot.versions)
         self.last_event_id = snapshot.last_event_id
         self.is_complete = snapshot.is_complete
+
+
+def _may_be_joined(
+    versions: Sequence[int], min_version: int, single_version: bool
+) -> bool:
+    """Whether events that these versions made may stand in one result."""
+    if any(version < min_version for version in versions):
+        return False
+    return not (single_version and len(set(versions)) > 1)
--- a/greengagetack/http1/pool.py
+++ b/greengagetack/http1/pool.py
@@ -22,7 +22,6 @@
     def __init__(self, connect_timeout_s: float) -> None:
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[Address, list[Connection]] = {}
-        self.opened = 0
 
     @asynccontextmanager
     async def connection(self, address: Address) -> AsyncIterator[Connection]:
@@ -35,7 +34,6 @@
         """
         connection = self._take_idle(address)
         if connection is None:
-            self.opened += 1
             connection = await open_connection(
                 address, REQUEST_ID_HEADER, self._connect_timeout_s
             )
@@ -68,8 +66,3 @@
         """Close the idle connections to a server."""
         for connection in self._idle.pop(address, []):
             connection.close()
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        for address in list(self._idle):
-            self.drop(address)
--- a/greengagetack/siblings/claim.py
+++ b/greengagetack/siblings/claim.py
@@ -67,7 +67,6 @@
         self._on_change = on_change
         self._on_pong = on_pong
         self._heard_s = time.monotonic()
-        self._seen_version = -1
         self.is_leaving = False
         feed.subscribe(self._on_claim)
 
@@ -115,7 +114,7 @@
     def _ping_interval_s(self) -> float:
         claimer = self.claimer
         rank = self._rank(claimer)
-        is_silent = time.monotonic() - self._heard_s > FAR_PING_INTERVAL_S
+        is_silent = self.silent_s > FAR_PING_INTERVAL_S
         is_far = rank >= FAR_RANK and claimer is not None and not is_silent
         return FAR_PING_INTERVAL_S if is_far else PING_INTERVAL_S
 
@@ -148,7 +147,7 @@
                     return
             except PeerUnreachable as error:
                 logger.debug("claim: no answer from {}: {}", claimer.node, error)
-        silent_s = time.monotonic() - self._heard_s
+        silent_s = self.silent_s
         is_first = not self._feed.objects
         delay_s = takeover_delay_s(rank, claimer is None, is_first)
         if not is_own_past and silent_s < delay_s:
