Score outputs by reward calls, and stop sending to replicas that say they leave

Replicas now announce in their answers that they leave, which nothing read. Ruled out: scoring through Forwarder.forward. Its retries and hedges end within one caller's time and place a whole burst at once; a call for an item may wait and is limited per replica so that callers come first. Change: an item has an optional reward request; it is finished once its output is complete and scored. RewardCalls sends the calls through the route in force, by the order of need, limited per replica by what it accepts. Output, score and counts of failures go along in checkpoints and hand-overs, also for results that are not committed yet. A run or score of an earlier generation of an item's text is discarded. Fleet.serving_replicas leaves out replicas that announced it, remembered by incarnation, and returns them only while no other is listed, for half of the drain period. Gateway, dispatcher and reward calls share it.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -24,7 +24,7 @@
     Submission,
     wait_for,
 )
-from standins.replica import MODEL, output_of
+from standins.replica import MODEL, output_of, seal_of
 
 SENDER_TIMEOUT_S = 2.0
 MANY_EVENTS = 1_000
@@ -362,8 +362,9 @@
 
 
 def _submission_with(fault: str) -> tuple[bytes, str]:
-    submission = json.loads(Submission("bad", 1, 2).body())
+    submission = json.loads(Submission("bad", 1, 2, has_rewards=True).body())
     items = submission["items"]
+    scorer = items[0]["scorer"]
     if fault == "no JSON":
         return b'{"items": [', "bad"
     if fault == "no items":
@@ -376,6 +377,20 @@
         items[0]["path"] = "/jobs/a b"
     if fault == "a header with a break":
         items[0]["headers"]["X-Model"] = "m0\r\nX-Other: 1"
+    if fault == "a scorer without id":
+        del scorer["id"]
+    if fault == "a scorer without host":
+        scorer["host"] = ""
+    if fault == "a scorer without path":
+        scorer["path"] = ""
+    if fault == "a scorer body without base64":
+        scorer["body"] = "%%%"
+    if fault == "a scorer path with a space":
+        scorer["path"] = "/reward/a b"
+    if fault == "a scorer identifier twice":
+        scorer["id"] = items[1]["scorer"]["id"]
+    if fault == "a scorer that is text":
+        items[0]["scorer"] = "r1"
     job_id = "" if fault == "no identifier" else "bad"
     return json.dumps(submission).encode(), job_id
 
@@ -395,6 +410,11 @@
     assert context.answer.json["error"]["code"] == code, context.answer
 
 
+@then("the reason names {word}")
+def step_reason(context: Context, word: str) -> None:
+    assert word in context.answer.body.decode(), context.answer
+
+
 @then("it is answered with {status:d}")
 def step_status(context: Context, status: int) -> None:
     assert context.answer.status == status, context.answer
@@ -468,6 +488,8 @@
         replica.fault.break_after = int(words[5])
     elif fault == "goes silent":
         replica.fault.silent = True
+    elif fault == "announces that it leaves":
+        replica.fault.leaving = True
     elif fault == "refuses everything":
         replica.slots = 0
     elif fault == "refuses everything but one run":
@@ -517,7 +539,7 @@
     answer = context.answers[request_id]
     assert answer.status == 200, answer
     assert answer.body == b"answer to " + request_id.encode(), answer
-    assert answer.headers["x-response-seal"] == "seal", answer
+    assert answer.headers["x-response-seal"] == seal_of(request_id), answer
     assert answer.headers["x-request-id"] == request_id, answer
 
 
--- a/greengagetack/batches/checkpoint.py
+++ b/greengagetack/batches/checkpoint.py
@@ -28,13 +28,21 @@
 
     This covers the simultaneous loss of all daemons: the few items that run many times
     longer than the rest determine when a job completes, and would otherwise restart
-    from the beginning.
+    from the beginning. Outputs that wait for their score are complete already, and
+    counts of failures limit how often an item may run.
     """
-    long_items = [p for p in progresses if len(p.outputs) >= MIN_CHECKPOINT_EVENTS]
-    long_items.sort(key=lambda progress: -len(progress.outputs))
+    worth_writing = [
+        progress
+        for progress in progresses
+        if len(progress.outputs) >= MIN_CHECKPOINT_EVENTS
+        or progress.awaits_score
+        or progress.server_failures
+        or progress.reward_failures
+    ]
+    worth_writing.sort(key=lambda progress: -len(progress.outputs))
     selected: list[ProgressSnapshot] = []
     size_bytes = 0
-    for progress in long_items:
+    for progress in worth_writing:
         size_bytes += sum(len(output) for output in progress.outputs)
         if size_bytes > limit_bytes:
             break
@@ -48,7 +56,7 @@
     def __init__(self, store: LedgerStore) -> None:
         self._store = store
         self._version = 0
-        self._last_saved: list[tuple[str, int]] = []
+        self._last_saved: list[tuple[str, int, int, int]] = []
 
     async def load(self) -> list[ProgressSnapshot]:
         """Return the last checkpoint, an empty list if it cannot be read."""
@@ -70,7 +78,15 @@
         """Write the progress of long items if it changed since the last write."""
         limit_bytes = int(self._store.value_limit_bytes * MAX_SIZE_RATIO)
         snapshots = select_snapshots(progresses, limit_bytes)
-        state = [(snapshot.item_id, len(snapshot.outputs)) for snapshot in snapshots]
+        state = [
+            (
+                snapshot.item_id,
+                len(snapshot.outputs),
+                snapshot.server_failures,
+                snapshot.reward_failures,
+            )
+            for snapshot in snapshots
+        ]
         if state == self._last_saved:
             return
         value: Any = msgspec.to_builtins(snapshots)
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections import OrderedDict
+from collections.abc import Callable
 
 from loguru import logger
 
@@ -26,8 +27,11 @@
 from greengagetack.batches.progress import ItemProgress, ProgressSnapshot
 from greengagetack.batches.prompts import PromptTracker
 from greengagetack.batches.resubmitted import ResubmittedGroups
+from greengagetack.batches.rewards import RewardCalls
 from greengagetack.errors import CodedError
 from greengagetack.gateway.call import Call, ReplicaDialect
+from greengagetack.gateway.forward import Forwarder
+from greengagetack.gateway.routes import Route
 from greengagetack.http1.pool import Pool
 from greengagetack.objects.base import PlatformObject
 from greengagetack.objects.feed import Feed
@@ -86,6 +90,8 @@
         fleet: Fleet,
         pool: Pool,
         dialect: ReplicaDialect,
+        forwarder: Forwarder,
+        find_route: Callable[[str, str], Route | None],
         engine_properties: EngineProperties,
         metrics: Metrics,
         result_retention_s: float,
@@ -115,6 +121,9 @@
         self.loading_ids: set[str] = set()
         self.demand_tokens: dict[str, float] = {}
         self._wake_event = asyncio.Event()
+        self._rewards = RewardCalls(
+            fleet, forwarder, dialect, find_route, metrics, self.wake
+        )
         self.is_active = False
         jobs.subscribe(self._on_jobs)
         fleet.subscribe(self._wake_event.set)
@@ -147,15 +156,15 @@
         return [
             progress.snapshot()
             for run in running
-            for progress in run.unfinished.values()
-            if progress.outputs
+            for progress in run.uncommitted()
+            if progress.outputs or progress.server_failures
         ]
 
     def add_received_progress(self, snapshots: list[ProgressSnapshot]) -> None:
         """Keep progress received from another daemon for jobs that are opened later."""
         for snapshot in snapshots:
             known = self._received_progress.get(snapshot.item_id)
-            if known is None or len(known.outputs) < len(snapshot.outputs):
+            if known is None or snapshot.is_further_than(known):
                 self._received_progress[snapshot.item_id] = snapshot
         if snapshots:
             logger.info(
@@ -249,6 +258,7 @@
         task = self._tasks.pop(job_id, None)
         if task is not None:
             task.cancel()
+        self._rewards.cancel_job(job_id)
         run = self._runs.pop(job_id, None)
         if run is None:
             return
@@ -336,11 +346,10 @@
                 self._progresses.popitem(last=False)
         elif not known.has_allowed_versions(job.min_version, job.single_version):
             known.restart()
+        known.start_job(item, job.job_id)
         snapshot = self._received_progress.pop(item.item_id, None)
         if snapshot is not None:
             known.continue_from(snapshot, job)
-        known.item = item
-        known.server_failures = 0
         return known
 
     async def save_checkpoint(self) -> None:
@@ -348,11 +357,7 @@
         if not self.is_active:
             return
         await self._checkpoints.save(
-            [
-                progress
-                for run in self._runs.values()
-                for progress in run.unfinished.values()
-            ]
+            [progress for run in self._runs.values() for progress in run.uncommitted()]
         )
 
     async def load_checkpoint(self) -> None:
@@ -390,7 +395,9 @@
             self._wake_event.clear()
             if self.is_active:
                 self._expire_items()
+                self._add_finished_results()
                 self._send_waiting()
+                self._rewards.dispatch(self._runs.values())
                 self._move_from_slow_replicas()
             try:
                 async with asyncio.timeout(MAX_DISPATCH_INTERVAL_S):
@@ -416,13 +423,22 @@
                 )
                 run.add_result(progress.lost_result())
 
+    def _add_finished_results(self) -> None:
+        """Add items that another job of the same trainer finished meanwhile."""
+        for run in self._runs.values():
+            for progress in list(run.unfinished.values()):
+                if progress.is_finished and not progress.is_running:
+                    run.add_result(progress.result())
+
     def _send_waiting(self) -> None:
         now_s = time.monotonic()
         waiting: list[tuple[tuple[bool, float, bool, int], JobRun, ItemProgress]] = []
         for run in self._runs.values():
             needed = run.needed_groups()
             for progress in run.unfinished.values():
-                if progress.is_running or now_s < progress.retry_at_s:
+                if progress.is_running or progress.is_complete:
+                    continue
+                if now_s < progress.retry_at_s:
                     continue
                 group = progress.item.group
                 key = item_sort_key(
@@ -553,7 +569,7 @@
         if job.single_version and not self._is_version_served(job, progress.versions):
             progress.restart()
         candidates = []
-        for state in self._fleet.replicas_of_service(job.service):
+        for state in self._fleet.serving_replicas(job.service):
             version = state.version_of(job.model)
             replica_id = state.replica.replica_id
             if not state.is_usable(now_s) or replica_id in self.loading_ids:
@@ -693,10 +709,10 @@
         job = run.job
         if end is RunEnd.COMPLETED:
             state.record_success()
-            if progress.has_allowed_versions(job.min_version, job.single_version):
-                run.add_result(progress.result())
-            else:
+            if not progress.has_allowed_versions(job.min_version, job.single_version):
                 progress.restart()
+            elif progress.is_finished:
+                run.add_result(progress.result())
             return
         if end is RunEnd.HOPELESS:
             run.add_result(progress.lost_result())
--- a/greengagetack/batches/item_run.py
+++ b/greengagetack/batches/item_run.py
@@ -61,6 +61,7 @@
         accepted; returns whether that version may generate the item.
     """
     after = progress.last_event_id or None
+    generation = progress.generation
     request = dialect.build_request(call, state.replica, None, after)
     is_sent = False
     try:
@@ -72,6 +73,8 @@
             if execution is ExecutionStatus.OTHER_REPLICA:
                 await _drain(connection)
                 return RunEnd.OTHER_REPLICA, f"status {head.status}"
+            if dialect.is_leaving(head):
+                state.record_leaving()
             if execution is ExecutionStatus.NOT_RUN:
                 await _drain(connection)
                 return RunEnd.REFUSED, f"status {head.status}"
@@ -86,6 +89,7 @@
                 return RunEnd.OTHER_VERSION, f"version {version}"
             return await _read_events(
                 progress,
+                generation,
                 connection,
                 dialect,
                 version,
@@ -105,6 +109,7 @@
 
 async def _read_events(
     progress: ItemProgress,
+    generation: int,
     connection: Connection,
     dialect: ReplicaDialect,
     version: int,
@@ -117,6 +122,8 @@
     while True:
         async with asyncio.timeout(stall_s()):
             part = await connection.read()
+        if progress.generation != generation:
+            return RunEnd.BROKEN, "the item was restarted meanwhile"
         if not part:
             if parser.has_partial_event:
                 return RunEnd.BROKEN, "the stream ended in the middle of an event"
--- a/greengagetack/batches/job.py
+++ b/greengagetack/batches/job.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-__all__ = ["Item", "Job", "Result", "ResultState", "Segment"]
+__all__ = ["Item", "Job", "Result", "ResultState", "RewardRequest", "Segment"]
 
 
 class ResultState(enum.StrEnum):
@@ -15,12 +15,23 @@
     LOST = "lost"
 
 
+@dataclass(frozen=True, slots=True)
+class RewardRequest:
+    """The request that scores the complete output of an item."""
+
+    request_id: str
+    host: str
+    path: str
+    body: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Item:
     """One request of a job.
 
     `output_hint` is the client's estimate of the output tokens, 0 if it gave none;
-    `prompt_tokens` is the length of the prompt.
+    `prompt_tokens` is the length of the prompt. An item with a `reward` is finished
+    once its output has been scored.
     """
 
     item_id: str
@@ -31,6 +42,7 @@
     group: str
     prompt_tokens: int = 0
     output_hint: int = 0
+    reward: RewardRequest | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,12 +86,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Result:
-    """The result of an item; `versions` lists the weight versions used, in order."""
+    """The result of an item; `versions` lists the weight versions used, in order.
+
+    `score` is empty for an item without a reward request.
+    """
 
     item_id: str
     state: ResultState
     output: str
     versions: tuple[int, ...]
+    score: str = ""
 
 
 class Segment(msgspec.Struct, frozen=True):
--- a/greengagetack/batches/job_run.py
+++ b/greengagetack/batches/job_run.py
@@ -60,6 +60,8 @@
         self._metrics = metrics
         self._tokens_per_event = tokens_per_event
         self._finished: dict[str, Result] = {}
+        # Progress of the items in `_finished`; a successor needs it until the commit.
+        self._uncommitted: dict[str, ItemProgress] = {}
         self._has_finished = asyncio.Event()
         self.unfinished: dict[str, ItemProgress] = {}
         # Groups resubmitted from an earlier job; the trainer always waits for them.
@@ -69,7 +71,7 @@
                 continue
             progress = progress_of(item, job)
             self.unfinished[item.item_id] = progress
-            if progress.is_complete:
+            if progress.is_finished:
                 self.add_result(progress.result())
         self.items = {item.item_id: item for item in items}
 
@@ -97,10 +99,16 @@
         """Queue a result for the next commit."""
         if result.item_id in self.log.committed_ids or result.item_id in self._finished:
             return
-        self.unfinished.pop(result.item_id, None)
+        progress = self.unfinished.pop(result.item_id, None)
+        if progress is not None:
+            self._uncommitted[result.item_id] = progress
         self._finished[result.item_id] = result
         self._has_finished.set()
 
+    def uncommitted(self) -> list[ItemProgress]:
+        """Return the progress of all items whose results are not committed."""
+        return [*self.unfinished.values(), *self._uncommitted.values()]
+
     async def run(self) -> None:
         """Commit results until all items are committed."""
         while self.unfinished or self._finished:
@@ -160,6 +168,7 @@
         self.log.append_segment(committed)
         for result in committed.results:
             self._finished.pop(result.item_id, None)
+            self._uncommitted.pop(result.item_id, None)
             self.unfinished.pop(result.item_id, None)
         logger.info(
             "batch: results committed",
--- a/greengagetack/batches/progress.py
+++ b/greengagetack/batches/progress.py
@@ -11,26 +11,54 @@
 
 @dataclass(frozen=True, slots=True)
 class ProgressSnapshot:
-    """Progress of an item as transferred to another daemon or stored."""
+    """Progress of an item as transferred to another daemon or stored.
+
+    The failure counts belong to the job `job_id`.
+    """
 
     item_id: str
     outputs: tuple[str, ...]
     versions: tuple[int, ...]
     last_event_id: str
     is_complete: bool
+    score: str = ""
+    job_id: str = ""
+    server_failures: int = 0
+    reward_failures: int = 0
+
+    def is_further_than(self, other: "ProgressSnapshot") -> bool:
+        """Whether less work is left than with another snapshot of the same item."""
+        return (bool(self.score), self.is_complete, len(self.outputs)) > (
+            bool(other.score),
+            other.is_complete,
+            len(other.outputs),
+        )
 
 
 @dataclass(slots=True, eq=False)
 class ItemProgress:
-    """The events received for an item so far, across replicas and jobs."""
+    """The events received for an item so far, across replicas and jobs.
+
+    Attributes
+    ----------
+    generation : int
+        Number of times that the events were discarded; a score belongs to the output
+        of one generation only.
+    """
 
     item: Item
     outputs: list[str] = field(default_factory=list)
     versions: list[int] = field(default_factory=list)
     last_event_id: str = ""
     is_complete: bool = False
+    score: str = ""
+    generation: int = 0
+    job_id: str = ""
     server_failures: int = 0
+    reward_failures: int = 0
+    reward_timeouts: int = 0
     is_running: bool = False
+    is_scoring: bool = False
     retry_at_s: float = 0.0
     run_started_s: float = 0.0
     # The replica to which the item is not sent again before this time.
@@ -43,6 +71,32 @@
         self.versions.clear()
         self.last_event_id = ""
         self.is_complete = False
+        self.score = ""
+        self.generation += 1
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether the output is complete and, if the item asks for it, scored."""
+        return self.is_complete and (self.item.reward is None or bool(self.score))
+
+    @property
+    def awaits_score(self) -> bool:
+        """Whether the output is complete but not scored yet."""
+        return self.is_complete and not self.is_finished
+
+    def start_job(self, item: Item, job_id: str) -> None:
+        """Continue the item as part of a job.
+
+        Failures count per job. A score is kept only for the same reward request.
+        """
+        if item.reward != self.item.reward:
+            self.score = ""
+        if job_id != self.job_id:
+            self.server_failures = 0
+            self.reward_failures = 0
+            self.reward_timeouts = 0
+        self.item = item
+        self.job_id = job_id
 
     def append_event(self, event: Event, version: int) -> None:
         """Append one event.
@@ -62,11 +116,13 @@
             self.versions.append(version)
 
     def events_left(self, tokens_per_event: int) -> int:
-        """Return the expected number of remaining events, at least one.
+        """Return the expected number of remaining events, at least one if any is left.
 
         The hint is correct at the median but often far too low. The median item that
         exceeds its hint produces about half as many events again.
         """
+        if self.is_complete:
+            return 0
         max_events = (
             max(0, self.item.tokens - self.item.prompt_tokens) // tokens_per_event
         )
@@ -92,12 +148,13 @@
         return not single_version or self.versions in ([], [version])
 
     def result(self) -> Result:
-        """Return the result of the complete item."""
+        """Return the result of the finished item."""
         return Result(
             self.item.item_id,
             ResultState.COMPLETED,
             "\n".join(self.outputs),
             tuple(self.versions),
+            self.score,
         )
 
     def lost_result(self) -> Result:
@@ -112,11 +169,21 @@
             tuple(self.versions),
             self.last_event_id,
             self.is_complete,
+            self.score,
+            self.job_id,
+            self.server_failures,
+            self.reward_failures,
         )
 
     def continue_from(self, snapshot: ProgressSnapshot, job: Job) -> None:
-        """Continue from another daemon's progress if it has more events."""
-        if self.is_complete or len(snapshot.outputs) <= len(self.outputs):
+        """Continue from another daemon's progress if it is further ahead."""
+        if snapshot.job_id == job.job_id:
+            self.server_failures = max(self.server_failures, snapshot.server_failures)
+            self.reward_failures = max(self.reward_failures, snapshot.reward_failures)
+        if self.is_complete or not snapshot.outputs:
+            return
+        is_ahead = len(snapshot.outputs) > len(self.outputs)
+        if not is_ahead and not snapshot.is_complete:
             return
         if not _can_combine(snapshot.versions, job.min_version, job.single_version):
             return
@@ -124,6 +191,7 @@
         self.versions = list(snapshot.versions)
         self.last_event_id = snapshot.last_event_id
         self.is_complete = snapshot.is_complete
+        self.score = snapshot.score
 
 
 def _can_combine(
--- a/greengagetack/gateway/call.py
+++ b/greengagetack/gateway/call.py
@@ -53,6 +53,12 @@
     def is_genuine(self, head: ResponseHead) -> bool:
         """Whether the response carries the proof that the replica produced it."""
 
+    def score(self, head: ResponseHead) -> str:
+        """Return the score that a genuine response to a reward call carries."""
+
+    def is_leaving(self, head: ResponseHead) -> bool:
+        """Whether the response announces that its replica is leaving."""
+
     def event_version(self, fields: tuple[tuple[str, str], ...]) -> int | None:
         """Return the weight version that a stream event announces, None without one."""
 
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -30,7 +30,7 @@
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.replicas.replica import ReplicaState
 
-__all__ = ["Forwarder", "Reply"]
+__all__ = ["Attempt", "Forwarder", "Reply"]
 
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 # Retry delay suggested to callers whose request was refused.
@@ -54,7 +54,9 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Attempt:
+class Attempt:
+    """The outcome of sending a request to one replica."""
+
     result: AttemptResult
     reply: Reply | None
     reason: str
@@ -98,7 +100,7 @@
 
     def next_replica(self, service: str, tried: set[str]) -> ReplicaState | None:
         """Return the best replica outside `tried`, None if none is left."""
-        states = self._fleet.replicas_of_service(service)
+        states = self._fleet.serving_replicas(service)
         now_s = time.monotonic()
         return choose_replica(states, tried, self._zone, now_s, self._rng)
 
@@ -109,7 +111,7 @@
         deadline_s: float,
         is_streaming: bool,
         after_event: str | None = None,
-    ) -> _Attempt:
+    ) -> Attempt:
         """Send a call to one replica; resume a stream if `after_event` is given."""
         remaining_s = deadline_s - time.monotonic()
         replica = state.replica
@@ -127,11 +129,14 @@
                 is_sent = True
                 head = await connection.send(request, call.request_id.encode())
                 execution = self._dialect.execution_status(head)
+                is_same_replica = execution is not ExecutionStatus.OTHER_REPLICA
+                if is_same_replica and self._dialect.is_leaving(head):
+                    state.record_leaving()
                 is_stream = is_streaming and head.status == OK
                 if execution is ExecutionStatus.RAN and is_stream:
                     is_handed_over = True
                     parts = self._stream(connection, pool_context, state)
-                    return _Attempt(AttemptResult.ANSWERED, Reply(head, b"", parts), "")
+                    return Attempt(AttemptResult.ANSWERED, Reply(head, b"", parts), "")
                 body = await connection.read_all(MAX_RESPONSE_BYTES)
             finally:
                 if not is_handed_over:
@@ -146,7 +151,7 @@
                 pause_s=pause_s,
             )
             result = AttemptResult.UNKNOWN if is_sent else AttemptResult.NOT_SENT
-            return _Attempt(result, None, str(error))
+            return Attempt(result, None, str(error))
         finally:
             if not is_handed_over:
                 state.in_flight -= 1
@@ -155,15 +160,15 @@
                 state.is_gone = True
             state.record_refusal(FULL_REPLICA_PAUSE_S)
             reason = f"replica {replica.replica_id} refused with status {head.status}"
-            return _Attempt(AttemptResult.NOT_RUN, None, reason)
+            return Attempt(AttemptResult.NOT_RUN, None, reason)
         if not self._dialect.is_genuine(head):
             state.record_failure()
             reason = (
                 f"the response of replica {replica.replica_id} lacks its seal header"
             )
-            return _Attempt(AttemptResult.UNKNOWN, None, reason)
+            return Attempt(AttemptResult.UNKNOWN, None, reason)
         state.record_success(time.monotonic() - started_s)
-        return _Attempt(AttemptResult.ANSWERED, Reply(head, body), "")
+        return Attempt(AttemptResult.ANSWERED, Reply(head, body), "")
 
     async def _stream(
         self, connection: Connection, pool_context: object, state: ReplicaState
@@ -191,7 +196,7 @@
         self._tried: set[str] = set()
         self._run_count = 0
         self._may_have_run = False
-        self._pending: set[asyncio.Task[_Attempt]] = set()
+        self._pending: set[asyncio.Task[Attempt]] = set()
 
     async def execute(self) -> Reply:
         """Try replicas until one responds or no retry is allowed."""
@@ -229,7 +234,7 @@
                 if reply is not None:
                     return reply
 
-    def _handle_result(self, attempt: _Attempt) -> Reply | None:
+    def _handle_result(self, attempt: Attempt) -> Reply | None:
         """Return the response to deliver, None to keep waiting for other attempts."""
         if attempt.result in (AttemptResult.NOT_RUN, AttemptResult.NOT_SENT):
             self._run_count -= 1
--- a/greengagetack/platform/batch_api.py
+++ b/greengagetack/platform/batch_api.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from greengagetack.batches.job import Item, Job, Result
+from greengagetack.batches.job import Item, Job, Result, RewardRequest
 from greengagetack.errors import InvalidRequest
 from greengagetack.gateway.routes import Route
 
@@ -19,6 +19,14 @@
 LENGTH_HINT = "x-length-hint"
 
 
+class _Scorer(msgspec.Struct, frozen=True):
+    id: str
+    host: str
+    path: str
+    # Base64.
+    body: str
+
+
 class _Item(msgspec.Struct, frozen=True):
     id: str
     path: str
@@ -28,6 +36,8 @@
     # Prompt tokens plus the maximum number of output tokens.
     tokens: int = 0
     group: str = ""
+    # Request that scores the complete output.
+    scorer: _Scorer | None = None
 
 
 class _Submission(msgspec.Struct, frozen=True):
@@ -48,7 +58,8 @@
     Raises
     ------
     InvalidRequest
-        If the body is malformed, has no items or repeats an item identifier.
+        If the body is malformed, has no items or repeats the identifier of an item or
+        of a scorer.
     """
     try:
         submission = msgspec.json.decode(body, type=_Submission)
@@ -59,6 +70,9 @@
         raise InvalidRequest("the job has no items")
     if len({item.item_id for item in items}) != len(items):
         raise InvalidRequest("the job contains an item identifier twice")
+    reward_ids = [item.reward.request_id for item in items if item.reward]
+    if len(set(reward_ids)) != len(reward_ids):
+        raise InvalidRequest("the job contains a scorer identifier twice")
     service = route.service_for(job_id)
     job = Job(
         job_id=job_id,
@@ -81,12 +95,7 @@
 
 
 def _decode_item(item: _Item) -> Item:
-    try:
-        body = base64.b64decode(item.body, validate=True)
-    except (binascii.Error, ValueError) as error:
-        raise InvalidRequest(
-            f"the body of item {item.id} is not valid base64"
-        ) from error
+    body = _decode_base64(item.body, f"the body of item {item.id}")
     headers = {name.lower(): value for name, value in item.headers.items()}
     has_forbidden_character = any(
         c in text for pair in headers.items() for text in pair for c in "\r\n\0"
@@ -106,9 +115,27 @@
         group=item.group,
         prompt_tokens=prompt_tokens,
         output_hint=int(hint) if hint.isdigit() else max_output_tokens,
+        reward=None if item.scorer is None else _decode_scorer(item.scorer, item.id),
     )
 
 
+def _decode_scorer(scorer: _Scorer, item_id: str) -> RewardRequest:
+    for field, value in (("id", scorer.id), ("host", scorer.host)):
+        if not value or not value.isprintable() or " " in value:
+            raise InvalidRequest(f"the scorer of item {item_id} has a bad {field}")
+    if not scorer.path.startswith("/") or any(c in scorer.path for c in " \r\n\0"):
+        raise InvalidRequest(f"the scorer of item {item_id} has a bad path")
+    body = _decode_base64(scorer.body, f"the body of the scorer of item {item_id}")
+    return RewardRequest(scorer.id, scorer.host, scorer.path, body)
+
+
+def _decode_base64(text: str, what: str) -> bytes:
+    try:
+        return base64.b64decode(text, validate=True)
+    except (binascii.Error, ValueError) as error:
+        raise InvalidRequest(f"{what} is not valid base64") from error
+
+
 def _parse_token_usage(text: str) -> tuple[int, int]:
     prompt, _, output = text.partition(",")
     if not (prompt.strip().isdigit() and output.strip().isdigit()):
@@ -117,12 +144,15 @@
 
 
 def _result_fields(result: Result) -> dict[str, Any]:
-    return {
+    fields = {
         "id": result.item_id,
         "state": result.state.value,
         "output": result.output,
         "versions": result.versions,
     }
+    if result.score:
+        fields["score"] = result.score
+    return fields
 
 
 def encode_results(total: int, results: list[Result], after: int) -> bytes:
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -25,7 +25,7 @@
 from greengagetack.daemons.status import build_status_application
 from greengagetack.daemons.supervise import supervise
 from greengagetack.gateway.forward import Forwarder
-from greengagetack.gateway.routes import Configuration, Limits, RouteTable
+from greengagetack.gateway.routes import Configuration, Limits, Route, RouteTable
 from greengagetack.http1.pool import Pool
 from greengagetack.objects.base import PlatformObject
 from greengagetack.objects.feed import Feed
@@ -107,7 +107,7 @@
         self._jobs_feed = Feed(
             lambda: self._store, JOBS_PREFIX, lambda: JOB_WATCH_WAIT_S
         )
-        self._fleet = Fleet(lambda: self._servers_feed.last_failure_s)
+        self._fleet = Fleet(lambda: self._servers_feed.last_failure_s, facts.drain_s)
         self._route_table: RouteTable | None = None
         self._config_version = 0
         pool = Pool(REPLICA_CONNECT_TIMEOUT_S)
@@ -115,6 +115,7 @@
         dialect = PlatformDialect()
         self._engine_properties = EngineProperties()
         self._ledger = Ledger(self._store)
+        forwarder = Forwarder(self._fleet, pool, dialect, facts.availability_zone)
         self._dispatcher = Dispatcher(
             self._ledger,
             Checkpoints(self._store),
@@ -122,6 +123,8 @@
             self._fleet,
             pool,
             dialect,
+            forwarder,
+            self._find_route,
             self._engine_properties,
             self._metrics,
             facts.result_retention_s,
@@ -146,7 +149,6 @@
         )
         self._source_selector = SourceSelector(self._store, self._peers, self._claim)
         self._reader = JobReader(self._ledger, self._dispatcher, self._peers)
-        forwarder = Forwarder(self._fleet, pool, dialect, facts.availability_zone)
         self._ingress = Ingress(
             lambda: self._route_table,
             forwarder,
@@ -206,6 +208,9 @@
             else self._route_table.configuration
         )
 
+    def _find_route(self, host: str, path: str) -> Route | None:
+        return None if self._route_table is None else self._route_table.find(host, path)
+
     def _on_config(
         self, changed: tuple[PlatformObject, ...], deleted: tuple[str, ...]
     ) -> None:
--- a/greengagetack/platform/replica.py
+++ b/greengagetack/platform/replica.py
@@ -50,6 +50,11 @@
 }
 
 
+def announces_leaving(head: ResponseHead) -> bool:
+    """Whether the header of a leaving replica is set."""
+    return header(head.headers, wire.SERVER_LEAVING) == b"1"
+
+
 class PlatformDialect:
     """Implements `ReplicaDialect` for the platform's replicas."""
 
@@ -85,6 +90,14 @@
         """Whether the response carries the seal header that replicas set."""
         return header(head.headers, wire.RESPONSE_SEAL) is not None
 
+    def score(self, head: ResponseHead) -> str:
+        """Return the seal, which is also the score of a reward call."""
+        return (header(head.headers, wire.RESPONSE_SEAL) or b"").decode("latin-1")
+
+    def is_leaving(self, head: ResponseHead) -> bool:
+        """Whether the replica announces that it leaves."""
+        return announces_leaving(head)
+
     def weight_version(self, head: ResponseHead) -> int | None:
         """Return the weight version that the response's headers name."""
         return _parse_version(header(head.headers, wire.WEIGHT_VERSIONS))
@@ -176,7 +189,9 @@
             )
             return None
         versions = {model.name: model.version for model in report.models}
-        return EngineReport(versions, report.busy, report.sequence)
+        return EngineReport(
+            versions, report.busy, report.sequence, announces_leaving(head)
+        )
 
     def _build_request(
         self, method: bytes, target: bytes, replica: Replica, body: bytes
--- a/greengagetack/platform/settings.py
+++ b/greengagetack/platform/settings.py
@@ -37,6 +37,8 @@
 
 class _Bounds(msgspec.Struct, frozen=True):
     grace_s: float = 8.0
+    # Time after which a leaving replica must not get any new request.
+    drain_ms: float = 2_000.0
     # Minimum time between orders of two daemons to the same replica.
     lease_ms: float = 3_000.0
     # How long results stay readable after a job's submission.
@@ -83,6 +85,7 @@
     ready: Address | None
     control: Address | None
     grace_s: float
+    drain_s: float
     order_spacing_s: float
     result_retention_s: float
     cores: float
@@ -120,6 +123,7 @@
             ready=_parse_optional_address(file.listen.ready),
             control=_parse_optional_address(file.listen.control),
             grace_s=file.bounds.grace_s,
+            drain_s=file.bounds.drain_ms / 1000,
             order_spacing_s=file.bounds.lease_ms / 1000,
             result_retention_s=file.bounds.status_s,
             cores=round(file.limits.cpu_share * file.limits.cores, 2),
--- a/greengagetack/platform/wire.py
+++ b/greengagetack/platform/wire.py
@@ -13,6 +13,7 @@
     "RESPONSE_SEAL",
     "RETIREMENTS_KIND",
     "SERVERS_KIND",
+    "SERVER_LEAVING",
     "TOKEN_USAGE",
     "URGENCY",
     "VERSIONS_KIND",
@@ -29,6 +30,7 @@
 NOT_EXECUTED = b"x-not-executed"
 PROMPT_PREFIX = b"x-prompt-prefix"
 RESPONSE_SEAL = b"x-response-seal"
+SERVER_LEAVING = b"server-leaving"
 TOKEN_USAGE = b"x-token-usage"
 URGENCY = b"x-urgency-class"
 WAIT = b"x-wait-ms"
--- a/greengagetack/replicas/fleet.py
+++ b/greengagetack/replicas/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
 from loguru import logger
@@ -15,6 +16,10 @@
 EXPIRED_ENTRY_GRACE_S = 2.2
 # A store that failed less than this ago may have dropped entries of live replicas.
 STORE_UNSTABLE_S = 3.0
+# Share of the drain period in which a leaving replica may still get new requests if no
+# other replica of its service is left.
+LAST_RESORT_SHARE = 0.5
+MAX_REMEMBERED_LEAVING = 1_000
 
 
 class Fleet:
@@ -24,10 +29,17 @@
     ----------
     last_store_failure_s : callable
         Returns the monotonic time of the last failure of the store, in seconds.
+    drain_s : float
+        Time after which a leaving replica must not get any new request, in seconds.
     """
 
-    def __init__(self, last_store_failure_s: Callable[[], float]) -> None:
+    def __init__(
+        self, last_store_failure_s: Callable[[], float], drain_s: float = 0.0
+    ) -> None:
         self._last_store_failure_s = last_store_failure_s
+        self._last_resort_s = drain_s * LAST_RESORT_SHARE
+        # Identifier and start of removed replicas, with the time of their announcement.
+        self._left: OrderedDict[tuple[str, int], float] = OrderedDict()
         self._states: dict[str, ReplicaState] = {}
         self._expired_ids: set[str] = set()
         self._listeners: list[Callable[[], None]] = []
@@ -49,6 +61,25 @@
         """Return the listed replicas of a service."""
         return [s for s in self._states.values() if s.replica.service == service]
 
+    def serving_replicas(self, service: str) -> list[ReplicaState]:
+        """Return the replicas of a service that may get new requests.
+
+        Replicas that announced that they leave are returned only while no other one
+        is listed, and only for a part of the drain period.
+        """
+        listed = self.replicas_of_service(service)
+        serving = [state for state in listed if state.is_serving]
+        if serving:
+            return serving
+        now_s = time.monotonic()
+        return [
+            state
+            for state in listed
+            if not (state.is_gone or state.replica.is_draining)
+            and state.leaving_since_s is not None
+            and now_s - state.leaving_since_s < self._last_resort_s
+        ]
+
     def update(self, changed: Iterable[Replica], removed: Iterable[str]) -> None:
         """Apply changed and removed entries."""
         for replica in changed:
@@ -66,7 +97,10 @@
         if state is None or is_new or state.replica.address != replica.address:
             if state is not None:
                 self._mark_gone(state)
-            self._states[replica.replica_id] = ReplicaState(replica)
+            key = (replica.replica_id, replica.started_ms)
+            self._states[replica.replica_id] = ReplicaState(
+                replica, leaving_since_s=self._left.get(key)
+            )
             logger.info(
                 "replicas: {} of service {} at {} is listed",
                 replica.replica_id,
@@ -105,6 +139,11 @@
 
     def _mark_gone(self, state: ReplicaState) -> None:
         state.is_gone = True
+        if state.leaving_since_s is not None:
+            key = (state.replica.replica_id, state.replica.started_ms)
+            self._left[key] = state.leaving_since_s
+            while len(self._left) > MAX_REMEMBERED_LEAVING:
+                self._left.popitem(last=False)
         for listener in self._removal_listeners:
             listener(state.replica)
 
--- a/greengagetack/replicas/replica.py
+++ b/greengagetack/replicas/replica.py
@@ -49,7 +49,11 @@
 
 @dataclass(slots=True, eq=False)
 class ReplicaState:
-    """A replica and its state as observed by this VM."""
+    """A replica and its state as observed by this VM.
+
+    `leaving_since_s` is the monotonic time at which the replica first announced in a
+    response that it leaves, None before.
+    """
 
     replica: Replica
     in_flight: int = 0
@@ -59,6 +63,24 @@
     is_gone: bool = False
     service_time_s: float | None = None
     known_versions: dict[str, int] = field(default_factory=dict)
+    leaving_since_s: float | None = None
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether the replica is listed and has not announced that it leaves."""
+        return not (
+            self.is_gone or self.replica.is_draining or self.leaving_since_s is not None
+        )
+
+    def record_leaving(self) -> None:
+        """Record that the replica announced in a response that it leaves."""
+        if self.leaving_since_s is not None:
+            return
+        self.leaving_since_s = time.monotonic()
+        logger.info(
+            "replicas: {} announced in a response that it leaves",
+            self.replica.replica_id,
+        )
 
     def version_of(self, model: str) -> int:
         """Return the newest weight version known to be loaded, 0 if none."""
--- a/greengagetack/weights/load_scheduler.py
+++ b/greengagetack/weights/load_scheduler.py
@@ -126,7 +126,7 @@
         for model in requested:
             for service in self._services_of(model):
                 for state in self._fleet.replicas_of_service(service):
-                    if not state.replica.is_draining:
+                    if state.is_serving:
                         states[state.replica.replica_id] = state
         demand = self._demand_tokens()
         assigned = assign_replicas(
@@ -275,6 +275,8 @@
         report = await self._sender.report(state.replica)
         if report is None:
             return
+        if report.is_leaving:
+            state.record_leaving()
         replica_id = state.replica.replica_id
         key = (replica_id, state.replica.started_ms)
         self._accepted_counts[key] = report.accepted_orders
--- a/greengagetack/weights/orders.py
+++ b/greengagetack/weights/orders.py
@@ -55,6 +55,7 @@
     versions: dict[str, int]
     is_busy: bool
     accepted_orders: int
+    is_leaving: bool = False
 
 
 class OrderSender(Protocol):
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -23,12 +23,20 @@
 from standins.replica import MODEL, Replica
 from standins.server import StandInServer
 
-__all__ = ["HOST_NAME", "ORDER_SPACING_S", "PlatformCluster", "Submission", "wait_for"]
+__all__ = [
+    "HOST_NAME",
+    "ORDER_SPACING_S",
+    "PlatformCluster",
+    "Submission",
+    "reward_id_of",
+    "wait_for",
+]
 
 MODULE = "greengagetack.platform"
 HOST_NAME = "kiosk.example"
 JOBS_PREFIX = "/jobs/"
 LOOKUP_PREFIX = "/lookup/"
+REWARD_PREFIX = "/reward/"
 BOOKING_PREFIX = "/booking/"
 CHAT_PREFIX = "/chat/"
 STREAM_PREFIX = "/stream/"
@@ -82,6 +90,7 @@
     group_size: int
     min_version: int = 1
     target_groups: int = 0
+    has_rewards: bool = False
 
     def item_ids(self) -> list[str]:
         """Return the identifiers of all items."""
@@ -105,6 +114,7 @@
                 "body": base64.b64encode(b"body of " + item_id.encode()).decode(),
                 "tokens": 24,
                 "group": item_id.rpartition("-")[0],
+                **(_scorer(item_id) if self.has_rewards else {}),
             }
             for item_id in self.item_ids()
         ]
@@ -167,6 +177,7 @@
         routes = [
             _route("jobs", JOBS_PREFIX, "rollout", ENGINE_SERVICE),
             _route("lookup", LOOKUP_PREFIX, "idempotent", PLAIN_SERVICE),
+            _route("reward", REWARD_PREFIX, "idempotent", PLAIN_SERVICE),
             _route("booking", BOOKING_PREFIX, "non_idempotent", PLAIN_SERVICE),
             {**_route("chat", CHAT_PREFIX, "streaming", ENGINE_SERVICE), **RESUMABLE},
             _route("feed", STREAM_PREFIX, "streaming", ENGINE_SERVICE),
@@ -375,6 +386,18 @@
             results += answer.json["results"]
 
 
+def reward_id_of(item_id: str) -> str:
+    """Return the identifier of an item's reward call."""
+    return f"reward-{item_id}"
+
+
+def _scorer(item_id: str) -> dict[str, Any]:
+    reward_id = reward_id_of(item_id)
+    body = base64.b64encode(b"score " + item_id.encode()).decode()
+    path = f"{REWARD_PREFIX}{reward_id}"
+    return {"scorer": {"id": reward_id, "host": HOST_NAME, "path": path, "body": body}}
+
+
 def _route(name: str, prefix: str, kind: str, service: str) -> dict[str, Any]:
     return {
         "name": name,
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -12,7 +12,7 @@
 from starlette.responses import Response, StreamingResponse
 from starlette.routing import Route
 
-__all__ = ["Replica", "ReplicaFault", "output_of"]
+__all__ = ["Replica", "ReplicaFault", "output_of", "seal_of"]
 
 MODEL = "m0"
 LOAD_S = 0.2
@@ -24,6 +24,11 @@
     return "\n".join(f"{item_id}:{number}" for number in range(1, count + 1))
 
 
+def seal_of(request_id: str) -> str:
+    """Return the seal of a replica's response to a request."""
+    return f"seal.{request_id}"
+
+
 @dataclass
 class ReplicaFault:
     """Faults that are injected into the replica.
@@ -44,6 +49,10 @@
         Items that are answered with 422.
     foreign_answers : int
         Number of next answers that carry another request's identifier.
+    failing_ids : set of str
+        Requests that are always answered with 500.
+    leaving : bool
+        Announces in every answer that the replica leaves.
     """
 
     break_after: int = 0
@@ -53,6 +62,8 @@
     failures: int = 0
     unprocessable_items: set[str] = field(default_factory=set)
     foreign_answers: int = 0
+    failing_ids: set[str] = field(default_factory=set)
+    leaving: bool = False
 
 
 class Replica:
@@ -75,6 +86,9 @@
         self.is_loading = False
         self.fault = ReplicaFault()
         self.arrivals: list[tuple[str, str, int]] = []
+        # Monotonic time of each request's arrival and of the end of its answer.
+        self.arrived_s: list[tuple[str, float]] = []
+        self.ended_s: dict[str, float] = {}
         self.interrupted_ids: list[str] = []
         self.orders: list[tuple[str, int, int]] = []
         # Monotonic time, holder and fence of each order that arrived.
@@ -133,16 +147,21 @@
     async def _handle_request(self, request: Request) -> Response:
         request_id = request.headers.get("x-request-id", "")
         body = await request.body()
-        seal = {"x-request-id": request_id, "x-response-seal": "seal"}
+        seal = {"x-request-id": request_id, "x-response-seal": seal_of(request_id)}
+        if self.fault.leaving:
+            seal["server-leaving"] = "1"
         if request.headers.get("x-expect-instance", self.replica_id) != self.replica_id:
             return Response(status_code=421)
         if self.running >= self.slots or self.is_loading:
-            return Response(status_code=503, headers={"x-not-executed": "1"})
+            return Response(status_code=503, headers={**seal, "x-not-executed": "1"})
+        self.arrived_s.append((request_id, time.monotonic()))
         after = request.headers.get("last-event-id", "")
         self.arrivals.append((request_id, after, self.version))
         self.bodies[request_id] = body
         if self.fault.silent:
             await asyncio.sleep(FOREVER_S)
+        if request_id in self.fault.failing_ids:
+            return Response(status_code=500, headers=seal)
         if self.fault.failures > 0:
             self.fault.failures -= 1
             return Response(status_code=500, headers=seal)
@@ -188,6 +207,7 @@
                 data = f"{request_id}:{number}".encode()
                 yield change + b"id: %d\ndata: %b\n\n" % (number, data)
             is_complete = True
+            self.ended_s[request_id] = time.monotonic()
         finally:
             self.running -= 1
             if not is_complete:
