--- a/greengagetack/batches/item_run.py
+++ b/greengagetack/batches/item_run.py
@@ -53,7 +53,7 @@
     Parameters
     ----------
     stall_s : callable
-        Returns the current limit on the time between two reads, in seconds.
+        Returns the current limit on the time without a complete event, in seconds.
     on_event : callable
         Called with the seconds since the previous event, 0 for the run's first event.
     allows_version : callable
@@ -119,8 +119,10 @@
 ) -> tuple[RunEnd, str]:
     parser = EventParser()
     last_event_s = 0.0
+    # Single bytes are no progress: a stalled replica may go on sending some.
+    progress_s = time.monotonic()
     while True:
-        async with asyncio.timeout(stall_s()):
+        async with asyncio.timeout(progress_s + stall_s() - time.monotonic()):
             part = await connection.read()
         if progress.generation != generation:
             return RunEnd.BROKEN, "the item was restarted meanwhile"
@@ -137,4 +139,4 @@
             progress.append_event(event, version)
             now_s = time.monotonic()
             on_event(now_s - last_event_s if last_event_s else 0.0)
-            last_event_s = now_s
+            last_event_s = progress_s = now_s
--- a/greengagetack/gateway/stream.py
+++ b/greengagetack/gateway/stream.py
@@ -1,6 +1,7 @@
 """greengagetack.gateway.stream: splits streams into events and resumes broken ones."""
 
 import asyncio
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 from loguru import logger
@@ -10,9 +11,11 @@
 
 __all__ = ["EventBlocks", "resumable_stream"]
 
-# A stream without data for this long counts as broken. This leaves time to resume it,
-# as callers disconnect after 2 s.
+# A stream without a complete event for this long counts as broken. This leaves time to
+# resume it, as callers disconnect after 2 s.
 MAX_SILENCE_S = 0.9
+# A stream that cannot be resumed is given up only once nobody can still wait for it.
+MAX_STALL_S = 30.0
 MAX_RESUMPTIONS = 4
 
 # Resumes the stream after the given event; None if no replica accepted it.
@@ -62,16 +65,20 @@
     """
     blocks = EventBlocks()
     parts = first_parts
+    stall_s = MAX_SILENCE_S if resume else MAX_STALL_S
     for _ in range(MAX_RESUMPTIONS + 1):
         reason = ""
+        # Single bytes are no progress: a stalled replica may go on sending some.
+        progress_s = time.monotonic()
         try:
             while True:
-                async with asyncio.timeout(MAX_SILENCE_S if resume else None):
+                async with asyncio.timeout(progress_s + stall_s - time.monotonic()):
                     part = await anext(parts, b"")
                 if not part:
                     break
                 if complete := blocks.feed(part):
                     yield complete
+                    progress_s = time.monotonic()
             if not blocks.has_partial_event:
                 return
             reason = "it ended within an event"
--- a/greengagetack/http1/connection.py
+++ b/greengagetack/http1/connection.py
@@ -129,7 +129,9 @@
         headers = tuple(self._headers)
         response_id = header(headers, self._id_header)
         has_other_id = response_id is not None and response_id != self._expected_id
-        if status in INTERIM_STATUSES or (self._expected_id and has_other_id):
+        # A request without an identifier gets none echoed, so a response with one is a
+        # late answer to an earlier request.
+        if status in INTERIM_STATUSES or has_other_id:
             self._is_skipping = True
             self.is_reusable = self.is_reusable and status in INTERIM_STATUSES
             return
--- a/greengagetack/platform/replica.py
+++ b/greengagetack/platform/replica.py
@@ -1,6 +1,7 @@
 """greengagetack.platform.replica: the HTTP protocol of the platform's replicas."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -135,8 +136,13 @@
     def __init__(self, pool: Pool) -> None:
         self._pool = pool
 
-    async def send(self, replica: Replica, order: LoadOrder) -> OrderEnd:
-        """Send one order and return its outcome."""
+    async def send(
+        self, replica: Replica, order: LoadOrder, may_send: Callable[[], bool]
+    ) -> OrderEnd:
+        """Send one order and return its outcome.
+
+        Opening a connection takes time, in which the right to order may run out.
+        """
         order_fields: dict[str, Any] = {
             "operation": "version",
             "model": order.model,
@@ -154,6 +160,8 @@
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
                 async with self._pool.connection(replica.address) as connection:
+                    if not may_send():
+                        return OrderEnd.NOT_SENT
                     head = await connection.send(request)
                     body = await connection.read_all(MAX_RESPONSE_BYTES)
         except TimeoutError:
--- a/greengagetack/weights/load_scheduler.py
+++ b/greengagetack/weights/load_scheduler.py
@@ -193,7 +193,7 @@
             self._clear_load(replica_id)
             return
         self._lease.record_order()
-        end = await self._sender.send(replica, order)
+        end = await self._sender.send(replica, order, self._lease.may_order)
         self._lease.record_order()
         logger.info(
             "weights: order sent",
--- a/greengagetack/weights/orders.py
+++ b/greengagetack/weights/orders.py
@@ -1,6 +1,7 @@
 """greengagetack.weights.orders: orders to replicas, independent of their protocol."""
 
 import enum
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -19,7 +20,7 @@
 
 
 class OrderEnd(enum.Enum):
-    """Outcome of an order that was sent."""
+    """Outcome of an order."""
 
     ACCEPTED = "accepted"
     ALREADY_SO = "already_so"
@@ -30,6 +31,7 @@
     REFUSED = "refused"
     # The order may still be executed, possibly later.
     UNKNOWN = "unknown"
+    NOT_SENT = "not_sent"
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,8 +63,10 @@
 class OrderSender(Protocol):
     """Sends orders to replicas and reads their state back."""
 
-    async def send(self, replica: Replica, order: LoadOrder) -> OrderEnd:
-        """Send one order."""
+    async def send(
+        self, replica: Replica, order: LoadOrder, may_send: Callable[[], bool]
+    ) -> OrderEnd:
+        """Send one order if `may_send` still holds right before it is written."""
 
     async def report(self, replica: Replica) -> EngineReport | None:
         """Return the state of a replica, None if it does not answer."""
