--- a/features/explain.feature
+++ b/features/explain.feature
@@ -6,10 +6,11 @@
     Then the timeline contains <lines>
 
     Examples:
-      | request | lines                                                         |
-      | item-1  | accepted, opened, left the store, run broken, run completed, committed |
-      | job-1   | accepted, opened, left the store, committed                   |
-      | call-1  | left the store, refused                                       |
+      | request  | lines                                                                          |
+      | item-1   | accepted, opened, left the store, run broken, run completed, scored, committed |
+      | job-1    | accepted, opened, left the store, committed                                    |
+      | reward-1 | accepted, opened, left the store, scored, committed                            |
+      | call-1   | left the store, refused                                                        |
 
   Scenario: A request that is in no log
     Given logs of two daemons about a job with an item that was moved
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -24,6 +24,7 @@
     "left the store": "store: not reached directly",
     "run broken": "end broken",
     "run completed": "end completed",
+    "scored": "end scored",
     "committed": "batch: results committed",
     "refused": "entry: refused",
 }
@@ -49,6 +50,7 @@
 def step_logs(context: Context) -> None:
     job = {"request_id": "job-1"}
     item = {"request_id": "item-1", "job": "job-1"}
+    reward = {"reward": "reward-1", "end": "scored"}
     _write(
         context,
         {
@@ -57,6 +59,7 @@
                 _line(0.2, "b", "store: not reached directly: status 503"),
                 _line(0.5, "b", "dispatch: run ended", end="completed", **item),
                 _line(0.4, "b", "dispatch: run ended", end="broken", **item),
+                _line(0.55, "b", "reward: call ended", **reward, **item),
                 _line(0.6, "b", "batch: results committed", items="x,item-1", **job),
                 _line(0.7, "b", "entry: refused", request_id="call-1"),
             ],
--- a/greengagetack/observability/explain.py
+++ b/greengagetack/observability/explain.py
@@ -102,7 +102,11 @@
     own = [line for line in all_lines if _is_about(line, request_id)]
     job_ids = [str(line.field("job")) for line in own if line.field("job")]
     # The line of a commit has the job as its request and the items in a field.
-    job_ids += [line.request_id for line in own if line.request_id != request_id]
+    job_ids += [
+        line.request_id
+        for line in own
+        if line.request_id != request_id and line.field("reward") is None
+    ]
     job_id = job_ids[0] if job_ids else ""
     job = [
         line
@@ -127,7 +131,7 @@
 
 
 def _is_about(line: LogLine, request_id: str) -> bool:
-    if line.request_id == request_id:
+    if request_id in (line.request_id, line.field("reward")):
         return True
     return request_id in str(line.field("items") or "").split(",")
 
