Confirm an empty page by the store while its log may be behind, and ask a silent holder to hand over

Change: a run whose commit has had no answer for 0.25 s, or whose predecessor was not reached at the takeover (5 s), reads the store before it answers that there is nothing; if the store does not answer, the reader gets 503. A claim taken from a silent holder names its address, and the successor asks it for its progress, which also ends its runs: work of a daemon that is merely silent goes on instead of being started again.

--- a/features/batches.feature
+++ b/features/batches.feature
@@ -50,6 +50,24 @@
       | 1      | 1        | 0     | is away for a while  | 4       | 2         | yes   |
       | 1      | 1        | 0     | is away              | 1       | 1         | no    |
 
+  Scenario Outline: An empty page is confirmed by the store if it may be ahead
+    Given an open job "j1" of 4 items, 1 committed and 1 finished
+    And the finished item is committed by <committer>
+    When position 1 of "j1" is read where the job runs, after <age> ms
+    Then <results> results are returned
+    And the job is completed with each item listed once
+
+    Examples:
+      | committer                               | age | results |
+      | nobody                                  | 0   | 1       |
+      | the run, and the store never answers    | 400 | 2       |
+      | a former dispatcher that was not reached | 0  | 2       |
+
+  Scenario: An empty page is not served if the store cannot confirm it
+    Given an open job "j1" of 4 items, 1 committed and 1 finished
+    And the finished item is committed by the run, and the store never answers
+    Then reading position 1 of "j1" fails while the store is away
+
   Scenario Outline: A replica's response overrides the assumed weight version
     Given a replica that lists version <listed>, assumed to have version <believed>
     When it responds with version <answered>
--- a/features/rewards.feature
+++ b/features/rewards.feature
@@ -46,7 +46,7 @@
     And the scorers take 2500 ms
     When job "j1" with 2 groups of 4 and rewards is submitted at edge-1
     And all items of "j1" have been generated
-    And an item of "j1" has sent 30 events
+    And the checkpoint has the outputs of all items of "j1"
     And the daemon that runs the jobs is killed
     And the scorers take 20 ms
     Then another daemon runs the jobs
--- a/features/steps/batches_steps.py
+++ b/features/steps/batches_steps.py
@@ -13,7 +13,9 @@
 from greengagetack.batches.log import JobLog, LogCache
 from greengagetack.batches.progress import ItemProgress
 from greengagetack.batches.prompts import PromptTracker
+from greengagetack.batches.reading import JobReader
 from greengagetack.batches.resubmitted import ResubmittedGroups
+from greengagetack.errors import PlatformUnavailable
 from greengagetack.objects.base import PlatformObject, WatchAnswer
 from greengagetack.objects.feed import Feed
 from greengagetack.observability.metrics import Metrics
@@ -359,3 +361,76 @@
 @then("the feed has all of them after at most {watches:d} watch requests")
 def step_watches(context: Context, watches: int) -> None:
     assert context.store.watches <= watches, context.store.watches
+
+
+class _RunsOneJob:
+    """Stands for the dispatcher that runs one job."""
+
+    is_active = True
+
+    def __init__(self, run: JobRun) -> None:
+        self._run = run
+
+    def log_of(self, job_id: str) -> JobLog:
+        return self._run.log
+
+    async def refresh_log(self, job_id: str) -> None:
+        if self._run.may_be_behind():
+            await self._run.refresh()
+
+
+@given("the finished item is committed by {committer}")
+def step_committer(context: Context, committer: str) -> None:
+    context.committer = committer
+
+
+async def _read_position(context: Context, age_s: float) -> list[Result]:
+    """Read position 1 after the commit that the context names; then end all tasks."""
+    task = None
+    if context.committer.startswith("the run"):
+        context.store.is_silent_after_writes = True
+        task = asyncio.create_task(context.run.run())
+    elif context.committer.startswith("a former"):
+        context.run.has_rival_until_s = float("inf")
+        await context.ledger.commit("j1", Segment(1, 1, (_result(1),)))
+    await asyncio.sleep(age_s)
+    reader = JobReader(context.ledger, _RunsOneJob(context.run), None)
+    try:
+        log = await reader.log(context.run.job, 1, 0.0)
+        return list(log.results)
+    finally:
+        if task is not None:
+            task.cancel()
+
+
+@when('position 1 of "j1" is read where the job runs, after {age:d} ms')
+def step_read_position(context: Context, age: int) -> None:
+    context.results = asyncio.run(_read_position(context, age / 1000 + 0.5))
+
+
+@then("{count:d} results are returned")
+def step_returned(context: Context, count: int) -> None:
+    assert len(context.results) == count, context.results
+
+
+@then("the job is completed with each item listed once")
+def step_each_once(context: Context) -> None:
+    context.store.is_silent_after_writes = False
+    asyncio.run(context.run.seal())
+    listed = [result.item_id for result in context.run.log.results]
+    assert sorted(listed) == [f"i-{n}" for n in range(4)], listed
+
+
+@then('reading position 1 of "j1" fails while the store is away')
+def step_read_fails(context: Context) -> None:
+    async def read() -> None:
+        task = asyncio.create_task(_read_position(context, 0.9))
+        await asyncio.sleep(0.6)
+        context.store.is_away = True
+        await task
+
+    try:
+        asyncio.run(read())
+    except PlatformUnavailable:
+        return
+    raise AssertionError("an empty page was served")
--- a/features/steps/rewards_steps.py
+++ b/features/steps/rewards_steps.py
@@ -70,6 +70,20 @@
     wait_for("all items are generated", lambda: expected <= set(_ended_s(context)))
 
 
+@when('the checkpoint has the outputs of all items of "{job}"')
+def step_checkpointed(context: Context, job: str) -> None:
+    expected = set(context.submissions[job].item_ids())
+
+    def is_written() -> bool:
+        store = _cluster(context).store
+        if "main" not in store.names("job-progress"):
+            return False
+        snapshots = store.value("job-progress", "main")
+        return {s["item_id"] for s in snapshots if s["is_complete"]} >= expected
+
+    wait_for("the checkpoint is written", is_written)
+
+
 def _ended_s(context: Context) -> dict[str, float]:
     return {
         request_id: ended_s
--- a/features/support/memory_objects.py
+++ b/features/support/memory_objects.py
@@ -13,7 +13,7 @@
     """Keeps objects in a dictionary, with one revision counter for all of them.
 
     `reads` lists the paths that were read. `refusals_left` is the number of next calls
-    to refuse.
+    to refuse. With `is_silent_after_writes`, writes take effect without an answer.
     """
 
     value_limit_bytes = 1_000_000
@@ -22,6 +22,7 @@
         self.objects: dict[str, PlatformObject] = {}
         self.reads: list[str] = []
         self.is_away = False
+        self.is_silent_after_writes = False
         self.refusals_left = 0
         self.writes = 0
         self.watches = 0
@@ -54,6 +55,8 @@
         self._advance()
         self.objects[path] = PlatformObject(path, self._revision, "", value)
         self._removed.pop(path, None)
+        if self.is_silent_after_writes:
+            await asyncio.Event().wait()
         return self._revision
 
     def _advance(self) -> None:
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -124,6 +124,7 @@
         self._rewards = RewardCalls(
             fleet, forwarder, dialect, find_route, metrics, self.wake
         )
+        self._has_rival_until_s = float("-inf")
         self.is_active = False
         jobs.subscribe(self._on_jobs)
         fleet.subscribe(self._wake_event.set)
@@ -131,11 +132,18 @@
 
     # -- activation
 
-    def activate(self) -> None:
-        """Start running all open jobs."""
+    def activate(self, rival_s: float = 0.0) -> None:
+        """Start running all open jobs.
+
+        Parameters
+        ----------
+        rival_s : float
+            For how long a former dispatcher may still commit results, in seconds.
+        """
         if self.is_active:
             return
         self.is_active = True
+        self._has_rival_until_s = time.monotonic() + rival_s
         logger.info(
             "dispatch: this daemon runs the jobs", open_jobs=len(self.open_jobs())
         )
@@ -196,6 +204,18 @@
         run = self._runs.get(job_id) or self._sealing.get(job_id)
         return self._closed_logs.get(job_id) if run is None else run.log
 
+    async def refresh_log(self, job_id: str) -> None:
+        """Update the log of a job that this daemon runs if the store may be ahead.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If the store does not answer.
+        """
+        run = self._runs.get(job_id) or self._sealing.get(job_id)
+        if run is not None and run.may_be_behind():
+            await run.refresh()
+
     def item_of(self, job_id: str, item_id: str) -> Item | None:
         """Return an item of a job that this daemon runs."""
         run = self._runs.get(job_id)
@@ -312,6 +332,7 @@
             self._progress_of,
             lambda: self._engine_properties.tokens_per_event_of(job.service),
         )
+        run.has_rival_until_s = self._has_rival_until_s
         self._runs[job.job_id] = run
         self.demand_tokens[job.model] = float(sum(item.tokens for item in items))
         logger.info(
--- a/greengagetack/batches/job_run.py
+++ b/greengagetack/batches/job_run.py
@@ -23,6 +23,8 @@
 NEARLY_DUE_S = 1.5
 COMMIT_RETRY_S = 0.2
 MAX_SEAL_ATTEMPTS = 10
+# A commit without an answer for this long may have taken effect in the store.
+UNCERTAIN_COMMIT_S = 0.25
 MS_PER_S = 1_000
 
 
@@ -63,6 +65,11 @@
         # Progress of the items in `_finished`; a successor needs it until the commit.
         self._uncommitted: dict[str, ItemProgress] = {}
         self._has_finished = asyncio.Event()
+        # Monotonic start of the oldest commit whose outcome is unknown.
+        self._uncertain_since_s: float | None = None
+        self._refresh_task: asyncio.Task[None] | None = None
+        # Until this monotonic time, a former dispatcher may still commit results.
+        self.has_rival_until_s = float("-inf")
         self.unfinished: dict[str, ItemProgress] = {}
         # Groups resubmitted from an earlier job; the trainer always waits for them.
         self.required_groups: set[str] = set()
@@ -153,6 +160,8 @@
         results = self._ledger.segment_results(list(self._finished.values()))
         segment = Segment(self.log.next_segment, len(self.log.results), tuple(results))
         started_s = time.monotonic()
+        if self._uncertain_since_s is None:
+            self._uncertain_since_s = started_s
         try:
             committed = await self._ledger.commit(self.job.job_id, segment)
         except CodedError as error:
@@ -165,11 +174,8 @@
             await asyncio.sleep(COMMIT_RETRY_S)
             return
         self._metrics.observe_s("commit_s", time.monotonic() - started_s)
-        self.log.append_segment(committed)
-        for result in committed.results:
-            self._finished.pop(result.item_id, None)
-            self._uncommitted.pop(result.item_id, None)
-            self.unfinished.pop(result.item_id, None)
+        self._uncertain_since_s = None
+        self._apply(committed)
         logger.info(
             "batch: results committed",
             request_id=self.job.job_id,
@@ -179,3 +185,39 @@
             items=",".join(result.item_id for result in committed.results),
             by_other=committed is not segment,
         )
+
+    def _apply(self, segment: Segment) -> None:
+        self.log.append_segment(segment)
+        for result in segment.results:
+            self._finished.pop(result.item_id, None)
+            self._uncommitted.pop(result.item_id, None)
+            self.unfinished.pop(result.item_id, None)
+
+    def may_be_behind(self) -> bool:
+        """Whether the store may have results that the log does not have yet.
+
+        Readers that used the store may have seen them, so an empty page must not be
+        served from the log alone.
+        """
+        now_s = time.monotonic()
+        if now_s < self.has_rival_until_s:
+            return True
+        since_s = self._uncertain_since_s
+        return since_s is not None and now_s - since_s > UNCERTAIN_COMMIT_S
+
+    async def refresh(self) -> None:
+        """Append the segments that the store has beyond the log; readers share a call.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If the store does not answer.
+        """
+        if self._refresh_task is None or self._refresh_task.done():
+            self._refresh_task = asyncio.create_task(self._read_new_segments())
+        await asyncio.shield(self._refresh_task)
+
+    async def _read_new_segments(self) -> None:
+        first = self.log.next_segment
+        for segment in await self._ledger.segments(self.job.job_id, first):
+            self._apply(segment)
--- a/greengagetack/batches/reading.py
+++ b/greengagetack/batches/reading.py
@@ -90,6 +90,8 @@
         dispatcher_log = self._dispatcher.log_of(job.job_id)
         if dispatcher_log is not None:
             await _wait_for_result(dispatcher_log, position, wait_s)
+            if len(dispatcher_log.results) <= position:
+                await self._dispatcher.refresh_log(job.job_id)
             return dispatcher_log
         log = self._cached_log(job)
         if len(log.results) > position or len(log.results) >= job.total:
@@ -177,6 +179,8 @@
             return log.segments[first:]
         if log.next_segment <= first and wait_s:
             await _wait_for_result(log, len(log.results), wait_s)
+        if log.next_segment <= first:
+            await self._dispatcher.refresh_log(job_id)
         return log.segments[first:]
 
     def cache_items(self, job_id: str, items: tuple[Item, ...]) -> None:
--- a/greengagetack/coordination/claim.py
+++ b/greengagetack/coordination/claim.py
@@ -168,9 +168,7 @@
             silent_ms=int(silent_s * 1000),
             version=version,
         )
-        stored_claim = self._stored_claim()
-        former_control = stored_claim.former if stored_claim and former is None else ""
-        claim = dataclasses.replace(self._local_member, former=former_control)
+        claim = dataclasses.replace(self._local_member, former=self._former_control())
         try:
             await self._store.write(CLAIM_PATH, msgspec.to_builtins(claim), version)
         except ObjectConflict:
@@ -182,6 +180,19 @@
             logger.warning("claim: takeover failed: {}", error.reason)
         self._last_contact_s = time.monotonic()
 
+    def _former_control(self) -> str:
+        """Return the address of a daemon that may still have running items.
+
+        A holder that was only silent is asked to hand over, like one that has released
+        the claim.
+        """
+        stored = self._stored_claim()
+        if stored is None:
+            return ""
+        if stored.node == VACANT_NODE:
+            return stored.former
+        return "" if stored.node == self._local_member.node else stored.control
+
     async def release(self, successor: Member | None) -> None:
         """Pass the claim to a successor, or vacate it without one."""
         self.is_leaving = True
--- a/greengagetack/coordination/lifecycle.py
+++ b/greengagetack/coordination/lifecycle.py
@@ -21,6 +21,9 @@
 # After releasing the claim, a daemon keeps its runs until the successor fetches their
 # progress, for at most this time.
 HAND_OVER_TIMEOUT_S = 1.0
+# A former dispatcher that cannot be reached learns of its successor within this time if
+# it reaches the store, and cannot commit results otherwise.
+RIVAL_S = 5.0
 
 
 class DispatcherLifecycle:
@@ -99,6 +102,7 @@
 
     async def _activate(self) -> None:
         await self._dispatcher.load_checkpoint()
+        rival_s = 0.0
         holder = self._claim.holder
         if holder is not None and holder.former:
             former = Address.parse(holder.former)
@@ -106,9 +110,10 @@
                 snapshots = await self._peers.fetch_progress(former)
                 self._dispatcher.add_received_progress(snapshots)
             except PeerUnreachable as error:
+                rival_s = RIVAL_S
                 logger.warning(
                     "dispatch: no progress fetched from the former dispatcher: {}",
                     error.reason,
                 )
         if self._claim.is_held_locally and not self._claim.is_leaving:
-            self._dispatcher.activate()
+            self._dispatcher.activate(rival_s)
--- a/greengagetack/coordination/messages.py
+++ b/greengagetack/coordination/messages.py
@@ -24,7 +24,7 @@
     """A daemon as it lists itself in the store.
 
     `control` is HOST:PORT of its control server. In a claim, `former` is the control
-    address of the daemon that released the claim and still has the progress of its
+    address of the daemon that held it before and may still have the progress of its
     runs. `cores` is the speed of the processor in cores of the platform.
     """
 
