Drop replicas in time after an outage: bound silent watches and delayed removals

Ruled out: no delay at all; entries that lapse in an outage come back within two seconds. Change: the delay counts from the store's return. A silent watch ends 0.6 s after its wait. New scenarios in leaving and exchanges fail on the code before: after 1,300 ms a removed entry was still served, and the watch ended after 2,000 ms.

--- a/features/exchanges.feature
+++ b/features/exchanges.feature
@@ -33,6 +33,15 @@
       | no        | 4 events, one each 600 ms           | 4      | ends   | 6000  |
       | no        | 2 events, then a byte each 50 ms    | 2      | breaks | 4000  |
 
+  Scenario Outline: A call to a silent store ends in time to list again
+    When a store never answers a call that waits <wait> ms
+    Then the call fails within <limit> ms
+
+    Examples:
+      | wait | limit |
+      | 0    | 1200  |
+      | 1000 | 1800  |
+
   Scenario Outline: An order is not sent once its permission has run out
     When the permission to order <state> while a connection is opened
     Then the order is <end>, and the replica got <count> orders
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -43,3 +43,16 @@
       | a announces, b announces, half the drain period passes | none   |
       | a announces, b is removed, half the drain period passes | none  |
       | a announces, half the drain period passes             | b       |
+
+  Scenario Outline: An entry that is removed after an outage is kept for a bounded time
+    Given a fleet with replica a, whose store returned <returned> ms ago
+    Then <pause> ms after its entry is removed, a may get new requests: <serving>
+
+    Examples:
+      | returned | pause | serving |
+      | 0        | 1800  | yes     |
+      | 0        | 2400  | no      |
+      | 1200     | 600   | yes     |
+      | 1200     | 1300  | no      |
+      | 2300     | 0     | no      |
+      | never    | 0     | no      |
--- a/features/steps/exchanges_steps.py
+++ b/features/steps/exchanges_steps.py
@@ -12,10 +12,13 @@
 from greengagetack.batches.item_run import run_item
 from greengagetack.batches.job import Item
 from greengagetack.batches.progress import ItemProgress
+from greengagetack.errors import PlatformUnavailable
 from greengagetack.gateway.call import Call
 from greengagetack.gateway.stream import resumable_stream
 from greengagetack.http1.message import IncompleteResponse
 from greengagetack.http1.pool import Pool
+from greengagetack.objects.transport import DirectTransport
+from greengagetack.observability.metrics import Metrics
 from greengagetack.platform.replica import PlatformDialect, PlatformOrderSender
 from greengagetack.replicas.replica import Replica, ReplicaState
 from greengagetack.weights.orders import LoadMode, LoadOrder
@@ -224,3 +227,25 @@
     assert context.end == end, context.end
     assert context.received.count(b"\n\n") == events, context.received
     assert context.took_s < limit / 1000, context.took_s
+
+
+@when("a store never answers a call that waits {wait:d} ms")
+def step_silent_store(context: Context, wait: int) -> None:
+    async def handler(writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(5.0)
+
+    async def call() -> None:
+        async with _scripted_replica(handler) as state:
+            transport = DirectTransport(state.replica.address, Metrics())
+            started_s = time.monotonic()
+            try:
+                await transport.call("GET", "/objects/servers", b"", wait / 1000)
+            except PlatformUnavailable:
+                context.took_s = time.monotonic() - started_s
+
+    asyncio.run(call())
+
+
+@then("the call fails within {limit:d} ms")
+def step_call_fails(context: Context, limit: int) -> None:
+    assert context.took_s < limit / 1000, context.took_s
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -1,5 +1,6 @@
 """features.steps.leaving_steps: replicas that announce that they leave."""
 
+import asyncio
 import time
 from unittest.mock import patch
 
@@ -65,3 +66,21 @@
         serving = context.fleet.serving_replicas("service")
     found = ",".join(sorted(state.replica.replica_id for state in serving)) or "none"
     assert found == names, found
+
+
+@given("a fleet with replica a, whose store returned {returned} ms ago")
+def step_fleet_after_outage(context: Context, returned: str) -> None:
+    ago_s = float("inf") if returned == "never" else int(returned) / 1000
+    recovered_s = time.monotonic() - ago_s
+    context.fleet = Fleet(lambda: recovered_s, 2.0)
+    context.fleet.update([_replica("a", 1)], [])
+
+
+@then("{pause:d} ms after its entry is removed, a may get new requests: {expected}")
+def step_serves_after(context: Context, pause: int, expected: str) -> None:
+    async def remove_and_wait() -> bool:
+        context.fleet.update([], ["a"])
+        await asyncio.sleep(pause / 1000)
+        return bool(context.fleet.serving_replicas("service"))
+
+    assert asyncio.run(remove_and_wait()) == (expected == "yes")
--- a/greengagetack/objects/feed.py
+++ b/greengagetack/objects/feed.py
@@ -67,6 +67,7 @@
         self.synced = asyncio.Event()
         self.last_answer_s = float("-inf")
         self.last_failure_s = float("-inf")
+        self._recovered_s = float("-inf")
         self.revision = 0
         self._first_revision = 0
         self._removals: deque[tuple[int, str]] = deque()
@@ -98,7 +99,8 @@
                 await asyncio.sleep(retry_pause_s)
                 retry_pause_s = min(MAX_RETRY_PAUSE_S, retry_pause_s * 2)
                 continue
-            if self.last_failure_s > self.last_answer_s > float("-inf"):
+            if self._is_failing():
+                self._recovered_s = time.monotonic()
                 logger.info(
                     "feed: recovered",
                     prefix=self.prefix,
@@ -139,6 +141,17 @@
         if self._watch_task is not None:
             self._watch_task.cancel()
 
+    def _is_failing(self) -> bool:
+        return self.last_failure_s > self.last_answer_s > float("-inf")
+
+    def recovered_s(self) -> float:
+        """Return the monotonic time of the last return of the source.
+
+        This is now while the first answer after a failure is being applied, and minus
+        infinity if the source has never failed.
+        """
+        return time.monotonic() if self._is_failing() else self._recovered_s
+
     def _record_failure(self, error: CodedError) -> None:
         if self.last_failure_s <= self.last_answer_s:
             logger.warning(
--- a/greengagetack/objects/transport.py
+++ b/greengagetack/objects/transport.py
@@ -24,6 +24,9 @@
 
 # A slow store answers within some hundred ms, so a longer silence counts as a failure.
 CALL_TIMEOUT_S = 1.0
+# Added to the wait of a watch. A watch that never answers must end early enough to list
+# again within the bounds on leaving replicas and new configurations (2 s).
+WATCH_MARGIN_S = 0.6
 RETRY_AFTER_S = 0.5
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Pause after a direct call failed, before the next one is tried.
@@ -81,7 +84,8 @@
         self._metrics.add("store_calls", method=method)
         started_s = time.monotonic()
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S + wait_s):
+            limit_s = wait_s + WATCH_MARGIN_S if wait_s else CALL_TIMEOUT_S
+            async with asyncio.timeout(limit_s):
                 async with self._pool.connection(self._address) as connection:
                     head = await connection.send(request)
                     content = await connection.read_all(MAX_RESPONSE_BYTES)
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -107,7 +107,7 @@
         self._jobs_feed = Feed(
             lambda: self._store, JOBS_PREFIX, lambda: JOB_WATCH_WAIT_S
         )
-        self._fleet = Fleet(lambda: self._servers_feed.last_failure_s, facts.drain_s)
+        self._fleet = Fleet(lambda: self._servers_feed.recovered_s(), facts.drain_s)
         self._route_table: RouteTable | None = None
         self._config_version = 0
         pool = Pool(REPLICA_CONNECT_TIMEOUT_S)
--- a/greengagetack/replicas/fleet.py
+++ b/greengagetack/replicas/fleet.py
@@ -11,11 +11,9 @@
 
 __all__ = ["Fleet"]
 
-# An entry that expired during an outage of the store reappears within this time: about
-# two seconds according to the users of the platform.
+# An entry that expired during an outage of the store reappears within this time after
+# the store's return: about two seconds according to the users of the platform.
 EXPIRED_ENTRY_GRACE_S = 2.2
-# A store that failed less than this ago may have dropped entries of live replicas.
-STORE_UNSTABLE_S = 3.0
 # Share of the drain period in which a leaving replica may still get new requests if no
 # other replica of its service is left.
 LAST_RESORT_SHARE = 0.5
@@ -27,16 +25,16 @@
 
     Parameters
     ----------
-    last_store_failure_s : callable
-        Returns the monotonic time of the last failure of the store, in seconds.
+    store_recovered_s : callable
+        Returns the monotonic time of the store's last return, in seconds.
     drain_s : float
         Time after which a leaving replica must not get any new request, in seconds.
     """
 
     def __init__(
-        self, last_store_failure_s: Callable[[], float], drain_s: float = 0.0
+        self, store_recovered_s: Callable[[], float], drain_s: float = 0.0
     ) -> None:
-        self._last_store_failure_s = last_store_failure_s
+        self._store_recovered_s = store_recovered_s
         self._last_resort_s = drain_s * LAST_RESORT_SHARE
         # Identifier and start of removed replicas, with the time of their announcement.
         self._left: OrderedDict[tuple[str, int], float] = OrderedDict()
@@ -114,7 +112,10 @@
         state.is_gone = False
 
     def _handle_removal(self, replica_id: str, state: ReplicaState) -> None:
-        if time.monotonic() - self._last_store_failure_s() > STORE_UNSTABLE_S:
+        # Counted from the store's return: an entry that is removed later belongs to a
+        # replica that leaves, and must not get requests for as long again.
+        delay_s = self._store_recovered_s() + EXPIRED_ENTRY_GRACE_S - time.monotonic()
+        if delay_s <= 0:
             self._remove(replica_id, state)
             return
         logger.info(
@@ -122,9 +123,7 @@
         )
         self._expired_ids.add(replica_id)
         loop = asyncio.get_running_loop()
-        loop.call_later(
-            EXPIRED_ENTRY_GRACE_S, self._remove_if_expired, replica_id, state
-        )
+        loop.call_later(delay_s, self._remove_if_expired, replica_id, state)
 
     def _remove_if_expired(self, replica_id: str, state: ReplicaState) -> None:
         if replica_id in self._expired_ids and self._states.get(replica_id) is state:
