Use items that an earlier job completed only if their versions fit

Cause: read in the diff. Two open jobs of a trainer may share an item while the end of the earlier one is under way; its run may complete the item under weights that the later job does not allow, and the result was added to the later job unchecked. Change: JobRun.collect_finished checks the versions and begins the item again otherwise.

--- a/features/batches.feature
+++ b/features/batches.feature
@@ -63,6 +63,19 @@
       | the run, and the store never answers    | 400 | 2       |
       | a former dispatcher that was not reached | 0  | 2       |
 
+  Scenario Outline: An item that an earlier job completed is used if its versions fit
+    Given an open job "j1" of 4 items, 0 committed and 0 finished
+    And its oldest version is <oldest>
+    When an earlier job completes item 2 with version <version>, running <running>
+    Then item 2 is <state>
+
+    Examples:
+      | oldest | version | running | state                     |
+      | 1      | 1       | no      | finished                  |
+      | 2      | 1       | no      | generated from its start  |
+      | 2      | 2       | no      | finished                  |
+      | 2      | 1       | yes     | left to its run           |
+
   Scenario: An empty page is not served if the store cannot confirm it
     Given an open job "j1" of 4 items, 1 committed and 1 finished
     And the finished item is committed by the run, and the store never answers
--- a/features/steps/batches_steps.py
+++ b/features/steps/batches_steps.py
@@ -434,3 +434,29 @@
     except PlatformUnavailable:
         return
     raise AssertionError("an empty page was served")
+
+
+@given("its oldest version is {version:d}")
+def step_oldest(context: Context, version: int) -> None:
+    context.run.job = dataclasses.replace(context.run.job, min_version=version)
+
+
+@when("an earlier job completes item 2 with version {version:d}, running {running:w}")
+def step_earlier_completes(context: Context, version: int, running: str) -> None:
+    progress = context.run.unfinished["i-2"]
+    progress.outputs, progress.versions = ["x"], [version]
+    progress.is_complete = True
+    progress.is_running = running == "yes"
+    context.progress = progress
+    context.run.collect_finished()
+
+
+@then("item 2 is {state}")
+def step_item_2(context: Context, state: str) -> None:
+    expected = {
+        "finished": (False, True),
+        "generated from its start": (True, False),
+        "left to its run": (True, True),
+    }[state]
+    is_open = "i-2" in context.run.unfinished
+    assert (is_open, context.progress.is_complete) == expected
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -416,7 +416,8 @@
             self._wake_event.clear()
             if self.is_active:
                 self._expire_items()
-                self._add_finished_results()
+                for run in self._runs.values():
+                    run.collect_finished()
                 self._send_waiting()
                 self._rewards.dispatch(self._runs.values())
                 self._move_from_slow_replicas()
@@ -444,13 +445,6 @@
                 )
                 run.add_result(progress.lost_result())
 
-    def _add_finished_results(self) -> None:
-        """Add items that another job of the same trainer finished meanwhile."""
-        for run in self._runs.values():
-            for progress in list(run.unfinished.values()):
-                if progress.is_finished and not progress.is_running:
-                    run.add_result(progress.result())
-
     def _send_waiting(self) -> None:
         now_s = time.monotonic()
         waiting: list[tuple[tuple[bool, float, bool, int], JobRun, ItemProgress]] = []
--- a/greengagetack/batches/job_run.py
+++ b/greengagetack/batches/job_run.py
@@ -112,6 +112,22 @@
         self._finished[result.item_id] = result
         self._has_finished.set()
 
+    def collect_finished(self) -> None:
+        """Add the results of items that a run of another job completed meanwhile.
+
+        A trainer submits unfinished groups again under the same identifiers, and the
+        earlier job may have allowed older weight versions.
+        """
+        for progress in list(self.unfinished.values()):
+            if progress.is_running or not progress.is_complete:
+                continue
+            if not progress.has_allowed_versions(
+                self.job.min_version, self.job.single_version
+            ):
+                progress.restart()
+            elif progress.is_finished:
+                self.add_result(progress.result())
+
     def uncommitted(self) -> list[ItemProgress]:
         """Return the progress of all items whose results are not committed."""
         return [*self.unfinished.values(), *self._uncommitted.values()]
