Name the end of a former dispatcher's time as a time, and explain two checks of reward calls

Cause: read as a newcomer: has_rival_until_s looked like a condition, and nothing said why a reward call's deadline is the same for all attempts, or why its answer may be dropped. Change: rival_until_s; two comments. No behaviour.

--- a/features/steps/batches_steps.py
+++ b/features/steps/batches_steps.py
@@ -391,7 +391,7 @@
         context.store.is_silent_after_writes = True
         task = asyncio.create_task(context.run.run())
     elif context.committer.startswith("a former"):
-        context.run.has_rival_until_s = float("inf")
+        context.run.rival_until_s = float("inf")
         await context.ledger.commit("j1", Segment(1, 1, (_result(1),)))
     await asyncio.sleep(age_s)
     reader = JobReader(context.ledger, _RunsOneJob(context.run), None)
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -124,7 +124,7 @@
         self._rewards = RewardCalls(
             fleet, forwarder, dialect, find_route, metrics, self.wake
         )
-        self._has_rival_until_s = float("-inf")
+        self._rival_until_s = float("-inf")
         self.is_active = False
         jobs.subscribe(self._on_jobs)
         fleet.subscribe(self._wake_event.set)
@@ -143,7 +143,7 @@
         if self.is_active:
             return
         self.is_active = True
-        self._has_rival_until_s = time.monotonic() + rival_s
+        self._rival_until_s = time.monotonic() + rival_s
         logger.info(
             "dispatch: this daemon runs the jobs", open_jobs=len(self.open_jobs())
         )
@@ -332,7 +332,7 @@
             self._progress_of,
             lambda: self._engine_properties.tokens_per_event_of(job.service),
         )
-        run.has_rival_until_s = self._has_rival_until_s
+        run.rival_until_s = self._rival_until_s
         self._runs[job.job_id] = run
         self.demand_tokens[job.model] = float(sum(item.tokens for item in items))
         logger.info(
--- a/greengagetack/batches/job_run.py
+++ b/greengagetack/batches/job_run.py
@@ -69,7 +69,7 @@
         self._uncertain_since_s: float | None = None
         self._refresh_task: asyncio.Task[None] | None = None
         # Until this monotonic time, a former dispatcher may still commit results.
-        self.has_rival_until_s = float("-inf")
+        self.rival_until_s = float("-inf")
         self.unfinished: dict[str, ItemProgress] = {}
         # Groups resubmitted from an earlier job; the trainer always waits for them.
         self.required_groups: set[str] = set()
@@ -216,7 +216,7 @@
         served from the log alone.
         """
         now_s = time.monotonic()
-        if now_s < self.has_rival_until_s:
+        if now_s < self.rival_until_s:
             return True
         since_s = self._uncertain_since_s
         return since_s is not None and now_s - since_s > UNCERTAIN_COMMIT_S
--- a/greengagetack/batches/rewards.py
+++ b/greengagetack/batches/rewards.py
@@ -197,6 +197,7 @@
         """Send one attempt and apply its outcome."""
         generation = progress.generation
         started_s = time.monotonic()
+        # One point in time for all attempts, so that a repeated call never ends later.
         deadline_s = started_s + _time_left_s(run.job)
         headers = ((b"host", reward.host.encode()),)
         call = Call(
@@ -217,6 +218,7 @@
         finally:
             elapsed_s = time.monotonic() - started_s
             self._record(run, progress, reward, state, end, attempt, elapsed_s)
+        # The output may have been discarded meanwhile; the score belongs to that one.
         if progress.generation == generation:
             self._apply(run, progress, route, state, end, attempt)
 
