--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -625,7 +625,7 @@
     ) -> None:
         progress.is_running = True
         progress.run_started_s = time.monotonic()
-        state.in_flight += 1
+        state.record_send()
         replica_id = state.replica.replica_id
         version = state.version_of(run.job.model)
         self._prompts.record(replica_id, progress.item.group, version)
--- a/greengagetack/batches/item_run.py
+++ b/greengagetack/batches/item_run.py
@@ -7,7 +7,12 @@
 
 from greengagetack.batches.events import EventParser
 from greengagetack.batches.progress import ItemProgress
-from greengagetack.gateway.call import Call, ExecutionStatus, ReplicaDialect
+from greengagetack.gateway.call import (
+    Call,
+    ExecutionStatus,
+    ReplicaDialect,
+    record_announcements,
+)
 from greengagetack.http1.connection import Connection
 from greengagetack.http1.message import ExchangeError
 from greengagetack.http1.pool import Pool
@@ -73,8 +78,7 @@
             if execution is ExecutionStatus.OTHER_REPLICA:
                 await _drain(connection)
                 return RunEnd.OTHER_REPLICA, f"status {head.status}"
-            if dialect.is_leaving(head):
-                state.record_leaving()
+            record_announcements(state, dialect, head)
             if execution is ExecutionStatus.NOT_RUN:
                 await _drain(connection)
                 return RunEnd.REFUSED, f"status {head.status}"
--- a/greengagetack/gateway/call.py
+++ b/greengagetack/gateway/call.py
@@ -5,9 +5,9 @@
 from typing import Protocol
 
 from greengagetack.http1.message import Headers, Request, ResponseHead
-from greengagetack.replicas.replica import Replica
+from greengagetack.replicas.replica import Replica, ReplicaState
 
-__all__ = ["Call", "ExecutionStatus", "ReplicaDialect"]
+__all__ = ["Call", "ExecutionStatus", "ReplicaDialect", "record_announcements"]
 
 
 class ExecutionStatus(enum.Enum):
@@ -59,8 +59,20 @@
     def is_leaving(self, head: ResponseHead) -> bool:
         """Whether the response announces that its replica is leaving."""
 
+    def rate_limit_per_s(self, head: ResponseHead) -> float | None:
+        """Return the rate limit that the replica announces, None without one."""
+
     def event_version(self, fields: tuple[tuple[str, str], ...]) -> int | None:
         """Return the weight version that a stream event announces, None without one."""
 
     def weight_version(self, head: ResponseHead) -> int | None:
         """Return the weight version named in the headers, None without one."""
+
+
+def record_announcements(
+    state: ReplicaState, dialect: ReplicaDialect, head: ResponseHead
+) -> None:
+    """Record what a replica announces about itself in a response."""
+    if dialect.is_leaving(head):
+        state.record_leaving()
+    state.record_rate_limit(dialect.rate_limit_per_s(head))
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -14,7 +14,12 @@
     EndpointRefused,
     NoEndpoint,
 )
-from greengagetack.gateway.call import Call, ExecutionStatus, ReplicaDialect
+from greengagetack.gateway.call import (
+    Call,
+    ExecutionStatus,
+    ReplicaDialect,
+    record_announcements,
+)
 from greengagetack.gateway.choice import choose_replica
 from greengagetack.gateway.retry import (
     AttemptResult,
@@ -118,7 +123,7 @@
         request = self._dialect.build_request(
             call, replica, remaining_s * 1000, after_event
         )
-        state.in_flight += 1
+        state.record_send()
         started_s = time.monotonic()
         is_sent = False
         is_handed_over = False
@@ -129,9 +134,8 @@
                 is_sent = True
                 head = await connection.send(request, call.request_id.encode())
                 execution = self._dialect.execution_status(head)
-                is_same_replica = execution is not ExecutionStatus.OTHER_REPLICA
-                if is_same_replica and self._dialect.is_leaving(head):
-                    state.record_leaving()
+                if execution is not ExecutionStatus.OTHER_REPLICA:
+                    record_announcements(state, self._dialect, head)
                 is_stream = is_streaming and head.status == OK
                 if execution is ExecutionStatus.RAN and is_stream:
                     is_handed_over = True
--- a/greengagetack/platform/replica.py
+++ b/greengagetack/platform/replica.py
@@ -1,6 +1,7 @@
 """greengagetack.platform.replica: the HTTP protocol of the platform's replicas."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -99,6 +100,11 @@
         """Whether the replica announces that it leaves."""
         return announces_leaving(head)
 
+    def rate_limit_per_s(self, head: ResponseHead) -> float | None:
+        """Return the requests a second that the replica takes from all VMs together."""
+        value = header(head.headers, wire.SERVER_LIMIT)
+        return None if value is None else _parse_rate(value)
+
     def weight_version(self, head: ResponseHead) -> int | None:
         """Return the weight version that the response's headers name."""
         return _parse_version(header(head.headers, wire.WEIGHT_VERSIONS))
@@ -117,6 +123,17 @@
     return int(value)
 
 
+def _parse_rate(value: bytes) -> float | None:
+    try:
+        rate_per_s = float(value)
+    except ValueError:
+        rate_per_s = math.nan
+    if math.isfinite(rate_per_s) and rate_per_s >= 0:
+        return rate_per_s
+    logger.warning("replicas: ignoring an invalid rate limit {}", value[:40])
+    return None
+
+
 class _ModelState(msgspec.Struct, frozen=True):
     name: str
     version: int
--- a/greengagetack/platform/wire.py
+++ b/greengagetack/platform/wire.py
@@ -14,6 +14,7 @@
     "RETIREMENTS_KIND",
     "SERVERS_KIND",
     "SERVER_LEAVING",
+    "SERVER_LIMIT",
     "TOKEN_USAGE",
     "URGENCY",
     "VERSIONS_KIND",
@@ -31,6 +32,7 @@
 PROMPT_PREFIX = b"x-prompt-prefix"
 RESPONSE_SEAL = b"x-response-seal"
 SERVER_LEAVING = b"server-leaving"
+SERVER_LIMIT = b"server-limit"
 TOKEN_USAGE = b"x-token-usage"
 URGENCY = b"x-urgency-class"
 WAIT = b"x-wait-ms"
--- a/greengagetack/replicas/replica.py
+++ b/greengagetack/replicas/replica.py
@@ -52,7 +52,9 @@
     """A replica and its state as observed by this VM.
 
     `leaving_since_s` is the monotonic time at which the replica first announced in a
-    response that it leaves, None before.
+    response that it leaves, None before. `rate_limit_per_s` is the number of requests a
+    second that the replica, by its last response, takes from all VMs together, None
+    without a limit; `sent_under_limit` counts the requests that this VM sent since.
     """
 
     replica: Replica
@@ -64,6 +66,8 @@
     service_time_s: float | None = None
     known_versions: dict[str, int] = field(default_factory=dict)
     leaving_since_s: float | None = None
+    rate_limit_per_s: float | None = None
+    sent_under_limit: int = 0
 
     @property
     def is_serving(self) -> bool:
@@ -82,6 +86,27 @@
             self.replica.replica_id,
         )
 
+    def record_rate_limit(self, rate_per_s: float | None) -> None:
+        """Record the rate limit that the replica's last response announced."""
+        if rate_per_s == self.rate_limit_per_s:
+            return
+        logger.info(
+            "replicas: {} changed its rate limit",
+            self.replica.replica_id,
+            service=self.replica.service,
+            former_per_s=self.rate_limit_per_s,
+            limit_per_s=rate_per_s,
+            sent=self.sent_under_limit,
+        )
+        self.rate_limit_per_s = rate_per_s
+        self.sent_under_limit = 0
+
+    def record_send(self) -> None:
+        """Count a request that is about to be sent to the replica."""
+        self.in_flight += 1
+        if self.rate_limit_per_s is not None:
+            self.sent_under_limit += 1
+
     def version_of(self, model: str) -> int:
         """Return the newest weight version known to be loaded, 0 if none."""
         listed = self.replica.version_of(model) or 0
