Keep the rate limits that replicas name, over all daemons together

Change: the daemon that runs the jobs grants a permit for each request to a limited replica: calls, retries, hedges, resumed streams, items and reward calls. Others ask it once per request, 0.1 s at most, and use other replicas meanwhile; with no permit anywhere the caller is refused at once and told when the next one is due. After a takeover half of the rate is granted for 4 s. Limits reach all daemons by the status of the replica's entry.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -490,6 +490,10 @@
         replica.fault.silent = True
     elif fault == "announces that it leaves":
         replica.fault.leaving = True
+    elif words[:2] == ["names", "limit"]:
+        replica.fault.rate_limit = words[2]
+    elif fault == "names no limit":
+        replica.fault.rate_limit = ""
     elif fault == "refuses everything":
         replica.slots = 0
     elif fault == "refuses everything but one run":
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -37,6 +37,7 @@
 from greengagetack.objects.feed import Feed
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
+from greengagetack.replicas.permits import Permits
 from greengagetack.replicas.replica import Replica, ReplicaState
 
 __all__ = ["Dispatcher", "EngineProperties"]
@@ -91,6 +92,7 @@
         pool: Pool,
         dialect: ReplicaDialect,
         forwarder: Forwarder,
+        permits: Permits,
         find_route: Callable[[str, str], Route | None],
         engine_properties: EngineProperties,
         metrics: Metrics,
@@ -104,6 +106,7 @@
         self._fleet = fleet
         self._pool = pool
         self._dialect = dialect
+        self._permits = permits
         self._engine_properties = engine_properties
         self._metrics = metrics
         self._runs: dict[str, JobRun] = {}
@@ -122,7 +125,7 @@
         self.demand_tokens: dict[str, float] = {}
         self._wake_event = asyncio.Event()
         self._rewards = RewardCalls(
-            fleet, forwarder, dialect, find_route, metrics, self.wake
+            fleet, forwarder, dialect, permits, find_route, metrics, self.wake
         )
         self._rival_until_s = float("-inf")
         self.is_active = False
@@ -591,6 +594,8 @@
                 continue
             if version < job.min_version or replica_id == leaving:
                 continue
+            if not self._permits.has_permit(state):
+                continue
             is_avoided = now_s < progress.avoided_until_s
             if is_avoided and replica_id == progress.avoided_replica:
                 continue
@@ -625,6 +630,7 @@
     ) -> None:
         progress.is_running = True
         progress.run_started_s = time.monotonic()
+        self._permits.take(state)
         state.record_send()
         replica_id = state.replica.replica_id
         version = state.version_of(run.job.model)
--- a/greengagetack/batches/rewards.py
+++ b/greengagetack/batches/rewards.py
@@ -27,6 +27,7 @@
 from greengagetack.gateway.routes import Route
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
+from greengagetack.replicas.permits import Permits
 from greengagetack.replicas.replica import Replica, ReplicaState
 
 __all__ = ["RewardCalls", "RewardEnd", "attempt_timeout_s", "retry_pause_s"]
@@ -99,6 +100,7 @@
         fleet: Fleet,
         forwarder: Forwarder,
         dialect: ReplicaDialect,
+        permits: Permits,
         find_route: Callable[[str, str], Route | None],
         metrics: Metrics,
         wake: Callable[[], None],
@@ -106,6 +108,7 @@
         self._fleet = fleet
         self._forwarder = forwarder
         self._dialect = dialect
+        self._permits = permits
         self._find_route = find_route
         self._metrics = metrics
         self._wake = wake
@@ -157,6 +160,7 @@
         state = self._choose_replica(route, reward, progress, now_s)
         if state is None:
             return
+        self._permits.take(state)
         progress.is_scoring = True
         task = asyncio.create_task(
             self._score(run, progress, reward, route, state),
@@ -180,6 +184,7 @@
             )
             for state in self._fleet.serving_replicas(service)
             if state.is_usable(now_s)
+            and self._permits.has_permit(state, is_reward=True)
         ]
         is_avoided = now_s < progress.avoided_until_s
         avoided_id = progress.avoided_replica if is_avoided else ""
--- a/greengagetack/coordination/client.py
+++ b/greengagetack/coordination/client.py
@@ -24,12 +24,15 @@
 from greengagetack.http1.pool import Pool
 from greengagetack.objects.base import HistoryGone, WatchAnswer
 from greengagetack.objects.transport import StoreResponse
+from greengagetack.replicas.permits import Permit, PermitRequest, RateLimitNotice
 from greengagetack.world import Address
 
 __all__ = ["PeerClient"]
 
 CONNECT_TIMEOUT_S = 0.4
 CALL_TIMEOUT_S = 0.5
+# A caller waits for the permit; another replica may serve it sooner.
+PERMIT_TIMEOUT_S = 0.1
 # Time allowed for the response to a waiting read, in addition to its wait.
 READ_MARGIN_S = 0.3
 RELAY_TIMEOUT_S = 1.2
@@ -154,6 +157,33 @@
         body = await self._call(former, "POST", "/peer/progress", b"", CALL_TIMEOUT_S)
         return _decode_response(body, HandOver).snapshots
 
+    async def request_permit(self, request: PermitRequest) -> Permit:
+        """Ask the dispatcher for a permit to send to a rate-limited replica.
+
+        Raises
+        ------
+        PeerUnreachable
+            If the dispatcher is unknown or does not answer in time.
+        """
+        address = self._known_dispatcher()
+        call = encode(request)
+        body = await self._call(
+            address, "POST", "/peer/permits", call, PERMIT_TIMEOUT_S
+        )
+        return _decode_response(body, Permit)
+
+    async def send_rate_limit(self, notice: RateLimitNotice) -> None:
+        """Notify the dispatcher of a replica's rate limit.
+
+        Raises
+        ------
+        PeerUnreachable
+            If the dispatcher is unknown or does not answer.
+        """
+        address = self._known_dispatcher()
+        body = encode(notice)
+        await self._call(address, "POST", "/peer/rate-limits", body, CALL_TIMEOUT_S)
+
     async def relay(
         self, method: str, target: str, body: bytes, wait_s: float
     ) -> StoreResponse:
--- a/greengagetack/coordination/server.py
+++ b/greengagetack/coordination/server.py
@@ -21,6 +21,7 @@
 from greengagetack.errors import CodedError
 from greengagetack.objects.feed import Feed
 from greengagetack.objects.transport import StoreResponse
+from greengagetack.replicas.permits import PermitRequest, Permits, RateLimitNotice
 
 __all__ = ["build_peer_application"]
 
@@ -33,6 +34,7 @@
     pong: Callable[[], Pong],
     reader: JobReader,
     dispatcher: Dispatcher,
+    permits: Permits,
     feeds: dict[str, Feed],
     on_follower: Callable[[str], None],
     call_store: Callable[[RelayCall], Awaitable[StoreResponse]],
@@ -78,6 +80,14 @@
         dispatcher.handle_hint(hint.job_id, hint.is_ended)
         return Response()
 
+    async def permit(request: Request) -> Response:
+        wanted = decode(await request.body(), type=PermitRequest)
+        return Response(encode(permits.handle_request(wanted)))
+
+    async def rate_limit(request: Request) -> Response:
+        permits.handle_notice(decode(await request.body(), type=RateLimitNotice))
+        return Response()
+
     async def progress(request: Request) -> Response:
         return Response(encode(HandOver(dispatcher.deactivate())))
 
@@ -97,6 +107,8 @@
             Route("/peer/bodies/{job_id}/{item_id}", body),
             Route("/peer/objects/{prefix:path}", objects),
             Route("/peer/jobs", receive_hint, methods=["POST"]),
+            Route("/peer/permits", permit, methods=["POST"]),
+            Route("/peer/rate-limits", rate_limit, methods=["POST"]),
             Route("/peer/progress", progress, methods=["POST"]),
             Route("/peer/store", store, methods=["POST"]),
         ],
--- a/greengagetack/gateway/call.py
+++ b/greengagetack/gateway/call.py
@@ -75,4 +75,4 @@
     """Record what a replica announces about itself in a response."""
     if dialect.is_leaving(head):
         state.record_leaving()
-    state.record_rate_limit(dialect.rate_limit_per_s(head))
+    state.observe_rate_limit(dialect.rate_limit_per_s(head))
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -20,7 +20,7 @@
     ReplicaDialect,
     record_announcements,
 )
-from greengagetack.gateway.choice import choose_replica
+from greengagetack.gateway.choice import choose_replica, suggested_retry_s
 from greengagetack.gateway.retry import (
     AttemptResult,
     NextStep,
@@ -33,13 +33,12 @@
 from greengagetack.http1.message import ExchangeError, ResponseHead
 from greengagetack.http1.pool import Pool
 from greengagetack.replicas.fleet import Fleet
+from greengagetack.replicas.permits import Permits
 from greengagetack.replicas.replica import ReplicaState
 
 __all__ = ["Attempt", "Forwarder", "Reply"]
 
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
-# Retry delay suggested to callers whose request was refused.
-SUGGESTED_RETRY_S = 0.25
 # Pause after a replica refused a request because it is full.
 FULL_REPLICA_PAUSE_S = 0.05
 # The caller gets its response, or an error, at least this long before its deadline.
@@ -75,11 +74,13 @@
         fleet: Fleet,
         pool: Pool,
         dialect: ReplicaDialect,
+        permits: Permits,
         zone: str,
     ) -> None:
         self._fleet = fleet
         self._pool = pool
         self._dialect = dialect
+        self._permits = permits
         self._zone = zone
         self._rng = random.Random()
 
@@ -109,6 +110,27 @@
         now_s = time.monotonic()
         return choose_replica(states, tried, self._zone, now_s, self._rng)
 
+    def retry_after_s(self, service: str) -> float:
+        """Return when a caller whose request was refused should come back."""
+        states = self._fleet.serving_replicas(service)
+        return suggested_retry_s(states, time.monotonic(), self._rng)
+
+    async def attempt_with_permit(
+        self,
+        call: Call,
+        state: ReplicaState,
+        deadline_s: float,
+        is_streaming: bool,
+        after_event: str | None = None,
+    ) -> Attempt:
+        """Send a call to one replica, unless its rate limit forbids that now."""
+        if not await self._permits.acquire(state):
+            reason = f"replica {state.replica.replica_id} is at its rate limit"
+            return Attempt(AttemptResult.NOT_SENT, None, reason)
+        return await self.send_attempt(
+            call, state, deadline_s, is_streaming, after_event
+        )
+
     async def send_attempt(
         self,
         call: Call,
@@ -117,7 +139,10 @@
         is_streaming: bool,
         after_event: str | None = None,
     ) -> Attempt:
-        """Send a call to one replica; resume a stream if `after_event` is given."""
+        """Send a call to one replica; resume a stream if `after_event` is given.
+
+        A rate-limited replica needs a permit, which the sender has taken before.
+        """
         remaining_s = deadline_s - time.monotonic()
         replica = state.replica
         request = self._dialect.build_request(
@@ -213,7 +238,7 @@
             known = len(self._forwarder.listed_replicas(self._service))
             raise NoEndpoint(
                 f"none of the {known} listed replicas of {self._service} is usable",
-                SUGGESTED_RETRY_S,
+                self._forwarder.retry_after_s(self._service),
             )
         while True:
             remaining_s = self._deadline_s - time.monotonic() - DEADLINE_MARGIN_S
@@ -260,7 +285,8 @@
         if self._pending:
             return None
         if step is NextStep.REFUSE:
-            raise EndpointRefused(attempt.reason, SUGGESTED_RETRY_S)
+            retry_s = self._forwarder.retry_after_s(self._service)
+            raise EndpointRefused(attempt.reason, retry_s)
         raise EndpointFailed(attempt.reason)
 
     def _wrap_stream(self, reply: Reply | None) -> Reply | None:
@@ -279,7 +305,7 @@
                 await asyncio.sleep(RESUME_RETRY_PAUSE_S)
                 continue
             self._tried.add(state.replica.replica_id)
-            attempt = await self._forwarder.send_attempt(
+            attempt = await self._forwarder.attempt_with_permit(
                 self._call, state, self._deadline_s, True, after_event
             )
             if attempt.result is AttemptResult.ANSWERED:
@@ -293,7 +319,7 @@
         self._tried.add(state.replica.replica_id)
         self._run_count += 1
         is_streaming = self._route.kind is RequestKind.STREAM
-        attempt = self._forwarder.send_attempt(
+        attempt = self._forwarder.attempt_with_permit(
             self._call, state, self._deadline_s, is_streaming
         )
         self._pending.add(asyncio.create_task(attempt))
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -42,6 +42,7 @@
 from greengagetack.platform.settings import VmFacts
 from greengagetack.platform.store import PlatformStore
 from greengagetack.replicas.fleet import Fleet
+from greengagetack.replicas.permits import Permits
 from greengagetack.replicas.replica import Replica
 from greengagetack.timer import Timer
 from greengagetack.weights.load_scheduler import LoadScheduler
@@ -67,6 +68,8 @@
 SWEEP_INTERVAL_S = 15.0
 # At most this much work per item is lost if all daemons fail.
 CHECKPOINT_INTERVAL_S = 1.0
+# A replica's rate limit reaches the other daemons within about this time.
+PUBLISH_INTERVAL_S = 0.5
 
 
 class EdgeDaemon:
@@ -108,6 +111,31 @@
             lambda: self._store, JOBS_PREFIX, lambda: JOB_WATCH_WAIT_S
         )
         self._fleet = Fleet(lambda: self._servers_feed.recovered_s(), facts.drain_s)
+        self._roster = Roster(
+            self._local_member,
+            self._store,
+            self._members_feed,
+            MEMBERS_PREFIX,
+            facts.seeds,
+        )
+        self._claim = DispatcherClaim(
+            self._local_member,
+            self._store,
+            self._claims_feed,
+            self._roster,
+            lambda: self._dispatcher_lifecycle.on_claim_change(),
+            lambda pong: self._lease.record_version(pong.lease_version),
+        )
+        self._peers = PeerClient(
+            facts.node, self._claim.holder_address, self._roster.addresses
+        )
+        self._permits = Permits(
+            self._fleet,
+            self._peers,
+            lambda: self._claim.is_held_locally and not self._claim.is_leaving,
+            self._publish_rate_limit,
+            self._metrics,
+        )
         self._route_table: RouteTable | None = None
         self._config_version = 0
         pool = Pool(REPLICA_CONNECT_TIMEOUT_S)
@@ -115,7 +143,9 @@
         dialect = PlatformDialect()
         self._engine_properties = EngineProperties()
         self._ledger = Ledger(self._store)
-        forwarder = Forwarder(self._fleet, pool, dialect, facts.availability_zone)
+        forwarder = Forwarder(
+            self._fleet, pool, dialect, self._permits, facts.availability_zone
+        )
         self._dispatcher = Dispatcher(
             self._ledger,
             Checkpoints(self._store),
@@ -124,29 +154,12 @@
             pool,
             dialect,
             forwarder,
+            self._permits,
             self._find_route,
             self._engine_properties,
             self._metrics,
             facts.result_retention_s,
         )
-        self._roster = Roster(
-            self._local_member,
-            self._store,
-            self._members_feed,
-            MEMBERS_PREFIX,
-            facts.seeds,
-        )
-        self._claim = DispatcherClaim(
-            self._local_member,
-            self._store,
-            self._claims_feed,
-            self._roster,
-            lambda: self._dispatcher_lifecycle.on_claim_change(),
-            lambda pong: self._lease.record_version(pong.lease_version),
-        )
-        self._peers = PeerClient(
-            facts.node, self._claim.holder_address, self._roster.addresses
-        )
         self._source_selector = SourceSelector(self._store, self._peers, self._claim)
         self._reader = JobReader(self._ledger, self._dispatcher, self._peers)
         self._ingress = Ingress(
@@ -201,6 +214,13 @@
     ) -> StoreResponse:
         return await self._peers.relay(method, target, body, wait_s)
 
+    async def _publish_rate_limit(
+        self, replica: Replica, limit_per_s: float | None
+    ) -> None:
+        path = f"{wire.SERVERS_KIND}/{replica.replica_id}"
+        status = documents.encode_replica_status(replica, limit_per_s)
+        await self._store.write_status(path, status)
+
     def _configuration(self) -> Configuration:
         return (
             Configuration(0, ())
@@ -304,6 +324,7 @@
                     self._pong,
                     self._reader,
                     self._dispatcher,
+                    self._permits,
                     {
                         feed.prefix: feed
                         for feed in (
@@ -357,6 +378,9 @@
             SWEEP_INTERVAL_S, self._dispatcher.delete_expired_jobs, "sweep"
         )
         self._timer.subscribe(SWEEP_INTERVAL_S, self._remove_silent_members, "roster")
+        self._timer.subscribe(
+            PUBLISH_INTERVAL_S, self._permits.publish_changes, "rate limits"
+        )
         await self._stop_requested.wait()
         await self._shut_down(front, serving)
 
--- a/greengagetack/platform/store.py
+++ b/greengagetack/platform/store.py
@@ -50,6 +50,7 @@
     # Decoded later: an invalid object of another writer must not fail the entire
     # response.
     spec: msgspec.Raw = msgspec.Raw(b"null")
+    status: Any = None
 
 
 class _Event(msgspec.Struct, frozen=True):
@@ -273,7 +274,8 @@
     path, version = f"{kind}/{stored.metadata.name}", stored.metadata.revision
     try:
         if kind in FOREIGN_KINDS:
-            return PlatformObject(path, version, "", msgspec.json.decode(stored.spec))
+            value = msgspec.json.decode(stored.spec)
+            return PlatformObject(path, version, "", value, stored.status)
         decoded = msgspec.json.decode(stored.spec, type=_Stored)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         logger.warning(
--- a/greengagetack/replicas/fleet.py
+++ b/greengagetack/replicas/fleet.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from greengagetack.replicas.replica import Replica, ReplicaState
+from greengagetack.replicas.replica import Incarnation, Replica, ReplicaState
 
 __all__ = ["Fleet"]
 
@@ -37,11 +37,12 @@
         self._store_recovered_s = store_recovered_s
         self._last_resort_s = drain_s * LAST_RESORT_SHARE
         # Identifier and start of removed replicas, with the time of their announcement.
-        self._left: OrderedDict[tuple[str, int], float] = OrderedDict()
+        self._left: OrderedDict[Incarnation, float] = OrderedDict()
         self._states: dict[str, ReplicaState] = {}
         self._expired_ids: set[str] = set()
         self._listeners: list[Callable[[], None]] = []
         self._removal_listeners: list[Callable[[Replica], None]] = []
+        self._observed_limit_listeners: list[Callable[[ReplicaState], None]] = []
 
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call `listener` after each change."""
@@ -51,6 +52,16 @@
         """Call `listener` with each replica incarnation that was removed."""
         self._removal_listeners.append(listener)
 
+    def subscribe_observed_limits(
+        self, listener: Callable[[ReplicaState], None]
+    ) -> None:
+        """Call `listener` with each replica that announced another rate limit."""
+        self._observed_limit_listeners.append(listener)
+
+    def all_replicas(self) -> list[ReplicaState]:
+        """Return the listed replicas of all services."""
+        return list(self._states.values())
+
     def get(self, replica_id: str) -> ReplicaState | None:
         """Return a replica's state, None if it is not listed."""
         return self._states.get(replica_id)
@@ -95,9 +106,11 @@
         if state is None or is_new or state.replica.address != replica.address:
             if state is not None:
                 self._mark_gone(state)
-            key = (replica.replica_id, replica.started_ms)
             self._states[replica.replica_id] = ReplicaState(
-                replica, leaving_since_s=self._left.get(key)
+                replica,
+                leaving_since_s=self._left.get(replica.incarnation),
+                rate_limit_per_s=replica.rate_limit_per_s,
+                on_observed_limit=self._on_observed_limit,
             )
             logger.info(
                 "replicas: {} of service {} at {} is listed",
@@ -108,8 +121,15 @@
             return
         if replica.is_draining and not state.replica.is_draining:
             logger.info("replicas: {} is draining", replica.replica_id)
+        former_limit_per_s = state.replica.rate_limit_per_s
         state.replica = replica
         state.is_gone = False
+        if replica.rate_limit_per_s != former_limit_per_s:
+            state.record_rate_limit(replica.rate_limit_per_s)
+
+    def _on_observed_limit(self, state: ReplicaState) -> None:
+        for listener in self._observed_limit_listeners:
+            listener(state)
 
     def _handle_removal(self, replica_id: str, state: ReplicaState) -> None:
         # Counted from the store's return: an entry that is removed later belongs to a
@@ -139,8 +159,7 @@
     def _mark_gone(self, state: ReplicaState) -> None:
         state.is_gone = True
         if state.leaving_since_s is not None:
-            key = (state.replica.replica_id, state.replica.started_ms)
-            self._left[key] = state.leaving_since_s
+            self._left[state.replica.incarnation] = state.leaving_since_s
             while len(self._left) > MAX_REMEMBERED_LEAVING:
                 self._left.popitem(last=False)
         for listener in self._removal_listeners:
--- /dev/null
+++ b/greengagetack/replicas/permits.py
@@ -0,0 +1,277 @@
+"""greengagetack.replicas.permits: permits for requests to rate-limited replicas.
+
+The daemon that runs the jobs sends most requests to model replicas, so it also grants
+the permits: its own requests need no call, and the others ask it once per request.
+"""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from loguru import logger
+
+from greengagetack.errors import CodedError
+from greengagetack.observability.metrics import Metrics
+from greengagetack.replicas.fleet import Fleet
+from greengagetack.replicas.rate_limit import (
+    TokenBucket,
+    burst_permits,
+    first_permits,
+    grant_rate_per_s,
+)
+from greengagetack.replicas.replica import Incarnation, Replica, ReplicaState
+
+__all__ = ["Permit", "PermitOwner", "PermitRequest", "Permits", "RateLimitNotice"]
+
+# Pause of the requests to limited replicas while their permits cannot be asked for.
+OWNER_UNREACHABLE_PAUSE_S = 0.25
+# An end of a limit takes this long to reach all daemons; until then some still ask for
+# permits, which does not mean that the limit is back.
+LIMIT_SPREAD_S = 3.0
+# A limit that did not appear in the replica's entry is published again after this time.
+PUBLISH_AGAIN_S = 5.0
+# Bounds the writes to the store when many replicas change their limits at once.
+MAX_PUBLISHED_PER_TICK = 10
+# Permits that reward calls leave for callers.
+RESERVED_FOR_CALLERS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class PermitRequest:
+    """Asks for one request to a replica; `limit_per_s` is the limit seen here."""
+
+    replica_id: str
+    started_ms: int
+    limit_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Permit:
+    """Answer to a request; without a grant, `wait_s` is the time to the next permit."""
+
+    is_granted: bool
+    wait_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RateLimitNotice:
+    """Notifies the owner of a limit that a replica named, None for no limit."""
+
+    replica_id: str
+    started_ms: int
+    limit_per_s: float | None
+
+
+class PermitOwner(Protocol):
+    """Calls to the daemon that grants the permits."""
+
+    async def request_permit(self, request: PermitRequest) -> Permit:
+        """Ask the owner for one permit."""
+
+    async def send_rate_limit(self, notice: RateLimitNotice) -> None:
+        """Notify the owner of a replica's limit."""
+
+
+class Permits:
+    """Grants permits while this daemon is their owner, and else asks the owner.
+
+    Parameters
+    ----------
+    owner : PermitOwner
+        Calls to the owner, used while that is another daemon.
+    is_owner : callable
+        Returns whether this daemon is the owner.
+    publish : callable
+        Writes a replica's limit, None for no limit, to where all daemons read it.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        owner: PermitOwner,
+        is_owner: Callable[[], bool],
+        publish: Callable[[Replica, float | None], Awaitable[None]],
+        metrics: Metrics,
+    ) -> None:
+        self._fleet = fleet
+        self._owner = owner
+        self._is_owner = is_owner
+        self._publish = publish
+        self._metrics = metrics
+        self._owner_since_s: float | None = None
+        self._owner_unreachable_until_s = float("-inf")
+        self._buckets: dict[Incarnation, TokenBucket] = {}
+        self._published: dict[Incarnation, tuple[float | None, float]] = {}
+        self._notices: set[asyncio.Task[None]] = set()
+        fleet.subscribe_removals(self._on_removal)
+        fleet.subscribe_observed_limits(self._on_observed_limit)
+
+    def _on_removal(self, replica: Replica) -> None:
+        self._buckets.pop(replica.incarnation, None)
+        self._published.pop(replica.incarnation, None)
+
+    # -- requests of this daemon
+
+    async def acquire(self, state: ReplicaState) -> bool:
+        """Return whether a request may be sent to a replica now.
+
+        After a refusal, nothing is sent to the replica until the next permit is due.
+        """
+        if state.rate_limit_per_s is None:
+            return True
+        if time.monotonic() < state.rate_limited_until_s:
+            return False
+        if self._is_granting():
+            permit = self._grant(state)
+        else:
+            permit = await self._request(state, state.rate_limit_per_s)
+        self._metrics.add("rate_permits", granted=str(permit.is_granted).lower())
+        if not permit.is_granted:
+            state.rate_limited_until_s = time.monotonic() + permit.wait_s
+        return permit.is_granted
+
+    async def _request(self, state: ReplicaState, limit_per_s: float) -> Permit:
+        now_s = time.monotonic()
+        if now_s < self._owner_unreachable_until_s:
+            return Permit(False, self._owner_unreachable_until_s - now_s)
+        replica = state.replica
+        request = PermitRequest(replica.replica_id, replica.started_ms, limit_per_s)
+        try:
+            return await self._owner.request_permit(request)
+        except CodedError as error:
+            logger.info(
+                "permits: the owner of the permits for {} does not answer",
+                replica.replica_id,
+                reason=error.reason,
+            )
+            pause_s = OWNER_UNREACHABLE_PAUSE_S
+            self._owner_unreachable_until_s = time.monotonic() + pause_s
+            return Permit(False, pause_s)
+
+    def has_permit(self, state: ReplicaState, is_reward: bool = False) -> bool:
+        """Whether `take` may be called, which needs no call to another daemon."""
+        if state.rate_limit_per_s is None:
+            return True
+        if not self._is_granting():
+            return False
+        reserved = RESERVED_FOR_CALLERS if is_reward else 0.0
+        return self._refilled_bucket(state).level >= 1.0 + reserved
+
+    def take(self, state: ReplicaState) -> None:
+        """Take a permit that `has_permit` has found."""
+        if state.rate_limit_per_s is not None:
+            self._refilled_bucket(state).take()
+
+    # -- granting
+
+    def _is_granting(self) -> bool:
+        if not self._is_owner():
+            self._owner_since_s = None
+            self._buckets.clear()
+            return False
+        if self._owner_since_s is None:
+            self._owner_since_s = time.monotonic()
+        return True
+
+    def _owned_s(self) -> float:
+        assert self._owner_since_s is not None
+        return time.monotonic() - self._owner_since_s
+
+    def _rate_per_s(self, state: ReplicaState) -> float:
+        return grant_rate_per_s(state.rate_limit_per_s or 0.0, self._owned_s())
+
+    def _refilled_bucket(self, state: ReplicaState) -> TokenBucket:
+        now_s = time.monotonic()
+        incarnation = state.replica.incarnation
+        bucket = self._buckets.get(incarnation)
+        if bucket is None:
+            bucket = TokenBucket(first_permits(self._owned_s()), now_s)
+            self._buckets[incarnation] = bucket
+        burst = burst_permits(state.rate_limit_per_s or 0.0)
+        bucket.refill(now_s, self._rate_per_s(state), burst)
+        return bucket
+
+    def _grant(self, state: ReplicaState) -> Permit:
+        if state.rate_limit_per_s is None:
+            return Permit(True, 0.0)
+        bucket = self._refilled_bucket(state)
+        if bucket.level < 1.0:
+            return Permit(False, bucket.wait_s(self._rate_per_s(state)))
+        bucket.take()
+        return Permit(True, 0.0)
+
+    def handle_request(self, request: PermitRequest) -> Permit:
+        """Answer another daemon's request for a permit."""
+        state = self._listed_state(request.replica_id, request.started_ms)
+        if state is None or not self._is_granting():
+            return Permit(False, OWNER_UNREACHABLE_PAUSE_S)
+        since_change_s = time.monotonic() - state.rate_limit_since_s
+        if state.rate_limit_per_s is None and since_change_s > LIMIT_SPREAD_S:
+            state.record_rate_limit(request.limit_per_s)
+        return self._grant(state)
+
+    def handle_notice(self, notice: RateLimitNotice) -> None:
+        """Record a limit that a replica named to another daemon."""
+        state = self._listed_state(notice.replica_id, notice.started_ms)
+        if state is not None:
+            state.record_rate_limit(notice.limit_per_s)
+
+    def _listed_state(self, replica_id: str, started_ms: int) -> ReplicaState | None:
+        state = self._fleet.get(replica_id)
+        is_same = state is not None and state.replica.started_ms == started_ms
+        return state if is_same else None
+
+    # -- spreading limits
+
+    def _on_observed_limit(self, state: ReplicaState) -> None:
+        """Tell the owner of a limit that began, changed or ended."""
+        if self._is_owner():
+            return
+        replica = state.replica
+        notice = RateLimitNotice(
+            replica.replica_id, replica.started_ms, state.rate_limit_per_s
+        )
+        task = asyncio.create_task(self._send_notice(notice))
+        self._notices.add(task)
+        task.add_done_callback(self._notices.discard)
+
+    async def _send_notice(self, notice: RateLimitNotice) -> None:
+        try:
+            await self._owner.send_rate_limit(notice)
+        except CodedError as error:
+            # Requests for permits name the limit too, and the next response without
+            # one makes another daemon send this notice again.
+            logger.info(
+                "permits: limit of {} not sent to the owner",
+                notice.replica_id,
+                reason=error.reason,
+            )
+
+    async def publish_changes(self) -> None:
+        """Publish the limits that differ from the listed ones, while the owner."""
+        if not self._is_granting():
+            return
+        due = [state for state in self._fleet.all_replicas() if self._is_due(state)]
+        for state in due[:MAX_PUBLISHED_PER_TICK]:
+            replica, limit_per_s = state.replica, state.rate_limit_per_s
+            self._published[replica.incarnation] = (limit_per_s, time.monotonic())
+            try:
+                await self._publish(replica, limit_per_s)
+            except CodedError as error:
+                logger.info(
+                    "permits: limit of {} not published",
+                    replica.replica_id,
+                    reason=error.reason,
+                )
+                return
+
+    def _is_due(self, state: ReplicaState) -> bool:
+        limit_per_s = state.rate_limit_per_s
+        if state.is_gone or limit_per_s == state.replica.rate_limit_per_s:
+            return False
+        published = self._published.get(state.replica.incarnation)
+        if published is None or published[0] != limit_per_s:
+            return True
+        return time.monotonic() - published[1] > PUBLISH_AGAIN_S
--- a/greengagetack/replicas/replica.py
+++ b/greengagetack/replicas/replica.py
@@ -1,19 +1,23 @@
 """greengagetack.replicas.replica: a listed replica and its observed state."""
 
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from loguru import logger
 
 from greengagetack.world import Address
 
-__all__ = ["Replica", "ReplicaState"]
+__all__ = ["Incarnation", "Replica", "ReplicaState"]
 
 INITIAL_SUSPENSION_S = 0.3
 MAX_SUSPENSION_S = 2.0
 # Weight of the newest sample in the moving average of the service time.
 SMOOTHING_FACTOR = 0.3
 
+# Identifier and start of a replica: it may start again under its identifier.
+Incarnation = tuple[str, int]
+
 
 @dataclass(frozen=True, slots=True)
 class Replica:
@@ -27,6 +31,9 @@
         Unix time of the start, in milliseconds; 0 if unknown.
     cold_left_ms : float
         Remaining time of slow operation after the start, in milliseconds.
+    rate_limit_per_s : float or None
+        Requests a second that the replica takes from all VMs together, as published by
+        the owner of its permits; None without a limit.
     """
 
     replica_id: str
@@ -38,6 +45,12 @@
     model_versions: tuple[tuple[str, int], ...] = ()
     started_ms: int = 0
     cold_left_ms: float = 0.0
+    rate_limit_per_s: float | None = None
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """What tells this start of the replica from others under its identifier."""
+        return self.replica_id, self.started_ms
 
     def version_of(self, model: str) -> int | None:
         """Return the listed weight version of a model, None if it is not listed."""
@@ -68,6 +81,11 @@
     leaving_since_s: float | None = None
     rate_limit_per_s: float | None = None
     sent_under_limit: int = 0
+    # Time of the last change of the rate limit.
+    rate_limit_since_s: float = float("-inf")
+    # No permit is due before this time.
+    rate_limited_until_s: float = float("-inf")
+    on_observed_limit: Callable[["ReplicaState"], None] | None = None
 
     @property
     def is_serving(self) -> bool:
@@ -86,8 +104,15 @@
             self.replica.replica_id,
         )
 
+    def observe_rate_limit(self, rate_per_s: float | None) -> None:
+        """Record the rate limit that a response announced, and report a change."""
+        is_change = rate_per_s != self.rate_limit_per_s
+        self.record_rate_limit(rate_per_s)
+        if is_change and self.on_observed_limit is not None:
+            self.on_observed_limit(self)
+
     def record_rate_limit(self, rate_per_s: float | None) -> None:
-        """Record the rate limit that the replica's last response announced."""
+        """Record the newest known rate limit, None for no limit."""
         if rate_per_s == self.rate_limit_per_s:
             return
         logger.info(
@@ -100,6 +125,8 @@
         )
         self.rate_limit_per_s = rate_per_s
         self.sent_under_limit = 0
+        self.rate_limited_until_s = float("-inf")
+        self.rate_limit_since_s = time.monotonic()
 
     def record_send(self) -> None:
         """Count a request that is about to be sent to the replica."""
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -53,6 +53,8 @@
         Requests that are always answered with 500.
     leaving : bool
         Announces in every answer that the replica leaves.
+    rate_limit : str
+        Requests a second that every answer names as the replica's limit.
     """
 
     break_after: int = 0
@@ -64,6 +66,7 @@
     foreign_answers: int = 0
     failing_ids: set[str] = field(default_factory=set)
     leaving: bool = False
+    rate_limit: str = ""
 
 
 class Replica:
@@ -150,6 +153,8 @@
         seal = {"x-request-id": request_id, "x-response-seal": seal_of(request_id)}
         if self.fault.leaving:
             seal["server-leaving"] = "1"
+        if self.fault.rate_limit:
+            seal["server-limit"] = self.fault.rate_limit
         if request.headers.get("x-expect-instance", self.replica_id) != self.replica_id:
             return Response(status_code=421)
         if self.running >= self.slots or self.is_loading:
