--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -711,6 +711,7 @@
                 events=len(progress.outputs),
                 from_event=from_event,
                 versions=",".join(map(str, progress.versions)),
+                software=state.replica.software_version,
                 ms=int((time.monotonic() - started_s) * MS_PER_S),
                 in_flight=state.in_flight,
             )
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -309,6 +309,12 @@
                 self._call, state, self._deadline_s, True, after_event
             )
             if attempt.result is AttemptResult.ANSWERED:
+                logger.info(
+                    "forward: stream goes on",
+                    request_id=self._call.request_id,
+                    replica=state.replica.replica_id,
+                    software=state.replica.software_version,
+                )
                 return attempt.reply.parts if attempt.reply else None
         return None
 
--- a/greengagetack/replicas/replica.py
+++ b/greengagetack/replicas/replica.py
@@ -31,6 +31,8 @@
         Unix time of the start, in milliseconds; 0 if unknown.
     cold_left_ms : float
         Remaining time of slow operation after the start, in milliseconds.
+    software_version : str
+        Version of the replica's software, empty if unknown.
     rate_limit_per_s : float or None
         Requests a second that the replica takes from all VMs together, as published by
         the owner of its permits; None without a limit.
@@ -45,6 +47,7 @@
     model_versions: tuple[tuple[str, int], ...] = ()
     started_ms: int = 0
     cold_left_ms: float = 0.0
+    software_version: str = ""
     rate_limit_per_s: float | None = None
 
     @property
