Continue the items of a job only at the software version that began them

Cause: a resume looked at weights only; the software version of an entry was not read.

Change: the progress of an item names the software that wrote its events, also in checkpoints and when a dispatcher hands over. Only replicas of that software continue it; when none of them serves any more, the item starts again. The check for a single weight version moves to the same place: before, the search for a faster replica could discard the output of an item that was running.

Tests: the first two scenarios of software_versions fail on the code before (8 and 2 items continued at v2) and pass now.

--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -472,6 +472,8 @@
         paces = self._paces.current()
         memory_use = self._memory_use(paces)
         for _, run, progress in waiting:
+            if not self._can_continue(run.job, progress):
+                progress.restart()
             need = self._memory_need(run.job, progress, paces)
             state = self._choose_replica(run.job, progress, paces, need, memory_use)
             if state is None:
@@ -584,8 +586,6 @@
     ) -> ReplicaState | None:
         now_s = time.monotonic()
         group = progress.item.group
-        if job.single_version and not self._is_version_served(job, progress.versions):
-            progress.restart()
         candidates = []
         for state in self._fleet.serving_replicas(job.service):
             version = state.version_of(job.model)
@@ -594,6 +594,8 @@
                 continue
             if version < job.min_version or replica_id == leaving:
                 continue
+            if not progress.may_continue_at(state.replica.software_version):
+                continue
             if not self._permits.has_permit(state):
                 continue
             is_avoided = now_s < progress.avoided_until_s
@@ -618,12 +620,23 @@
         chosen = choose_candidate(candidates, need.soon_tokens)
         return None if chosen is None else self._fleet.get(chosen.replica_id)
 
-    def _is_version_served(self, job: Job, versions: list[int]) -> bool:
-        """Whether a replica still has the version that generated an item so far."""
-        return not versions or any(
-            state.version_of(job.model) == versions[0]
-            for state in self._fleet.replicas_of_service(job.service)
-        )
+    def _can_continue(self, job: Job, progress: ItemProgress) -> bool:
+        """Whether a replica that still serves may continue an item's output.
+
+        With a single version per result, that needs the weights that generated the
+        output so far.
+        """
+        serving = self._fleet.serving_replicas(job.service)
+        if not progress.outputs or not serving:
+            return True
+        for state in serving:
+            if not progress.may_continue_at(state.replica.software_version):
+                continue
+            if not job.single_version:
+                return True
+            if state.version_of(job.model) == progress.versions[0]:
+                return True
+        return False
 
     def _start_run(
         self, run: JobRun, progress: ItemProgress, state: ReplicaState
@@ -640,6 +653,8 @@
             run.job.min_version, run.job.single_version
         ):
             progress.restart()
+        if not progress.outputs:
+            progress.software = state.replica.software_version
         task = asyncio.create_task(
             self._run_item(run, progress, state), name=f"item {item_id}"
         )
--- a/greengagetack/batches/progress.py
+++ b/greengagetack/batches/progress.py
@@ -13,7 +13,8 @@
 class ProgressSnapshot:
     """Progress of an item as transferred to another daemon or stored.
 
-    The failure counts belong to the job `job_id`.
+    The failure counts belong to the job `job_id`; `software` is the version of the
+    software that wrote the outputs.
     """
 
     item_id: str
@@ -25,6 +26,7 @@
     job_id: str = ""
     server_failures: int = 0
     reward_failures: int = 0
+    software: str = ""
 
     def is_further_than(self, other: "ProgressSnapshot") -> bool:
         """Whether less work is left than with another snapshot of the same item."""
@@ -41,6 +43,9 @@
 
     Attributes
     ----------
+    software : str
+        Version of the software that wrote the events. What two versions write does not
+        fit together.
     generation : int
         Number of times that the events were discarded; a score belongs to the output
         of one generation only.
@@ -52,6 +57,7 @@
     last_event_id: str = ""
     is_complete: bool = False
     score: str = ""
+    software: str = ""
     generation: int = 0
     job_id: str = ""
     server_failures: int = 0
@@ -72,8 +78,13 @@
         self.last_event_id = ""
         self.is_complete = False
         self.score = ""
+        self.software = ""
         self.generation += 1
 
+    def may_continue_at(self, software: str) -> bool:
+        """Whether replicas of a software version may write the next events."""
+        return not self.outputs or software == self.software
+
     @property
     def is_finished(self) -> bool:
         """Whether the output is complete and, if the item asks for it, scored."""
@@ -173,6 +184,7 @@
             self.job_id,
             self.server_failures,
             self.reward_failures,
+            self.software,
         )
 
     def continue_from(self, snapshot: ProgressSnapshot, job: Job) -> None:
@@ -192,6 +204,7 @@
         self.last_event_id = snapshot.last_event_id
         self.is_complete = snapshot.is_complete
         self.score = snapshot.score
+        self.software = snapshot.software
 
 
 def _can_combine(
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -219,7 +219,7 @@
         entry = {
             **self._addresses[name],
             "zone": "zone-a",
-            "version": "v1",
+            "version": replica.software,
             "slots": replica.slots,
             "state": state,
             "cold_left_ms": 0,
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -84,6 +84,7 @@
         self.events = events
         self.event_s = event_s
         self.version = 1
+        self.software = "v1"
         self.running = 0
         self.accepted_orders = 0
         self.is_loading = False
