Resume callers' streams only at the software version that began them

In tests on the code before, 4 to 12 of 12 streams were continued by another software version, in one answer or when the caller came back at another daemon.

Cause: a resume took any replica. For a caller that comes back, only the daemon that served the first attempt could know the version, and that one may be gone.

Change: a resume within an answer asks only replicas of the same software and ends the answer at once when none serves. A stream's software is remembered by three daemons on a ring over the members; a request that takes a stream up is sent by what they know, and refused as not run when nobody knows while several versions served in the last 120 s. The service of a split route follows the first attempt's identifier too.

--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -44,3 +44,61 @@
       | 3      | v1       | discarded         | v2   | yes |
       | 3      | v1       | sent to a daemon  | v1   | yes |
       | 3      | v1       | sent to a daemon  | v2   | no  |
+
+  Scenario: A caller's stream is continued only by replicas of the software that began it
+    Given a platform with 4 engines and 1 daemons
+    And replicas engine-3,engine-4 run software v2
+    When replica engine-1 breaks each stream off after 3 events
+    And replica engine-2 breaks each stream off after 3 events
+    And replica engine-3 breaks each stream off after 3 events
+    And replica engine-4 breaks each stream off after 3 events
+    And 12 chat streams are read at edge-1
+    Then all 12 streams are complete, each event once
+    And no stream was continued by another software version
+
+  Scenario Outline: A caller that takes streams up at another daemon
+    Given a platform with 4 engines and 4 daemons
+    And the engines send an event every 50 ms
+    And replicas engine-3,engine-4 run software v2
+    And the daemons have had time to list each other
+    When 2 events of 12 chat streams are read at <first>
+    And <loss>
+    And the streams are taken up at <second>
+    Then at least <resumed> of them go on to their ends, the others are refused at once
+    And no stream was continued by another software version
+
+    Examples:
+      | first  | loss                        | second | resumed |
+      | edge-1 | nothing is lost             | edge-2 | 12      |
+      | edge-1 | daemon edge-1 is killed     | edge-2 | 12      |
+      | edge-1 | the replicas of v1 leave    | edge-2 | 1       |
+      | edge-1 | the replicas of v1 leave    | edge-1 | 1       |
+
+  Scenario Outline: Software versions that may have begun a stream
+    Given a fleet whose replicas run software v1
+    When these changes follow: <changes>
+    Then the software versions of the last 120 s are <versions>
+
+    Examples:
+      | changes                                     | versions |
+      | none                                        | v1       |
+      | v2 starts                                   | v1,v2    |
+      | v2 starts, v1 is removed                    | v1,v2    |
+      | v2 starts, v1 is removed, 119 s pass        | v1,v2    |
+      | v2 starts, v1 is removed, 121 s pass        | v2       |
+      | v2 starts, 121 s pass                       | v1,v2    |
+
+  Scenario Outline: Streams whose origin is known after several daemons are lost
+    Given <daemons> daemons that remember 500 streams
+    When <lost> of them are lost, and with <later> new ones a stream is asked for
+    Then at least <share> of the streams are known at every daemon
+
+    Examples:
+      | daemons | lost | later | share |
+      | 1       | 0    | 0     | 1.0   |
+      | 9       | 0    | 0     | 1.0   |
+      | 9       | 1    | 0     | 1.0   |
+      | 9       | 0    | 3     | 0.95  |
+      | 9       | 3    | 0     | 0.9   |
+      | 72      | 25   | 0     | 0.9   |
+      | 72      | 0    | 7     | 0.95  |
--- a/greengagetack/coordination/client.py
+++ b/greengagetack/coordination/client.py
@@ -14,12 +14,15 @@
     HandOver,
     JobHint,
     Pong,
+    RecordedOrigins,
     RelayCall,
     Segments,
+    StreamOriginAnswer,
     decode,
     encode,
 )
 from greengagetack.errors import PeerUnreachable, PlatformUnavailable
+from greengagetack.gateway.stream_origins import StreamOrigin
 from greengagetack.http1.message import ExchangeError, Request
 from greengagetack.http1.pool import Pool
 from greengagetack.objects.base import HistoryGone, WatchAnswer
@@ -33,6 +36,8 @@
 CALL_TIMEOUT_S = 0.5
 # A caller waits for the permit; another replica may serve it sooner.
 PERMIT_TIMEOUT_S = 0.1
+# A caller waits for the origin of the stream that it takes up.
+ORIGIN_TIMEOUT_S = 0.4
 # Time allowed for the response to a waiting read, in addition to its wait.
 READ_MARGIN_S = 0.3
 RELAY_TIMEOUT_S = 1.2
@@ -57,6 +62,8 @@
         Returns the address of the dispatcher, None if unknown.
     other_addresses : callable
         Returns the addresses of all other daemons.
+    member_addresses : callable
+        Returns the addresses of all listed daemons.
     """
 
     def __init__(
@@ -64,10 +71,12 @@
         node: str,
         dispatcher_address: Callable[[], Address | None],
         other_addresses: Callable[[], list[Address]],
+        member_addresses: Callable[[], list[Address]],
     ) -> None:
         self.node = node
         self._dispatcher_address = dispatcher_address
         self._other_addresses = other_addresses
+        self.member_addresses = member_addresses
         self._pool = Pool(CONNECT_TIMEOUT_S)
         self._rng = random.Random()
         self._preferred_relay: Address | None = None
@@ -184,6 +193,20 @@
         body = encode(notice)
         await self._call(address, "POST", "/peer/rate-limits", body, CALL_TIMEOUT_S)
 
+    async def send_origins(
+        self, address: Address, origins: tuple[StreamOrigin, ...]
+    ) -> None:
+        """Let a daemon remember which software began streams."""
+        body = encode(RecordedOrigins(origins))
+        path = "/peer/stream-origins"
+        await self._call(address, "POST", path, body, CALL_TIMEOUT_S)
+
+    async def fetch_origin(self, address: Address, request_id: str) -> str | None:
+        """Return the software that began a stream, None if the daemon has no record."""
+        path = f"/peer/stream-origins/{quote(request_id, safe='')}"
+        body = await self._call(address, "GET", path, b"", ORIGIN_TIMEOUT_S)
+        return _decode_response(body, StreamOriginAnswer).software
+
     async def relay(
         self, method: str, target: str, body: bytes, wait_s: float
     ) -> StoreResponse:
--- a/greengagetack/coordination/messages.py
+++ b/greengagetack/coordination/messages.py
@@ -6,14 +6,17 @@
 
 from greengagetack.batches.job import Segment
 from greengagetack.batches.progress import ProgressSnapshot
+from greengagetack.gateway.stream_origins import StreamOrigin
 
 __all__ = [
     "HandOver",
     "JobHint",
     "Member",
     "Pong",
+    "RecordedOrigins",
     "RelayCall",
     "Segments",
+    "StreamOriginAnswer",
     "decode",
     "encode",
 ]
@@ -77,5 +80,19 @@
     wait_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class RecordedOrigins:
+    """Streams that the receiver is to remember."""
+
+    origins: tuple[StreamOrigin, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOriginAnswer:
+    """The software that began a stream, None if it is not known."""
+
+    software: str | None
+
+
 encode = msgspec.msgpack.encode
 decode = msgspec.msgpack.decode
--- a/greengagetack/coordination/roster.py
+++ b/greengagetack/coordination/roster.py
@@ -111,6 +111,10 @@
         addresses.discard(self._local_member.control)
         return [Address.parse(text) for text in sorted(addresses)]
 
+    def member_addresses(self) -> list[Address]:
+        """Return the control addresses of all listed daemons, this one included."""
+        return [Address.parse(member.control) for member in self.members().values()]
+
     def record_contact(self, node: str) -> None:
         """Record that a daemon has polled this one for changes."""
         if node:
--- a/greengagetack/coordination/server.py
+++ b/greengagetack/coordination/server.py
@@ -13,12 +13,15 @@
     HandOver,
     JobHint,
     Pong,
+    RecordedOrigins,
     RelayCall,
     Segments,
+    StreamOriginAnswer,
     decode,
     encode,
 )
 from greengagetack.errors import CodedError
+from greengagetack.gateway.stream_origins import StreamOrigins
 from greengagetack.objects.feed import Feed
 from greengagetack.objects.transport import StoreResponse
 from greengagetack.replicas.permits import PermitRequest, Permits, RateLimitNotice
@@ -35,6 +38,7 @@
     reader: JobReader,
     dispatcher: Dispatcher,
     permits: Permits,
+    stream_origins: StreamOrigins,
     feeds: dict[str, Feed],
     on_follower: Callable[[str], None],
     call_store: Callable[[RelayCall], Awaitable[StoreResponse]],
@@ -88,6 +92,15 @@
         permits.handle_notice(decode(await request.body(), type=RateLimitNotice))
         return Response()
 
+    async def record_origins(request: Request) -> Response:
+        recorded = decode(await request.body(), type=RecordedOrigins)
+        stream_origins.remember(recorded.origins)
+        return Response()
+
+    async def stream_origin(request: Request) -> Response:
+        software = stream_origins.known(request.path_params["request_id"])
+        return Response(encode(StreamOriginAnswer(software)))
+
     async def progress(request: Request) -> Response:
         return Response(encode(HandOver(dispatcher.deactivate())))
 
@@ -109,6 +122,8 @@
             Route("/peer/jobs", receive_hint, methods=["POST"]),
             Route("/peer/permits", permit, methods=["POST"]),
             Route("/peer/rate-limits", rate_limit, methods=["POST"]),
+            Route("/peer/stream-origins", record_origins, methods=["POST"]),
+            Route("/peer/stream-origins/{request_id}", stream_origin),
             Route("/peer/progress", progress, methods=["POST"]),
             Route("/peer/store", store, methods=["POST"]),
         ],
--- a/greengagetack/gateway/call.py
+++ b/greengagetack/gateway/call.py
@@ -22,13 +22,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """A request as the caller sent it; header names are lower case."""
+    """A request as the caller sent it; header names are lower case.
+
+    `resumes` is the identifier of the request that began the stream, if this one takes
+    a stream up after a later event, else an empty string.
+    """
 
     request_id: str
     method: bytes
     target: bytes
     headers: Headers
     body: bytes
+    resumes: str = ""
 
 
 class ReplicaDialect(Protocol):
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -29,6 +29,11 @@
 )
 from greengagetack.gateway.routes import RequestKind, Route
 from greengagetack.gateway.stream import resumable_stream
+from greengagetack.gateway.stream_origins import (
+    RETENTION_S,
+    StreamOrigin,
+    StreamOrigins,
+)
 from greengagetack.http1.connection import Connection
 from greengagetack.http1.message import ExchangeError, ResponseHead
 from greengagetack.http1.pool import Pool
@@ -59,11 +64,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """The outcome of sending a request to one replica."""
+    """The outcome of sending a request to one replica.
+
+    `software` is the version of the replica's software that began a stream.
+    """
 
     result: AttemptResult
     reply: Reply | None
     reason: str
+    software: str = ""
 
 
 class Forwarder:
@@ -75,12 +84,14 @@
         pool: Pool,
         dialect: ReplicaDialect,
         permits: Permits,
+        origins: StreamOrigins,
         zone: str,
     ) -> None:
         self._fleet = fleet
         self._pool = pool
         self._dialect = dialect
         self._permits = permits
+        self.origins = origins
         self._zone = zone
         self._rng = random.Random()
 
@@ -96,6 +107,7 @@
         """
         run = _RequestRun(self, call, route, deadline_s)
         try:
+            await run.find_software()
             return await run.execute()
         finally:
             run.cancel()
@@ -104,9 +116,25 @@
         """Return the replicas of a service listed by discovery."""
         return self._fleet.replicas_of_service(service)
 
-    def next_replica(self, service: str, tried: set[str]) -> ReplicaState | None:
+    def recent_software(self, service: str) -> set[str]:
+        """Return the software versions that may have begun a stream still read."""
+        return self._fleet.recent_software(service, RETENTION_S)
+
+    def serving_replicas(
+        self, service: str, software: str | None
+    ) -> list[ReplicaState]:
+        """Return replicas that may get requests, of one software version if given."""
+        return [
+            state
+            for state in self._fleet.serving_replicas(service)
+            if software in (None, state.replica.software_version)
+        ]
+
+    def next_replica(
+        self, service: str, tried: set[str], software: str | None
+    ) -> ReplicaState | None:
         """Return the best replica outside `tried`, None if none is left."""
-        states = self._fleet.serving_replicas(service)
+        states = self.serving_replicas(service, software)
         now_s = time.monotonic()
         return choose_replica(states, tried, self._zone, now_s, self._rng)
 
@@ -165,7 +193,9 @@
                 if execution is ExecutionStatus.RAN and is_stream:
                     is_handed_over = True
                     parts = self._stream(connection, pool_context, state)
-                    return Attempt(AttemptResult.ANSWERED, Reply(head, b"", parts), "")
+                    reply = Reply(head, b"", parts)
+                    software = replica.software_version
+                    return Attempt(AttemptResult.ANSWERED, reply, "", software)
                 body = await connection.read_all(MAX_RESPONSE_BYTES)
             finally:
                 if not is_handed_over:
@@ -221,12 +251,36 @@
         self._call = call
         self._route = route
         self._deadline_s = deadline_s
-        self._service = route.service_for(call.request_id)
+        self._service = route.service_for(call.resumes or call.request_id)
+        # What two software versions write does not fit together, so a stream that has
+        # begun goes on only at replicas of this version.
+        self._software: str | None = None
         self._tried: set[str] = set()
         self._run_count = 0
         self._may_have_run = False
         self._pending: set[asyncio.Task[Attempt]] = set()
 
+    async def find_software(self) -> None:
+        """Find the software that began the stream, if this request takes one up.
+
+        Raises
+        ------
+        NoEndpoint
+            If that is not known, and replicas of several versions served lately.
+        """
+        if not self._call.resumes or self._route.kind is not RequestKind.STREAM:
+            return
+        self._software = await self._forwarder.origins.find(self._call.resumes)
+        if self._software is not None:
+            return
+        versions = self._forwarder.recent_software(self._service)
+        if len(versions) > 1:
+            raise NoEndpoint(
+                f"the software version that began stream {self._call.resumes} is "
+                f"unknown, and {len(versions)} versions served lately",
+                self._forwarder.retry_after_s(self._service),
+            )
+
     async def execute(self) -> Reply:
         """Try replicas until one responds or no retry is allowed."""
         hedge_s = hedge_delay_s(
@@ -275,11 +329,11 @@
             ran_before,
             self._run_count,
             self._route.max_attempts,
-            self._forwarder.next_replica(self._service, self._tried) is not None,
+            self._next_replica() is not None,
             self._deadline_s - time.monotonic() - DEADLINE_MARGIN_S,
         )
         if step is NextStep.DELIVER:
-            return self._wrap_stream(attempt.reply)
+            return self._wrap_stream(attempt)
         if step is NextStep.RETRY and self._start_attempt():
             return None
         if self._pending:
@@ -289,17 +343,30 @@
             raise EndpointRefused(attempt.reason, retry_s)
         raise EndpointFailed(attempt.reason)
 
-    def _wrap_stream(self, reply: Reply | None) -> Reply | None:
+    def _next_replica(self) -> ReplicaState | None:
+        return self._forwarder.next_replica(self._service, self._tried, self._software)
+
+    def _wrap_stream(self, attempt: Attempt) -> Reply | None:
+        reply = attempt.reply
         if reply is None or reply.parts is None:
             return reply
+        self._software = attempt.software
+        if self._route.is_resumable and not self._call.resumes:
+            origin = StreamOrigin(self._call.request_id, attempt.software)
+            self._forwarder.origins.record(origin)
         resume = self._resume if self._route.is_resumable else None
         parts = resumable_stream(self._call, reply.parts, resume)
         return Reply(reply.head, reply.body, parts)
 
     async def _resume(self, after_event: str) -> AsyncIterator[bytes] | None:
-        """Resume the stream after an event, preferably at a replica not yet tried."""
+        """Resume the stream after an event, preferably at a replica not yet tried.
+
+        Without a replica of the software that began it, the stream ends at once.
+        """
         while time.monotonic() < self._deadline_s:
-            state = self._forwarder.next_replica(self._service, self._tried)
+            if not self._forwarder.serving_replicas(self._service, self._software):
+                return None
+            state = self._next_replica()
             if state is None:
                 self._tried.clear()
                 await asyncio.sleep(RESUME_RETRY_PAUSE_S)
@@ -319,7 +386,7 @@
         return None
 
     def _start_attempt(self) -> bool:
-        state = self._forwarder.next_replica(self._service, self._tried)
+        state = self._next_replica()
         if state is None:
             return False
         self._tried.add(state.replica.replica_id)
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -26,6 +26,7 @@
 from greengagetack.daemons.supervise import supervise
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.routes import Configuration, Limits, Route, RouteTable
+from greengagetack.gateway.stream_origins import StreamOrigins
 from greengagetack.http1.pool import Pool
 from greengagetack.objects.base import PlatformObject
 from greengagetack.objects.feed import Feed
@@ -127,8 +128,12 @@
             lambda pong: self._lease.record_version(pong.lease_version),
         )
         self._peers = PeerClient(
-            facts.node, self._claim.holder_address, self._roster.addresses
+            facts.node,
+            self._claim.holder_address,
+            self._roster.addresses,
+            self._roster.member_addresses,
         )
+        self._stream_origins = StreamOrigins(self._peers, facts.control)
         self._permits = Permits(
             self._fleet,
             self._peers,
@@ -144,7 +149,12 @@
         self._engine_properties = EngineProperties()
         self._ledger = Ledger(self._store)
         forwarder = Forwarder(
-            self._fleet, pool, dialect, self._permits, facts.availability_zone
+            self._fleet,
+            pool,
+            dialect,
+            self._permits,
+            self._stream_origins,
+            facts.availability_zone,
         )
         self._dispatcher = Dispatcher(
             self._ledger,
@@ -325,6 +335,7 @@
                     self._reader,
                     self._dispatcher,
                     self._permits,
+                    self._stream_origins,
                     {
                         feed.prefix: feed
                         for feed in (
--- a/greengagetack/platform/ingress.py
+++ b/greengagetack/platform/ingress.py
@@ -149,7 +149,14 @@
         target = scope["raw_path"]
         if scope["query_string"]:
             target += b"?" + scope["query_string"]
-        call = Call(request_id, scope["method"].encode(), target, headers, body)
+        call = Call(
+            request_id,
+            scope["method"].encode(),
+            target,
+            headers,
+            body,
+            _resumed_request(headers, request_id),
+        )
         deadline_ms = _parse_number(
             _header_value(headers, wire.DEADLINE), DEFAULT_DEADLINE_MS
         )
@@ -299,6 +306,14 @@
     return ""
 
 
+def _resumed_request(headers: tuple[tuple[bytes, bytes], ...], request_id: str) -> str:
+    """Return the request that began the stream, an empty string for a new one."""
+    resumes = _header_value(headers, wire.RESUMES)
+    if not resumes and _header_value(headers, wire.LAST_EVENT_ID):
+        return request_id
+    return resumes
+
+
 def _parse_number(text: str, default: float) -> float:
     try:
         value = float(text)
--- a/greengagetack/platform/wire.py
+++ b/greengagetack/platform/wire.py
@@ -11,6 +11,7 @@
     "PROMPT_PREFIX",
     "REQUEST_ID",
     "RESPONSE_SEAL",
+    "RESUMES",
     "RETIREMENTS_KIND",
     "SERVERS_KIND",
     "SERVER_LEAVING",
@@ -31,6 +32,8 @@
 NOT_EXECUTED = b"x-not-executed"
 PROMPT_PREFIX = b"x-prompt-prefix"
 RESPONSE_SEAL = b"x-response-seal"
+# Identifier of the attempt that brought the first event of a stream that is taken up.
+RESUMES = b"resumes"
 SERVER_LEAVING = b"server-leaving"
 SERVER_LIMIT = b"server-limit"
 TOKEN_USAGE = b"x-token-usage"
--- a/greengagetack/replicas/fleet.py
+++ b/greengagetack/replicas/fleet.py
@@ -39,6 +39,8 @@
         # Identifier and start of removed replicas, with the time of their announcement.
         self._left: OrderedDict[Incarnation, float] = OrderedDict()
         self._states: dict[str, ReplicaState] = {}
+        # Time of the last removal of a replica, by service and software version.
+        self._last_removal_s: dict[tuple[str, str], float] = {}
         self._expired_ids: set[str] = set()
         self._listeners: list[Callable[[], None]] = []
         self._removal_listeners: list[Callable[[Replica], None]] = []
@@ -70,6 +72,16 @@
         """Return the listed replicas of a service."""
         return [s for s in self._states.values() if s.replica.service == service]
 
+    def recent_software(self, service: str, period_s: float) -> set[str]:
+        """Return the software versions of a service that were listed in a period."""
+        since_s = time.monotonic() - period_s
+        listed = self.replicas_of_service(service)
+        return {state.replica.software_version for state in listed} | {
+            software
+            for (name, software), removed_s in self._last_removal_s.items()
+            if name == service and removed_s >= since_s
+        }
+
     def serving_replicas(self, service: str) -> list[ReplicaState]:
         """Return the replicas of a service that may get new requests.
 
@@ -158,6 +170,8 @@
 
     def _mark_gone(self, state: ReplicaState) -> None:
         state.is_gone = True
+        key = (state.replica.service, state.replica.software_version)
+        self._last_removal_s[key] = time.monotonic()
         if state.leaving_since_s is not None:
             self._left[state.replica.incarnation] = state.leaving_since_s
             while len(self._left) > MAX_REMEMBERED_LEAVING:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -179,7 +179,11 @@
         if "x-model" not in request.headers:
             await self._simulate_work(request, request_id)
             return Response(b"answer to " + request_id.encode(), headers=seal)
-        headers = {**seal, "x-weight-versions": str(self.version)}
+        headers = {
+            **seal,
+            "x-weight-versions": str(self.version),
+            "x-software": self.software,
+        }
         first = int(after) + 1 if after else 1
         return StreamingResponse(
             self._stream_events(request_id, first),
