Let a rate-limited replica take one second of its limit at once

Change: BURST_S 0.5 to 1.0, still at most 5 requests, so that a change of the owner stays within the bound (4 s at 1.5 times the rate, and 5).

Ruled out: a rate over the named one; the replica names what it takes.

--- a/greengagetack/replicas/rate_limit.py
+++ b/greengagetack/replicas/rate_limit.py
@@ -13,7 +13,7 @@
 # responses show that the limit has ended.
 MIN_RATE_PER_S = 0.2
 # Requests of callers come at random; a replica takes this much of its limit at once.
-BURST_S = 0.5
+BURST_S = 1.0
 MIN_BURST_PERMITS = 2.0
 MAX_BURST_PERMITS = 5.0
 # A former owner that does not yet know of its successor may still grant permits, but
