End exchanges with replicas that send bytes without end

In a test 12 of 16 cases failed: endless heads, interim responses, answers to another request and trailers were read for ever, bodies up to 64 MB each (12 at once: 807 MB, a VM has 150), blank lines kept a stream open, a refusal's body and an endless output kept an item running.

Cause: bounds on what is parsed, none on what arrives without being parsed; a refusal was read without a time limit; no bound on all responses together.

Change: a connection closes after 262,144 bytes in a row that bring no part of the body; responses that are held in full share 0.15 of the VM's memory, a quarter of that for one; only events are a stream's progress, at most 4 MB each; the body of a refusal is read for no longer than a stall; an output that no result can hold starts again; a resume of a caller's stream ends with the deadline.

--- a/greengagetack/batches/item_run.py
+++ b/greengagetack/batches/item_run.py
@@ -5,8 +5,10 @@
 import time
 from collections.abc import Callable
 
+from loguru import logger
+
 from greengagetack.batches.events import EventParser
-from greengagetack.batches.progress import ItemProgress
+from greengagetack.batches.progress import ItemProgress, OutputTooLong
 from greengagetack.gateway.call import (
     Call,
     ExecutionStatus,
@@ -76,14 +78,14 @@
                 head = await connection.send(request, call.request_id.encode())
             execution = dialect.execution_status(head)
             if execution is ExecutionStatus.OTHER_REPLICA:
-                await _drain(connection)
+                await _drain(connection, stall_s())
                 return RunEnd.OTHER_REPLICA, f"status {head.status}"
             record_announcements(state, dialect, head)
             if execution is ExecutionStatus.NOT_RUN:
-                await _drain(connection)
+                await _drain(connection, stall_s())
                 return RunEnd.REFUSED, f"status {head.status}"
             if head.status != OK:
-                await _drain(connection)
+                await _drain(connection, stall_s())
                 end = RunEnd.HOPELESS if head.status == UNPROCESSABLE else RunEnd.FAILED
                 return end, f"status {head.status}"
             version = dialect.weight_version(head)
@@ -103,12 +105,25 @@
             )
     except TimeoutError:
         return RunEnd.BROKEN, "silent"
+    except OutputTooLong as error:
+        progress.restart()
+        return RunEnd.BROKEN, str(error)
     except (ExchangeError, ValueError) as error:
         return (RunEnd.BROKEN if is_sent else RunEnd.NOT_SENT), str(error)
 
 
-async def _drain(connection: Connection) -> None:
-    await connection.read_all(MAX_ERROR_BODY_BYTES)
+async def _drain(connection: Connection, limit_s: float) -> None:
+    """Read the rest of a response, so that its connection can be used again.
+
+    The head has already told how the run ended, so a body that does not end costs only
+    the connection.
+    """
+    try:
+        async with asyncio.timeout(limit_s):
+            await connection.read_all(MAX_ERROR_BODY_BYTES)
+    except (ExchangeError, TimeoutError) as error:
+        logger.info("dispatch: the body of an error did not end: {!r}", error)
+        connection.close()
 
 
 async def _read_events(
--- a/greengagetack/batches/progress.py
+++ b/greengagetack/batches/progress.py
@@ -6,7 +6,14 @@
 from greengagetack.batches.events import Event
 from greengagetack.batches.job import Item, Job, Result, ResultState
 
-__all__ = ["ItemProgress", "ProgressSnapshot"]
+__all__ = ["ItemProgress", "OutputTooLong", "ProgressSnapshot"]
+
+# A result must fit into one object of the store.
+MAX_OUTPUT_CHARS = 700_000
+
+
+class OutputTooLong(ValueError):
+    """The events of an item are more than a result can hold."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +65,7 @@
     is_complete: bool = False
     score: str = ""
     software: str = ""
+    output_chars: int = 0
     generation: int = 0
     job_id: str = ""
     server_failures: int = 0
@@ -79,6 +87,7 @@
         self.is_complete = False
         self.score = ""
         self.software = ""
+        self.output_chars = 0
         self.generation += 1
 
     def may_continue_at(self, software: str) -> bool:
@@ -116,11 +125,16 @@
         ------
         ValueError
             If the event does not follow the last one.
+        OutputTooLong
+            If the output would exceed ``MAX_OUTPUT_CHARS``.
         """
         expected = int(self.last_event_id) + 1 if self.last_event_id else None
         number = int(event.event_id)
         if expected is not None and number != expected:
             raise ValueError(f"received event {number}, expected event {expected}")
+        if self.output_chars + len(event.data) > MAX_OUTPUT_CHARS:
+            raise OutputTooLong(f"the output exceeds {MAX_OUTPUT_CHARS} characters")
+        self.output_chars += len(event.data)
         self.outputs.append(event.data)
         self.last_event_id = event.event_id
         if version not in self.versions:
@@ -205,6 +219,7 @@
         self.is_complete = snapshot.is_complete
         self.score = snapshot.score
         self.software = snapshot.software
+        self.output_chars = sum(len(output) for output in self.outputs)
 
 
 def _can_combine(
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -35,6 +35,7 @@
     StreamOrigins,
 )
 from greengagetack.http1.connection import Connection
+from greengagetack.http1.memory import ResponseMemory
 from greengagetack.http1.message import ExchangeError, ResponseHead
 from greengagetack.http1.pool import Pool
 from greengagetack.replicas.fleet import Fleet
@@ -43,7 +44,6 @@
 
 __all__ = ["Attempt", "Forwarder", "Reply"]
 
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 # Pause after a replica refused a request because it is full.
 FULL_REPLICA_PAUSE_S = 0.05
 # The caller gets its response, or an error, at least this long before its deadline.
@@ -85,6 +85,7 @@
         dialect: ReplicaDialect,
         permits: Permits,
         origins: StreamOrigins,
+        memory: ResponseMemory,
         zone: str,
     ) -> None:
         self._fleet = fleet
@@ -92,6 +93,7 @@
         self._dialect = dialect
         self._permits = permits
         self.origins = origins
+        self._memory = memory
         self._zone = zone
         self._rng = random.Random()
 
@@ -196,7 +198,7 @@
                     reply = Reply(head, b"", parts)
                     software = replica.software_version
                     return Attempt(AttemptResult.ANSWERED, reply, "", software)
-                body = await connection.read_all(MAX_RESPONSE_BYTES)
+                body = await self._memory.read_all(connection)
             finally:
                 if not is_handed_over:
                     await pool_context.__aexit__(None, None, None)
@@ -372,9 +374,13 @@
                 await asyncio.sleep(RESUME_RETRY_PAUSE_S)
                 continue
             self._tried.add(state.replica.replica_id)
-            attempt = await self._forwarder.attempt_with_permit(
-                self._call, state, self._deadline_s, True, after_event
-            )
+            try:
+                async with asyncio.timeout(self._deadline_s - time.monotonic()):
+                    attempt = await self._forwarder.attempt_with_permit(
+                        self._call, state, self._deadline_s, True, after_event
+                    )
+            except TimeoutError:
+                return None
             if attempt.result is AttemptResult.ANSWERED:
                 logger.info(
                     "forward: stream goes on",
--- a/greengagetack/gateway/stream.py
+++ b/greengagetack/gateway/stream.py
@@ -17,17 +17,23 @@
 # A stream that cannot be resumed is given up only once nobody can still wait for it.
 MAX_STALL_S = 30.0
 MAX_RESUMPTIONS = 4
+MAX_EVENT_BYTES = 4 * 1024 * 1024
 
 # Resumes the stream after the given event; None if no replica accepted it.
 ResumeStream = Callable[[str], Awaitable[AsyncIterator[bytes] | None]]
 
 
 class EventBlocks:
-    """Splits a stream into complete events and records the last event identifier."""
+    """Splits a stream into complete events and records the last event identifier.
+
+    `event_lines` counts the lines that belong to events, unlike blank lines and
+    comments.
+    """
 
     def __init__(self) -> None:
         self._pending = b""
         self.last_event_id = ""
+        self.event_lines = 0
 
     @property
     def has_partial_event(self) -> bool:
@@ -35,14 +41,24 @@
         return bool(self._pending)
 
     def feed(self, part: bytes) -> bytes:
-        """Add received bytes; return the events that are now complete, unchanged."""
+        """Add received bytes; return the events that are now complete, unchanged.
+
+        Raises
+        ------
+        IncompleteResponse
+            If an event is larger than ``MAX_EVENT_BYTES``.
+        """
         data = self._pending + part
         end = data.rfind(b"\n\n") + 2
         if end < 2:
+            if len(data) > MAX_EVENT_BYTES:
+                raise IncompleteResponse("an event is larger than the size limit")
             self._pending = data
             return b""
         complete, self._pending = data[:end], data[end:]
         for line in complete.split(b"\n"):
+            if line.startswith((b"id:", b"data:")):
+                self.event_lines += 1
             if line.startswith(b"id:"):
                 self.last_event_id = line[3:].strip().decode()
         return complete
@@ -68,7 +84,7 @@
     stall_s = MAX_SILENCE_S if resume else MAX_STALL_S
     for _ in range(MAX_RESUMPTIONS + 1):
         reason = ""
-        # Single bytes are no progress: a stalled replica may go on sending some.
+        # Only complete events are progress: a stalled replica may go on sending bytes.
         progress_s = time.monotonic()
         try:
             while True:
@@ -76,8 +92,10 @@
                     part = await anext(parts, b"")
                 if not part:
                     break
+                former_lines = blocks.event_lines
                 if complete := blocks.feed(part):
                     yield complete
+                if blocks.event_lines > former_lines:
                     progress_s = time.monotonic()
             if not blocks.has_partial_event:
                 return
--- a/greengagetack/http1/connection.py
+++ b/greengagetack/http1/connection.py
@@ -25,6 +25,9 @@
 USER_TIMEOUT_MS = 2_500
 # Reading pauses while more than this much of a body is buffered.
 MAX_BUFFERED_BYTES = 1_048_576
+# Heads, interim responses, answers to other requests and trailers bring no part of a
+# response's body; more of them in a row than this is no response.
+MAX_BYTES_WITHOUT_PROGRESS = 262_144
 INTERIM_STATUSES = range(100, 200)
 
 
@@ -67,6 +70,7 @@
         self._error: Exception | None = None
         self._expected_id: bytes | None = None
         self._is_skipping = False
+        self._bytes_without_progress = 0
         self._ends_at_eof = False
         self._has_no_body = False
         self._state_changed = asyncio.Event()
@@ -85,6 +89,7 @@
             self.is_reusable = False
             self.close()
             return
+        self._bytes_without_progress += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -92,6 +97,12 @@
             if not self._is_complete:
                 self._fail(f"the response is not valid HTTP: {error}")
             self.close()
+        if self._bytes_without_progress > MAX_BYTES_WITHOUT_PROGRESS:
+            if not self._is_complete:
+                self._fail(
+                    f"{self._bytes_without_progress} bytes were no part of the response"
+                )
+            self.close()
         self._pause_if_full()
 
     def eof_received(self) -> None:
@@ -118,7 +129,9 @@
         self._headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header."""
+        """Store one header; trailers are dropped."""
+        if self._head is not None:
+            return
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -158,6 +171,7 @@
         """Buffer a part of the body."""
         if self._is_skipping or self._is_complete:
             return
+        self._bytes_without_progress = 0
         self._parts.append(body)
         self._buffered_bytes += len(body)
         self._state_changed.set()
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -27,6 +27,7 @@
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.routes import Configuration, Limits, Route, RouteTable
 from greengagetack.gateway.stream_origins import StreamOrigins
+from greengagetack.http1.memory import ResponseMemory
 from greengagetack.http1.pool import Pool
 from greengagetack.objects.base import PlatformObject
 from greengagetack.objects.feed import Feed
@@ -66,6 +67,9 @@
 SHUTDOWN_MARGIN_S = 0.8
 LISTEN_BACKLOG = 1_024
 MS_PER_S = 1_000
+BYTES_PER_MB = 1_000_000
+# Share of the memory for responses that are being read.
+RESPONSE_MEMORY_SHARE = 0.15
 SWEEP_INTERVAL_S = 15.0
 # At most this much work per item is lost if all daemons fail.
 CHECKPOINT_INTERVAL_S = 1.0
@@ -154,6 +158,7 @@
             dialect,
             self._permits,
             self._stream_origins,
+            ResponseMemory(int(facts.memory_mb * BYTES_PER_MB * RESPONSE_MEMORY_SHARE)),
             facts.availability_zone,
         )
         self._dispatcher = Dispatcher(
--- a/greengagetack/platform/settings.py
+++ b/greengagetack/platform/settings.py
@@ -49,6 +49,8 @@
     # Share of a core that the daemon may use, and the relative speed of that core.
     cpu_share: float = 1.0
     cores: float = 1.0
+    # A process that uses more memory is killed.
+    memory_mb: float = 300.0
 
 
 class _Provider(msgspec.Struct, frozen=True):
@@ -89,6 +91,7 @@
     order_spacing_s: float
     result_retention_s: float
     cores: float
+    memory_mb: float
     metrics_port: int = METRICS_PORT
 
 
@@ -127,6 +130,7 @@
             order_spacing_s=file.bounds.lease_ms / 1000,
             result_retention_s=file.bounds.status_s,
             cores=round(file.limits.cpu_share * file.limits.cores, 2),
+            memory_mb=file.limits.memory_mb,
         )
     except (OSError, ValueError) as error:
         raise SettingsUnreadable(f"{name}: {error}") from error
