Give the daemons of each test process addresses and ports of their own

Seen: a scenario timed out as a daemon was never ready (KNOWN-RED, leaving.feature:3); a daemon whose port is taken ends in just this way.

Cause, likely and not shown for that run: a listener's port was found free, released and taken up later, on addresses that all test processes share, and from the range out of which the kernel takes the ports of outgoing connections.

The entry stays listed, as the cause is not shown.

--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -3,7 +3,9 @@
 import asyncio
 import base64
 import http.client
+import itertools
 import json
+import os
 import socket
 import time
 from collections.abc import Callable
@@ -47,6 +49,10 @@
 ORDER_SPACING_S = 0.6
 WAIT_LIMIT_S = 30.0
 POLL_S = 0.05
+# Below the range from which the kernel takes the ports of outgoing connections, so that
+# none of them holds a listener's port.
+FIRST_LISTENER_PORT = 20_000
+_ports = itertools.count(FIRST_LISTENER_PORT)
 
 
 def wait_for(
@@ -257,11 +263,9 @@
         """Start a daemon, on the addresses of its last process if it had one."""
         ip = self.ip_of(name)
         if name not in self._addresses:
-            ports = {
-                listener: _free_port(ip) for listener in ("front", "ready", "control")
-            }
             self._addresses[name] = {
-                listener: f"{ip}:{port}" for listener, port in ports.items()
+                listener: f"{ip}:{next(_ports)}"
+                for listener in ("front", "ready", "control")
             }
         path = self.group.folder / f"{name}.toml"
         path.write_text(self._settings(name, ip))
@@ -273,8 +277,10 @@
 
     @staticmethod
     def ip_of(name: str) -> str:
-        """Return a daemon's IP address."""
-        return f"127.0.0.{10 + int(name.rpartition('-')[2])}"
+        """Return a daemon's IP address, which no other test process uses."""
+        pid = os.getpid()
+        number = int(name.rpartition("-")[2])
+        return f"127.{1 + pid // 256 % 250}.{pid % 256}.{10 + number}"
 
     def _settings(self, name: str, ip: str) -> str:
         listen = "\n".join(
@@ -413,9 +419,3 @@
         "run_target_ms": 7_500,
         "single_version": False,
     }
-
-
-def _free_port(ip: str) -> int:
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return int(probe.getsockname()[1])
