Allow one response up to an eighth of the VM's memory

Change: a quarter of the memory for all responses that are read, half of that for one (18.7 MB on such a VM).

--- a/greengagetack/http1/memory.py
+++ b/greengagetack/http1/memory.py
@@ -6,7 +6,7 @@
 __all__ = ["ResponseMemory"]
 
 # Share of the memory for responses that a single one may use.
-MAX_RESPONSE_SHARE = 0.25
+MAX_RESPONSE_SHARE = 0.5
 
 
 class ResponseMemory:
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -69,7 +69,7 @@
 MS_PER_S = 1_000
 BYTES_PER_MB = 1_000_000
 # Share of the memory for responses that are being read.
-RESPONSE_MEMORY_SHARE = 0.15
+RESPONSE_MEMORY_SHARE = 0.25
 SWEEP_INTERVAL_S = 15.0
 # At most this much work per item is lost if all daemons fail.
 CHECKPOINT_INTERVAL_S = 1.0
