Build the ring of a stream's keepers only after a change of the members

Change: the roster keeps the addresses of its members until its list changes, and the ring is built for a new list only. The roster's new scenario shows it; software_versions passes.

--- a/features/roster.feature
+++ b/features/roster.feature
@@ -15,6 +15,12 @@
   Scenario: The order of equal VMs differs between claims
     Then 5 equal daemons have distinct ranks that differ between claims
 
+  Scenario: The addresses of the members are decoded again only after a change
+    Given daemons with a:1 b:1 c:1 cores, of which "a" is the local one
+    Then the roster returns the same 3 addresses each time
+    When daemon "d" is listed as well
+    Then the roster returns the same 4 addresses each time
+
   Scenario Outline: The successor is the first-ranked daemon that polled recently
     Given daemons with <cores> cores, of which "a" is the local one
     When daemons <heard> have polled the local one
--- a/features/steps/roster_steps.py
+++ b/features/steps/roster_steps.py
@@ -77,6 +77,24 @@
     assert found == rank, found
 
 
+@then("the roster returns the same {count:d} addresses each time")
+def step_addresses(context: Context, count: int) -> None:
+    addresses = context.roster.member_addresses()
+    assert len(addresses) == count, addresses
+    assert context.roster.member_addresses() is addresses
+
+
+@when('daemon "{node}" is listed as well')
+def step_list(context: Context, node: str) -> None:
+    async def fill() -> None:
+        await _write_entry(context.store, _member(node, 1.0))
+        task = asyncio.create_task(context.feed.run())
+        await _wait_until(context.feed, lambda: PREFIX + node in context.feed.objects)
+        task.cancel()
+
+    asyncio.run(fill())
+
+
 @then("{count:d} equal daemons have distinct ranks that differ between claims")
 def step_equal_ranks(context: Context, count: int) -> None:
     members = [_member(name, 1.0) for name in "abcdefgh"[:count]]
--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -279,13 +279,15 @@
     def __init__(self) -> None:
         self.daemons: dict[Address, StreamOrigins] = {}
         self.lost: set[Address] = set()
+        self._addresses: tuple[Address, ...] = ()
 
-    def member_addresses(self) -> list[Address]:
-        return list(self.daemons)
+    def member_addresses(self) -> tuple[Address, ...]:
+        return self._addresses
 
     def add(self, number: int) -> None:
         address = Address(f"10.0.{number // 200}.{number % 200}", 80)
         self.daemons[address] = StreamOrigins(self, address)
+        self._addresses = tuple(self.daemons)
 
     async def send_origins(
         self, address: Address, origins: tuple[StreamOrigin, ...]
--- a/greengagetack/coordination/client.py
+++ b/greengagetack/coordination/client.py
@@ -71,7 +71,7 @@
         node: str,
         dispatcher_address: Callable[[], Address | None],
         other_addresses: Callable[[], list[Address]],
-        member_addresses: Callable[[], list[Address]],
+        member_addresses: Callable[[], tuple[Address, ...]],
     ) -> None:
         self.node = node
         self._dispatcher_address = dispatcher_address
--- a/greengagetack/coordination/roster.py
+++ b/greengagetack/coordination/roster.py
@@ -83,7 +83,12 @@
         self._dispatcher_since_s = float("inf")
         self._written_version = 0
         self._list_changed = asyncio.Event()
-        feed.subscribe(lambda changed, gone: self._list_changed.set())
+        self._member_addresses: tuple[Address, ...] | None = None
+        feed.subscribe(lambda changed, gone: self._on_list_change())
+
+    def _on_list_change(self) -> None:
+        self._member_addresses = None
+        self._list_changed.set()
 
     def members(self) -> dict[str, Member]:
         """Return the listed daemons by VM, without entries that cannot be decoded."""
@@ -111,9 +116,16 @@
         addresses.discard(self._local_member.control)
         return [Address.parse(text) for text in sorted(addresses)]
 
-    def member_addresses(self) -> list[Address]:
-        """Return the control addresses of all listed daemons, this one included."""
-        return [Address.parse(member.control) for member in self.members().values()]
+    def member_addresses(self) -> tuple[Address, ...]:
+        """Return the control addresses of all listed daemons, this one included.
+
+        The same object is returned until the list changes.
+        """
+        if self._member_addresses is None:
+            self._member_addresses = tuple(
+                Address.parse(member.control) for member in self.members().values()
+            )
+        return self._member_addresses
 
     def record_contact(self, node: str) -> None:
         """Record that a daemon has polled this one for changes."""
--- a/greengagetack/gateway/stream_origins.py
+++ b/greengagetack/gateway/stream_origins.py
@@ -27,7 +27,6 @@
 MAX_ORIGINS = 50_000
 # Origins are sent in batches of this time.
 SEND_DELAY_S = 0.02
-MEMBERS_REFRESH_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,8 +40,8 @@
 class OriginPeers(Protocol):
     """Calls to the daemons that remember streams."""
 
-    def member_addresses(self) -> list[Address]:
-        """Return the addresses of all daemons, this one included."""
+    def member_addresses(self) -> tuple[Address, ...]:
+        """Return the addresses of all daemons, the same object until they change."""
 
     async def send_origins(
         self, address: Address, origins: tuple[StreamOrigin, ...]
@@ -60,7 +59,8 @@
     the streams beside it.
     """
 
-    def __init__(self, addresses: list[Address]) -> None:
+    def __init__(self, addresses: tuple[Address, ...]) -> None:
+        self.members = addresses
         points = sorted((_point(str(address)), address) for address in addresses)
         self._points = [point for point, _ in points]
         self._addresses = [address for _, address in points]
@@ -86,8 +86,7 @@
         self._peers = peers
         self._local_address = local_address
         self._origins: OrderedDict[str, tuple[str, float]] = OrderedDict()
-        self._ring = _KeeperRing([])
-        self._ring_since_s = float("-inf")
+        self._ring = _KeeperRing(())
         self._waiting: dict[Address, list[StreamOrigin]] = {}
         self._send_tasks: set[asyncio.Task[None]] = set()
 
@@ -168,9 +167,8 @@
 
     def _keepers(self, request_id: str) -> list[Address]:
         """Return the other daemons that remember a stream."""
-        now_s = time.monotonic()
-        if now_s - self._ring_since_s > MEMBERS_REFRESH_S:
-            self._ring_since_s = now_s
-            self._ring = _KeeperRing(self._peers.member_addresses())
+        members = self._peers.member_addresses()
+        if members is not self._ring.members:
+            self._ring = _KeeperRing(members)
         keepers = self._ring.keepers(request_id)
         return [address for address in keepers if address != self._local_address]
