Say why a caller was refused by replicas at their rate limit

Cause: the reason of a refusal did not tell replicas without a permit from broken ones, so the way from a request's id to its cause ended there. A check of the log is added to rate_limits.

--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -7,6 +7,7 @@
     Then at most <allowed> requests reached plain-1 within any 4 s
     And at least <served> lookups were answered with 200
     And every other lookup was answered with 503 within 400 ms and a Retry-After
+    And the log of edge-1 names the rate limit as a reason
 
     Examples:
       | limit | count | duration | allowed | served |
--- a/features/steps/rate_limits_steps.py
+++ b/features/steps/rate_limits_steps.py
@@ -66,6 +66,12 @@
         assert float(answer.headers["retry-after"]) > 0, answer
 
 
+@then("the log of {edge} names the rate limit as a reason")
+def step_log(context: Context, edge: str) -> None:
+    reasons = [str(line.get("reason")) for line in context.cluster.logs(edge)]
+    assert any("rate limit" in reason for reason in reasons), reasons
+
+
 @given("{daemons:d} daemons that know of a limit of {limit:g} requests a second")
 def step_limited_fleet(context: Context, daemons: int, limit: float) -> None:
     context.limit_per_s = limit
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -114,9 +114,17 @@
         finally:
             run.cancel()
 
-    def listed_replicas(self, service: str) -> list[ReplicaState]:
-        """Return the replicas of a service listed by discovery."""
-        return self._fleet.replicas_of_service(service)
+    def unusable_reason(self, service: str, software: str | None) -> str:
+        """Describe why no replica can get a request now."""
+        now_s = time.monotonic()
+        listed = self._fleet.replicas_of_service(service)
+        limited = sum(now_s < state.rate_limited_until_s for state in listed)
+        reason = f"none of the {len(listed)} listed replicas of {service} is usable"
+        if limited:
+            reason += f", {limited} of them without a permit under their rate limit"
+        if software is not None:
+            reason += f"; the stream was begun by software {software}"
+        return reason
 
     def recent_software(self, service: str) -> set[str]:
         """Return the software versions that may have begun a stream still read."""
@@ -291,9 +299,8 @@
             self._route.max_attempts,
         )
         if not self._start_attempt():
-            known = len(self._forwarder.listed_replicas(self._service))
             raise NoEndpoint(
-                f"none of the {known} listed replicas of {self._service} is usable",
+                self._forwarder.unusable_reason(self._service, self._software),
                 self._forwarder.retry_after_s(self._service),
             )
         while True:
