Skip entries of replicas whose software version is not text

Cause: the version was taken in any form, while an entry with a field of another type names no replica to use. Change: it is text, like the other fields; the scenario of invalid entries has such an entry. Not tried whether the scenario failed before.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -658,6 +658,13 @@
             "zone": "z",
             "state": "odd",
         },
+        {
+            "service": PLAIN_SERVICE,
+            "address": "127.0.0.1:1",
+            "zone": "z",
+            "state": "ready",
+            "version": 7,
+        },
     ]
     for number, entry in enumerate(entries):
         cluster.run_on_loop(
--- a/greengagetack/platform/documents.py
+++ b/greengagetack/platform/documents.py
@@ -98,8 +98,8 @@
     address: str
     zone: str
     state: str
-    # Version of the replica's software; text of any form.
-    version: Any = ""
+    # Version of the replica's software.
+    version: str = ""
     slots: int = 0
     models: tuple[_Model, ...] = ()
     # Unix time of the replica's start, in milliseconds.
@@ -193,18 +193,11 @@
         model_versions=tuple((m.name, m.version) for m in decoded.models),
         started_ms=decoded.born,
         cold_left_ms=decoded.cold_left_ms,
-        software_version=_decode_software_version(decoded.version),
+        software_version=decoded.version,
         rate_limit_per_s=_decode_rate_limit(stored, decoded.born),
     )
 
 
-def _decode_software_version(version: Any) -> str:
-    """Return a version as text; entries of other writers may hold other types."""
-    return (
-        version if isinstance(version, str) else msgspec.json.encode(version).decode()
-    )
-
-
 def _decode_rate_limit(stored: PlatformObject, started_ms: int) -> float | None:
     if stored.status is None:
         return None
