--- a/greengagetack/replicas/permits.py
+++ b/greengagetack/replicas/permits.py
@@ -167,6 +167,7 @@
     # -- granting
 
     def _is_granting(self) -> bool:
+        """Whether this daemon is the owner; keeps the time since when it is."""
         if not self._is_owner():
             self._owner_since_s = None
             self._buckets.clear()
