Log the target of a failed attempt

A caller's repeats carry new identifiers, so a failed attempt could not be told from the first one of another request. With the target and the replica's identifier on the line, the log shows which requests broke off at a replica that ended. No change of logic.

--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -50,6 +50,7 @@
 DEADLINE_MARGIN_S = 0.03
 # Pause between attempts to find a replica that resumes a broken stream.
 RESUME_RETRY_PAUSE_S = 0.05
+MAX_LOGGED_BYTES = 80
 OK = 200
 
 
@@ -215,6 +216,7 @@
             logger.info(
                 "forward: attempt failed",
                 request_id=call.request_id,
+                target=call.target[:MAX_LOGGED_BYTES].decode("latin-1"),
                 replica=replica.replica_id,
                 reason=str(error),
                 pause_s=pause_s,
