Add failing tests of requests that crash their replicas, and list them

Stand-ins: a replica's process ends under a given path, its entry lapses and it starts again with a new start time; or it resets the connection and goes on.

--- /dev/null
+++ b/features/steps/crashing_requests_steps.py
@@ -0,0 +1,207 @@
+"""features.steps.crashing_requests_steps: requests under which replicas end."""
+
+import itertools
+import threading
+import time
+from dataclasses import dataclass
+
+from behave import then, when
+from behave.runner import Context
+
+from standins.platform_cluster import (
+    BOOKING_PREFIX,
+    CHAT_PREFIX,
+    LOOKUP_PREFIX,
+    Answer,
+)
+from standins.replica import MODEL
+
+PREFIXES = {"lookup": LOOKUP_PREFIX, "booking": BOOKING_PREFIX, "chat": CHAT_PREFIX}
+# Time for the daemons to learn of the third crash.
+SPREAD_S = 3.0
+SEND_INTERVAL_S = 0.3
+OTHERS_INTERVAL_S = 0.05
+# A client tries again this often, and within this time, after a refusal.
+CLIENT_TRIES = 6
+CLIENT_DEADLINE_S = 2.0
+FINAL_STATUSES = range(400, 429)
+_numbers = itertools.count()
+
+
+@dataclass(frozen=True)
+class Sent:
+    """An answer to a request that was sent at a monotonic time."""
+
+    sent_s: float
+    elapsed_s: float
+    answer: Answer
+
+
+def _send(context: Context, edge: str, kind: str, name: str) -> Sent:
+    headers = {"X-Request-Id": f"c{next(_numbers)}", "X-Deadline-Ms": "2000"}
+    body = None
+    if kind == "chat":
+        headers["X-Model"] = MODEL
+    if kind != "lookup":
+        body = b"body of " + name.encode()
+    method = "GET" if kind == "lookup" else "POST"
+    path = f"{PREFIXES[kind]}{name}"
+    started_s = time.monotonic()
+    answer = context.cluster.call(edge, method, path, body, headers)
+    return Sent(started_s, time.monotonic() - started_s, answer)
+
+
+@when('{kind} "{name}" crashes each replica that runs it')
+def step_crashes(context: Context, kind: str, name: str) -> None:
+    for replica in context.cluster.replicas.values():
+        replica.fault.crashing_paths.add(f"{PREFIXES[kind]}{name}")
+
+
+@when('lookup "{name}" has its connections reset by each replica')
+def step_resets(context: Context, name: str) -> None:
+    for replica in context.cluster.replicas.values():
+        replica.fault.reset_paths.add(f"{LOOKUP_PREFIX}{name}")
+
+
+def _send_repeatedly(context: Context, kind: str, name: str, duration_s: float) -> None:
+    until_s = time.monotonic() + duration_s
+    context.sent = []
+    for edge in itertools.cycle(sorted(context.cluster.edges)):
+        if time.monotonic() > until_s:
+            return
+        context.sent.append(_send(context, edge, kind, name))
+        time.sleep(SEND_INTERVAL_S)
+
+
+@when('{kind} "{name}" is sent again and again to all daemons for {duration:d} s')
+def step_repeat(context: Context, kind: str, name: str, duration: int) -> None:
+    _send_repeatedly(context, kind, name, duration)
+
+
+@when(
+    'lookup "{name}" is sent again and again to all daemons for {duration:d} s, '
+    "beside others"
+)
+def step_repeat_beside(context: Context, name: str, duration: int) -> None:
+    edges = sorted(context.cluster.edges)
+    context.others = []
+    threads = []
+    until_s = time.monotonic() + duration
+
+    def look_up(number: int) -> None:
+        context.others.append(_try_as_client(context, edges, number))
+
+    def send_others() -> None:
+        for number in itertools.count():
+            if time.monotonic() > until_s:
+                return
+            thread = threading.Thread(target=look_up, args=(number,))
+            thread.start()
+            threads.append(thread)
+            time.sleep(OTHERS_INTERVAL_S)
+
+    sender = threading.Thread(target=send_others)
+    sender.start()
+    _send_repeatedly(context, "lookup", name, duration)
+    sender.join()
+    for thread in threads:
+        thread.join()
+
+
+def _try_as_client(context: Context, edges: list[str], number: int) -> Sent:
+    """Send a lookup at one daemon after the other until it is served or time is up."""
+    started_s = time.monotonic()
+    for attempt in range(CLIENT_TRIES):
+        edge = edges[(number + attempt) % len(edges)]
+        sent = _send(context, edge, "lookup", f"other-{number}")
+        pause_s = float(sent.answer.headers.get("retry-after", "0"))
+        is_late = time.monotonic() + pause_s > started_s + CLIENT_DEADLINE_S
+        if sent.answer.status == 200 or sent.answer.status in FINAL_STATUSES or is_late:
+            break
+        time.sleep(pause_s)
+    return Sent(started_s, time.monotonic() - started_s, sent.answer)
+
+
+def _third_crash_s(context: Context) -> float:
+    crashed_s = sorted(context.cluster.crashed_s)
+    assert len(crashed_s) >= 3, f"only {len(crashed_s)} replicas crashed"
+    return float(crashed_s[2])
+
+
+def _arrived_s(context: Context, name: str) -> list[float]:
+    return [
+        at_s
+        for replica in context.cluster.replicas.values()
+        for path, at_s in replica.arrived_paths
+        if path.endswith(f"/{name}")
+    ]
+
+
+@then(
+    '"{name}" reached replicas at most {most:d} times later than {spread:d} s after '
+    "the third crash"
+)
+def step_at_most(context: Context, name: str, most: int, spread: int) -> None:
+    from_s = _third_crash_s(context) + spread
+    late = [at_s for at_s in _arrived_s(context, name) if at_s > from_s]
+    assert len(late) <= most, f"{len(late)} of {len(_arrived_s(context, name))}"
+
+
+@then(
+    "the last {count:d} of them were answered with {status:d} and code {code} within "
+    "{limit:d} ms"
+)
+def step_last_answers(
+    context: Context, count: int, status: int, code: str, limit: int
+) -> None:
+    for sent in context.sent[-count:]:
+        assert sent.answer.status == status, sent
+        assert sent.answer.json["error"]["code"] == code, sent
+        assert sent.elapsed_s <= limit / 1000, sent
+
+
+@then("the reason names the crashes, and no Retry-After is sent")
+def step_reason(context: Context) -> None:
+    answer = context.sent[-1].answer
+    assert "3 replicas" in answer.json["error"]["reason"], answer
+    assert "retry-after" not in answer.headers, answer
+
+
+@then("no other lookup was answered with a final error")
+def step_no_final(context: Context) -> None:
+    final = [sent for sent in context.others if sent.answer.status in FINAL_STATUSES]
+    assert not final, f"{len(final)}, first {final[0]}"
+
+
+@then(
+    "every other lookup was served that was sent later than {pause:d} s after the "
+    "third crash"
+)
+def step_others_served(context: Context, pause: int) -> None:
+    from_s = _third_crash_s(context) + pause
+    later = [sent for sent in context.others if sent.sent_s > from_s]
+    assert later, "no lookup was sent that late"
+    failed = [sent for sent in later if sent.answer.status != 200]
+    assert not failed, f"{len(failed)} of {len(later)}, first {failed[0]}"
+
+
+@when('lookup "{name}" is sent {count:d} times, {pause:d} ms apart, to all daemons')
+def step_send_times(context: Context, name: str, count: int, pause: int) -> None:
+    edges = itertools.cycle(sorted(context.cluster.edges))
+    context.sent = []
+    for edge in itertools.islice(edges, count):
+        context.sent.append(_send(context, edge, "lookup", name))
+        time.sleep(pause / 1000)
+
+
+@then("all {count:d} of them reached a replica")
+def step_all_reached(context: Context, count: int) -> None:
+    assert len(context.sent) == count
+    reached = len(_arrived_s(context, "broken"))
+    assert reached >= count, reached
+
+
+@then("none of them was answered with {status:d}")
+def step_none_answered(context: Context, status: int) -> None:
+    answered = [sent for sent in context.sent if sent.answer.status == status]
+    assert not answered, answered
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -47,6 +47,10 @@
 PLAIN_SERVICE = "fieldbook"
 # Minimum time between orders of two daemons to the same replica.
 ORDER_SPACING_S = 0.6
+# A replica's entry lapses this long after its process has ended; the process starts
+# again a little later.
+ENTRY_LAPSE_S = 1.2
+RESTART_S = 1.6
 WAIT_LIMIT_S = 30.0
 POLL_S = 0.05
 # Below the range from which the kernel takes the ports of outgoing connections, so that
@@ -145,6 +149,10 @@
         self.edges: dict[str, Process] = {}
         self._addresses: dict[str, dict[str, str]] = {}
         self._server_tasks: dict[str, asyncio.Task[None]] = {}
+        self._servers: dict[str, StandInServer] = {}
+        self._crash_tasks: set[asyncio.Task[None]] = set()
+        # Monotonic times at which replicas ended under a request.
+        self.crashed_s: list[float] = []
         self._store_address = self.loop.run(self._serve(self.store.app, "store"))
         self.memory_tokens = 100_000
         # Relays between daemons and the store, by daemon name.
@@ -163,14 +171,16 @@
             task.cancel()
         await asyncio.gather(*pending_tasks, return_exceptions=True)
 
-    async def _serve(self, app: Any, name: str) -> str:
+    async def _serve(self, app: Any, name: str, port: int = 0) -> str:
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-        listener.bind(("127.0.0.1", 0))
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", port))
         listener.listen(1_024)
         config = uvicorn.Config(
             app, log_level="critical", access_log=False, lifespan="off"
         )
         server = StandInServer(config)
+        self._servers[name] = server
         task = asyncio.create_task(server.serve(sockets=[listener]))
         self._server_tasks[name] = task
         host, port = listener.getsockname()
@@ -216,11 +226,39 @@
         self.replicas[name] = replica
         address = self.loop.run(self._serve(replica.app, name))
         self._addresses[name] = {"address": address, "service": service}
+        replica.on_crash = partial(self._crash_replica, name)
         self.list_replica(name)
         return replica
 
+    def _crash_replica(self, name: str) -> None:
+        """End a replica's process; it starts again after its entry has lapsed."""
+        self.crashed_s.append(time.monotonic())
+        server = self._servers[name]
+        for listener in server.servers:
+            listener.close()
+        for connection in list(server.server_state.connections):
+            connection.transport.abort()
+        self._server_tasks[name].cancel()
+        task = asyncio.create_task(self._restart_replica(name))
+        self._crash_tasks.add(task)
+        task.add_done_callback(self._crash_tasks.discard)
+
+    async def _restart_replica(self, name: str) -> None:
+        await asyncio.sleep(ENTRY_LAPSE_S)
+        self.store.remove("servers", name)
+        await asyncio.sleep(RESTART_S - ENTRY_LAPSE_S)
+        replica = self.replicas[name]
+        replica.started_ms += 1
+        replica.running = 0
+        port = int(self._addresses[name]["address"].rpartition(":")[2])
+        await self._serve(replica.app, name, port)
+        self._write_entry(name, "ready")
+
     def list_replica(self, name: str, state: str = "ready") -> None:
         """Write a replica's entry to the store."""
+        self.run_on_loop(lambda: self._write_entry(name, state))
+
+    def _write_entry(self, name: str, state: str) -> None:
         replica = self.replicas[name]
         entry = {
             **self._addresses[name],
@@ -231,9 +269,9 @@
             "cold_left_ms": 0,
             "models": [{"name": MODEL, "version": replica.version}],
             "sequence": 7,
-            "born": 1,
+            "born": replica.started_ms,
         }
-        self.run_on_loop(lambda: self.store.put("servers", name, entry))
+        self.store.put("servers", name, entry)
 
     def name_version(self, version: int) -> None:
         """Name a version of the weights, as the trainer does."""
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -12,6 +12,8 @@
 from starlette.responses import Response, StreamingResponse
 from starlette.routing import Route
 
+from standins.server import drop_connection
+
 __all__ = ["Replica", "ReplicaFault", "output_of", "seal_of"]
 
 MODEL = "m0"
@@ -55,6 +57,10 @@
         Announces in every answer that the replica leaves.
     rate_limit : str
         Requests a second that every answer names as the replica's limit.
+    crashing_paths : set of str
+        Paths of requests under which the replica's process ends.
+    reset_paths : set of str
+        Paths of requests whose connections are reset, without an end of the process.
     """
 
     break_after: int = 0
@@ -67,6 +73,8 @@
     failing_ids: set[str] = field(default_factory=set)
     leaving: bool = False
     rate_limit: str = ""
+    crashing_paths: set[str] = field(default_factory=set)
+    reset_paths: set[str] = field(default_factory=set)
 
 
 class Replica:
@@ -85,6 +93,12 @@
         self.event_s = event_s
         self.version = 1
         self.software = "v1"
+        # Unix time of the process's start, in milliseconds.
+        self.started_ms = 1
+        # Ends the replica's process.
+        self.on_crash: Callable[[], None] = lambda: None
+        # Paths of the requests that it ran, with the monotonic time of their arrival.
+        self.arrived_paths: list[tuple[str, float]] = []
         self.running = 0
         self.accepted_orders = 0
         self.is_loading = False
@@ -163,7 +177,15 @@
         self.arrived_s.append((request_id, time.monotonic()))
         after = request.headers.get("last-event-id", "")
         self.arrivals.append((request_id, after, self.version))
+        path = request.url.path
+        self.arrived_paths.append((path, time.monotonic()))
         self.bodies[request_id] = body
+        if path in self.fault.crashing_paths:
+            await asyncio.sleep(self.event_s)
+            self.on_crash()
+            await asyncio.sleep(FOREVER_S)
+        if path in self.fault.reset_paths:
+            return await drop_connection(request)
         if self.fault.silent:
             await asyncio.sleep(FOREVER_S)
         if request_id in self.fault.failing_ids:
