Stop sending requests that crash their replicas, at all daemons

What callers saw: a request under which replicas ended came again at other daemons and ended 9 and 11 replicas in the record; others got 503 for three seconds after each round.

Cause: no daemon remembered under which request a replica ended, and what one daemon saw did not reach the others (the class of the rate limits and of the stream origins). Ruled out: a memory at one daemon would do; each repeat came to another one.

Change: each daemon reports which requests broke off at a replica that then refuses connections or whose entry goes; the daemon that runs the jobs judges (crash_evidence) and publishes in one table of facts, which the others read with the answers to the pings that they send anyway (facts). From two crashes on a request runs only alone, without hedge and retry; after three confirmed ones that no other request explains, it is refused for good with 400 crashes_replicas for 10 minutes. A replica's answer clears a request. The table is saved in the store and loaded after a takeover. Items and reward calls are never judged. A request costs a look into an empty table as long as no crash was seen.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -42,3 +42,67 @@
     And chat "poison" is sent again and again to all daemons for 6 s
     Then job "j1" completes at edge-2
     And every result of "j1" is its item's complete output
+
+  Scenario Outline: What was found out about a request outlives the daemons that found it out
+    Given a platform with 3 plain replicas and 3 daemons
+    And the plain replicas take 50 ms
+    When lookup "poison" crashes each replica that runs it
+    And lookup "poison" is sent again and again to all daemons for 6 s
+    And <loss>
+    And lookup "poison" is sent again and again to all daemons for 6 s
+    Then "poison" reached replicas at most 3 times later than 3 s after the third crash
+    And the last 5 of them were answered with 400 and code crashes_replicas within 400 ms
+
+    Examples:
+      | loss                                     |
+      | all daemons are killed and started again |
+      | the daemon that runs the jobs is killed  |
+
+  Scenario Outline: Which requests are found to crash their replicas
+    Given no crash has been seen yet
+    When these are seen: <events>
+    Then <guilty> are found guilty, and <suspects> may run alone only
+
+    Examples:
+      | events                                                       | guilty | suspects |
+      | a at 1; a at 2; 1 ends; 2 ends                               | none   | a        |
+      | a at 1; a at 2; a at 3; 1 ends; 2 ends; 3 ends               | a      | none     |
+      | 1 ends; 2 ends; 3 ends; a at 1; a at 2; a at 3               | a      | none     |
+      | a at 1; a at 2; a at 3; 1 ends; 2 ends                       | none   | a        |
+      | a at 1; a at 2; a at 3; 1 ends; 2 ends; 3 leaves             | none   | a        |
+      | a at 1; a at 2; a at 3                                       | none   | a        |
+      | a at 1; a at 2; a at 3; 13 s pass                            | none   | none     |
+      | a at 1; a is answered; a at 2; a at 3; 1 ends; 2 ends; 3 ends | none  | none     |
+      | a,b at 1; a at 2; a,c at 3; 1 ends; 2 ends; 3 ends           | a      | none     |
+      | a,b at 1; a,b at 2; a,b at 3; 1 ends; 2 ends; 3 ends         | none   | a,b      |
+      | a,b at 1; a,b at 2; a,b at 3; 1 ends; 2 ends; 3 ends; b is answered | a | none   |
+      | a,b at 1; a,b at 2; a,b at 3; 1 ends; 2 ends; 3 ends; a at 4; 4 ends | a | none  |
+      | a at 1; a at 2; a at 3; 1 ends; 2 ends; 3 ends; b at 1; b at 2; b at 3 | a | none |
+      | a at 1; a at 2; a at 3; 1 ends; 2 ends; 3 ends; 601 s pass   | none   | none     |
+
+  Scenario: One caller that sends thousands of such requests
+    Given no crash has been seen yet
+    When these are seen: a at 1; a at 2; a at 3; 1 ends; 2 ends; 3 ends
+    And 5000 other requests each break off at 3 replicas that end, 50 at a replica
+    Then a are found guilty, and at most 17000 requests are remembered
+
+  Scenario Outline: All daemons obey a fact within seconds of its publication
+    Given <daemons> daemons that ping the owner of the facts each second
+    When the owner publishes <facts> facts within 1 s, and <event>
+    Then every daemon knows all of them within <limit> s
+    And no daemon gets more than 10 KB in a second
+
+    Examples:
+      | daemons | facts | event                         | limit |
+      | 9       | 1     | nothing else happens          | 2     |
+      | 1700    | 1     | nothing else happens          | 2     |
+      | 1700    | 40    | nothing else happens          | 2     |
+      | 72      | 1000  | nothing else happens          | 25    |
+      | 72      | 40    | the owner dies 2 s later      | 4     |
+      | 72      | 40    | the owner is replaced 2 s later | 4 |
+
+  Scenario: Facts are forgotten in time, at every daemon
+    Given 9 daemons that ping the owner of the facts each second
+    When the owner publishes 20 facts within 1 s, and nothing else happens
+    And 601 s pass
+    Then no daemon knows any of them
--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -3,11 +3,14 @@
 import itertools
 import threading
 import time
+from contextlib import suppress
 from dataclasses import dataclass
 
-from behave import then, when
+from behave import given, then, when
 from behave.runner import Context
 
+from features.support.fact_fleet import FactFleet
+from greengagetack.gateway.crash_evidence import TRIAL_THRESHOLD, CrashEvidence
 from standins.platform_cluster import (
     BOOKING_PREFIX,
     CHAT_PREFIX,
@@ -69,7 +72,9 @@
     for edge in itertools.cycle(sorted(context.cluster.edges)):
         if time.monotonic() > until_s:
             return
-        context.sent.append(_send(context, edge, kind, name))
+        # A daemon that was killed takes no requests.
+        with suppress(ConnectionRefusedError):
+            context.sent.append(_send(context, edge, kind, name))
         time.sleep(SEND_INTERVAL_S)
 
 
@@ -205,3 +210,106 @@
 def step_none_answered(context: Context, status: int) -> None:
     answered = [sent for sent in context.sent if sent.answer.status == status]
     assert not answered, answered
+
+
+# -- decisions
+
+
+@given("no crash has been seen yet")
+def step_no_crash(context: Context) -> None:
+    context.evidence = CrashEvidence()
+    context.now_s = 1_000.0
+
+
+@when("these are seen: {events}")
+def step_seen(context: Context, events: str) -> None:
+    for event in events.split("; "):
+        _see(context, event)
+
+
+def _see(context: Context, event: str) -> None:
+    evidence: CrashEvidence = context.evidence
+    subject, _, what = event.partition(" ")
+    context.now_s += 0.1
+    if what.startswith("at "):
+        for request in subject.split(","):
+            replica = (what.removeprefix("at "), 1)
+            evidence.record_break(request, replica, context.now_s)
+    elif what == "ends":
+        evidence.record_end((subject, 1), context.now_s)
+    elif what == "leaves":
+        evidence.record_leave((subject, 1))
+    elif what == "is answered":
+        evidence.record_answer(subject, context.now_s)
+    else:
+        assert what == "s pass", what
+        context.now_s += float(subject)
+        evidence.expire(context.now_s)
+
+
+@then("{guilty} are found guilty, and {suspects} may run alone only")
+def step_found(context: Context, guilty: str, suspects: str) -> None:
+    standings = {name: context.evidence.standing(name) for name in "abc"}
+    found = [name for name, standing in standings.items() if standing.is_guilty]
+    limited = [
+        name
+        for name, standing in standings.items()
+        if standing.crashes >= TRIAL_THRESHOLD and not standing.is_guilty
+    ]
+    assert ",".join(found) == guilty.replace("none", ""), standings
+    assert ",".join(limited) == suspects.replace("none", ""), standings
+
+
+@when(
+    "{count:d} other requests each break off at {crashes:d} replicas that end, "
+    "{size:d} at a replica"
+)
+def step_flood(context: Context, count: int, crashes: int, size: int) -> None:
+    for first in range(0, count, size):
+        for crash in range(crashes):
+            replica = (f"flooded-{first}-{crash}", 1)
+            for number in range(first, first + size):
+                context.evidence.record_break(f"f{number}", replica, context.now_s)
+            context.evidence.record_end(replica, context.now_s)
+
+
+@then("a are found guilty, and at most {most:d} requests are remembered")
+def step_remembered(context: Context, most: int) -> None:
+    evidence: CrashEvidence = context.evidence
+    assert evidence.standing("a").is_guilty
+    assert evidence.size() <= most, evidence.size()
+
+
+# -- spread
+
+
+@given("{count:d} daemons that ping the owner of the facts each second")
+def step_fact_fleet(context: Context, count: int) -> None:
+    context.fact_fleet = FactFleet(count)
+
+
+@when("the owner publishes {count:d} facts within 1 s, and {event}")
+def step_publish(context: Context, count: int, event: str) -> None:
+    context.fact_fleet.run(count, event)
+
+
+@then("every daemon knows all of them within {limit:d} s")
+def step_all_know(context: Context, limit: int) -> None:
+    late_s = context.fact_fleet.known_after_s()
+    assert late_s <= limit, late_s
+
+
+@then("no daemon gets more than 10 KB in a second")
+def step_bytes(context: Context) -> None:
+    most = context.fact_fleet.most_bytes
+    assert most <= 10_000, most
+
+
+@when("{period:d} s pass")
+def step_pass(context: Context, period: int) -> None:
+    context.fact_fleet.wait(period)
+
+
+@then("no daemon knows any of them")
+def step_none_known(context: Context) -> None:
+    assert not any(context.fact_fleet.known_counts())
--- a/greengagetack/batches/rewards.py
+++ b/greengagetack/batches/rewards.py
@@ -206,7 +206,12 @@
         deadline_s = started_s + _time_left_s(run.job)
         headers = ((b"host", reward.host.encode()),)
         call = Call(
-            reward.request_id, b"POST", reward.path.encode(), headers, reward.body
+            reward.request_id,
+            b"POST",
+            reward.path.encode(),
+            headers,
+            reward.body,
+            is_deferred=True,
         )
         end, attempt = RewardEnd.CANCELLED, None
         try:
--- a/greengagetack/coordination/claim.py
+++ b/greengagetack/coordination/claim.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from greengagetack.coordination.client import PeerClient
+from greengagetack.coordination.facts import FactCursor
 from greengagetack.coordination.messages import Member, Pong
 from greengagetack.coordination.roster import Roster
 from greengagetack.errors import CodedError, PeerUnreachable
@@ -60,6 +61,7 @@
         roster: Roster,
         on_change: Callable[[], None],
         on_pong: Callable[[Pong], None],
+        known_facts: Callable[[], FactCursor],
     ) -> None:
         self._local_member = local_member
         self._store = store
@@ -67,6 +69,7 @@
         self._roster = roster
         self._on_change = on_change
         self._on_pong = on_pong
+        self._known_facts = known_facts
         self._last_contact_s = time.monotonic()
         self.is_leaving = False
         feed.subscribe(self._on_claim_change)
@@ -145,7 +148,7 @@
             address = self.holder_address()
             assert address is not None
             try:
-                pong = await peers.ping(address)
+                pong = await peers.ping(address, self._known_facts())
                 if pong.is_dispatcher and pong.node == holder.node:
                     self._last_contact_s = time.monotonic()
                     self._on_pong(pong)
--- a/greengagetack/coordination/client.py
+++ b/greengagetack/coordination/client.py
@@ -10,7 +10,9 @@
 
 from greengagetack.batches.job import Job, Segment
 from greengagetack.batches.progress import ProgressSnapshot
+from greengagetack.coordination.facts import FactCursor
 from greengagetack.coordination.messages import (
+    CrashReports,
     HandOver,
     JobHint,
     Pong,
@@ -23,6 +25,7 @@
 )
 from greengagetack.errors import PeerUnreachable, PlatformUnavailable
 from greengagetack.gateway.stream_origins import StreamOrigin
+from greengagetack.gateway.suspects import CrashReport, Trial, TrialRequest
 from greengagetack.http1.message import ExchangeError, Request
 from greengagetack.http1.pool import Pool
 from greengagetack.objects.base import HistoryGone, WatchAnswer
@@ -81,9 +84,10 @@
         self._rng = random.Random()
         self._preferred_relay: Address | None = None
 
-    async def ping(self, address: Address) -> Pong:
-        """Return a daemon's identity and whether it is the dispatcher."""
-        body = await self._call(address, "GET", "/peer/ping", b"", CALL_TIMEOUT_S)
+    async def ping(self, address: Address, known: FactCursor) -> Pong:
+        """Return a daemon's identity, whether it is the dispatcher, and new facts."""
+        path = f"/peer/ping?epoch={quote(known.epoch)}&revision={known.revision}"
+        body = await self._call(address, "GET", path, b"", CALL_TIMEOUT_S)
         return _decode_response(body, Pong)
 
     async def fetch_segments(
@@ -193,6 +197,31 @@
         body = encode(notice)
         await self._call(address, "POST", "/peer/rate-limits", body, CALL_TIMEOUT_S)
 
+    async def send_crash_reports(self, reports: tuple[CrashReport, ...]) -> None:
+        """Send what this daemon has observed of requests that crash replicas.
+
+        Raises
+        ------
+        PeerUnreachable
+            If the dispatcher is unknown or does not answer.
+        """
+        address = self._known_dispatcher()
+        body = encode(CrashReports(reports))
+        await self._call(address, "POST", "/peer/crash-reports", body, CALL_TIMEOUT_S)
+
+    async def request_trial(self, request: TrialRequest) -> Trial:
+        """Ask the dispatcher whether a request under suspicion may run now.
+
+        Raises
+        ------
+        PeerUnreachable
+            If the dispatcher is unknown or does not answer in time.
+        """
+        address = self._known_dispatcher()
+        call = encode(request)
+        body = await self._call(address, "POST", "/peer/trials", call, PERMIT_TIMEOUT_S)
+        return _decode_response(body, Trial)
+
     async def send_origins(
         self, address: Address, origins: tuple[StreamOrigin, ...]
     ) -> None:
--- /dev/null
+++ b/greengagetack/coordination/facts.py
@@ -0,0 +1,237 @@
+"""greengagetack.coordination.facts: facts that one daemon learns and all must obey.
+
+The daemon that runs the jobs owns the table of facts. The others get what is new with
+the answers to the pings that they send it anyway: a fact costs no call of its own and
+reaches every daemon within about one ping interval.
+"""
+
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+import msgspec
+from loguru import logger
+
+__all__ = [
+    "FACT_TYPES",
+    "Fact",
+    "FactCursor",
+    "FactTable",
+    "FactUpdate",
+    "fact_type",
+]
+
+# Bounds the size of one answer and of the table.
+MAX_FACTS_PER_UPDATE = 50
+MAX_FACTS = 2_000
+# Retracted facts are remembered until every daemon has heard of the retraction.
+RETRACTION_LIFETIME_S = 30.0
+
+T = TypeVar("T")
+FactListener = Callable[[str, Any], None]
+
+FACT_TYPES: dict[str, type] = {}
+_TOPICS: dict[type, str] = {}
+
+
+def fact_type(topic: str) -> Callable[[type[T]], type[T]]:
+    """Register a frozen data class as the value of a topic's facts.
+
+    Raises
+    ------
+    ValueError
+        If the topic is taken.
+    """
+
+    def register(value_type: type[T]) -> type[T]:
+        if topic in FACT_TYPES:
+            raise ValueError(f"duplicate topic {topic!r}")
+        FACT_TYPES[topic] = value_type
+        _TOPICS[value_type] = topic
+        return value_type
+
+    return register
+
+
+@dataclass(frozen=True, slots=True)
+class Fact:
+    """A fact as it is sent; `value` is None for a retracted one."""
+
+    topic: str
+    key: str
+    value: Any
+    lifetime_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class FactCursor:
+    """How far a daemon knows the facts of an owner, which `epoch` identifies."""
+
+    epoch: str = ""
+    revision: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class FactUpdate:
+    """Facts that follow a cursor, and the cursor to go on from."""
+
+    cursor: FactCursor
+    facts: tuple[Fact, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _Entry:
+    value: Any
+    revision: int
+    expires_s: float
+
+
+class FactTable:
+    """A copy of the facts, or the table itself on the daemon that owns it.
+
+    Parameters
+    ----------
+    epoch : str
+        Identifies this daemon's process as an owner.
+    is_owner : callable
+        Returns whether this daemon is the owner.
+    """
+
+    def __init__(self, epoch: str, is_owner: Callable[[], bool]) -> None:
+        self._own_epoch = epoch
+        self._is_owner = is_owner
+        # In the order of their revisions.
+        self._entries: OrderedDict[tuple[str, str], _Entry] = OrderedDict()
+        self._listeners: dict[str, list[FactListener]] = {}
+        self.cursor = FactCursor()
+
+    @property
+    def is_owner(self) -> bool:
+        """Whether this daemon owns the table, so that it may publish."""
+        return self._is_owner()
+
+    def subscribe(self, value_type: type, listener: FactListener) -> None:
+        """Call `listener` with key and value of each fact learnt, None if retracted."""
+        self._listeners.setdefault(_TOPICS[value_type], []).append(listener)
+
+    def publish(self, key: str, value: Any, lifetime_s: float) -> None:
+        """Add or replace a fact; all daemons forget it after `lifetime_s`."""
+        self._put(_TOPICS[type(value)], key, value, lifetime_s)
+
+    def retract(self, value_type: type, key: str) -> None:
+        """Let all daemons forget a fact."""
+        topic = _TOPICS[value_type]
+        entry = self._entries.get((topic, key))
+        if entry is not None and entry.value is not None:
+            self._put(topic, key, None, RETRACTION_LIFETIME_S)
+
+    def _put(self, topic: str, key: str, value: Any, lifetime_s: float) -> None:
+        self._begin_epoch()
+        revision = self.cursor.revision + 1
+        self.cursor = FactCursor(self._own_epoch, revision)
+        self._store(topic, key, _Entry(value, revision, time.monotonic() + lifetime_s))
+
+    def _store(self, topic: str, key: str, entry: _Entry) -> None:
+        self._entries[topic, key] = entry
+        self._entries.move_to_end((topic, key))
+        if len(self._entries) > MAX_FACTS:
+            oldest_topic, oldest_key = next(iter(self._entries))
+            logger.warning(
+                "facts: the table is full, {} {} is dropped", oldest_topic, oldest_key
+            )
+            del self._entries[oldest_topic, oldest_key]
+        for listener in self._listeners.get(topic, ()):
+            listener(key, entry.value)
+
+    def _begin_epoch(self) -> None:
+        """Renumber the facts if another daemon has numbered them so far."""
+        if self.cursor.epoch == self._own_epoch:
+            return
+        for number, (key, entry) in enumerate(self._entries.items(), 1):
+            self._entries[key] = _Entry(entry.value, number, entry.expires_s)
+        self.cursor = FactCursor(self._own_epoch, len(self._entries))
+
+    def update_after(self, cursor: FactCursor) -> FactUpdate | None:
+        """Return what follows a daemon's cursor, None if that is nothing."""
+        if not self._is_owner():
+            return None
+        self._begin_epoch()
+        if cursor == self.cursor:
+            return None
+        after = cursor.revision if cursor.epoch == self._own_epoch else 0
+        newer = []
+        for (topic, key), entry in reversed(self._entries.items()):
+            if entry.revision <= after:
+                break
+            newer.append((topic, key, entry))
+        sent = newer[::-1][:MAX_FACTS_PER_UPDATE]
+        is_all = len(sent) == len(newer)
+        last = self.cursor.revision if is_all else sent[-1][2].revision
+        now_s = time.monotonic()
+        facts = tuple(
+            Fact(topic, key, _to_builtins(entry.value), entry.expires_s - now_s)
+            for topic, key, entry in sent
+            if entry.expires_s > now_s
+        )
+        return FactUpdate(FactCursor(self._own_epoch, last), facts)
+
+    def apply(self, update: FactUpdate | None) -> None:
+        """Learn what the owner has sent."""
+        if update is None or self._is_owner():
+            return
+        for fact in update.facts:
+            self._learn(fact, update.cursor.revision)
+        self.cursor = update.cursor
+
+    def _learn(self, fact: Fact, revision: int) -> None:
+        value_type = FACT_TYPES.get(fact.topic)
+        if value_type is None:
+            # A daemon of a newer software version may own the table.
+            logger.info("facts: ignoring the unknown topic {}", fact.topic)
+            return
+        try:
+            value = (
+                None if fact.value is None else msgspec.convert(fact.value, value_type)
+            )
+        except msgspec.ValidationError as error:
+            logger.warning("facts: {} {} is invalid: {}", fact.topic, fact.key, error)
+            return
+        expires_s = time.monotonic() + fact.lifetime_s
+        self._store(fact.topic, fact.key, _Entry(value, revision, expires_s))
+
+    def restore(self, facts: tuple[Fact, ...]) -> None:
+        """Publish facts that were saved, unless newer ones are known."""
+        for fact in facts:
+            if (fact.topic, fact.key) in self._entries:
+                continue
+            self._learn(fact, 0)
+            entry = self._entries.get((fact.topic, fact.key))
+            if entry is not None:
+                self._put(fact.topic, fact.key, entry.value, fact.lifetime_s)
+
+    def current(self) -> tuple[Fact, ...]:
+        """Return all facts that are neither retracted nor expired."""
+        now_s = time.monotonic()
+        return tuple(
+            Fact(topic, key, _to_builtins(entry.value), entry.expires_s - now_s)
+            for (topic, key), entry in self._entries.items()
+            if entry.value is not None and entry.expires_s > now_s
+        )
+
+    def forget_expired(self) -> None:
+        """Drop expired facts and tell their listeners."""
+        now_s = time.monotonic()
+        for (topic, key), entry in list(self._entries.items()):
+            if entry.expires_s > now_s:
+                continue
+            del self._entries[topic, key]
+            if entry.value is None:
+                continue
+            for listener in self._listeners.get(topic, ()):
+                listener(key, None)
+
+
+def _to_builtins(value: Any) -> Any:
+    return None if value is None else msgspec.to_builtins(value)
--- a/greengagetack/coordination/messages.py
+++ b/greengagetack/coordination/messages.py
@@ -6,9 +6,12 @@
 
 from greengagetack.batches.job import Segment
 from greengagetack.batches.progress import ProgressSnapshot
+from greengagetack.coordination.facts import FactUpdate
 from greengagetack.gateway.stream_origins import StreamOrigin
+from greengagetack.gateway.suspects import CrashReport
 
 __all__ = [
+    "CrashReports",
     "HandOver",
     "JobHint",
     "Member",
@@ -41,12 +44,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Pong:
-    """Answer to a ping; `lease_version` is that of the held order lease, else 0."""
+    """Answer to a ping; `lease_version` is that of the held order lease, else 0.
+
+    `facts` holds what the sender of the ping does not know yet, None for nothing.
+    """
 
     node: str
     incarnation: str
     is_dispatcher: bool
     lease_version: int = 0
+    facts: FactUpdate | None = None
 
 
 class Segments(msgspec.Struct, frozen=True):
@@ -87,6 +94,13 @@
     origins: tuple[StreamOrigin, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class CrashReports:
+    """Requests that broke off at replicas that ended, or that were answered."""
+
+    reports: tuple[CrashReport, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class StreamOriginAnswer:
     """The software that began a stream, None if it is not known."""
--- a/greengagetack/coordination/server.py
+++ b/greengagetack/coordination/server.py
@@ -9,7 +9,9 @@
 
 from greengagetack.batches.dispatcher import Dispatcher
 from greengagetack.batches.reading import JobReader
+from greengagetack.coordination.facts import FactCursor
 from greengagetack.coordination.messages import (
+    CrashReports,
     HandOver,
     JobHint,
     Pong,
@@ -22,6 +24,7 @@
 )
 from greengagetack.errors import CodedError
 from greengagetack.gateway.stream_origins import StreamOrigins
+from greengagetack.gateway.suspects import Suspects, TrialRequest
 from greengagetack.objects.feed import Feed
 from greengagetack.objects.transport import StoreResponse
 from greengagetack.replicas.permits import PermitRequest, Permits, RateLimitNotice
@@ -34,11 +37,12 @@
 
 
 def build_peer_application(
-    pong: Callable[[], Pong],
+    pong: Callable[[FactCursor], Pong],
     reader: JobReader,
     dispatcher: Dispatcher,
     permits: Permits,
     stream_origins: StreamOrigins,
+    suspects: Suspects,
     feeds: dict[str, Feed],
     on_follower: Callable[[str], None],
     call_store: Callable[[RelayCall], Awaitable[StoreResponse]],
@@ -46,7 +50,9 @@
     """Return the HTTP application that serves a daemon's control address."""
 
     async def ping(request: Request) -> Response:
-        return Response(encode(pong()))
+        query = request.query_params
+        known = FactCursor(query.get("epoch", ""), int(query.get("revision", "0")))
+        return Response(encode(pong(known)))
 
     async def segments(request: Request) -> Response:
         job_id = request.path_params["job_id"]
@@ -92,6 +98,15 @@
         permits.handle_notice(decode(await request.body(), type=RateLimitNotice))
         return Response()
 
+    async def crash_reports(request: Request) -> Response:
+        received = decode(await request.body(), type=CrashReports)
+        suspects.handle_reports(received.reports)
+        return Response()
+
+    async def trial(request: Request) -> Response:
+        wanted = decode(await request.body(), type=TrialRequest)
+        return Response(encode(suspects.handle_trial_request(wanted)))
+
     async def record_origins(request: Request) -> Response:
         recorded = decode(await request.body(), type=RecordedOrigins)
         stream_origins.remember(recorded.origins)
@@ -122,6 +137,8 @@
             Route("/peer/jobs", receive_hint, methods=["POST"]),
             Route("/peer/permits", permit, methods=["POST"]),
             Route("/peer/rate-limits", rate_limit, methods=["POST"]),
+            Route("/peer/crash-reports", crash_reports, methods=["POST"]),
+            Route("/peer/trials", trial, methods=["POST"]),
             Route("/peer/stream-origins", record_origins, methods=["POST"]),
             Route("/peer/stream-origins/{request_id}", stream_origin),
             Route("/peer/progress", progress, methods=["POST"]),
--- a/greengagetack/errors.py
+++ b/greengagetack/errors.py
@@ -108,6 +108,15 @@
     remedy = "Send the whole body without pauses."
 
 
+@register_error
+class RequestCrashesReplicas(CodedError):
+    """Replicas crashed while they ran this request, so it is not sent to another."""
+
+    code = "crashes_replicas"
+    http_status = 400
+    remedy = "Do not send the request again; report it to the service's operators."
+
+
 @register_error
 class Unauthorized(CodedError):
     """The bearer token is missing or invalid."""
--- a/greengagetack/gateway/call.py
+++ b/greengagetack/gateway/call.py
@@ -25,7 +25,8 @@
     """A request as the caller sent it; header names are lower case.
 
     `resumes` is the identifier of the request that began the stream, if this one takes
-    a stream up after a later event, else an empty string.
+    a stream up after a later event, else an empty string. `is_deferred` tells that the
+    request belongs to an item that was accepted earlier and is owed.
     """
 
     request_id: str
@@ -34,6 +35,12 @@
     headers: Headers
     body: bytes
     resumes: str = ""
+    is_deferred: bool = False
+
+    @property
+    def routing_id(self) -> str:
+        """The identifier that decides which of a route's services gets the request."""
+        return self.resumes or self.request_id
 
 
 class ReplicaDialect(Protocol):
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -34,6 +34,7 @@
     StreamOrigin,
     StreamOrigins,
 )
+from greengagetack.gateway.suspects import Suspects
 from greengagetack.http1.connection import Connection
 from greengagetack.http1.memory import ResponseMemory
 from greengagetack.http1.message import ExchangeError, ResponseHead
@@ -52,6 +53,7 @@
 RESUME_RETRY_PAUSE_S = 0.05
 MAX_LOGGED_BYTES = 80
 OK = 200
+SERVER_FAILURE = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +88,7 @@
         dialect: ReplicaDialect,
         permits: Permits,
         origins: StreamOrigins,
+        suspects: Suspects,
         memory: ResponseMemory,
         zone: str,
     ) -> None:
@@ -94,6 +97,7 @@
         self._dialect = dialect
         self._permits = permits
         self.origins = origins
+        self.suspects = suspects
         self._memory = memory
         self._zone = zone
         self._rng = random.Random()
@@ -105,10 +109,13 @@
         ------
         NoEndpoint, EndpointRefused
             If no replica has run the request, and none will.
+        RequestCrashesReplicas
+            If replicas crashed under the request; none will run it now.
         EndpointFailed, DeadlineExceeded
             If the request may have run.
         """
         run = _RequestRun(self, call, route, deadline_s)
+        await self.suspects.admit(call, route.service_for(call.routing_id))
         try:
             await run.find_software()
             return await run.execute()
@@ -203,7 +210,7 @@
                 is_stream = is_streaming and head.status == OK
                 if execution is ExecutionStatus.RAN and is_stream:
                     is_handed_over = True
-                    parts = self._stream(connection, pool_context, state)
+                    parts = self._stream(call, connection, pool_context, state)
                     reply = Reply(head, b"", parts)
                     software = replica.software_version
                     return Attempt(AttemptResult.ANSWERED, reply, "", software)
@@ -221,8 +228,10 @@
                 reason=str(error),
                 pause_s=pause_s,
             )
-            result = AttemptResult.UNKNOWN if is_sent else AttemptResult.NOT_SENT
-            return Attempt(result, None, str(error))
+            if not is_sent:
+                return Attempt(AttemptResult.NOT_SENT, None, str(error))
+            self.suspects.record_break(call, state)
+            return Attempt(AttemptResult.UNKNOWN, None, str(error))
         finally:
             if not is_handed_over:
                 state.in_flight -= 1
@@ -239,15 +248,25 @@
             )
             return Attempt(AttemptResult.UNKNOWN, None, reason)
         state.record_success(time.monotonic() - started_s)
+        if head.status < SERVER_FAILURE:
+            self.suspects.record_answer(call, replica.service)
         return Attempt(AttemptResult.ANSWERED, Reply(head, body), "")
 
     async def _stream(
-        self, connection: Connection, pool_context: object, state: ReplicaState
+        self,
+        call: Call,
+        connection: Connection,
+        pool_context: object,
+        state: ReplicaState,
     ) -> AsyncIterator[bytes]:
         try:
             while part := await connection.read():
                 yield part
             state.record_success()
+            self.suspects.record_answer(call, state.replica.service)
+        except ExchangeError:
+            self.suspects.record_break(call, state)
+            raise
         finally:
             state.in_flight -= 1
             await pool_context.__aexit__(None, None, None)  # type: ignore[attr-defined]
@@ -263,7 +282,7 @@
         self._call = call
         self._route = route
         self._deadline_s = deadline_s
-        self._service = route.service_for(call.resumes or call.request_id)
+        self._service = route.service_for(call.routing_id)
         # What two software versions write does not fit together, so a stream that has
         # begun goes on only at replicas of this version.
         self._software: str | None = None
@@ -319,7 +338,7 @@
             )
             if not done:
                 hedge_s = float("inf")
-                if self._run_count < self._route.max_attempts and self._start_attempt():
+                if self._may_hedge() and self._start_attempt():
                     self._log("hedged at a second replica")
                 continue
             for task in done:
@@ -328,6 +347,12 @@
                 if reply is not None:
                     return reply
 
+    def _may_hedge(self) -> bool:
+        return (
+            self._run_count < self._route.max_attempts
+            and self._forwarder.suspects.may_hedge(self._call, self._service)
+        )
+
     def _handle_result(self, attempt: Attempt) -> Reply | None:
         """Return the response to deliver, None to keep waiting for other attempts."""
         if attempt.result in (AttemptResult.NOT_RUN, AttemptResult.NOT_SENT):
@@ -340,7 +365,7 @@
             ran_before,
             self._run_count,
             self._route.max_attempts,
-            self._next_replica() is not None,
+            self._may_send_again() and self._next_replica() is not None,
             self._deadline_s - time.monotonic() - DEADLINE_MARGIN_S,
         )
         if step is NextStep.DELIVER:
@@ -354,6 +379,9 @@
             raise EndpointRefused(attempt.reason, retry_s)
         raise EndpointFailed(attempt.reason)
 
+    def _may_send_again(self) -> bool:
+        return self._forwarder.suspects.may_send_again(self._call, self._service)
+
     def _next_replica(self) -> ReplicaState | None:
         return self._forwarder.next_replica(self._service, self._tried, self._software)
 
@@ -377,6 +405,8 @@
         while time.monotonic() < self._deadline_s:
             if not self._forwarder.serving_replicas(self._service, self._software):
                 return None
+            if not self._may_send_again():
+                return None
             state = self._next_replica()
             if state is None:
                 self._tried.clear()
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -15,6 +15,8 @@
 from greengagetack.batches.service import JobService
 from greengagetack.coordination.claim import DispatcherClaim
 from greengagetack.coordination.client import PeerClient
+from greengagetack.coordination.fact_archive import FactArchive
+from greengagetack.coordination.facts import FactCursor, FactTable
 from greengagetack.coordination.lifecycle import DispatcherLifecycle
 from greengagetack.coordination.messages import Member, Pong
 from greengagetack.coordination.roster import Roster
@@ -27,6 +29,7 @@
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.routes import Configuration, Limits, Route, RouteTable
 from greengagetack.gateway.stream_origins import StreamOrigins
+from greengagetack.gateway.suspects import Suspects
 from greengagetack.http1.memory import ResponseMemory
 from greengagetack.http1.pool import Pool
 from greengagetack.objects.base import PlatformObject
@@ -75,6 +78,9 @@
 CHECKPOINT_INTERVAL_S = 1.0
 # A replica's rate limit reaches the other daemons within about this time.
 PUBLISH_INTERVAL_S = 0.5
+# Facts that all daemons must obey survive a loss of all of them if they are older.
+ARCHIVE_INTERVAL_S = 1.0
+SUSPECTS_INTERVAL_S = 0.5
 
 
 class EdgeDaemon:
@@ -129,8 +135,11 @@
             self._claims_feed,
             self._roster,
             lambda: self._dispatcher_lifecycle.on_claim_change(),
-            lambda pong: self._lease.record_version(pong.lease_version),
+            self._on_pong,
+            lambda: self._fact_table.cursor,
         )
+        self._fact_table = FactTable(self._incarnation, self._is_owner)
+        self._fact_archive = FactArchive(self._store, self._fact_table, self._is_owner)
         self._peers = PeerClient(
             facts.node,
             self._claim.holder_address,
@@ -141,7 +150,7 @@
         self._permits = Permits(
             self._fleet,
             self._peers,
-            lambda: self._claim.is_held_locally and not self._claim.is_leaving,
+            self._is_owner,
             self._publish_rate_limit,
             self._metrics,
         )
@@ -149,6 +158,9 @@
         self._config_version = 0
         pool = Pool(REPLICA_CONNECT_TIMEOUT_S)
         self._fleet.subscribe_removals(lambda replica: pool.close_idle(replica.address))
+        self._suspects = Suspects(
+            self._fleet, pool, self._peers, self._fact_table, self._metrics
+        )
         dialect = PlatformDialect()
         self._engine_properties = EngineProperties()
         self._ledger = Ledger(self._store)
@@ -158,6 +170,7 @@
             dialect,
             self._permits,
             self._stream_origins,
+            self._suspects,
             ResponseMemory(int(facts.memory_mb * BYTES_PER_MB * RESPONSE_MEMORY_SHARE)),
             facts.availability_zone,
         )
@@ -312,14 +325,23 @@
     async def _remove_silent_members(self) -> None:
         await self._roster.remove_silent_members(lambda: self._dispatcher.is_active)
 
-    def _pong(self) -> Pong:
+    def _is_owner(self) -> bool:
+        """Whether this daemon grants permits and owns the facts that all obey."""
+        return self._claim.is_held_locally and not self._claim.is_leaving
+
+    def _pong(self, known: FactCursor) -> Pong:
         return Pong(
             self._local_member.node,
             self._local_member.incarnation,
             self._dispatcher.is_active,
             self._lease.held_version,
+            self._fact_table.update_after(known),
         )
 
+    def _on_pong(self, pong: Pong) -> None:
+        self._lease.record_version(pong.lease_version)
+        self._fact_table.apply(pong.facts)
+
     async def run(self) -> None:
         """Serve until `stop` is called, then finish open requests and return."""
         facts = self._facts
@@ -341,6 +363,7 @@
                     self._dispatcher,
                     self._permits,
                     self._stream_origins,
+                    self._suspects,
                     {
                         feed.prefix: feed
                         for feed in (
@@ -397,6 +420,10 @@
         self._timer.subscribe(
             PUBLISH_INTERVAL_S, self._permits.publish_changes, "rate limits"
         )
+        self._timer.subscribe(SUSPECTS_INTERVAL_S, self._suspects.tick, "suspects")
+        self._timer.subscribe(
+            ARCHIVE_INTERVAL_S, self._fact_archive.synchronize, "facts"
+        )
         await self._stop_requested.wait()
         await self._shut_down(front, serving)
 
--- a/greengagetack/replicas/fleet.py
+++ b/greengagetack/replicas/fleet.py
@@ -60,6 +60,10 @@
         """Call `listener` with each replica that announced another rate limit."""
         self._observed_limit_listeners.append(listener)
 
+    def has_announced_leave(self, replica: Replica) -> bool:
+        """Whether a replica that was removed was draining or had announced to leave."""
+        return replica.is_draining or replica.incarnation in self._left
+
     def all_replicas(self) -> list[ReplicaState]:
         """Return the listed replicas of all services."""
         return list(self._states.values())
