Spread rate limits as facts, and encode each update once for all daemons

Cause: limits had a way of their own, through the status of entries in the store, beside the table of facts. Two ways for one matter.

Change: the owner publishes limits as facts; the status of entries is neither written nor read any more.

--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -72,3 +72,18 @@
       | 0,400    | 250   | 250  |
       | 400,900  | 400   | 600  |
       | 10,900   | 50    | 50   |
+
+  Scenario Outline: A published limit applies to the start of the replica that named it
+    Given a daemon that lists <listed>
+    When the owner publishes a limit of 2 for the start 1 of replica "r"
+    And the daemon then lists <later>
+    And the limit <end>
+    Then the daemon knows <limit> for replica "r"
+
+    Examples:
+      | listed  | later   | end       | limit    |
+      | start 1 | start 1 | stays     | 2        |
+      | nothing | start 1 | stays     | 2        |
+      | nothing | start 2 | stays     | no limit |
+      | start 1 | start 2 | stays     | no limit |
+      | start 1 | start 1 | ends      | no limit |
--- a/features/steps/rate_limits_steps.py
+++ b/features/steps/rate_limits_steps.py
@@ -8,7 +8,12 @@
 from behave.runner import Context
 
 from features.support.limited_fleet import LimitedFleet, most_in_window
+from greengagetack.coordination.client import PeerClient
+from greengagetack.coordination.facts import FactTable
 from greengagetack.gateway.choice import suggested_retry_s
+from greengagetack.observability.metrics import Metrics
+from greengagetack.replicas.fleet import Fleet
+from greengagetack.replicas.permits import Permits, RateLimit
 from greengagetack.replicas.replica import Replica, ReplicaState
 from greengagetack.world import Address
 from standins.platform_cluster import LOOKUP_PREFIX
@@ -114,3 +119,54 @@
         retry_s = suggested_retry_s(context.states, 100.0, rng)
         assert least <= retry_s * 1000 + 1e-6, retry_s
         assert retry_s * 1000 <= most + 1e-6, retry_s
+
+
+def _list_start(context: Context, listed: str) -> None:
+    if listed == "nothing":
+        return
+    started_ms = int(listed.removeprefix("start "))
+    address = Address("10.0.0.1", 80)
+    replica = Replica("r", "service", address, "zone", 4, False, (), started_ms)
+    context.fleet.update([replica], [])
+
+
+@given("a daemon that lists {listed}")
+def step_listing(context: Context, listed: str) -> None:
+    context.fleet = Fleet(lambda: float("-inf"))
+    context.facts = FactTable("daemon", lambda: False)
+    context.permits = Permits(
+        context.fleet,
+        PeerClient("daemon", lambda: None, list, tuple),
+        context.facts,
+        Metrics(),
+    )
+    context.owner_facts = FactTable("owner", lambda: True)
+    _list_start(context, listed)
+
+
+def _ping(context: Context) -> None:
+    context.facts.apply(context.owner_facts.update_after(context.facts.cursor))
+
+
+@when('the owner publishes a limit of {limit:d} for the start {start:d} of replica "r"')
+def step_publish_limit(context: Context, limit: int, start: int) -> None:
+    context.owner_facts.publish("r/1", RateLimit("r", start, float(limit)), 600.0)
+    _ping(context)
+
+
+@when("the daemon then lists {listed}")
+def step_list_later(context: Context, listed: str) -> None:
+    _list_start(context, listed)
+
+
+@when("the limit {end}")
+def step_limit_end(context: Context, end: str) -> None:
+    if end == "ends":
+        context.owner_facts.retract(RateLimit, "r/1")
+        _ping(context)
+
+
+@then('the daemon knows {limit} for replica "r"')
+def step_known_limit(context: Context, limit: str) -> None:
+    expected = None if limit == "no limit" else float(limit)
+    assert context.fleet.get("r").rate_limit_per_s == expected
--- a/features/support/fact_fleet.py
+++ b/features/support/fact_fleet.py
@@ -5,7 +5,7 @@
 from contextlib import contextmanager
 from unittest.mock import patch
 
-from greengagetack.coordination.facts import FactTable, FactUpdate
+from greengagetack.coordination.facts import FactTable
 from greengagetack.coordination.messages import Pong, decode, encode
 from greengagetack.gateway.crash_evidence import VERDICT_RETENTION_S
 from greengagetack.gateway.suspects import SuspectRequest
@@ -43,8 +43,7 @@
         update = self._tables[self._owner].update_after(table.cursor)
         body = encode(Pong("node", "incarnation", True, 0, update))
         self.most_bytes = max(self.most_bytes, len(body))
-        received: FactUpdate | None = decode(body, type=Pong).facts
-        table.apply(received)
+        table.apply(decode(body, type=Pong).facts)
 
     @contextmanager
     def _clock(self) -> Iterator[None]:
--- a/features/support/limited_fleet.py
+++ b/features/support/limited_fleet.py
@@ -4,6 +4,7 @@
 import random
 from unittest.mock import patch
 
+from greengagetack.coordination.facts import FactTable
 from greengagetack.errors import PeerUnreachable
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
@@ -47,21 +48,13 @@
         listed = Fleet(lambda: float("-inf"))
         address = Address("10.0.0.1", 80)
         listed.update([Replica("r", "service", address, "zone", 8, False, (), 1)], [])
-        self.permits = Permits(
-            listed,
-            self,
-            lambda: self.owner_number == number,
-            self._publish,
-            Metrics(),
-        )
+        facts = FactTable(f"daemon-{number}", lambda: self.owner_number == number)
+        self.permits = Permits(listed, self, facts, Metrics())
         state = listed.get("r")
         assert state is not None
         self.state = state
         state.record_rate_limit(limit_per_s)
 
-    async def _publish(self, replica: Replica, limit_per_s: float | None) -> None:
-        raise AssertionError("all daemons know the limit")
-
     async def request_permit(self, request: PermitRequest) -> Permit:
         if self.owner_number is None:
             raise PeerUnreachable("no owner at present")
--- a/greengagetack/coordination/claim.py
+++ b/greengagetack/coordination/claim.py
@@ -153,7 +153,7 @@
                     self._last_contact_s = time.monotonic()
                     self._on_pong(pong)
                     return
-            except PeerUnreachable as error:
+            except (PeerUnreachable, msgspec.DecodeError) as error:
                 logger.debug("claim: no ping response from {}: {}", holder.node, error)
         silent_s = self.silent_s
         is_first = not self._feed.objects
--- a/greengagetack/coordination/facts.py
+++ b/greengagetack/coordination/facts.py
@@ -105,6 +105,8 @@
         # In the order of their revisions.
         self._entries: OrderedDict[tuple[str, str], _Entry] = OrderedDict()
         self._listeners: dict[str, list[FactListener]] = {}
+        # Encoded updates by cursor, until the next change.
+        self._encoded: dict[FactCursor, bytes] = {}
         self.cursor = FactCursor()
 
     @property
@@ -134,6 +136,7 @@
         self._store(topic, key, _Entry(value, revision, time.monotonic() + lifetime_s))
 
     def _store(self, topic: str, key: str, entry: _Entry) -> None:
+        self._encoded.clear()
         self._entries[topic, key] = entry
         self._entries.move_to_end((topic, key))
         if len(self._entries) > MAX_FACTS:
@@ -153,13 +156,23 @@
             self._entries[key] = _Entry(entry.value, number, entry.expires_s)
         self.cursor = FactCursor(self._own_epoch, len(self._entries))
 
-    def update_after(self, cursor: FactCursor) -> FactUpdate | None:
-        """Return what follows a daemon's cursor, None if that is nothing."""
+    def update_after(self, cursor: FactCursor) -> bytes | None:
+        """Return an encoded update that follows a cursor, None if there is nothing.
+
+        Daemons that have kept up ask for the same update, so it is encoded once.
+        """
         if not self._is_owner():
             return None
         self._begin_epoch()
         if cursor == self.cursor:
             return None
+        encoded = self._encoded.get(cursor)
+        if encoded is None:
+            encoded = msgspec.msgpack.encode(self._build_update(cursor))
+            self._encoded[cursor] = encoded
+        return encoded
+
+    def _build_update(self, cursor: FactCursor) -> FactUpdate:
         after = cursor.revision if cursor.epoch == self._own_epoch else 0
         newer = []
         for (topic, key), entry in reversed(self._entries.items()):
@@ -177,10 +190,17 @@
         )
         return FactUpdate(FactCursor(self._own_epoch, last), facts)
 
-    def apply(self, update: FactUpdate | None) -> None:
-        """Learn what the owner has sent."""
-        if update is None or self._is_owner():
+    def apply(self, encoded: bytes | None) -> None:
+        """Learn what the owner has sent.
+
+        Raises
+        ------
+        msgspec.DecodeError
+            If the update is not a valid one.
+        """
+        if encoded is None or self._is_owner():
             return
+        update = msgspec.msgpack.decode(encoded, type=FactUpdate)
         for fact in update.facts:
             self._learn(fact, update.cursor.revision)
         self.cursor = update.cursor
@@ -223,6 +243,8 @@
     def forget_expired(self) -> None:
         """Drop expired facts and tell their listeners."""
         now_s = time.monotonic()
+        # What is left of the lifetimes in them has shrunk.
+        self._encoded.clear()
         for (topic, key), entry in list(self._entries.items()):
             if entry.expires_s > now_s:
                 continue
--- a/greengagetack/coordination/messages.py
+++ b/greengagetack/coordination/messages.py
@@ -6,7 +6,6 @@
 
 from greengagetack.batches.job import Segment
 from greengagetack.batches.progress import ProgressSnapshot
-from greengagetack.coordination.facts import FactUpdate
 from greengagetack.gateway.stream_origins import StreamOrigin
 from greengagetack.gateway.suspects import CrashReport
 
@@ -46,14 +45,15 @@
 class Pong:
     """Answer to a ping; `lease_version` is that of the held order lease, else 0.
 
-    `facts` holds what the sender of the ping does not know yet, None for nothing.
+    `facts` is an encoded update of what the sender of the ping does not know yet, None
+    for nothing.
     """
 
     node: str
     incarnation: str
     is_dispatcher: bool
     lease_version: int = 0
-    facts: FactUpdate | None = None
+    facts: bytes | None = None
 
 
 class Segments(msgspec.Struct, frozen=True):
--- a/greengagetack/objects/base.py
+++ b/greengagetack/objects/base.py
@@ -48,17 +48,12 @@
 
 @dataclass(frozen=True, slots=True)
 class PlatformObject:
-    """An object; `version` grows with each write, `change_id` names the last one.
-
-    `status` is what this system has written beside the value of another system's
-    object, None if nothing.
-    """
+    """An object; `version` grows with each write, `change_id` names the last one."""
 
     path: str
     version: int
     change_id: str
     value: Any
-    status: Any = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -76,7 +76,7 @@
 SWEEP_INTERVAL_S = 15.0
 # At most this much work per item is lost if all daemons fail.
 CHECKPOINT_INTERVAL_S = 1.0
-# A replica's rate limit reaches the other daemons within about this time.
+# A replica's rate limit is published within about this time.
 PUBLISH_INTERVAL_S = 0.5
 # Facts that all daemons must obey survive a loss of all of them if they are older.
 ARCHIVE_INTERVAL_S = 1.0
@@ -150,8 +150,7 @@
         self._permits = Permits(
             self._fleet,
             self._peers,
-            self._is_owner,
-            self._publish_rate_limit,
+            self._fact_table,
             self._metrics,
         )
         self._route_table: RouteTable | None = None
@@ -242,13 +241,6 @@
     ) -> StoreResponse:
         return await self._peers.relay(method, target, body, wait_s)
 
-    async def _publish_rate_limit(
-        self, replica: Replica, limit_per_s: float | None
-    ) -> None:
-        path = f"{wire.SERVERS_KIND}/{replica.replica_id}"
-        status = documents.encode_replica_status(replica, limit_per_s)
-        await self._store.write_status(path, status)
-
     def _configuration(self) -> Configuration:
         return (
             Configuration(0, ())
--- a/greengagetack/platform/documents.py
+++ b/greengagetack/platform/documents.py
@@ -1,7 +1,6 @@
 """greengagetack.platform.documents: decodes the objects that other systems write."""
 
 from collections.abc import Iterable
-from typing import Any
 
 import msgspec
 from loguru import logger
@@ -21,7 +20,6 @@
     "decode_configuration",
     "decode_named_versions",
     "decode_replica",
-    "encode_replica_status",
 ]
 
 REQUEST_KINDS = {
@@ -107,15 +105,6 @@
     cold_left_ms: float = 0.0
 
 
-class _ReplicaStatus(msgspec.Struct, frozen=True):
-    """What this system writes beside a replica's entry."""
-
-    # Start of the replica that named the limit: the entry may outlive it.
-    started_ms: int = 0
-    # Requests a second that the replica takes from all VMs together.
-    rate_limit_per_s: float | None = None
-
-
 class _NamedVersion(msgspec.Struct, frozen=True):
     model: str
     version: int
@@ -194,28 +183,9 @@
         started_ms=decoded.born,
         cold_left_ms=decoded.cold_left_ms,
         software_version=decoded.version,
-        rate_limit_per_s=_decode_rate_limit(stored, decoded.born),
     )
 
 
-def _decode_rate_limit(stored: PlatformObject, started_ms: int) -> float | None:
-    if stored.status is None:
-        return None
-    try:
-        status = msgspec.convert(stored.status, _ReplicaStatus)
-    except msgspec.ValidationError as error:
-        logger.warning(
-            "replicas: ignoring the invalid status of {}: {}", stored.path, error
-        )
-        return None
-    return status.rate_limit_per_s if status.started_ms == started_ms else None
-
-
-def encode_replica_status(replica: Replica, limit_per_s: float | None) -> Any:
-    """Return the status that publishes a replica's rate limit, None for no limit."""
-    return msgspec.to_builtins(_ReplicaStatus(replica.started_ms, limit_per_s))
-
-
 def decode_named_versions(objects: Iterable[PlatformObject]) -> dict[str, int]:
     """Return the weight version that a trainer has named for each model."""
     named: dict[str, int] = {}
--- a/greengagetack/platform/store.py
+++ b/greengagetack/platform/store.py
@@ -50,7 +50,6 @@
     # Decoded later: an invalid object of another writer must not fail the entire
     # response.
     spec: msgspec.Raw = msgspec.Raw(b"null")
-    status: Any = None
 
 
 class _Event(msgspec.Struct, frozen=True):
@@ -275,7 +274,7 @@
     try:
         if kind in FOREIGN_KINDS:
             value = msgspec.json.decode(stored.spec)
-            return PlatformObject(path, version, "", value, stored.status)
+            return PlatformObject(path, version, "", value)
         decoded = msgspec.json.decode(stored.spec, type=_Stored)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         logger.warning(
--- a/greengagetack/replicas/fleet.py
+++ b/greengagetack/replicas/fleet.py
@@ -125,7 +125,6 @@
             self._states[replica.replica_id] = ReplicaState(
                 replica,
                 leaving_since_s=self._left.get(replica.incarnation),
-                rate_limit_per_s=replica.rate_limit_per_s,
                 on_observed_limit=self._on_observed_limit,
             )
             logger.info(
@@ -137,11 +136,8 @@
             return
         if replica.is_draining and not state.replica.is_draining:
             logger.info("replicas: {} is draining", replica.replica_id)
-        former_limit_per_s = state.replica.rate_limit_per_s
         state.replica = replica
         state.is_gone = False
-        if replica.rate_limit_per_s != former_limit_per_s:
-            state.record_rate_limit(replica.rate_limit_per_s)
 
     def _on_observed_limit(self, state: ReplicaState) -> None:
         for listener in self._observed_limit_listeners:
--- a/greengagetack/replicas/permits.py
+++ b/greengagetack/replicas/permits.py
@@ -6,12 +6,12 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Protocol
 
 from loguru import logger
 
+from greengagetack.coordination.facts import FactTable, fact_type
 from greengagetack.errors import CodedError
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
@@ -23,21 +23,37 @@
 )
 from greengagetack.replicas.replica import Incarnation, Replica, ReplicaState
 
-__all__ = ["Permit", "PermitOwner", "PermitRequest", "Permits", "RateLimitNotice"]
+__all__ = [
+    "Permit",
+    "PermitOwner",
+    "PermitRequest",
+    "Permits",
+    "RateLimit",
+    "RateLimitNotice",
+]
 
 # Pause of the requests to limited replicas while their permits cannot be asked for.
 OWNER_UNREACHABLE_PAUSE_S = 0.25
 # An end of a limit takes this long to reach all daemons; until then some still ask for
 # permits, which does not mean that the limit is back.
 LIMIT_SPREAD_S = 3.0
-# A limit that did not appear in the replica's entry is published again after this time.
-PUBLISH_AGAIN_S = 5.0
-# Bounds the writes to the store when many replicas change their limits at once.
-MAX_PUBLISHED_PER_TICK = 10
+# A replica names its limit in each response, so that a limit that is forgotten while it
+# lasts is soon known again.
+LIMIT_LIFETIME_S = 600.0
 # Permits that reward calls leave for callers.
 RESERVED_FOR_CALLERS = 1.0
 
 
+@fact_type("rate_limit")
+@dataclass(frozen=True, slots=True)
+class RateLimit:
+    """The limit of a replica, as all daemons know it."""
+
+    replica_id: str
+    started_ms: int
+    limit_per_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class PermitRequest:
     """Asks for one request to a replica; `limit_per_s` is the limit seen here."""
@@ -81,36 +97,37 @@
     ----------
     owner : PermitOwner
         Calls to the owner, used while that is another daemon.
-    is_owner : callable
-        Returns whether this daemon is the owner.
-    publish : callable
-        Writes a replica's limit, None for no limit, to where all daemons read it.
+    facts : FactTable
+        Spreads the limits; its owner grants the permits.
     """
 
     def __init__(
         self,
         fleet: Fleet,
         owner: PermitOwner,
-        is_owner: Callable[[], bool],
-        publish: Callable[[Replica, float | None], Awaitable[None]],
+        facts: FactTable,
         metrics: Metrics,
     ) -> None:
         self._fleet = fleet
         self._owner = owner
-        self._is_owner = is_owner
-        self._publish = publish
+        self._facts = facts
         self._metrics = metrics
         self._owner_since_s: float | None = None
         self._owner_unreachable_until_s = float("-inf")
         self._buckets: dict[Incarnation, TokenBucket] = {}
-        self._published: dict[Incarnation, tuple[float | None, float]] = {}
+        # The limits that all daemons know, and those of replicas not listed here yet.
+        self._limits: dict[str, RateLimit] = {}
+        self._unlisted: set[str] = set()
         self._notices: set[asyncio.Task[None]] = set()
+        fleet.subscribe(self._apply_to_listed)
         fleet.subscribe_removals(self._on_removal)
         fleet.subscribe_observed_limits(self._on_observed_limit)
+        facts.subscribe(RateLimit, self._on_fact)
 
     def _on_removal(self, replica: Replica) -> None:
         self._buckets.pop(replica.incarnation, None)
-        self._published.pop(replica.incarnation, None)
+        if self._facts.is_owner:
+            self._facts.retract(RateLimit, _limit_key(replica))
 
     # -- requests of this daemon
 
@@ -168,7 +185,7 @@
 
     def _is_granting(self) -> bool:
         """Whether this daemon is the owner; keeps the time since when it is."""
-        if not self._is_owner():
+        if not self._facts.is_owner:
             self._owner_since_s = None
             self._buckets.clear()
             return False
@@ -228,7 +245,7 @@
 
     def _on_observed_limit(self, state: ReplicaState) -> None:
         """Tell the owner of a limit that began, changed or ended."""
-        if self._is_owner():
+        if self._facts.is_owner:
             return
         replica = state.replica
         notice = RateLimitNotice(
@@ -251,28 +268,45 @@
             )
 
     async def publish_changes(self) -> None:
-        """Publish the limits that differ from the listed ones, while the owner."""
+        """Publish the limits that differ from the known ones, while the owner."""
         if not self._is_granting():
             return
-        due = [state for state in self._fleet.all_replicas() if self._is_due(state)]
-        for state in due[:MAX_PUBLISHED_PER_TICK]:
+        for state in self._fleet.all_replicas():
             replica, limit_per_s = state.replica, state.rate_limit_per_s
-            self._published[replica.incarnation] = (limit_per_s, time.monotonic())
-            try:
-                await self._publish(replica, limit_per_s)
-            except CodedError as error:
-                logger.info(
-                    "permits: limit of {} not published",
-                    replica.replica_id,
-                    reason=error.reason,
-                )
-                return
-
-    def _is_due(self, state: ReplicaState) -> bool:
-        limit_per_s = state.rate_limit_per_s
-        if state.is_gone or limit_per_s == state.replica.rate_limit_per_s:
+            key = _limit_key(replica)
+            known = self._limits.get(key)
+            if limit_per_s is None:
+                if known is not None:
+                    self._facts.retract(RateLimit, key)
+                continue
+            limit = RateLimit(replica.replica_id, replica.started_ms, limit_per_s)
+            if limit != known and not state.is_gone:
+                self._facts.publish(key, limit, LIMIT_LIFETIME_S)
+
+    def _on_fact(self, key: str, limit: RateLimit | None) -> None:
+        former = self._limits.pop(key, None)
+        self._unlisted.discard(key)
+        if limit is not None:
+            self._limits[key] = limit
+            if not self._apply(limit, limit.limit_per_s):
+                self._unlisted.add(key)
+        elif former is not None:
+            self._apply(former, None)
+
+    def _apply(self, limit: RateLimit, limit_per_s: float | None) -> bool:
+        """Record a limit at its replica; return whether that is listed."""
+        state = self._listed_state(limit.replica_id, limit.started_ms)
+        if state is None:
             return False
-        published = self._published.get(state.replica.incarnation)
-        if published is None or published[0] != limit_per_s:
-            return True
-        return time.monotonic() - published[1] > PUBLISH_AGAIN_S
+        state.record_rate_limit(limit_per_s)
+        return True
+
+    def _apply_to_listed(self) -> None:
+        """Apply the limits of replicas that have just been listed."""
+        for key in list(self._unlisted):
+            if self._apply(self._limits[key], self._limits[key].limit_per_s):
+                self._unlisted.discard(key)
+
+
+def _limit_key(replica: Replica) -> str:
+    return f"{replica.replica_id}/{replica.started_ms}"
--- a/greengagetack/replicas/replica.py
+++ b/greengagetack/replicas/replica.py
@@ -33,9 +33,6 @@
         Remaining time of slow operation after the start, in milliseconds.
     software_version : str
         Version of the replica's software, empty if unknown.
-    rate_limit_per_s : float or None
-        Requests a second that the replica takes from all VMs together, as published by
-        the owner of its permits; None without a limit.
     """
 
     replica_id: str
@@ -48,7 +45,6 @@
     started_ms: int = 0
     cold_left_ms: float = 0.0
     software_version: str = ""
-    rate_limit_per_s: float | None = None
 
     @property
     def incarnation(self) -> Incarnation:
