Serve callers of a VM that has lost its path to the replicas by way of other daemons

Cause: a daemon tried replicas over its own links only, and learnt of their loss one connection at a time. Ruled out: a fault of the replicas or of the other VMs, which served all.

While it is, a request is one attempt by way of another daemon (gateway.detours), with the same limits on attempts, deadlines and cancelling; a silent attempt of a repeatable request is left and sent that way. Without a daemon that reaches a replica it is refused at once. The daemon goes on checking and returns to its own path. A crash is not reported on the word of a connection that was refused to a VM without a path.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -104,5 +104,5 @@
   Scenario: Facts are forgotten in time, at every daemon
     Given 9 daemons that ping the owner of the facts each second
     When the owner publishes 20 facts within 1 s, and nothing else happens
-    And 601 s pass
+    And 601 s pass without a ping
     Then no daemon knows any of them
--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -77,7 +77,7 @@
     Given a daemon that lists <listed>
     When the owner publishes a limit of 2 for the start 1 of replica "r"
     And the daemon then lists <later>
-    And the limit <end>
+    And the published limit <end>
     Then the daemon knows <limit> for replica "r"
 
     Examples:
--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -305,7 +305,7 @@
     assert most <= 10_000, most
 
 
-@when("{period:d} s pass")
+@when("{period:d} s pass without a ping")
 def step_pass(context: Context, period: int) -> None:
     context.fact_fleet.wait(period)
 
--- a/features/steps/rate_limits_steps.py
+++ b/features/steps/rate_limits_steps.py
@@ -159,7 +159,7 @@
     _list_start(context, listed)
 
 
-@when("the limit {end}")
+@when("the published limit {end}")
 def step_limit_end(context: Context, end: str) -> None:
     if end == "ends":
         context.owner_facts.retract(RateLimit, "r/1")
--- a/features/support/cut_network.py
+++ b/features/support/cut_network.py
@@ -11,7 +11,9 @@
 
 from greengagetack.coordination.facts import FactTable
 from greengagetack.errors import CodedError, PeerUnreachable
+from greengagetack.gateway.attempt import Reply
 from greengagetack.gateway.call import Call
+from greengagetack.gateway.detours import Detours, RelayedAnswer, RelayedRequest
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.routes import RequestKind, Route
 from greengagetack.gateway.stream_origins import StreamOrigins
@@ -27,6 +29,7 @@
 from greengagetack.observability.metrics import Metrics
 from greengagetack.platform.replica import PlatformDialect
 from greengagetack.replicas.fleet import Fleet
+from greengagetack.replicas.paths import ReplicaPaths
 from greengagetack.replicas.permits import Permits
 from greengagetack.replicas.replica import Replica
 from greengagetack.world import Address
@@ -133,6 +136,11 @@
         await asyncio.sleep(CONNECT_S)
         return _Connection(self._network, self._daemon, f"r{address.port}")
 
+    async def open_idle(self, address: Address) -> None:
+        """Open a connection and keep it."""
+        connection = await self._open(address)
+        self._links.setdefault(address, _Link()).idle.append(connection)
+
     def close_idle(self, address: Address) -> None:
         """Drop the idle connections to a replica."""
         self._links.pop(address, None)
@@ -146,6 +154,47 @@
         raise PeerUnreachable("no owner")
 
 
+class _Peers:
+    """A daemon's calls to the others, which all reach each other."""
+
+    def __init__(self, network: "CutNetwork", daemon: int) -> None:
+        self._network = network
+        self._daemon = daemon
+
+    def member_addresses(self) -> tuple[Address, ...]:
+        """Return the addresses of all daemons."""
+        return self._network.addresses
+
+    async def send_relayed(
+        self, address: Address, request: RelayedRequest
+    ) -> tuple[RelayedAnswer, AsyncIterator[bytes]]:
+        """Let another daemon send a request."""
+        loop = asyncio.get_running_loop()
+        self._network.detoured_s.append(loop.time())
+        await asyncio.sleep(CONNECT_S)
+        forwarder = self._network.forwarders[address.port]
+        attempt = await forwarder.send_relayed(request)
+        reply = attempt.reply
+        answer = RelayedAnswer(
+            attempt.result,
+            attempt.reason,
+            attempt.replica_id,
+            attempt.software,
+            0 if reply is None else reply.head.status,
+            () if reply is None else reply.head.headers,
+        )
+        return answer, self._parts(reply)
+
+    async def _parts(self, reply: Reply | None) -> AsyncIterator[bytes]:
+        if reply is None:
+            return
+        if reply.body:
+            yield reply.body
+        if reply.parts is not None:
+            async for part in reply.parts:
+                yield part
+
+
 class CutNetwork:
     """Daemons in two availability zones before the replicas of one service."""
 
@@ -154,6 +203,8 @@
         self._cuts: dict[int, str] = {}
         # Request and replica of each run.
         self.runs: list[tuple[str, str]] = []
+        # When daemons asked another one to send a request.
+        self.detoured_s: list[float] = []
         self._replicas = [
             Replica(f"r{port}", SERVICE, Address("10.0.0.1", port), "zone-0", 8, False)
             for port in range(1, replicas + 1)
@@ -173,20 +224,27 @@
         """Return how a daemon is cut from the replicas, empty if it is not."""
         return self._cuts.get(daemon, "")
 
+    def detours_since(self, from_s: float) -> int:
+        """Return how many requests were sent by way of another daemon."""
+        return sum(at_s >= from_s for at_s in self.detoured_s)
+
     def _build(self, number: int) -> Forwarder:
         fleet = Fleet(lambda: float("-inf"))
         fleet.update(self._replicas, [])
         pool = _Pool(self, number)
         facts = FactTable(f"daemon-{number}", lambda: False)
         metrics = Metrics()
-        peers = _NoOwner()
+        owner = _NoOwner()
+        paths = ReplicaPaths(fleet, pool)
         return Forwarder(
             fleet,
             pool,  # type: ignore[arg-type]
             PlatformDialect(),
-            Permits(fleet, peers, facts, metrics),  # type: ignore[arg-type]
-            StreamOrigins(peers, self.addresses[number]),  # type: ignore[arg-type]
-            Suspects(fleet, pool, peers, facts, metrics),  # type: ignore[arg-type]
+            Permits(fleet, owner, facts, metrics),  # type: ignore[arg-type]
+            StreamOrigins(owner, self.addresses[number]),  # type: ignore[arg-type]
+            Suspects(fleet, pool, paths, owner, facts, metrics),  # type: ignore[arg-type]
+            paths,
+            Detours(_Peers(self, number), self.addresses[number], metrics),
             ResponseMemory(1_000_000),
             f"zone-{number % 2}",
         )
--- a/greengagetack/batches/rewards.py
+++ b/greengagetack/batches/rewards.py
@@ -21,8 +21,9 @@
     RewardLimits,
     choose_reward_replica,
 )
+from greengagetack.gateway.attempt import Attempt
 from greengagetack.gateway.call import Call, ReplicaDialect
-from greengagetack.gateway.forward import Attempt, Forwarder
+from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.retry import AttemptResult
 from greengagetack.gateway.routes import Route
 from greengagetack.observability.metrics import Metrics
--- a/greengagetack/coordination/client.py
+++ b/greengagetack/coordination/client.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack
 from typing import TypeVar
 from urllib.parse import quote
 
@@ -12,6 +13,7 @@
 from greengagetack.batches.progress import ProgressSnapshot
 from greengagetack.coordination.facts import FactCursor
 from greengagetack.coordination.messages import (
+    RELAYED_LENGTH_BYTES,
     CrashReports,
     HandOver,
     JobHint,
@@ -24,9 +26,16 @@
     encode,
 )
 from greengagetack.errors import PeerUnreachable, PlatformUnavailable
+from greengagetack.gateway.detours import RelayedAnswer, RelayedRequest
 from greengagetack.gateway.stream_origins import StreamOrigin
 from greengagetack.gateway.suspects import CrashReport, Trial, TrialRequest
-from greengagetack.http1.message import ExchangeError, Request
+from greengagetack.http1.connection import Connection
+from greengagetack.http1.message import (
+    ConnectFailed,
+    ExchangeError,
+    IncompleteResponse,
+    Request,
+)
 from greengagetack.http1.pool import Pool
 from greengagetack.objects.base import HistoryGone, WatchAnswer
 from greengagetack.objects.transport import StoreResponse
@@ -41,6 +50,8 @@
 PERMIT_TIMEOUT_S = 0.1
 # A caller waits for the origin of the stream that it takes up.
 ORIGIN_TIMEOUT_S = 0.4
+# A daemon connects to replicas before it answers.
+PATH_TIMEOUT_S = 0.6
 # Time allowed for the response to a waiting read, in addition to its wait.
 READ_MARGIN_S = 0.3
 RELAY_TIMEOUT_S = 1.2
@@ -222,6 +233,45 @@
         body = await self._call(address, "POST", "/peer/trials", call, PERMIT_TIMEOUT_S)
         return _decode_response(body, Trial)
 
+    async def reaches(self, address: Address, service: str) -> bool:
+        """Return whether a daemon reaches a replica of a service.
+
+        Raises
+        ------
+        PeerUnreachable
+            If the daemon does not answer in time.
+        """
+        path = f"/peer/paths/{quote(service, safe='')}"
+        body = await self._call(address, "GET", path, b"", PATH_TIMEOUT_S)
+        return _decode_response(body, bool)
+
+    async def send_relayed(
+        self, address: Address, request: RelayedRequest
+    ) -> tuple[RelayedAnswer, AsyncIterator[bytes]]:
+        """Let a daemon send a request; return the answer and the parts of its body.
+
+        Raises
+        ------
+        PeerUnreachable
+            If the daemon accepts no connection.
+        ExchangeError
+            If the connection breaks or the answer is invalid.
+        """
+        headers = ((b"host", str(address).encode()),)
+        call = Request(b"POST", b"/peer/attempts", headers, encode(request))
+        async with AsyncExitStack() as stack:
+            try:
+                connection = await stack.enter_async_context(
+                    self._pool.connection(address)
+                )
+            except ConnectFailed as error:
+                raise PeerUnreachable(str(error), RETRY_AFTER_S) from error
+            head = await connection.send(call)
+            if head.status != OK:
+                raise IncompleteResponse(f"{address}: status {head.status}")
+            answer, rest = await _read_relayed_answer(connection)
+            return answer, _relayed_parts(connection, rest, stack.pop_all())
+
     async def send_origins(
         self, address: Address, origins: tuple[StreamOrigin, ...]
     ) -> None:
@@ -302,6 +352,35 @@
         return content
 
 
+async def _read_relayed_answer(connection: Connection) -> tuple[RelayedAnswer, bytes]:
+    """Return the answer before the body, and the bytes read beyond it."""
+    received = b""
+    while True:
+        part = await connection.read()
+        if not part:
+            raise IncompleteResponse("the answer of the daemon is incomplete")
+        received += part
+        size_bytes = int.from_bytes(received[:RELAYED_LENGTH_BYTES])
+        end = RELAYED_LENGTH_BYTES + size_bytes
+        if len(received) >= RELAYED_LENGTH_BYTES and len(received) >= end:
+            break
+    try:
+        answer = decode(received[RELAYED_LENGTH_BYTES:end], type=RelayedAnswer)
+    except ValueError as error:
+        raise IncompleteResponse(f"the answer cannot be decoded: {error}") from error
+    return answer, received[end:]
+
+
+async def _relayed_parts(
+    connection: Connection, first: bytes, stack: AsyncExitStack
+) -> AsyncIterator[bytes]:
+    async with stack:
+        if first:
+            yield first
+        while part := await connection.read():
+            yield part
+
+
 def _decode_response(body: bytes, kind: type[T]) -> T:
     try:
         return decode(body, type=kind)
--- a/greengagetack/coordination/messages.py
+++ b/greengagetack/coordination/messages.py
@@ -10,6 +10,7 @@
 from greengagetack.gateway.suspects import CrashReport
 
 __all__ = [
+    "RELAYED_LENGTH_BYTES",
     "CrashReports",
     "HandOver",
     "JobHint",
@@ -108,5 +109,8 @@
     software: str | None
 
 
+# A relayed answer is preceded by its length, as the body of the response follows it.
+RELAYED_LENGTH_BYTES = 4
+
 encode = msgspec.msgpack.encode
 decode = msgspec.msgpack.decode
--- a/greengagetack/coordination/server.py
+++ b/greengagetack/coordination/server.py
@@ -1,16 +1,17 @@
 """greengagetack.coordination.server: HTTP endpoints for other daemons."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 from starlette.applications import Starlette
 from starlette.requests import Request
-from starlette.responses import Response
+from starlette.responses import Response, StreamingResponse
 from starlette.routing import Route
 
 from greengagetack.batches.dispatcher import Dispatcher
 from greengagetack.batches.reading import JobReader
 from greengagetack.coordination.facts import FactCursor
 from greengagetack.coordination.messages import (
+    RELAYED_LENGTH_BYTES,
     CrashReports,
     HandOver,
     JobHint,
@@ -23,6 +24,10 @@
     encode,
 )
 from greengagetack.errors import CodedError
+from greengagetack.gateway.attempt import Attempt
+from greengagetack.gateway.clients import ClientDisconnected, cancel_on_disconnect
+from greengagetack.gateway.detours import RelayedAnswer, RelayedRequest
+from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.stream_origins import StreamOrigins
 from greengagetack.gateway.suspects import Suspects, TrialRequest
 from greengagetack.objects.feed import Feed
@@ -34,6 +39,8 @@
 MAX_READ_WAIT_S = 30.0
 BAD_REQUEST = 400
 NOT_FOUND = 404
+# Nobody reads this status.
+CLIENT_CLOSED_REQUEST = 499
 
 
 def build_peer_application(
@@ -43,6 +50,7 @@
     permits: Permits,
     stream_origins: StreamOrigins,
     suspects: Suspects,
+    forwarder: Forwarder,
     feeds: dict[str, Feed],
     on_follower: Callable[[str], None],
     call_store: Callable[[RelayCall], Awaitable[StoreResponse]],
@@ -107,6 +115,19 @@
         wanted = decode(await request.body(), type=TrialRequest)
         return Response(encode(suspects.handle_trial_request(wanted)))
 
+    async def has_path(request: Request) -> Response:
+        service = request.path_params["service"]
+        return Response(encode(await forwarder.paths.check(service)))
+
+    async def attempts(request: Request) -> Response:
+        relayed = decode(await request.body(), type=RelayedRequest)
+        pending = forwarder.send_relayed(relayed)
+        try:
+            attempt = await cancel_on_disconnect(pending, request.receive)
+        except ClientDisconnected:
+            return Response(status_code=CLIENT_CLOSED_REQUEST)
+        return StreamingResponse(_relayed_parts(attempt))
+
     async def record_origins(request: Request) -> Response:
         recorded = decode(await request.body(), type=RecordedOrigins)
         stream_origins.remember(recorded.origins)
@@ -138,6 +159,8 @@
             Route("/peer/permits", permit, methods=["POST"]),
             Route("/peer/rate-limits", rate_limit, methods=["POST"]),
             Route("/peer/crash-reports", crash_reports, methods=["POST"]),
+            Route("/peer/paths/{service}", has_path),
+            Route("/peer/attempts", attempts, methods=["POST"]),
             Route("/peer/trials", trial, methods=["POST"]),
             Route("/peer/stream-origins", record_origins, methods=["POST"]),
             Route("/peer/stream-origins/{request_id}", stream_origin),
@@ -150,3 +173,26 @@
             KeyError: error_response,
         },
     )
+
+
+async def _relayed_parts(attempt: Attempt) -> AsyncIterator[bytes]:
+    """Yield the encoded outcome of an attempt, then the body of the response."""
+    reply = attempt.reply
+    answer = encode(
+        RelayedAnswer(
+            attempt.result,
+            attempt.reason,
+            attempt.replica_id,
+            attempt.software,
+            0 if reply is None else reply.head.status,
+            () if reply is None else reply.head.headers,
+        )
+    )
+    yield len(answer).to_bytes(RELAYED_LENGTH_BYTES) + answer
+    if reply is None:
+        return
+    if reply.body:
+        yield reply.body
+    if reply.parts is not None:
+        async for part in reply.parts:
+            yield part
--- a/greengagetack/gateway/clients.py
+++ b/greengagetack/gateway/clients.py
@@ -1,7 +1,7 @@
 """greengagetack.gateway.clients: request bodies and disconnects of ASGI clients."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any, TypeVar
 
 from greengagetack.errors import RequestTooLarge
@@ -17,7 +17,7 @@
 
 T = TypeVar("T")
 Scope = dict[str, Any]
-Receive = Callable[[], Awaitable[dict[str, Any]]]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -3,8 +3,9 @@
 import asyncio
 import random
 import time
-from collections.abc import AsyncIterator
-from dataclasses import dataclass
+from collections.abc import AsyncIterator, Collection, Coroutine
+from dataclasses import replace
+from typing import Any
 
 from loguru import logger
 
@@ -14,6 +15,7 @@
     EndpointRefused,
     NoEndpoint,
 )
+from greengagetack.gateway.attempt import Attempt, Reply
 from greengagetack.gateway.call import (
     Call,
     ExecutionStatus,
@@ -21,6 +23,7 @@
     record_announcements,
 )
 from greengagetack.gateway.choice import choose_replica, suggested_retry_s
+from greengagetack.gateway.detours import Detours, RelayedRequest
 from greengagetack.gateway.retry import (
     AttemptResult,
     NextStep,
@@ -37,13 +40,15 @@
 from greengagetack.gateway.suspects import Suspects
 from greengagetack.http1.connection import Connection
 from greengagetack.http1.memory import ResponseMemory
-from greengagetack.http1.message import ExchangeError, ResponseHead
+from greengagetack.http1.message import ExchangeError
 from greengagetack.http1.pool import Pool
 from greengagetack.replicas.fleet import Fleet
+from greengagetack.replicas.paths import ReplicaPaths
 from greengagetack.replicas.permits import Permits
 from greengagetack.replicas.replica import ReplicaState
+from greengagetack.world import Address
 
-__all__ = ["Attempt", "Forwarder", "Reply"]
+__all__ = ["Forwarder"]
 
 # Pause after a replica refused a request because it is full.
 FULL_REPLICA_PAUSE_S = 0.05
@@ -52,32 +57,19 @@
 # Pause between attempts to find a replica that resumes a broken stream.
 RESUME_RETRY_PAUSE_S = 0.05
 MAX_LOGGED_BYTES = 80
+# How often a waiting request is checked for a lost path to its replicas.
+PATH_CHECK_INTERVAL_S = 0.1
+# Silence of a service that puts the path to its replicas in doubt: a multiple of the
+# usual time of a request, and at least so long.
+SILENCE_FACTOR = 3.0
+MIN_SILENCE_S = 0.15
+# Replicas that a request of another daemon is offered to before it is refused.
+MAX_RELAYED_OFFERS = 2
+MS_PER_S = 1_000
 OK = 200
 SERVER_FAILURE = 500
 
 
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """A replica's response; `parts` yields the rest of the body of a streamed one."""
-
-    head: ResponseHead
-    body: bytes
-    parts: AsyncIterator[bytes] | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Attempt:
-    """The outcome of sending a request to one replica.
-
-    `software` is the version of the replica's software that began a stream.
-    """
-
-    result: AttemptResult
-    reply: Reply | None
-    reason: str
-    software: str = ""
-
-
 class Forwarder:
     """Forwards requests to the replicas of their route's service."""
 
@@ -89,6 +81,8 @@
         permits: Permits,
         origins: StreamOrigins,
         suspects: Suspects,
+        paths: ReplicaPaths,
+        detours: Detours,
         memory: ResponseMemory,
         zone: str,
     ) -> None:
@@ -98,6 +92,8 @@
         self._permits = permits
         self.origins = origins
         self.suspects = suspects
+        self.paths = paths
+        self.detours = detours
         self._memory = memory
         self._zone = zone
         self._rng = random.Random()
@@ -126,6 +122,11 @@
         """Describe why no replica can get a request now."""
         now_s = time.monotonic()
         listed = self._fleet.replicas_of_service(service)
+        if self.paths.is_lost(service):
+            return (
+                f"no replica of {service} is reached, neither from here nor by way of "
+                "the daemons tried"
+            )
         limited = sum(now_s < state.rate_limited_until_s for state in listed)
         reason = f"none of the {len(listed)} listed replicas of {service} is usable"
         if limited:
@@ -204,6 +205,7 @@
             try:
                 is_sent = True
                 head = await connection.send(request, call.request_id.encode())
+                self.paths.record_contact(replica.service)
                 execution = self._dialect.execution_status(head)
                 if execution is not ExecutionStatus.OTHER_REPLICA:
                     record_announcements(state, self._dialect, head)
@@ -229,6 +231,7 @@
                 pause_s=pause_s,
             )
             if not is_sent:
+                self.paths.suspect(replica.service)
                 return Attempt(AttemptResult.NOT_SENT, None, str(error))
             self.suspects.record_break(call, state)
             return Attempt(AttemptResult.UNKNOWN, None, str(error))
@@ -252,6 +255,50 @@
             self.suspects.record_answer(call, replica.service)
         return Attempt(AttemptResult.ANSWERED, Reply(head, body), "")
 
+    async def send_relayed(self, request: RelayedRequest) -> Attempt:
+        """Send a request of another daemon, which has no path, to one replica."""
+        service = request.service
+        if self.paths.is_lost(service):
+            return Attempt(
+                AttemptResult.NOT_SENT, None, f"no path to the replicas of {service}"
+            )
+        call = Call(
+            request.request_id,
+            request.method,
+            request.target,
+            request.headers,
+            request.body,
+        )
+        deadline_s = time.monotonic() + request.remaining_ms / MS_PER_S
+        tried = set(request.tried)
+        attempt = Attempt(
+            AttemptResult.NOT_SENT, None, self.unusable_reason(service, None)
+        )
+        for _ in range(MAX_RELAYED_OFFERS):
+            state = self.next_replica(service, tried, request.software)
+            if state is None:
+                break
+            replica_id = state.replica.replica_id
+            tried.add(replica_id)
+            attempt = replace(
+                await self.attempt_with_permit(
+                    call, state, deadline_s, request.is_streaming, request.after_event
+                ),
+                replica_id=replica_id,
+            )
+            if attempt.result in (AttemptResult.ANSWERED, AttemptResult.UNKNOWN):
+                break
+        return attempt
+
+    def silence_limit_s(self, replica_ids: Collection[str]) -> float:
+        """Return the silence of replicas that puts the path to them in doubt."""
+        usual_s = 0.0
+        for replica_id in replica_ids:
+            state = self._fleet.get(replica_id)
+            if state is not None and state.service_time_s is not None:
+                usual_s = max(usual_s, state.service_time_s)
+        return max(MIN_SILENCE_S, SILENCE_FACTOR * usual_s)
+
     async def _stream(
         self,
         call: Call,
@@ -287,9 +334,13 @@
         # begun goes on only at replicas of this version.
         self._software: str | None = None
         self._tried: set[str] = set()
+        self._tried_peers: set[Address] = set()
+        self._is_streaming = route.kind is RequestKind.STREAM
         self._run_count = 0
         self._may_have_run = False
         self._pending: set[asyncio.Task[Attempt]] = set()
+        # Attempts at replicas over this VM's own links.
+        self._direct: set[asyncio.Task[Attempt]] = set()
 
     async def find_software(self) -> None:
         """Find the software that began the stream, if this request takes one up.
@@ -324,28 +375,69 @@
                 self._forwarder.unusable_reason(self._service, self._software),
                 self._forwarder.retry_after_s(self._service),
             )
+        started_s = time.monotonic()
+        has_hedged = False
         while True:
-            remaining_s = self._deadline_s - time.monotonic() - DEADLINE_MARGIN_S
+            now_s = time.monotonic()
+            remaining_s = self._deadline_s - now_s - DEADLINE_MARGIN_S
             if remaining_s <= 0:
                 tried = ", ".join(sorted(self._tried))
                 raise DeadlineExceeded(
                     f"no response in time on route {self._route.name} from {tried}"
                 )
+            until_hedge_s = hedge_s + started_s - now_s
+            waits_s = [remaining_s]
+            if not has_hedged:
+                waits_s.append(max(0.0, until_hedge_s))
+            if self._direct:
+                waits_s.append(PATH_CHECK_INTERVAL_S)
             done, _ = await asyncio.wait(
                 self._pending,
-                timeout=min(remaining_s, hedge_s),
+                timeout=min(waits_s),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if not done:
-                hedge_s = float("inf")
-                if self._may_hedge() and self._start_attempt():
-                    self._log("hedged at a second replica")
-                continue
             for task in done:
                 self._pending.discard(task)
+                self._direct.discard(task)
                 reply = self._handle_result(task.result())
                 if reply is not None:
                     return reply
+            if done:
+                continue
+            self._check_path(started_s)
+            if not has_hedged and time.monotonic() - started_s >= hedge_s:
+                has_hedged = True
+                if self._may_hedge() and self._start_attempt():
+                    self._log("hedged at a second replica")
+
+    def _check_path(self, started_s: float) -> None:
+        """Leave replicas that are out of reach, once the path to them is lost."""
+        paths = self._forwarder.paths
+        if not self._direct:
+            return
+        if not paths.is_lost(self._service):
+            silent_s = time.monotonic() - max(
+                started_s, paths.last_contact_s(self._service)
+            )
+            if silent_s > self._forwarder.silence_limit_s(self._tried):
+                paths.suspect(self._service)
+            return
+        if not self._route.may_repeat:
+            return
+        # A stream that is resumed elsewhere must not go on here.
+        abandoned = list(self._direct)
+        for task in abandoned:
+            task.cancel()
+        self._pending.difference_update(abandoned)
+        self._direct.clear()
+        self._run_count -= len(abandoned)
+        self._may_have_run = True
+        if not self._start_attempt() and not self._pending:
+            raise EndpointFailed(
+                f"no replica of {self._service} is reached, and no daemon tried "
+                "sends the request on"
+            )
+        self._log("sent by way of another daemon")
 
     def _may_hedge(self) -> bool:
         return (
@@ -355,6 +447,8 @@
 
     def _handle_result(self, attempt: Attempt) -> Reply | None:
         """Return the response to deliver, None to keep waiting for other attempts."""
+        if attempt.replica_id:
+            self._tried.add(attempt.replica_id)
         if attempt.result in (AttemptResult.NOT_RUN, AttemptResult.NOT_SENT):
             self._run_count -= 1
         ran_before = self._may_have_run or bool(self._pending)
@@ -365,7 +459,7 @@
             ran_before,
             self._run_count,
             self._route.max_attempts,
-            self._may_send_again() and self._next_replica() is not None,
+            self._may_send_again() and self._has_other(),
             self._deadline_s - time.monotonic() - DEADLINE_MARGIN_S,
         )
         if step is NextStep.DELIVER:
@@ -407,40 +501,80 @@
                 return None
             if not self._may_send_again():
                 return None
-            state = self._next_replica()
-            if state is None:
+            pending = self._next_attempt(after_event)
+            if pending is None:
                 self._tried.clear()
+                self._tried_peers.clear()
                 await asyncio.sleep(RESUME_RETRY_PAUSE_S)
                 continue
-            self._tried.add(state.replica.replica_id)
             try:
                 async with asyncio.timeout(self._deadline_s - time.monotonic()):
-                    attempt = await self._forwarder.attempt_with_permit(
-                        self._call, state, self._deadline_s, True, after_event
-                    )
+                    attempt = await pending
             except TimeoutError:
                 return None
             if attempt.result is AttemptResult.ANSWERED:
                 logger.info(
                     "forward: stream goes on",
                     request_id=self._call.request_id,
-                    replica=state.replica.replica_id,
-                    software=state.replica.software_version,
+                    software=attempt.software,
                 )
                 return attempt.reply.parts if attempt.reply else None
         return None
 
-    def _start_attempt(self) -> bool:
+    def _is_path_lost(self) -> bool:
+        return self._forwarder.paths.is_lost(self._service)
+
+    def _has_other(self) -> bool:
+        """Whether another replica, or a way to one, is left."""
+        if self._is_path_lost():
+            return self._next_peer() is not None
+        return self._next_replica() is not None
+
+    def _next_peer(self) -> Address | None:
+        return self._forwarder.detours.next_peer(self._service, self._tried_peers)
+
+    def _next_attempt(
+        self, after_event: str | None = None
+    ) -> Coroutine[Any, Any, Attempt] | None:
+        """Return an attempt at a replica not yet tried, None if none is left."""
+        if self._is_path_lost():
+            return self._next_detour(after_event)
         state = self._next_replica()
         if state is None:
-            return False
+            return None
         self._tried.add(state.replica.replica_id)
-        self._run_count += 1
-        is_streaming = self._route.kind is RequestKind.STREAM
-        attempt = self._forwarder.attempt_with_permit(
-            self._call, state, self._deadline_s, is_streaming
+        return self._forwarder.attempt_with_permit(
+            self._call, state, self._deadline_s, self._is_streaming, after_event
+        )
+
+    def _next_detour(
+        self, after_event: str | None
+    ) -> Coroutine[Any, Any, Attempt] | None:
+        peer = self._next_peer()
+        if peer is None:
+            return None
+        self._tried_peers.add(peer)
+        return self._forwarder.detours.attempt(
+            peer,
+            self._service,
+            self._call,
+            self._deadline_s,
+            self._is_streaming,
+            after_event,
+            self._tried,
+            self._software,
         )
-        self._pending.add(asyncio.create_task(attempt))
+
+    def _start_attempt(self) -> bool:
+        is_direct = not self._is_path_lost()
+        attempt = self._next_attempt()
+        if attempt is None:
+            return False
+        self._run_count += 1
+        task = asyncio.create_task(attempt)
+        self._pending.add(task)
+        if is_direct:
+            self._direct.add(task)
         return True
 
     def _log(self, event: str) -> None:
--- a/greengagetack/gateway/routes.py
+++ b/greengagetack/gateway/routes.py
@@ -108,6 +108,17 @@
             }
         )
 
+    def job_services(self) -> list[str]:
+        """Return the services that run the items of jobs."""
+        return sorted(
+            {
+                service
+                for route in self.routes
+                if route.kind.is_batch
+                for service, _ in route.services
+            }
+        )
+
     def requires_single_version(self) -> bool:
         """Whether any rollout route requires results of a single weight version."""
         return any(
--- a/greengagetack/gateway/suspects.py
+++ b/greengagetack/gateway/suspects.py
@@ -29,6 +29,7 @@
 from greengagetack.http1.pool import Pool
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
+from greengagetack.replicas.paths import ReplicaPaths
 from greengagetack.replicas.replica import Incarnation, Replica, ReplicaState
 
 __all__ = [
@@ -42,7 +43,7 @@
 ]
 
 # Pauses before the checks whether a replica at which requests broke off has ended.
-CHECK_PAUSES_S = (0.1, 0.4, 1.0)
+CHECK_PAUSES_S = (0.1, 0.4, 1.0, 2.0, 2.0)
 MAX_SUSPECTS_PER_REPLICA = 64
 # Reports are sent again to a new owner for this long.
 REPORT_RETENTION_S = 12.0
@@ -130,12 +131,14 @@
         self,
         fleet: Fleet,
         pool: Pool,
+        paths: ReplicaPaths,
         observer: CrashObserver,
         facts: FactTable,
         metrics: Metrics,
     ) -> None:
         self._fleet = fleet
         self._pool = pool
+        self._paths = paths
         self._observer = observer
         self._facts = facts
         self._metrics = metrics
@@ -323,21 +326,28 @@
     async def _check_end(self, state: ReplicaState) -> None:
         """Report what broke off at a replica if that seems to have ended."""
         incarnation = state.replica.incarnation
-        has_ended = False
-        for pause_s in CHECK_PAUSES_S:
-            await asyncio.sleep(pause_s)
-            if not self._broken[incarnation]:
-                break
-            is_listening = await self._is_listening(state)
-            has_ended = is_listening is False or state.is_gone
-            if is_listening is not None or has_ended:
-                break
-        keys = self._broken.pop(incarnation)
-        for key in sorted(keys):
+        has_ended = await self._has_ended(state)
+        for key in sorted(self._broken.pop(incarnation)):
             if has_ended:
                 self._report(CrashReport(key, *incarnation))
             self._update_key(key)
 
+    async def _has_ended(self, state: ReplicaState) -> bool:
+        for pause_s in CHECK_PAUSES_S:
+            await asyncio.sleep(pause_s)
+            if not self._broken[state.replica.incarnation]:
+                return False
+            if state.is_gone:
+                return True
+            is_listening = await self._is_listening(state)
+            if is_listening:
+                return False
+            # While this VM reaches no replica, only the entry of this one tells.
+            is_refused = is_listening is False
+            if is_refused and await self._paths.check(state.replica.service):
+                return True
+        return state.is_gone
+
     async def _is_listening(self, state: ReplicaState) -> bool | None:
         """Return whether a replica accepts connections, None if it is silent.
 
--- a/greengagetack/http1/pool.py
+++ b/greengagetack/http1/pool.py
@@ -42,6 +42,19 @@
         finally:
             self._release(address, connection)
 
+    async def open_idle(self, address: Address) -> None:
+        """Open a connection and keep it for the next exchange.
+
+        Raises
+        ------
+        ConnectFailed
+            If no connection can be opened.
+        """
+        connection = await open_connection(
+            address, REQUEST_ID_HEADER, self._connect_timeout_s
+        )
+        self._release(address, connection)
+
     def _take_idle(self, address: Address) -> Connection | None:
         idle = self._idle_connections.get(address, [])
         now_s = time.monotonic()
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -26,6 +26,7 @@
 from greengagetack.daemons.protocol import HttpBounds, bounded_config
 from greengagetack.daemons.status import build_status_application
 from greengagetack.daemons.supervise import supervise
+from greengagetack.gateway.detours import Detours
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.routes import Configuration, Limits, Route, RouteTable
 from greengagetack.gateway.stream_origins import StreamOrigins
@@ -47,6 +48,7 @@
 from greengagetack.platform.settings import VmFacts
 from greengagetack.platform.store import PlatformStore
 from greengagetack.replicas.fleet import Fleet
+from greengagetack.replicas.paths import ReplicaPaths
 from greengagetack.replicas.permits import Permits
 from greengagetack.replicas.replica import Replica
 from greengagetack.timer import Timer
@@ -157,19 +159,22 @@
         self._config_version = 0
         pool = Pool(REPLICA_CONNECT_TIMEOUT_S)
         self._fleet.subscribe_removals(lambda replica: pool.close_idle(replica.address))
+        self._paths = ReplicaPaths(self._fleet, pool)
         self._suspects = Suspects(
-            self._fleet, pool, self._peers, self._fact_table, self._metrics
+            self._fleet, pool, self._paths, self._peers, self._fact_table, self._metrics
         )
         dialect = PlatformDialect()
         self._engine_properties = EngineProperties()
         self._ledger = Ledger(self._store)
-        forwarder = Forwarder(
+        forwarder = self._forwarder = Forwarder(
             self._fleet,
             pool,
             dialect,
             self._permits,
             self._stream_origins,
             self._suspects,
+            self._paths,
+            Detours(self._peers, facts.control, self._metrics),
             ResponseMemory(int(facts.memory_mb * BYTES_PER_MB * RESPONSE_MEMORY_SHARE)),
             facts.availability_zone,
         )
@@ -356,6 +361,7 @@
                     self._permits,
                     self._stream_origins,
                     self._suspects,
+                    self._forwarder,
                     {
                         feed.prefix: feed
                         for feed in (
--- a/greengagetack/platform/ingress.py
+++ b/greengagetack/platform/ingress.py
@@ -15,6 +15,7 @@
     NotFound,
     NotReady,
 )
+from greengagetack.gateway.attempt import Reply
 from greengagetack.gateway.call import Call
 from greengagetack.gateway.clients import (
     ClientDisconnected,
@@ -24,7 +25,7 @@
     cancel_on_disconnect,
     read_body,
 )
-from greengagetack.gateway.forward import Forwarder, Reply
+from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.routes import Route, RouteTable
 from greengagetack.http1.message import ExchangeError, ResponseHead
 from greengagetack.objects.base import WriteUnknown
