Pass the claim on when its holder has lost the path to the jobs' replicas

Cause: the claim and its pings show that the holder lives and reaches its peers and the store, not that it reaches the replicas.

Change: the holder doubts its path once all running items of a service are silent for 0.5 s, checks it, and hands the claim to the first daemon that answers that it reaches a replica (coordination.path_watch); the successor fetches the progress. A daemon without a path takes a silent holder's claim only 4 s later than its turn. Where no daemon reaches a replica, the claim stays.

--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -37,6 +37,7 @@
 from greengagetack.objects.feed import Feed
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
+from greengagetack.replicas.paths import ReplicaPaths
 from greengagetack.replicas.permits import Permits
 from greengagetack.replicas.replica import Replica, ReplicaState
 
@@ -62,6 +63,8 @@
 # Minimum age of a run before it may be moved, and the time for which it then does not
 # return to the same replica.
 MIN_RUN_BEFORE_MOVE_S = 0.3
+# Silence of all running items of a service that puts the path to it in doubt.
+PATH_SILENCE_S = 0.5
 AVOID_REPLICA_S = 1.0
 DEFAULT_SLOTS = 8
 # Assumed for a service without a configured memory size.
@@ -93,6 +96,7 @@
         dialect: ReplicaDialect,
         forwarder: Forwarder,
         permits: Permits,
+        paths: ReplicaPaths,
         find_route: Callable[[str, str], Route | None],
         engine_properties: EngineProperties,
         metrics: Metrics,
@@ -107,6 +111,7 @@
         self._pool = pool
         self._dialect = dialect
         self._permits = permits
+        self._paths = paths
         self._engine_properties = engine_properties
         self._metrics = metrics
         self._runs: dict[str, JobRun] = {}
@@ -424,12 +429,26 @@
                 self._send_waiting()
                 self._rewards.dispatch(self._runs.values())
                 self._move_from_slow_replicas()
+                self._check_paths()
             try:
                 async with asyncio.timeout(MAX_DISPATCH_INTERVAL_S):
                     await self._wake_event.wait()
             except TimeoutError:
                 continue
 
+    def _check_paths(self) -> None:
+        """Put the path to a service in doubt whose running items are all silent."""
+        now_s = time.monotonic()
+        began_s: dict[str, float] = {}
+        for run, progress, _ in self._running.values():
+            service = run.job.service
+            earliest_s = began_s.get(service, now_s)
+            began_s[service] = min(earliest_s, progress.run_started_s)
+        for service, since_s in began_s.items():
+            since_s = max(since_s, self._paths.last_contact_s(service))
+            if now_s - since_s > PATH_SILENCE_S:
+                self._paths.suspect(service)
+
     def _expire_items(self) -> None:
         now_ms = time.time() * MS_PER_S
         for run in self._runs.values():
@@ -584,6 +603,8 @@
         memory_use: MemoryUsage,
         leaving: str = "",
     ) -> ReplicaState | None:
+        if self._paths.is_lost(job.service):
+            return None
         now_s = time.monotonic()
         group = progress.item.group
         candidates = []
@@ -712,7 +733,7 @@
                     if replica_id in self.loading_ids
                     else STALL_TIMEOUT_S
                 ),
-                lambda gap_s: self._paces.record(replica_id, gap_s) if gap_s else None,
+                lambda gap_s: self._record_event(state, gap_s),
                 lambda version: self._accept_version(job, progress, state, version),
             )
         finally:
@@ -733,6 +754,11 @@
             self._metrics.add("item_runs", end=end.value)
         self._handle_run_end(run, progress, state, end)
 
+    def _record_event(self, state: ReplicaState, gap_s: float) -> None:
+        self._paths.record_contact(state.replica.service)
+        if gap_s:
+            self._paces.record(state.replica.replica_id, gap_s)
+
     def _accept_version(
         self, job: Job, progress: ItemProgress, state: ReplicaState, version: int
     ) -> bool:
@@ -769,4 +795,6 @@
         if end is RunEnd.OTHER_REPLICA:
             state.is_gone = True
             return
+        if end is RunEnd.NOT_SENT:
+            self._paths.suspect(job.service)
         state.record_failure()
--- a/greengagetack/coordination/claim.py
+++ b/greengagetack/coordination/claim.py
@@ -7,7 +7,7 @@
 import asyncio
 import dataclasses
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 from loguru import logger
@@ -32,6 +32,8 @@
 TAKEOVER_SILENCE_S = 0.75
 # Additional takeover delay per rank, while the claim is held and while it is vacant.
 RANK_DELAY_S = 0.4
+# Additional delay of a daemon that does not reach the replicas of the jobs.
+PATHLESS_DELAY_S = 4.0
 VACANT_RANK_DELAY_S = 0.15
 # Delay of the first claim: when all daemons start at once, the member list is complete
 # only after a while.
@@ -62,6 +64,7 @@
         on_change: Callable[[], None],
         on_pong: Callable[[Pong], None],
         known_facts: Callable[[], FactCursor],
+        reaches_work: Callable[[], Awaitable[bool]],
     ) -> None:
         self._local_member = local_member
         self._store = store
@@ -70,6 +73,7 @@
         self._on_change = on_change
         self._on_pong = on_pong
         self._known_facts = known_facts
+        self._reaches_work = reaches_work
         self._last_contact_s = time.monotonic()
         self.is_leaving = False
         feed.subscribe(self._on_claim_change)
@@ -103,6 +107,12 @@
             holder is not None and holder.incarnation == self._local_member.incarnation
         )
 
+    @property
+    def names_local_as_former(self) -> bool:
+        """Whether the claim holder fetches progress from this daemon."""
+        holder = self.holder
+        return holder is not None and holder.former == self._local_member.control
+
     def _on_claim_change(
         self, changed: tuple[PlatformObject, ...], gone: tuple[str, ...]
     ) -> None:
@@ -160,6 +170,9 @@
         delay_s = takeover_delay_s(rank, holder is None, is_first)
         if not is_former_incarnation and silent_s < delay_s:
             return
+        if not await self._reaches_work() and silent_s < delay_s + PATHLESS_DELAY_S:
+            logger.info("claim: not taken over, as some replicas are not reached")
+            return
         await self._take_over(holder, silent_s)
 
     async def _take_over(self, former: Member | None, silent_s: float) -> None:
@@ -196,6 +209,22 @@
             return stored.former
         return "" if stored.node == self._local_member.node else stored.control
 
+    async def hand_over(self, successor: Member) -> bool:
+        """Pass the claim to another daemon, as this one cannot use it."""
+        stored = self._feed.objects.get(CLAIM_PATH)
+        if not self.is_held_locally or stored is None:
+            return False
+        claim = dataclasses.replace(successor, former=self._local_member.control)
+        try:
+            await self._store.write(
+                CLAIM_PATH, msgspec.to_builtins(claim), stored.version
+            )
+        except CodedError as error:
+            logger.warning("claim: not handed over: {}", error.reason)
+            return False
+        logger.info("claim: handed over", successor=successor.node)
+        return True
+
     async def release(self, successor: Member | None) -> None:
         """Pass the claim to a successor, or vacate it without one."""
         self.is_leaving = True
--- a/greengagetack/coordination/lifecycle.py
+++ b/greengagetack/coordination/lifecycle.py
@@ -73,11 +73,16 @@
             self._stop_feeds()
         if not self._dispatcher.is_active:
             return
-        if not self._claim.is_leaving:
+        if not self._claim.is_leaving and not self._claim.names_local_as_former:
             self._dispatcher.deactivate()
         elif has_successor:
             loop = asyncio.get_running_loop()
-            loop.call_later(HAND_OVER_TIMEOUT_S, self._dispatcher.deactivate)
+            loop.call_later(HAND_OVER_TIMEOUT_S, self._end_hand_over)
+
+    def _end_hand_over(self) -> None:
+        """Stop the runs whose progress the successor has not fetched."""
+        if not self._claim.is_held_locally or self._claim.is_leaving:
+            self._dispatcher.deactivate()
 
     def close(self) -> None:
         """Cancel the feeds and all pending steps."""
--- a/greengagetack/coordination/roster.py
+++ b/greengagetack/coordination/roster.py
@@ -147,6 +147,13 @@
         )
         return ranked[0] if ranked else None
 
+    def successors(self) -> list[Member]:
+        """Return the other daemons in the order of their ranks for the claim."""
+        members = list(self.members().values())
+        others = [m for m in members if m.node != self._local_member.node]
+        salt = self._local_member.incarnation
+        return sorted(others, key=lambda m: takeover_rank(m, others, salt))
+
     async def run(self) -> None:
         """Keep this daemon registered until cancelled."""
         await self._feed.synced.wait()
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -19,6 +19,7 @@
 from greengagetack.coordination.facts import FactCursor, FactTable
 from greengagetack.coordination.lifecycle import DispatcherLifecycle
 from greengagetack.coordination.messages import Member, Pong
+from greengagetack.coordination.path_watch import PathWatch
 from greengagetack.coordination.roster import Roster
 from greengagetack.coordination.server import build_peer_application
 from greengagetack.coordination.source import SourceSelector
@@ -83,6 +84,8 @@
 # Facts that all daemons must obey survive a loss of all of them if they are older.
 ARCHIVE_INTERVAL_S = 1.0
 SUSPECTS_INTERVAL_S = 0.5
+# A dispatcher that is cut off from the replicas passes its claim on within about this.
+PATH_INTERVAL_S = 0.25
 
 
 class EdgeDaemon:
@@ -139,6 +142,7 @@
             lambda: self._dispatcher_lifecycle.on_claim_change(),
             self._on_pong,
             lambda: self._fact_table.cursor,
+            lambda: self._path_watch.reaches_work(),
         )
         self._fact_table = FactTable(self._incarnation, self._is_owner)
         self._fact_archive = FactArchive(self._store, self._fact_table, self._is_owner)
@@ -160,6 +164,13 @@
         pool = Pool(REPLICA_CONNECT_TIMEOUT_S)
         self._fleet.subscribe_removals(lambda replica: pool.close_idle(replica.address))
         self._paths = ReplicaPaths(self._fleet, pool)
+        self._path_watch = PathWatch(
+            self._claim,
+            self._paths,
+            self._peers,
+            lambda: self._configuration().job_services(),
+            self._roster.successors,
+        )
         self._suspects = Suspects(
             self._fleet, pool, self._paths, self._peers, self._fact_table, self._metrics
         )
@@ -187,6 +198,7 @@
             dialect,
             forwarder,
             self._permits,
+            self._paths,
             self._find_route,
             self._engine_properties,
             self._metrics,
@@ -418,6 +430,7 @@
         self._timer.subscribe(
             PUBLISH_INTERVAL_S, self._permits.publish_changes, "rate limits"
         )
+        self._timer.subscribe(PATH_INTERVAL_S, self._path_watch.tick, "paths")
         self._timer.subscribe(SUSPECTS_INTERVAL_S, self._suspects.tick, "suspects")
         self._timer.subscribe(
             ARCHIVE_INTERVAL_S, self._fact_archive.synchronize, "facts"
