Keep the limit on attempts while a path is lost, and hedge on a fresh connection

Cause, found in a reading of the diff: attempts that were left behind when a path was lost no longer counted, so that a request could run on more replicas than its route allows if the replicas were slow to accept connections instead of cut off.

Change: they count. A hedge opens a connection of its own: where the first one is silent as the VM is cut off, it fails to connect, does not count, and the retry goes by way of another daemon. Whether a replica has ended is likewise asked by a new connection only.

--- a/features/support/cut_network.py
+++ b/features/support/cut_network.py
@@ -111,10 +111,12 @@
         self._links: dict[Address, _Link] = {}
 
     @asynccontextmanager
-    async def connection(self, address: Address) -> AsyncIterator[_Connection]:
+    async def connection(
+        self, address: Address, is_fresh: bool = False
+    ) -> AsyncIterator[_Connection]:
         """Take an idle connection or open one."""
         link = self._links.setdefault(address, _Link())
-        if link.idle:
+        if link.idle and not is_fresh:
             connection = link.idle.pop()
         else:
             connection = await self._open(address)
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -169,13 +169,14 @@
         deadline_s: float,
         is_streaming: bool,
         after_event: str | None = None,
+        is_fresh: bool = False,
     ) -> Attempt:
         """Send a call to one replica, unless its rate limit forbids that now."""
         if not await self._permits.acquire(state):
             reason = f"replica {state.replica.replica_id} is at its rate limit"
             return Attempt(AttemptResult.NOT_SENT, None, reason)
         return await self.send_attempt(
-            call, state, deadline_s, is_streaming, after_event
+            call, state, deadline_s, is_streaming, after_event, is_fresh
         )
 
     async def send_attempt(
@@ -185,10 +186,12 @@
         deadline_s: float,
         is_streaming: bool,
         after_event: str | None = None,
+        is_fresh: bool = False,
     ) -> Attempt:
         """Send a call to one replica; resume a stream if `after_event` is given.
 
-        A rate-limited replica needs a permit, which the sender has taken before.
+        A rate-limited replica needs a permit, which the sender has taken before. With
+        `is_fresh`, no connection that is open already is used.
         """
         remaining_s = deadline_s - time.monotonic()
         replica = state.replica
@@ -199,7 +202,7 @@
         started_s = time.monotonic()
         is_sent = False
         is_handed_over = False
-        pool_context = self._pool.connection(replica.address)
+        pool_context = self._pool.connection(replica.address, is_fresh)
         try:
             connection = await pool_context.__aenter__()
             try:
@@ -335,6 +338,7 @@
         self._software: str | None = None
         self._tried: set[str] = set()
         self._tried_peers: set[Address] = set()
+        self._has_detoured = False
         self._is_streaming = route.kind is RequestKind.STREAM
         self._run_count = 0
         self._may_have_run = False
@@ -407,11 +411,12 @@
             self._check_path(started_s)
             if not has_hedged and time.monotonic() - started_s >= hedge_s:
                 has_hedged = True
-                if self._may_hedge() and self._start_attempt():
+                # An open connection may be silent for the same reason as the first one.
+                if self._may_hedge() and self._start_attempt(is_fresh=True):
                     self._log("hedged at a second replica")
 
     def _check_path(self, started_s: float) -> None:
-        """Leave replicas that are out of reach, once the path to them is lost."""
+        """Send the request another way, once the path to its replicas is lost."""
         paths = self._forwarder.paths
         if not self._direct:
             return
@@ -422,22 +427,11 @@
             if silent_s > self._forwarder.silence_limit_s(self._tried):
                 paths.suspect(self._service)
             return
-        if not self._route.may_repeat:
+        if self._has_detoured or not self._route.may_repeat:
             return
-        # A stream that is resumed elsewhere must not go on here.
-        abandoned = list(self._direct)
-        for task in abandoned:
-            task.cancel()
-        self._pending.difference_update(abandoned)
-        self._direct.clear()
-        self._run_count -= len(abandoned)
-        self._may_have_run = True
-        if not self._start_attempt() and not self._pending:
-            raise EndpointFailed(
-                f"no replica of {self._service} is reached, and no daemon tried "
-                "sends the request on"
-            )
-        self._log("sent by way of another daemon")
+        self._has_detoured = True
+        if self._may_hedge() and self._start_attempt():
+            self._log("sent by way of another daemon")
 
     def _may_hedge(self) -> bool:
         return (
@@ -534,7 +528,7 @@
         return self._forwarder.detours.next_peer(self._service, self._tried_peers)
 
     def _next_attempt(
-        self, after_event: str | None = None
+        self, after_event: str | None = None, is_fresh: bool = False
     ) -> Coroutine[Any, Any, Attempt] | None:
         """Return an attempt at a replica not yet tried, None if none is left."""
         if self._is_path_lost():
@@ -544,7 +538,12 @@
             return None
         self._tried.add(state.replica.replica_id)
         return self._forwarder.attempt_with_permit(
-            self._call, state, self._deadline_s, self._is_streaming, after_event
+            self._call,
+            state,
+            self._deadline_s,
+            self._is_streaming,
+            after_event,
+            is_fresh,
         )
 
     def _next_detour(
@@ -565,9 +564,9 @@
             self._software,
         )
 
-    def _start_attempt(self) -> bool:
+    def _start_attempt(self, is_fresh: bool = False) -> bool:
         is_direct = not self._is_path_lost()
-        attempt = self._next_attempt()
+        attempt = self._next_attempt(is_fresh=is_fresh)
         if attempt is None:
             return False
         self._run_count += 1
--- a/greengagetack/gateway/suspects.py
+++ b/greengagetack/gateway/suspects.py
@@ -26,10 +26,9 @@
     Standing,
 )
 from greengagetack.http1.message import ExchangeError, header
-from greengagetack.http1.pool import Pool
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
-from greengagetack.replicas.paths import ReplicaPaths
+from greengagetack.replicas.paths import ConnectionOpener, ReplicaPaths
 from greengagetack.replicas.replica import Incarnation, Replica, ReplicaState
 
 __all__ = [
@@ -130,7 +129,7 @@
     def __init__(
         self,
         fleet: Fleet,
-        pool: Pool,
+        pool: ConnectionOpener,
         paths: ReplicaPaths,
         observer: CrashObserver,
         facts: FactTable,
@@ -355,8 +354,8 @@
         next request.
         """
         try:
-            async with self._pool.connection(state.replica.address):
-                return True
+            await self._pool.open_idle(state.replica.address)
+            return True
         except ExchangeError as error:
             is_refused = isinstance(error.__cause__, ConnectionRefusedError)
             return False if is_refused else None
--- a/greengagetack/http1/pool.py
+++ b/greengagetack/http1/pool.py
@@ -24,15 +24,19 @@
         self._idle_connections: dict[Address, list[Connection]] = {}
 
     @asynccontextmanager
-    async def connection(self, address: Address) -> AsyncIterator[Connection]:
+    async def connection(
+        self, address: Address, is_fresh: bool = False
+    ) -> AsyncIterator[Connection]:
         """Acquire a connection; it is closed if its exchange does not end cleanly.
 
+        With `is_fresh`, a new one is opened even if one is idle.
+
         Raises
         ------
         ConnectFailed
             If none is idle and no new one can be opened.
         """
-        connection = self._take_idle(address)
+        connection = None if is_fresh else self._take_idle(address)
         if connection is None:
             connection = await open_connection(
                 address, REQUEST_ID_HEADER, self._connect_timeout_s
