--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -58,13 +58,13 @@
       | all daemons are killed and started again |
       | the daemon that runs the jobs is killed  |
 
-  Scenario Outline: Which requests are found to crash their replicas
+  Scenario Outline: Which requests are blocked as they crash their replicas
     Given no crash has been seen yet
     When these are seen: <events>
-    Then <guilty> are found guilty, and <suspects> may run alone only
+    Then <blocked> are blocked, and <suspects> may run alone only
 
     Examples:
-      | events                                                       | guilty | suspects |
+      | events                                                       | blocked | suspects |
       | a at 1; a at 2; 1 ends; 2 ends                               | none   | a        |
       | a at 1; a at 2; a at 3; 1 ends; 2 ends; 3 ends               | a      | none     |
       | 1 ends; 2 ends; 3 ends; a at 1; a at 2; a at 3               | a      | none     |
@@ -84,7 +84,7 @@
     Given no crash has been seen yet
     When these are seen: a at 1; a at 2; a at 3; 1 ends; 2 ends; 3 ends
     And 5000 other requests each break off at 3 replicas that end, 50 at a replica
-    Then a are found guilty, and at most 17000 requests are remembered
+    Then a is blocked, and at most 17000 requests are remembered
 
   Scenario Outline: All daemons obey a fact within seconds of its publication
     Given <daemons> daemons that ping the owner of the facts each second
--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -10,7 +10,7 @@
 from behave.runner import Context
 
 from features.support.fact_fleet import FactFleet
-from greengagetack.gateway.crash_evidence import TRIAL_THRESHOLD, CrashEvidence
+from greengagetack.gateway.crash_evidence import PROBE_THRESHOLD, CrashEvidence
 from standins.platform_cluster import (
     BOOKING_PREFIX,
     CHAT_PREFIX,
@@ -247,16 +247,16 @@
         evidence.expire(context.now_s)
 
 
-@then("{guilty} are found guilty, and {suspects} may run alone only")
-def step_found(context: Context, guilty: str, suspects: str) -> None:
+@then("{blocked} are blocked, and {suspects} may run alone only")
+def step_found(context: Context, blocked: str, suspects: str) -> None:
     standings = {name: context.evidence.standing(name) for name in "abc"}
-    found = [name for name, standing in standings.items() if standing.is_guilty]
+    found = [name for name, standing in standings.items() if standing.is_blocked]
     limited = [
         name
         for name, standing in standings.items()
-        if standing.crashes >= TRIAL_THRESHOLD and not standing.is_guilty
+        if standing.crashes >= PROBE_THRESHOLD and not standing.is_blocked
     ]
-    assert ",".join(found) == guilty.replace("none", ""), standings
+    assert ",".join(found) == blocked.replace("none", ""), standings
     assert ",".join(limited) == suspects.replace("none", ""), standings
 
 
@@ -273,10 +273,10 @@
             context.evidence.record_end(replica, context.now_s)
 
 
-@then("a are found guilty, and at most {most:d} requests are remembered")
+@then("a is blocked, and at most {most:d} requests are remembered")
 def step_remembered(context: Context, most: int) -> None:
     evidence: CrashEvidence = context.evidence
-    assert evidence.standing("a").is_guilty
+    assert evidence.standing("a").is_blocked
     assert evidence.size() <= most, evidence.size()
 
 
--- a/features/support/cut_network.py
+++ b/features/support/cut_network.py
@@ -13,11 +13,12 @@
 from greengagetack.errors import CodedError, PeerUnreachable
 from greengagetack.gateway.attempt import Reply
 from greengagetack.gateway.call import Call
+from greengagetack.gateway.crash_reports import CrashReport
 from greengagetack.gateway.detours import Detours, RelayedAnswer, RelayedRequest
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.routes import RequestKind, Route
 from greengagetack.gateway.stream_origins import StreamOrigins
-from greengagetack.gateway.suspects import CrashReport, Suspects
+from greengagetack.gateway.suspects import Suspects
 from greengagetack.http1.memory import ResponseMemory
 from greengagetack.http1.message import (
     ConnectFailed,
--- a/features/support/fact_fleet.py
+++ b/features/support/fact_fleet.py
@@ -7,7 +7,7 @@
 
 from greengagetack.coordination.facts import FactTable
 from greengagetack.coordination.messages import Pong, decode, encode
-from greengagetack.gateway.crash_evidence import VERDICT_RETENTION_S
+from greengagetack.gateway.crash_evidence import BLOCK_S
 from greengagetack.gateway.suspects import SuspectRequest
 
 __all__ = ["FactFleet"]
@@ -80,7 +80,7 @@
         for number in range(len(table.current()), count):
             fact = SuspectRequest(3, True, True)
             key = f"{number:016x}.{number:032x}"
-            table.publish(key, fact, VERDICT_RETENTION_S)
+            table.publish(key, fact, BLOCK_S)
             self._published_s = self._now_s
 
     def _change_owner(self, event: str) -> None:
--- a/greengagetack/coordination/client.py
+++ b/greengagetack/coordination/client.py
@@ -26,9 +26,10 @@
     encode,
 )
 from greengagetack.errors import PeerUnreachable, PlatformUnavailable
+from greengagetack.gateway.crash_reports import CrashReport
 from greengagetack.gateway.detours import RelayedAnswer, RelayedRequest
 from greengagetack.gateway.stream_origins import StreamOrigin
-from greengagetack.gateway.suspects import CrashReport, Trial, TrialRequest
+from greengagetack.gateway.suspects import Probe, ProbeRequest
 from greengagetack.http1.connection import Connection
 from greengagetack.http1.message import (
     ConnectFailed,
@@ -220,7 +221,7 @@
         body = encode(CrashReports(reports))
         await self._call(address, "POST", "/peer/crash-reports", body, CALL_TIMEOUT_S)
 
-    async def request_trial(self, request: TrialRequest) -> Trial:
+    async def request_probe(self, request: ProbeRequest) -> Probe:
         """Ask the dispatcher whether a request under suspicion may run now.
 
         Raises
@@ -230,8 +231,8 @@
         """
         address = self._known_dispatcher()
         call = encode(request)
-        body = await self._call(address, "POST", "/peer/trials", call, PERMIT_TIMEOUT_S)
-        return _decode_response(body, Trial)
+        body = await self._call(address, "POST", "/peer/probes", call, PERMIT_TIMEOUT_S)
+        return _decode_response(body, Probe)
 
     async def reaches(self, address: Address, service: str) -> bool:
         """Return whether a daemon reaches a replica of a service.
--- a/greengagetack/coordination/messages.py
+++ b/greengagetack/coordination/messages.py
@@ -6,8 +6,8 @@
 
 from greengagetack.batches.job import Segment
 from greengagetack.batches.progress import ProgressSnapshot
+from greengagetack.gateway.crash_reports import CrashReport
 from greengagetack.gateway.stream_origins import StreamOrigin
-from greengagetack.gateway.suspects import CrashReport
 
 __all__ = [
     "RELAYED_LENGTH_BYTES",
--- a/greengagetack/coordination/server.py
+++ b/greengagetack/coordination/server.py
@@ -29,7 +29,7 @@
 from greengagetack.gateway.detours import RelayedAnswer, RelayedRequest
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.stream_origins import StreamOrigins
-from greengagetack.gateway.suspects import Suspects, TrialRequest
+from greengagetack.gateway.suspects import ProbeRequest, Suspects
 from greengagetack.objects.feed import Feed
 from greengagetack.objects.transport import StoreResponse
 from greengagetack.replicas.permits import PermitRequest, Permits, RateLimitNotice
@@ -111,9 +111,9 @@
         suspects.handle_reports(received.reports)
         return Response()
 
-    async def trial(request: Request) -> Response:
-        wanted = decode(await request.body(), type=TrialRequest)
-        return Response(encode(suspects.handle_trial_request(wanted)))
+    async def probe(request: Request) -> Response:
+        wanted = decode(await request.body(), type=ProbeRequest)
+        return Response(encode(suspects.handle_probe_request(wanted)))
 
     async def has_path(request: Request) -> Response:
         service = request.path_params["service"]
@@ -161,7 +161,7 @@
             Route("/peer/crash-reports", crash_reports, methods=["POST"]),
             Route("/peer/paths/{service}", has_path),
             Route("/peer/attempts", attempts, methods=["POST"]),
-            Route("/peer/trials", trial, methods=["POST"]),
+            Route("/peer/probes", probe, methods=["POST"]),
             Route("/peer/stream-origins", record_origins, methods=["POST"]),
             Route("/peer/stream-origins/{request_id}", stream_origin),
             Route("/peer/progress", progress, methods=["POST"]),
--- a/greengagetack/gateway/crash_evidence.py
+++ b/greengagetack/gateway/crash_evidence.py
@@ -1,8 +1,8 @@
 """greengagetack.gateway.crash_evidence: decides which requests crash their replicas.
 
 When a replica ends, every request that broke off there is a suspect. The culprit is at
-every crash that it causes, the others are there by chance: a request is found guilty
-once enough replicas have ended under it and no other suspect was at as many of these
+every crash that it causes, the others are there by chance: a request is blocked once
+enough replicas have ended under it and no other suspect was at as many of these
 crashes. A request that a replica answers crashes nothing.
 """
 
@@ -13,24 +13,24 @@
 
 from greengagetack.replicas.replica import Incarnation
 
-__all__ = ["CRASH_LIMIT", "CrashEvidence", "Standing", "TRIAL_THRESHOLD"]
+__all__ = ["CRASH_LIMIT", "CrashEvidence", "Standing", "PROBE_THRESHOLD"]
 
 # Crashes after which a request is refused for good.
 CRASH_LIMIT = 3
 # Crashes after which a request runs only alone among the suspects of its service.
-TRIAL_THRESHOLD = 2
+PROBE_THRESHOLD = 2
 # A replica whose entry is still listed this long after a request broke off there has
 # not ended: entries lapse after a few missed heartbeats.
 CONFIRMATION_S = 12.0
-# A crash is forgotten after this time, and a verdict after its own.
+# Crashes and blocks are forgotten after these times.
 CRASH_RETENTION_S = 600.0
-VERDICT_RETENTION_S = 600.0
+BLOCK_S = 600.0
 # An answer clears a request for this long.
 CLEARANCE_S = 60.0
 # Bounds on what is remembered.
 MAX_CRASHES = 256
 MAX_SUSPECTS_PER_CRASH = 64
-MAX_VERDICTS = 1_000
+MAX_BLOCKED = 1_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,10 +44,10 @@
 
     crashes: int = 0
     is_settled: bool = True
-    is_guilty: bool = False
+    is_blocked: bool = False
 
 
-INNOCENT = Standing()
+UNSUSPECTED = Standing()
 
 
 @dataclass(slots=True)
@@ -65,25 +65,25 @@
         self._by_suspect: dict[str, set[Incarnation]] = {}
         # Replicas that ended lately, with the time.
         self._ended_s: OrderedDict[Incarnation, float] = OrderedDict()
-        self._verdicts_s: OrderedDict[str, float] = OrderedDict()
+        self._blocked_s: OrderedDict[str, float] = OrderedDict()
         self._cleared_s: OrderedDict[str, float] = OrderedDict()
 
     def size(self) -> int:
         """Return the number of records, for metrics."""
         return (
             sum(len(crash.suspects) for crash in self._crashes.values())
-            + len(self._verdicts_s)
+            + len(self._blocked_s)
             + len(self._cleared_s)
             + len(self._ended_s)
         )
 
     def standing(self, suspect: str) -> Standing:
         """Return what is known of a request."""
-        if suspect in self._verdicts_s:
-            return Standing(CRASH_LIMIT, is_guilty=True)
+        if suspect in self._blocked_s:
+            return Standing(CRASH_LIMIT, is_blocked=True)
         crashes = self._crashes_of(suspect)
         if not crashes:
-            return INNOCENT
+            return UNSUSPECTED
         return Standing(len(crashes), all(crash.is_confirmed for crash in crashes))
 
     def _crashes_of(self, suspect: str) -> list[_Crash]:
@@ -109,13 +109,13 @@
                 self._drop(next(iter(self._crashes)))
         if len(crash.suspects) >= MAX_SUSPECTS_PER_CRASH:
             return set()
-        if any(other in self._verdicts_s for other in crash.suspects - {suspect}):
+        if any(other in self._blocked_s for other in crash.suspects - {suspect}):
             return set()
         crash.suspects.add(suspect)
         self._by_suspect.setdefault(suspect, set()).add(at)
-        if suspect in self._verdicts_s:
-            return self._free_others(suspect, at)
-        return self._judge({suspect}, now_s)
+        if suspect in self._blocked_s:
+            return self._clear_others(suspect, at)
+        return self._evaluate({suspect}, now_s)
 
     def record_end(self, at: Incarnation, now_s: float) -> set[str]:
         """Record that a replica has ended without having announced that it leaves."""
@@ -126,7 +126,7 @@
         if crash is None or crash.is_confirmed:
             return set()
         crash.is_confirmed = True
-        return self._judge(set(crash.suspects), now_s)
+        return self._evaluate(set(crash.suspects), now_s)
 
     def record_leave(self, at: Incarnation) -> set[str]:
         """Record that a replica has ended as announced, which is no crash."""
@@ -136,43 +136,43 @@
         """Record that a replica has answered the request, which clears it."""
         self._cleared_s[suspect] = now_s
         self._cleared_s.move_to_end(suspect)
-        while len(self._cleared_s) > MAX_VERDICTS:
+        while len(self._cleared_s) > MAX_BLOCKED:
             self._cleared_s.popitem(last=False)
         affected = {suspect}
-        self._verdicts_s.pop(suspect, None)
+        self._blocked_s.pop(suspect, None)
         for at in self._by_suspect.pop(suspect, set()):
             others = self._crashes[at].suspects
             others.discard(suspect)
             affected |= others
-        return affected | self._judge(affected, now_s)
+        return affected | self._evaluate(affected, now_s)
 
-    def _judge(self, suspects: Iterable[str], now_s: float) -> set[str]:
+    def _evaluate(self, suspects: Iterable[str], now_s: float) -> set[str]:
         affected = set(suspects)
         for suspect in sorted(affected):
-            if suspect not in self._verdicts_s and self._is_guilty(suspect):
-                affected |= self._find_guilty(suspect, now_s)
+            if suspect not in self._blocked_s and self._explains_crashes(suspect):
+                affected |= self._block(suspect, now_s)
         return affected
 
-    def _is_guilty(self, suspect: str) -> bool:
+    def _explains_crashes(self, suspect: str) -> bool:
         crashes = self._crashes_of(suspect)
         if sum(crash.is_confirmed for crash in crashes) < CRASH_LIMIT:
             return False
         others = set().union(*(crash.suspects for crash in crashes)) - {suspect}
         return all(len(self._by_suspect[other]) < len(crashes) for other in others)
 
-    def _find_guilty(self, suspect: str, now_s: float) -> set[str]:
-        """Record a verdict, which explains the crashes and frees the other suspects."""
-        self._verdicts_s[suspect] = now_s
-        while len(self._verdicts_s) > MAX_VERDICTS:
-            self._verdicts_s.popitem(last=False)
+    def _block(self, suspect: str, now_s: float) -> set[str]:
+        """Block a request; that clears the other suspects of its crashes."""
+        self._blocked_s[suspect] = now_s
+        while len(self._blocked_s) > MAX_BLOCKED:
+            self._blocked_s.popitem(last=False)
         freed: set[str] = set()
         for at in self._by_suspect[suspect]:
-            freed |= self._free_others(suspect, at)
+            freed |= self._clear_others(suspect, at)
         return freed
 
-    def _free_others(self, guilty: str, at: Incarnation) -> set[str]:
-        others = self._crashes[at].suspects - {guilty}
-        self._crashes[at].suspects = {guilty}
+    def _clear_others(self, culprit: str, at: Incarnation) -> set[str]:
+        others = self._crashes[at].suspects - {culprit}
+        self._crashes[at].suspects = {culprit}
         for other in others:
             self._forget_crash(other, at)
         return others
@@ -190,7 +190,7 @@
             if now_s - crash.reported_s > limit_s:
                 affected |= self._drop(at)
         for remembered, limit_s in (
-            (self._verdicts_s, VERDICT_RETENTION_S),
+            (self._blocked_s, BLOCK_S),
             (self._cleared_s, CLEARANCE_S),
             (self._ended_s, CRASH_RETENTION_S),
         ):
--- a/greengagetack/gateway/suspects.py
+++ b/greengagetack/gateway/suspects.py
@@ -1,14 +1,13 @@
 """greengagetack.gateway.suspects: keeps requests that crash replicas from others.
 
 Each daemon reports the requests that broke off at a replica that seems to have ended.
-The owner of the facts judges them and lets all daemons know, so that a daemon refuses
-such a request also if it has never seen it. Others cost a look into an empty table.
+The owner of the facts decides which of them crash replicas and lets all daemons know,
+so that a daemon refuses such a request also if it has never seen it. Others cost a look
+into an empty table.
 """
 
 import asyncio
-import hashlib
 import time
-from collections import deque
 from collections.abc import Coroutine
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -19,45 +18,41 @@
 from greengagetack.errors import CodedError, EndpointRefused, RequestCrashesReplicas
 from greengagetack.gateway.call import Call
 from greengagetack.gateway.crash_evidence import (
+    BLOCK_S,
     CRASH_RETENTION_S,
-    TRIAL_THRESHOLD,
-    VERDICT_RETENTION_S,
+    PROBE_THRESHOLD,
     CrashEvidence,
     Standing,
 )
-from greengagetack.http1.message import ExchangeError, header
+from greengagetack.gateway.crash_reports import (
+    CrashReport,
+    CrashReporter,
+    ReportReceiver,
+)
+from greengagetack.gateway.request_key import body_digest, request_key, target_digest
+from greengagetack.http1.message import ExchangeError
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.replicas.paths import ConnectionOpener, ReplicaPaths
 from greengagetack.replicas.replica import Incarnation, Replica, ReplicaState
 
 __all__ = [
-    "CrashObserver",
-    "CrashReport",
+    "Probe",
+    "ProbeRequest",
     "SuspectRequest",
     "Suspects",
-    "Trial",
-    "TrialRequest",
-    "request_key",
+    "SuspectsOwner",
 ]
 
 # Pauses before the checks whether a replica at which requests broke off has ended.
 CHECK_PAUSES_S = (0.1, 0.4, 1.0, 2.0, 2.0)
 MAX_SUSPECTS_PER_REPLICA = 64
-# Reports are sent again to a new owner for this long.
-REPORT_RETENTION_S = 12.0
-MAX_RETAINED_REPORTS = 512
-REPORT_RETRY_PAUSE_S = 0.3
 # One suspect of a service runs at a time; the next one waits for its answer or for this
 # long, in which an end of its replica is noticed.
-TRIAL_S = 2.0
+PROBE_S = 2.0
 # When a suspect may be tried again whose replicas' ends are not confirmed yet.
 SETTLE_PAUSE_S = 0.5
 OWNER_UNREACHABLE_PAUSE_S = 0.25
-TARGET_DIGEST_BYTES = 8
-BODY_DIGEST_BYTES = 16
-# Two callers may send the same request with different effects.
-CALLER_HEADERS = (b"host", b"authorization")
 
 
 @fact_type("suspect_request")
@@ -67,20 +62,11 @@
 
     crashes: int
     is_settled: bool
-    is_guilty: bool
-
-
-@dataclass(frozen=True, slots=True)
-class CrashReport:
-    """A request that broke off at a replica; an answer to it if that is empty."""
-
-    request_key: str
-    replica_id: str = ""
-    started_ms: int = 0
+    is_blocked: bool
 
 
 @dataclass(frozen=True, slots=True)
-class TrialRequest:
+class ProbeRequest:
     """Asks whether a suspect may run now."""
 
     request_key: str
@@ -88,80 +74,54 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Trial:
-    """Answer to a request for a trial; without a grant, `wait_s` is a time to wait."""
+class Probe:
+    """Answer to a request for a probe; without a grant, `wait_s` is a time to wait."""
 
     is_granted: bool
     wait_s: float = 0.0
 
 
-class CrashObserver(Protocol):
+class SuspectsOwner(ReportReceiver, Protocol):
     """Calls to the owner of the facts."""
 
-    async def send_crash_reports(self, reports: tuple[CrashReport, ...]) -> None:
-        """Send what this daemon has observed."""
-
-    async def request_trial(self, request: TrialRequest) -> Trial:
+    async def request_probe(self, request: ProbeRequest) -> Probe:
         """Ask whether a suspect may run now."""
 
 
-def _target_digest(call: Call, service: str) -> str:
-    digest = hashlib.blake2b(service.encode(), digest_size=TARGET_DIGEST_BYTES)
-    digest.update(b"\0%b\0%b" % (call.method, call.target))
-    return digest.hexdigest()
-
-
-def _body_digest(call: Call) -> str:
-    digest = hashlib.blake2b(call.body, digest_size=BODY_DIGEST_BYTES)
-    for name in CALLER_HEADERS:
-        digest.update(b"\0%b" % (header(call.headers, name) or b""))
-    return digest.hexdigest()
-
-
-def request_key(call: Call, service: str) -> str:
-    """Return what all repeats of a request have in common."""
-    return f"{_target_digest(call, service)}.{_body_digest(call)}"
-
-
 class Suspects:
-    """Observes crashes, judges them while the owner, and admits or refuses requests."""
+    """Observes crashes, evaluates them while the owner, and holds requests back."""
 
     def __init__(
         self,
         fleet: Fleet,
         pool: ConnectionOpener,
         paths: ReplicaPaths,
-        observer: CrashObserver,
+        owner: SuspectsOwner,
         facts: FactTable,
         metrics: Metrics,
     ) -> None:
         self._fleet = fleet
         self._pool = pool
         self._paths = paths
-        self._observer = observer
+        self._owner = owner
         self._facts = facts
+        self._reporter = CrashReporter(owner, facts)
         self._metrics = metrics
         # What this daemon has observed, and as the owner what all have.
         self._evidence = CrashEvidence()
         self._published: dict[str, SuspectRequest] = {}
-        # Requests that this process has judged as the owner.
-        self._judged: set[str] = set()
+        # Requests whose standings this process has published as the owner.
+        self._evaluated: set[str] = set()
         # Requests that broke off at replicas that may have ended.
         self._broken: dict[Incarnation, set[str]] = {}
         # Number of suspects by the digest of their targets.
         self._targets: dict[str, int] = {}
         self._keys: set[str] = set()
-        # Trials that were refused here, with the time of the next one.
+        # Probes that were refused here, with the time of the next one.
         self._refused_until_s: dict[str, float] = {}
-        # The running trial of each service, as granted by this daemon, with its end.
-        self._trials: dict[str, tuple[str, float]] = {}
-        self._own_reports: deque[tuple[float, CrashReport]] = deque(
-            maxlen=MAX_RETAINED_REPORTS
-        )
-        self._unsent: deque[CrashReport] = deque(maxlen=MAX_RETAINED_REPORTS)
-        self._reported_epoch = ""
+        # The running probe of each service, as granted by this daemon, with its end.
+        self._probes: dict[str, tuple[str, float]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._is_sending = False
         facts.subscribe(SuspectRequest, self._on_fact)
         fleet.subscribe_removals(self._on_removal)
 
@@ -170,14 +130,14 @@
     def _on_fact(self, key: str, fact: SuspectRequest | None) -> None:
         if fact is None:
             self._published.pop(key, None)
-            self._judged.discard(key)
+            self._evaluated.discard(key)
         else:
             if key not in self._published:
                 logger.warning(
                     "suspects: replicas ended under request {}",
                     key,
                     crashes=fact.crashes,
-                    is_guilty=fact.is_guilty,
+                    is_blocked=fact.is_blocked,
                 )
             self._published[key] = fact
         self._refused_until_s.pop(key, None)
@@ -207,10 +167,10 @@
         """Return the key of a request under suspicion, None for any other."""
         if not self._keys or call.is_deferred:
             return None
-        target = _target_digest(call, service)
+        target = target_digest(call, service)
         if target not in self._targets:
             return None
-        key = f"{target}.{_body_digest(call)}"
+        key = f"{target}.{body_digest(call)}"
         return key if key in self._keys else None
 
     def _standing(self, key: str) -> Standing:
@@ -222,7 +182,7 @@
         return Standing(
             max(known.crashes, own.crashes),
             known.is_settled and own.is_settled,
-            known.is_guilty,
+            known.is_blocked,
         )
 
     # -- requests of this daemon
@@ -241,59 +201,59 @@
         if key is None:
             return
         standing = self._standing(key)
-        if standing.is_guilty:
+        if standing.is_blocked:
             self._metrics.add("suspect_requests", outcome="refused")
             raise RequestCrashesReplicas(
                 f"{standing.crashes} replicas of {service} crashed while they ran this "
                 "request; it is not sent to any other"
             )
-        if standing.crashes < TRIAL_THRESHOLD:
+        if standing.crashes < PROBE_THRESHOLD:
             return
-        trial = await self._request_trial(key, service, standing)
-        outcome = "tried" if trial.is_granted else "delayed"
+        probe = await self._request_probe(key, service, standing)
+        outcome = "probed" if probe.is_granted else "delayed"
         self._metrics.add("suspect_requests", outcome=outcome)
-        if not trial.is_granted:
+        if not probe.is_granted:
             raise EndpointRefused(
                 f"{standing.crashes} replicas of {service} seem to have crashed while "
                 "they ran this request; it may run again once that is settled",
-                trial.wait_s,
+                probe.wait_s,
             )
 
     def may_send_again(self, call: Call, service: str) -> bool:
         """Whether a request that has broken off may be sent to a second replica."""
         key = self._known_key(call, service)
-        return key is None or self._standing(key).crashes < TRIAL_THRESHOLD
+        return key is None or self._standing(key).crashes < PROBE_THRESHOLD
 
     def may_hedge(self, call: Call, service: str) -> bool:
         """Whether a request may be sent to a second replica while the first runs it."""
         return self._known_key(call, service) is None
 
-    async def _request_trial(self, key: str, service: str, standing: Standing) -> Trial:
+    async def _request_probe(self, key: str, service: str, standing: Standing) -> Probe:
         now_s = time.monotonic()
         refused_s = self._refused_until_s.get(key, 0.0) - now_s
         if refused_s > 0:
-            return Trial(False, refused_s)
-        request = TrialRequest(key, service)
+            return Probe(False, refused_s)
+        request = ProbeRequest(key, service)
         if self._facts.is_owner:
-            return self.handle_trial_request(request)
+            return self.handle_probe_request(request)
         if not standing.is_settled:
-            return Trial(False, SETTLE_PAUSE_S)
+            return Probe(False, SETTLE_PAUSE_S)
         # Repeats that arrive meanwhile are refused without a call of their own.
         self._refused_until_s[key] = now_s + OWNER_UNREACHABLE_PAUSE_S
         try:
-            trial = await self._observer.request_trial(request)
+            probe = await self._owner.request_probe(request)
         except CodedError as error:
             logger.info(
                 "suspects: no answer whether request {} may run",
                 key,
                 reason=error.reason,
             )
-            trial = Trial(False, OWNER_UNREACHABLE_PAUSE_S)
-        if trial.is_granted:
+            probe = Probe(False, OWNER_UNREACHABLE_PAUSE_S)
+        if probe.is_granted:
             self._refused_until_s.pop(key, None)
         else:
-            self._refused_until_s[key] = now_s + trial.wait_s
-        return trial
+            self._refused_until_s[key] = now_s + probe.wait_s
+        return probe
 
     # -- observations
 
@@ -368,58 +328,19 @@
             affected = self._evidence.record_end(replica.incarnation, now_s)
         self._publish(affected)
 
-    # -- reports to the owner
-
     def _report(self, report: CrashReport) -> None:
-        self._own_reports.append((time.monotonic(), report))
         self._apply(report)
-        if self._facts.is_owner:
-            return
-        self._unsent.append(report)
-        self._send_reports()
-
-    def _send_reports(self) -> None:
-        if not self._is_sending and self._unsent:
-            self._is_sending = True
-            self._start(self._send_unsent())
-
-    async def _send_unsent(self) -> None:
-        try:
-            while self._unsent and not self._facts.is_owner:
-                reports = tuple(self._unsent)
-                try:
-                    await self._observer.send_crash_reports(reports)
-                except CodedError as error:
-                    logger.info(
-                        "suspects: crash reports not sent to the owner",
-                        reports=len(reports),
-                        reason=error.reason,
-                    )
-                    await asyncio.sleep(REPORT_RETRY_PAUSE_S)
-                    self._drop_old_reports()
-                    continue
-                for _ in reports:
-                    self._unsent.popleft()
-        finally:
-            self._is_sending = False
-
-    def _drop_old_reports(self) -> None:
-        since_s = time.monotonic() - REPORT_RETENTION_S
-        while self._own_reports and self._own_reports[0][0] < since_s:
-            self._own_reports.popleft()
-        retained = {report for _, report in self._own_reports}
-        while self._unsent and self._unsent[0] not in retained:
-            self._unsent.popleft()
+        self._reporter.add(report)
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    # -- judging
+    # -- decisions of the owner
 
     def handle_reports(self, reports: tuple[CrashReport, ...]) -> None:
-        """Judge what another daemon has observed."""
+        """Evaluate what another daemon has observed."""
         for report in reports:
             self._apply(report)
 
@@ -427,7 +348,7 @@
         now_s = time.monotonic()
         key = report.request_key
         if not report.replica_id:
-            self._end_trial(key)
+            self._end_probe(key)
             self._publish(self._evidence.record_answer(key, now_s))
             if self._facts.is_owner:
                 self._facts.retract(SuspectRequest, key)
@@ -447,55 +368,46 @@
             if not self._facts.is_owner:
                 continue
             standing = self._evidence.standing(key)
-            if standing.crashes < TRIAL_THRESHOLD:
-                # What an earlier owner has judged stays until it expires.
-                if key in self._judged:
+            if standing.crashes < PROBE_THRESHOLD:
+                # What an earlier owner has published stays until it expires.
+                if key in self._evaluated:
                     self._facts.retract(SuspectRequest, key)
                 continue
-            self._judged.add(key)
+            self._evaluated.add(key)
             fact = SuspectRequest(
-                standing.crashes, standing.is_settled, standing.is_guilty
+                standing.crashes, standing.is_settled, standing.is_blocked
             )
             if fact == self._published.get(key):
                 continue
-            lifetime_s = VERDICT_RETENTION_S if fact.is_guilty else CRASH_RETENTION_S
+            lifetime_s = BLOCK_S if fact.is_blocked else CRASH_RETENTION_S
             self._facts.publish(key, fact, lifetime_s)
 
-    def handle_trial_request(self, request: TrialRequest) -> Trial:
+    def handle_probe_request(self, request: ProbeRequest) -> Probe:
         """Decide whether a suspect may run: one of a service at a time."""
         key, now_s = request.request_key, time.monotonic()
         if not self._facts.is_owner:
-            return Trial(False, OWNER_UNREACHABLE_PAUSE_S)
+            return Probe(False, OWNER_UNREACHABLE_PAUSE_S)
         standing = self._standing(key)
-        if standing.is_guilty or not standing.is_settled:
-            return Trial(False, SETTLE_PAUSE_S)
-        _, until_s = self._trials.get(request.service, ("", now_s))
+        if standing.is_blocked or not standing.is_settled:
+            return Probe(False, SETTLE_PAUSE_S)
+        _, until_s = self._probes.get(request.service, ("", now_s))
         if now_s < until_s:
-            return Trial(False, until_s - now_s)
-        self._trials[request.service] = (key, now_s + TRIAL_S)
+            return Probe(False, until_s - now_s)
+        self._probes[request.service] = (key, now_s + PROBE_S)
         logger.info(
             "suspects: request may run alone",
             request_key=key,
             service=request.service,
             crashes=standing.crashes,
         )
-        return Trial(True)
+        return Probe(True)
 
-    def _end_trial(self, key: str) -> None:
-        for service, (tried, _) in list(self._trials.items()):
+    def _end_probe(self, key: str) -> None:
+        for service, (tried, _) in list(self._probes.items()):
             if tried == key:
-                del self._trials[service]
+                del self._probes[service]
 
     async def tick(self) -> None:
         """Forget what is old; report again to an owner that has changed."""
         self._publish(self._evidence.expire(time.monotonic()))
-        if self._facts.cursor.epoch == self._reported_epoch:
-            return
-        self._reported_epoch = self._facts.cursor.epoch
-        self._drop_old_reports()
-        if not self._facts.is_owner:
-            self._unsent = deque(
-                (report for _, report in self._own_reports),
-                maxlen=MAX_RETAINED_REPORTS,
-            )
-            self._send_reports()
+        self._reporter.repeat_after_change()
