Wait for events that were sent, not for the time that they should take

Features passed for the wrong time on a busy machine: "an item has sent 2 events" slept 2.5 intervals. At a load of 17 the stand-ins had sent no event by then, so that "Items go on where the claim has been handed over" found nothing resumed in 3 of 23 runs; in the one whose log was read, all eight runs had ended with 0 events after 313 ms.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -284,9 +284,17 @@
 @when('an item of "{job}" has sent {count:d} events')
 def step_sent(context: Context, job: str, count: int) -> None:
     cluster = _cluster(context)
-    wait_for("an item has begun", lambda: _arrivals(cluster, job) != [])
+
+    def has_sent() -> bool:
+        return any(
+            request_id.startswith(f"{job}-") and number >= count
+            for replica in cluster.replicas.values()
+            for request_id, number in replica.sent_events.copy().items()
+        )
+
+    wait_for(f"an item has sent {count} events", has_sent)
     pace_s = next(iter(cluster.replicas.values())).event_s
-    time.sleep(pace_s * (count + 0.5))
+    time.sleep(pace_s / 2)
 
 
 def _arrivals(cluster: PlatformCluster, job: str) -> list[tuple[str, str, int]]:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -107,6 +107,8 @@
         # Monotonic time of each request's arrival and of the end of its answer.
         self.arrived_s: list[tuple[str, float]] = []
         self.ended_s: dict[str, float] = {}
+        # Number of the last event sent of each request.
+        self.sent_events: dict[str, int] = {}
         self.interrupted_ids: list[str] = []
         self.orders: list[tuple[str, int, int]] = []
         # Monotonic time, holder and fence of each order that arrived.
@@ -238,6 +240,7 @@
                     change = b"x-weight-versions: %d\n" % version
                 data = f"{request_id}:{number}".encode()
                 yield change + b"id: %d\ndata: %b\n\n" % (number, data)
+                self.sent_events[request_id] = number
             is_complete = True
             self.ended_s[request_id] = time.monotonic()
         finally:
