Keep a block that an earlier owner saved, whatever its successor has seen

What callers saw: after all daemons were killed, a blocked request was sent on again.

Cause: the new owner saw two fresh crashes before it had loaded the archive; the fact of the suspicion was newer, so the saved block was passed over, and later evaluations replaced it.

Change: loading merges; a published block is replaced by an answer or its end only.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -106,3 +106,16 @@
     When the owner publishes 20 facts within 1 s, and nothing else happens
     And 601 s pass without a ping
     Then no daemon knows any of them
+
+  Scenario Outline: What an owner has saved and what its successor has seen since
+    Given a saved fact that a request is <saved>
+    When a new owner publishes that the request is <seen>, and loads what was saved
+    Then all daemons know that the request is <known>
+
+    Examples:
+      | saved     | seen      | known     |
+      | blocked   | nothing   | blocked   |
+      | blocked   | suspected | blocked   |
+      | suspected | blocked   | blocked   |
+      | suspected | nothing   | suspected |
+      | blocked   | answered  | nothing   |
--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -10,7 +10,9 @@
 from behave.runner import Context
 
 from features.support.fact_fleet import FactFleet
+from greengagetack.coordination.facts import FactTable
 from greengagetack.gateway.crash_evidence import PROBE_THRESHOLD, CrashEvidence
+from greengagetack.gateway.suspects import SuspectRequest
 from standins.platform_cluster import (
     BOOKING_PREFIX,
     CHAT_PREFIX,
@@ -28,6 +30,7 @@
 CLIENT_TRIES = 6
 CLIENT_DEADLINE_S = 2.0
 FINAL_STATUSES = range(400, 429)
+LIFETIME_S = 600.0
 _numbers = itertools.count()
 
 
@@ -313,3 +316,36 @@
 @then("no daemon knows any of them")
 def step_none_known(context: Context) -> None:
     assert not any(context.fact_fleet.known_counts())
+
+
+STANDINGS = {
+    "blocked": SuspectRequest(3, True, True),
+    "suspected": SuspectRequest(2, True, False),
+}
+
+
+@given("a saved fact that a request is {saved}")
+def step_saved(context: Context, saved: str) -> None:
+    former = FactTable("former", lambda: True)
+    former.publish("key", STANDINGS[saved], LIFETIME_S)
+    context.saved = former.current()
+
+
+@when("a new owner publishes that the request is {seen}, and loads what was saved")
+def step_load(context: Context, seen: str) -> None:
+    context.owner = FactTable("owner", lambda: True)
+    if seen in STANDINGS:
+        context.owner.publish("key", STANDINGS[seen], LIFETIME_S)
+    elif seen == "answered":
+        context.owner.publish("key", STANDINGS["suspected"], LIFETIME_S)
+        context.owner.retract(SuspectRequest, "key")
+    context.owner.restore(context.saved)
+
+
+@then("all daemons know that the request is {known}")
+def step_all_known(context: Context, known: str) -> None:
+    follower = FactTable("follower", lambda: False)
+    learnt: dict[str, SuspectRequest | None] = {}
+    follower.subscribe(SuspectRequest, learnt.__setitem__)
+    follower.apply(context.owner.update_after(follower.cursor))
+    assert learnt.get("key") == STANDINGS.get(known), learnt
--- a/greengagetack/coordination/facts.py
+++ b/greengagetack/coordination/facts.py
@@ -222,14 +222,24 @@
         self._store(fact.topic, fact.key, _Entry(value, revision, expires_s))
 
     def restore(self, facts: tuple[Fact, ...]) -> None:
-        """Publish facts that were saved, unless newer ones are known."""
+        """Publish facts that were saved.
+
+        A newer fact stays as it is, unless its type has a method `merged_with`.
+        """
         for fact in facts:
-            if (fact.topic, fact.key) in self._entries:
+            newer = self._entries.get((fact.topic, fact.key))
+            if newer is not None and newer.value is None:
+                continue
+            if newer is not None and not hasattr(newer.value, "merged_with"):
                 continue
             self._learn(fact, 0)
             entry = self._entries.get((fact.topic, fact.key))
-            if entry is not None:
-                self._put(fact.topic, fact.key, entry.value, fact.lifetime_s)
+            if entry is None:
+                continue
+            value = entry.value
+            if newer is not None and newer is not entry:
+                value = newer.value.merged_with(value)
+            self._put(fact.topic, fact.key, value, fact.lifetime_s)
 
     def current(self) -> tuple[Fact, ...]:
         """Return all facts that are neither retracted nor expired."""
--- a/greengagetack/gateway/suspects.py
+++ b/greengagetack/gateway/suspects.py
@@ -64,6 +64,10 @@
     is_settled: bool
     is_blocked: bool
 
+    def merged_with(self, earlier: "SuspectRequest") -> "SuspectRequest":
+        """Return what is known together with an earlier owner's knowledge."""
+        return earlier if earlier.is_blocked else self
+
 
 @dataclass(frozen=True, slots=True)
 class ProbeRequest:
@@ -377,7 +381,8 @@
             fact = SuspectRequest(
                 standing.crashes, standing.is_settled, standing.is_blocked
             )
-            if fact == self._published.get(key):
+            known = self._published.get(key)
+            if fact == known or (known is not None and known.is_blocked):
                 continue
             lifetime_s = BLOCK_S if fact.is_blocked else CRASH_RETENTION_S
             self._facts.publish(key, fact, lifetime_s)
