Reset a connection whose exchange is given up

Cause, likely: the order was sent into a cut and given up after 0.8 s. Its connection was closed, and the kernel goes on to deliver what it holds of a closed connection; the cut ended 5 s later. Ruled out: the lease, which was released with 0.6 s of quiet and taken 2.8 s later, as it should.

Change: a connection that is closed within an exchange is reset, so that the kernel discards the rest. That also holds for requests that were given up or hedged.

Tests: a replica sees "closed" before and "reset" now (features/exchanges.feature).

--- a/features/exchanges.feature
+++ b/features/exchanges.feature
@@ -50,3 +50,12 @@
       | state    | end      | count |
       | holds    | accepted | 1     |
       | runs out | not_sent | 0     |
+
+  Scenario Outline: An exchange that is given up resets its connection
+    When <exchange> is given up while a replica is silent
+    Then the replica sees that the connection was <end>
+
+    Examples:
+      | exchange   | end    |
+      | an order   | reset  |
+      | no request | closed |
--- a/features/steps/exchanges_steps.py
+++ b/features/steps/exchanges_steps.py
@@ -249,3 +249,39 @@
 @then("the call fails within {limit:d} ms")
 def step_call_fails(context: Context, limit: int) -> None:
     assert context.took_s < limit / 1000, context.took_s
+
+
+@when("{exchange} is given up while a replica is silent")
+def step_give_up(context: Context, exchange: str) -> None:
+    ended = asyncio.Event()
+
+    async def wait_for_end(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await reader.read()
+            context.connection_end = "closed"
+        except ConnectionResetError:
+            context.connection_end = "reset"
+        writer.close()
+        ended.set()
+
+    async def give_up() -> None:
+        server = await asyncio.start_server(wait_for_end, "127.0.0.1", 0)
+        address = Address(*server.sockets[0].getsockname())
+        pool = Pool(CONNECT_TIMEOUT_S)
+        if exchange == "an order":
+            replica = Replica("a", "service", address, "zone", 4, False)
+            await PlatformOrderSender(pool).send(replica, ORDER, lambda: True)
+        else:
+            await pool.open_idle(address)
+            pool.close_idle(address)
+        await ended.wait()
+        server.close()
+
+    asyncio.run(give_up())
+
+
+@then("the replica sees that the connection was {end}")
+def step_connection_end(context: Context, end: str) -> None:
+    assert context.connection_end == end, context.connection_end
--- a/greengagetack/http1/connection.py
+++ b/greengagetack/http1/connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 from collections import deque
 
 import httptools
@@ -41,6 +42,18 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def set_reset_on_close(transport: asyncio.Transport) -> None:
+    """Let the kernel discard what it has not delivered when it closes a connection.
+
+    It would otherwise go on to deliver a request that a partition holds up, long after
+    the sender has given it up.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 class Connection(asyncio.Protocol):
     """A connection that is reused only after exchanges that ended cleanly.
 
@@ -261,10 +274,13 @@
         return b"".join(parts)
 
     def close(self) -> None:
-        """Abort the connection at once."""
+        """Abort the connection at once; an exchange in progress resets it."""
         self.is_reusable = False
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.abort()
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self.in_exchange:
+            set_reset_on_close(self._transport)
+        self._transport.abort()
 
     @property
     def is_open(self) -> bool:
