--- a/features/steps/claim_path_steps.py
+++ b/features/steps/claim_path_steps.py
@@ -11,11 +11,11 @@
 from features.support.memory_objects import MemoryObjects
 from greengagetack.coordination.claim import CLAIM_PATH, DispatcherClaim
 from greengagetack.coordination.client import PeerClient
-from greengagetack.coordination.facts import FactCursor
 from greengagetack.coordination.messages import Member, Pong
 from greengagetack.coordination.path_watch import PathWatch
 from greengagetack.coordination.roster import Roster
 from greengagetack.errors import PeerUnreachable
+from greengagetack.facts import FactCursor
 from greengagetack.objects.feed import Feed
 from greengagetack.world import Address
 
@@ -29,11 +29,11 @@
     """A claim that records to whom it is handed over."""
 
     def __init__(self) -> None:
-        self.is_held_locally = True
+        self.is_acting = True
         self.successor = ""
 
     async def hand_over(self, successor: Member) -> bool:
-        self.is_held_locally = False
+        self.is_acting = False
         self.successor = successor.node
         return True
 
--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -10,9 +10,12 @@
 from behave.runner import Context
 
 from features.support.fact_fleet import FactFleet
-from greengagetack.coordination.facts import FactTable
-from greengagetack.gateway.crash_evidence import PROBE_THRESHOLD, CrashEvidence
-from greengagetack.gateway.suspects import SuspectRequest
+from greengagetack.facts import FactTable
+from greengagetack.gateway.crash_evidence import (
+    PROBE_THRESHOLD,
+    CrashEvidence,
+    Standing,
+)
 from standins.platform_cluster import (
     BOOKING_PREFIX,
     CHAT_PREFIX,
@@ -319,8 +322,8 @@
 
 
 STANDINGS = {
-    "blocked": SuspectRequest(3, True, True),
-    "suspected": SuspectRequest(2, True, False),
+    "blocked": Standing(3, True, True),
+    "suspected": Standing(2, True, False),
 }
 
 
@@ -338,14 +341,14 @@
         context.owner.publish("key", STANDINGS[seen], LIFETIME_S)
     elif seen == "answered":
         context.owner.publish("key", STANDINGS["suspected"], LIFETIME_S)
-        context.owner.retract(SuspectRequest, "key")
+        context.owner.retract(Standing, "key")
     context.owner.restore(context.saved)
 
 
 @then("all daemons know that the request is {known}")
 def step_all_known(context: Context, known: str) -> None:
     follower = FactTable("follower", lambda: False)
-    learnt: dict[str, SuspectRequest | None] = {}
-    follower.subscribe(SuspectRequest, learnt.__setitem__)
+    learnt: dict[str, Standing | None] = {}
+    follower.subscribe(Standing, learnt.__setitem__)
     follower.apply(context.owner.update_after(follower.cursor))
     assert learnt.get("key") == STANDINGS.get(known), learnt
--- a/features/steps/rate_limits_steps.py
+++ b/features/steps/rate_limits_steps.py
@@ -9,7 +9,7 @@
 
 from features.support.limited_fleet import LimitedFleet, most_in_window
 from greengagetack.coordination.client import PeerClient
-from greengagetack.coordination.facts import FactTable
+from greengagetack.facts import FactTable
 from greengagetack.gateway.choice import suggested_retry_s
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
@@ -150,7 +150,7 @@
 
 @when('the owner publishes a limit of {limit:d} for the start {start:d} of replica "r"')
 def step_publish_limit(context: Context, limit: int, start: int) -> None:
-    context.owner_facts.publish("r/1", RateLimit("r", start, float(limit)), 600.0)
+    context.owner_facts.publish(f"r/{start}", RateLimit(float(limit)), 600.0)
     _ping(context)
 
 
--- a/features/steps/stranded_vms_steps.py
+++ b/features/steps/stranded_vms_steps.py
@@ -2,18 +2,30 @@
 
 import asyncio
 from collections import Counter
+from contextlib import suppress
 
 from behave import given, then, when
 from behave.runner import Context
 
 from features.support.cut_network import MAX_ATTEMPTS, CutNetwork, Outcome
+from greengagetack.coordination.client import PeerClient
+from greengagetack.gateway.detours import RelayedRequest
 from greengagetack.gateway.routes import RequestKind
+from greengagetack.world import Address
+from standins.platform_cluster import (
+    CHAT_PREFIX,
+    HOST_NAME,
+    LOOKUP_PREFIX,
+    PLAIN_SERVICE,
+)
+from standins.replica import MODEL, output_of
 
 # Client's tries at these are counted from this time after the cut on.
 SETTLE_S = 3.0
 SERVED_RATIO = 2 / 3
 # Time for runs that were abandoned to end.
 DRAIN_S = 0.2
+RELAYED_MS = 2_000.0
 
 
 @given("{daemons:d} daemons before {replicas:d} replicas, for {kind} requests")
@@ -110,3 +122,79 @@
     settled = _settled(context)
     assert all(outcome.is_served for outcome in settled)
     assert context.network.detours_since(context.began_s + SETTLE_S) == 0
+
+
+# -- the wire between daemons
+
+
+def _relayed(
+    request_id: str, service: str, target: bytes, is_streaming: bool
+) -> RelayedRequest:
+    headers = ((b"host", HOST_NAME.encode()),)
+    if is_streaming:
+        headers += ((b"x-model", MODEL.encode()),)
+    return RelayedRequest(
+        service,
+        request_id,
+        b"POST",
+        target,
+        headers,
+        b"body",
+        RELAYED_MS,
+        is_streaming,
+        None,
+        (),
+        None,
+    )
+
+
+def _peer() -> PeerClient:
+    return PeerClient("test", lambda: None, list, tuple)
+
+
+@when(
+    "another daemon lets {edge} send a request to service {service}, "
+    "streaming: {streaming}"
+)
+def step_relay(context: Context, edge: str, service: str, streaming: str) -> None:
+    is_streaming = streaming == "yes"
+    target = (CHAT_PREFIX if is_streaming else LOOKUP_PREFIX).encode() + b"r1"
+    address = Address.parse(context.cluster.address_of(edge, "control"))
+
+    async def relay() -> None:
+        request = _relayed("r1", service, target, is_streaming)
+        context.answer, parts = await _peer().send_relayed(address, request)
+        context.body = b"".join([part async for part in parts])
+
+    asyncio.run(relay())
+
+
+@then("the attempt ends as {result} with {body}")
+def step_relayed_end(context: Context, result: str, body: str) -> None:
+    assert context.answer.result.value == result, context.answer
+    events = context.body.decode().split("\n\n")[:-1]
+    if body == "the whole body":
+        assert context.body == b"answer to r1", context.body
+    elif body == "all its events":
+        replica = context.cluster.replicas["engine-1"]
+        data = [event.partition("data: ")[2] for event in events]
+        assert "\n".join(data) == output_of("r1", replica.events), data
+    else:
+        assert body == "no body" and not context.body, context.body
+
+
+@when(
+    'another daemon lets {edge} send request "{request_id}" and gives it up after '
+    "{pause:d} ms"
+)
+def step_give_up(context: Context, edge: str, request_id: str, pause: int) -> None:
+    address = Address.parse(context.cluster.address_of(edge, "control"))
+
+    async def relay() -> None:
+        target = f"{LOOKUP_PREFIX}{request_id}".encode()
+        request = _relayed(request_id, PLAIN_SERVICE, target, False)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(pause / 1000):
+                await _peer().send_relayed(address, request)
+
+    asyncio.run(relay())
--- a/features/stranded_vms.feature
+++ b/features/stranded_vms.feature
@@ -37,3 +37,20 @@
     And the cut ends
     And 20 requests a second arrive at each daemon for 4 s
     Then from 3 s on, all requests are served without another daemon
+
+  Scenario Outline: A daemon sends another daemon's request to a replica
+    Given a platform with 1 <replicas> and 1 daemons
+    When another daemon lets edge-1 send a request to service <service>, streaming: <streaming>
+    Then the attempt ends as <result> with <body>
+
+    Examples:
+      | replicas       | service    | streaming | result   | body            |
+      | plain replicas | fieldbook  | no        | answered | the whole body  |
+      | engines        | summariser | yes       | answered | all its events  |
+      | plain replicas | summariser | no        | not_sent | no body         |
+
+  Scenario: A daemon that gives up a request sent by way of another cancels its run
+    Given a platform with 1 plain replicas and 1 daemons
+    And the plain replicas take 800 ms
+    When another daemon lets edge-1 send request "r1" and gives it up after 150 ms
+    Then the run of "r1" is cancelled within 500 ms
--- a/features/support/cut_network.py
+++ b/features/support/cut_network.py
@@ -9,8 +9,8 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
-from greengagetack.coordination.facts import FactTable
 from greengagetack.errors import CodedError, PeerUnreachable
+from greengagetack.facts import FactTable
 from greengagetack.gateway.attempt import Reply
 from greengagetack.gateway.call import Call
 from greengagetack.gateway.crash_reports import CrashReport
@@ -177,25 +177,8 @@
         await asyncio.sleep(CONNECT_S)
         forwarder = self._network.forwarders[address.port]
         attempt = await forwarder.send_relayed(request)
-        reply = attempt.reply
-        answer = RelayedAnswer(
-            attempt.result,
-            attempt.reason,
-            attempt.replica_id,
-            attempt.software,
-            0 if reply is None else reply.head.status,
-            () if reply is None else reply.head.headers,
-        )
-        return answer, self._parts(reply)
-
-    async def _parts(self, reply: Reply | None) -> AsyncIterator[bytes]:
-        if reply is None:
-            return
-        if reply.body:
-            yield reply.body
-        if reply.parts is not None:
-            async for part in reply.parts:
-                yield part
+        reply = attempt.reply or Reply(ResponseHead(0, ()), b"")
+        return RelayedAnswer.of(attempt), reply.body_parts()
 
 
 class CutNetwork:
--- a/features/support/fact_fleet.py
+++ b/features/support/fact_fleet.py
@@ -5,14 +5,13 @@
 from contextlib import contextmanager
 from unittest.mock import patch
 
-from greengagetack.coordination.facts import FactTable
 from greengagetack.coordination.messages import Pong, decode, encode
-from greengagetack.gateway.crash_evidence import BLOCK_S
-from greengagetack.gateway.suspects import SuspectRequest
+from greengagetack.facts import FactTable
+from greengagetack.gateway.crash_evidence import BLOCK_S, Standing
 
 __all__ = ["FactFleet"]
 
-CLOCK = "greengagetack.coordination.facts.time.monotonic"
+CLOCK = "greengagetack.facts.time.monotonic"
 PING_INTERVAL_S = 1.0
 # Two seconds after the last fact was published.
 CHANGE_S = 3.0
@@ -78,7 +77,7 @@
     def _publish(self, owner: int, count: int) -> None:
         table = self._tables[owner]
         for number in range(len(table.current()), count):
-            fact = SuspectRequest(3, True, True)
+            fact = Standing(3, True, True)
             key = f"{number:016x}.{number:032x}"
             table.publish(key, fact, BLOCK_S)
             self._published_s = self._now_s
--- a/features/support/limited_fleet.py
+++ b/features/support/limited_fleet.py
@@ -4,12 +4,12 @@
 import random
 from unittest.mock import patch
 
-from greengagetack.coordination.facts import FactTable
 from greengagetack.errors import PeerUnreachable
+from greengagetack.facts import FactTable
+from greengagetack.grants import Grant
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.replicas.permits import (
-    Permit,
     PermitRequest,
     Permits,
     RateLimitNotice,
@@ -55,7 +55,7 @@
         self.state = state
         state.record_rate_limit(limit_per_s)
 
-    async def request_permit(self, request: PermitRequest) -> Permit:
+    async def request_permit(self, request: PermitRequest) -> Grant:
         if self.owner_number is None:
             raise PeerUnreachable("no owner at present")
         return self._fleet.daemons[self.owner_number].permits.handle_request(request)
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -445,9 +445,7 @@
             earliest_s = began_s.get(service, now_s)
             began_s[service] = min(earliest_s, progress.run_started_s)
         for service, since_s in began_s.items():
-            since_s = max(since_s, self._paths.last_contact_s(service))
-            if now_s - since_s > PATH_SILENCE_S:
-                self._paths.suspect(service)
+            self._paths.suspect_if_silent(service, since_s, PATH_SILENCE_S)
 
     def _expire_items(self) -> None:
         now_ms = time.time() * MS_PER_S
--- a/greengagetack/batches/rewards.py
+++ b/greengagetack/batches/rewards.py
@@ -21,7 +21,7 @@
     RewardLimits,
     choose_reward_replica,
 )
-from greengagetack.gateway.attempt import Attempt
+from greengagetack.gateway.attempt import Attempt, AttemptTerms
 from greengagetack.gateway.call import Call, ReplicaDialect
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.retry import AttemptResult
@@ -219,7 +219,7 @@
             timeout_s = attempt_timeout_s(route, progress.reward_timeouts)
             async with asyncio.timeout(timeout_s):
                 attempt = await self._forwarder.send_attempt(
-                    call, state, deadline_s, is_streaming=False
+                    call, state, AttemptTerms(deadline_s)
                 )
             end = _classify(attempt)
         except TimeoutError:
--- a/greengagetack/coordination/claim.py
+++ b/greengagetack/coordination/claim.py
@@ -13,10 +13,10 @@
 from loguru import logger
 
 from greengagetack.coordination.client import PeerClient
-from greengagetack.coordination.facts import FactCursor
 from greengagetack.coordination.messages import Member, Pong
 from greengagetack.coordination.roster import Roster
 from greengagetack.errors import CodedError, PeerUnreachable
+from greengagetack.facts import FactCursor
 from greengagetack.objects.base import ObjectConflict, PlatformObject, WatchedStore
 from greengagetack.objects.feed import Feed
 from greengagetack.world import Address
@@ -107,6 +107,11 @@
             holder is not None and holder.incarnation == self._local_member.incarnation
         )
 
+    @property
+    def is_acting(self) -> bool:
+        """Whether this daemon holds the claim and is not about to release it."""
+        return self.is_held_locally and not self.is_leaving
+
     @property
     def names_local_as_former(self) -> bool:
         """Whether the claim holder fetches progress from this daemon."""
@@ -211,32 +216,24 @@
 
     async def hand_over(self, successor: Member) -> bool:
         """Pass the claim to another daemon, as this one cannot use it."""
-        stored = self._feed.objects.get(CLAIM_PATH)
-        if not self.is_held_locally or stored is None:
-            return False
-        claim = dataclasses.replace(successor, former=self._local_member.control)
-        try:
-            await self._store.write(
-                CLAIM_PATH, msgspec.to_builtins(claim), stored.version
-            )
-        except CodedError as error:
-            logger.warning("claim: not handed over: {}", error.reason)
-            return False
-        logger.info("claim: handed over", successor=successor.node)
-        return True
+        return await self._pass_to(successor)
 
     async def release(self, successor: Member | None) -> None:
         """Pass the claim to a successor, or vacate it without one."""
         self.is_leaving = True
+        await self._pass_to(successor or Member(VACANT_NODE, "", "", ""))
+
+    async def _pass_to(self, new_holder: Member) -> bool:
         stored = self._feed.objects.get(CLAIM_PATH)
         if not self.is_held_locally or stored is None:
-            return
-        new_holder = successor or Member(VACANT_NODE, "", "", "")
+            return False
         claim = dataclasses.replace(new_holder, former=self._local_member.control)
         try:
             await self._store.write(
                 CLAIM_PATH, msgspec.to_builtins(claim), stored.version
             )
-            logger.info("claim: released", successor=new_holder.node)
         except CodedError as error:
             logger.warning("claim: release failed: {}", error.reason)
+            return False
+        logger.info("claim: released", successor=new_holder.node)
+        return True
--- a/greengagetack/coordination/client.py
+++ b/greengagetack/coordination/client.py
@@ -11,9 +11,7 @@
 
 from greengagetack.batches.job import Job, Segment
 from greengagetack.batches.progress import ProgressSnapshot
-from greengagetack.coordination.facts import FactCursor
 from greengagetack.coordination.messages import (
-    RELAYED_LENGTH_BYTES,
     CrashReports,
     HandOver,
     JobHint,
@@ -25,12 +23,14 @@
     decode,
     encode,
 )
+from greengagetack.coordination.relayed import read_relayed_answer, read_relayed_body
 from greengagetack.errors import PeerUnreachable, PlatformUnavailable
+from greengagetack.facts import FactCursor
 from greengagetack.gateway.crash_reports import CrashReport
 from greengagetack.gateway.detours import RelayedAnswer, RelayedRequest
 from greengagetack.gateway.stream_origins import StreamOrigin
-from greengagetack.gateway.suspects import Probe, ProbeRequest
-from greengagetack.http1.connection import Connection
+from greengagetack.gateway.suspects import ProbeRequest
+from greengagetack.grants import Grant
 from greengagetack.http1.message import (
     ConnectFailed,
     ExchangeError,
@@ -40,15 +40,15 @@
 from greengagetack.http1.pool import Pool
 from greengagetack.objects.base import HistoryGone, WatchAnswer
 from greengagetack.objects.transport import StoreResponse
-from greengagetack.replicas.permits import Permit, PermitRequest, RateLimitNotice
+from greengagetack.replicas.permits import PermitRequest, RateLimitNotice
 from greengagetack.world import Address
 
 __all__ = ["PeerClient"]
 
 CONNECT_TIMEOUT_S = 0.4
 CALL_TIMEOUT_S = 0.5
-# A caller waits for the permit; another replica may serve it sooner.
-PERMIT_TIMEOUT_S = 0.1
+# A caller waits for the grant; another replica may serve it sooner.
+GRANT_TIMEOUT_S = 0.1
 # A caller waits for the origin of the stream that it takes up.
 ORIGIN_TIMEOUT_S = 0.4
 # A daemon connects to replicas before it answers.
@@ -182,7 +182,7 @@
         body = await self._call(former, "POST", "/peer/progress", b"", CALL_TIMEOUT_S)
         return _decode_response(body, HandOver).snapshots
 
-    async def request_permit(self, request: PermitRequest) -> Permit:
+    async def request_permit(self, request: PermitRequest) -> Grant:
         """Ask the dispatcher for a permit to send to a rate-limited replica.
 
         Raises
@@ -190,12 +190,7 @@
         PeerUnreachable
             If the dispatcher is unknown or does not answer in time.
         """
-        address = self._known_dispatcher()
-        call = encode(request)
-        body = await self._call(
-            address, "POST", "/peer/permits", call, PERMIT_TIMEOUT_S
-        )
-        return _decode_response(body, Permit)
+        return await self._request_grant("/peer/permits", request)
 
     async def send_rate_limit(self, notice: RateLimitNotice) -> None:
         """Notify the dispatcher of a replica's rate limit.
@@ -221,7 +216,7 @@
         body = encode(CrashReports(reports))
         await self._call(address, "POST", "/peer/crash-reports", body, CALL_TIMEOUT_S)
 
-    async def request_probe(self, request: ProbeRequest) -> Probe:
+    async def request_probe(self, request: ProbeRequest) -> Grant:
         """Ask the dispatcher whether a request under suspicion may run now.
 
         Raises
@@ -229,10 +224,12 @@
         PeerUnreachable
             If the dispatcher is unknown or does not answer in time.
         """
+        return await self._request_grant("/peer/probes", request)
+
+    async def _request_grant(self, path: str, request: object) -> Grant:
         address = self._known_dispatcher()
-        call = encode(request)
-        body = await self._call(address, "POST", "/peer/probes", call, PERMIT_TIMEOUT_S)
-        return _decode_response(body, Probe)
+        body = await self._call(address, "POST", path, encode(request), GRANT_TIMEOUT_S)
+        return _decode_response(body, Grant)
 
     async def reaches(self, address: Address, service: str) -> bool:
         """Return whether a daemon reaches a replica of a service.
@@ -270,8 +267,8 @@
             head = await connection.send(call)
             if head.status != OK:
                 raise IncompleteResponse(f"{address}: status {head.status}")
-            answer, rest = await _read_relayed_answer(connection)
-            return answer, _relayed_parts(connection, rest, stack.pop_all())
+            answer, rest = await read_relayed_answer(connection)
+            return answer, read_relayed_body(connection, rest, stack.pop_all())
 
     async def send_origins(
         self, address: Address, origins: tuple[StreamOrigin, ...]
@@ -353,35 +350,6 @@
         return content
 
 
-async def _read_relayed_answer(connection: Connection) -> tuple[RelayedAnswer, bytes]:
-    """Return the answer before the body, and the bytes read beyond it."""
-    received = b""
-    while True:
-        part = await connection.read()
-        if not part:
-            raise IncompleteResponse("the answer of the daemon is incomplete")
-        received += part
-        size_bytes = int.from_bytes(received[:RELAYED_LENGTH_BYTES])
-        end = RELAYED_LENGTH_BYTES + size_bytes
-        if len(received) >= RELAYED_LENGTH_BYTES and len(received) >= end:
-            break
-    try:
-        answer = decode(received[RELAYED_LENGTH_BYTES:end], type=RelayedAnswer)
-    except ValueError as error:
-        raise IncompleteResponse(f"the answer cannot be decoded: {error}") from error
-    return answer, received[end:]
-
-
-async def _relayed_parts(
-    connection: Connection, first: bytes, stack: AsyncExitStack
-) -> AsyncIterator[bytes]:
-    async with stack:
-        if first:
-            yield first
-        while part := await connection.read():
-            yield part
-
-
 def _decode_response(body: bytes, kind: type[T]) -> T:
     try:
         return decode(body, type=kind)
--- a/greengagetack/coordination/fact_archive.py
+++ b/greengagetack/coordination/fact_archive.py
@@ -1,14 +1,13 @@
 """greengagetack.coordination.fact_archive: keeps facts when all daemons are lost."""
 
 import time
-from collections.abc import Callable
 from typing import Any, Protocol
 
 import msgspec
 from loguru import logger
 
-from greengagetack.coordination.facts import Fact, FactTable
 from greengagetack.errors import CodedError
+from greengagetack.facts import Fact, FactTable
 from greengagetack.objects.base import ObjectConflict, PlatformObject
 
 __all__ = ["ARCHIVE_PATH", "ArchiveStore", "FactArchive"]
@@ -40,12 +39,9 @@
 class FactArchive:
     """Saves the owner's table after changes, and loads it into a new owner's."""
 
-    def __init__(
-        self, store: ArchiveStore, table: FactTable, is_owner: Callable[[], bool]
-    ) -> None:
+    def __init__(self, store: ArchiveStore, table: FactTable) -> None:
         self._store = store
         self._table = table
-        self._is_owner = is_owner
         self._is_loaded = False
         self._version = 0
         self._saved: set[tuple[str, str, str]] = set()
@@ -56,7 +52,7 @@
         A failed call is repeated at the next synchronization.
         """
         self._table.forget_expired()
-        if not self._is_owner():
+        if not self._table.is_owner:
             self._is_loaded = False
             return
         try:
--- a/greengagetack/coordination/lifecycle.py
+++ b/greengagetack/coordination/lifecycle.py
@@ -55,15 +55,15 @@
 
     def on_claim_change(self) -> None:
         """Start or stop the dispatcher according to the claim."""
-        is_held_locally = self._claim.is_held_locally and not self._claim.is_leaving
-        if is_held_locally and not self._feed_tasks:
+        is_acting = self._claim.is_acting
+        if is_acting and not self._feed_tasks:
             self._feed_tasks = [
                 asyncio.create_task(supervise(feed.run, feed.prefix))
                 for feed in self._feeds
             ]
             self._load_scheduler.is_active = True
             self._start_step(supervise(self._activate, "activate"))
-        if is_held_locally:
+        if is_acting:
             return
         if self._load_scheduler.is_active:
             self._load_scheduler.is_active = False
@@ -81,7 +81,7 @@
 
     def _end_hand_over(self) -> None:
         """Stop the runs whose progress the successor has not fetched."""
-        if not self._claim.is_held_locally or self._claim.is_leaving:
+        if not self._claim.is_acting:
             self._dispatcher.deactivate()
 
     def close(self) -> None:
@@ -120,5 +120,5 @@
                     "dispatch: no progress fetched from the former dispatcher: {}",
                     error.reason,
                 )
-        if self._claim.is_held_locally and not self._claim.is_leaving:
+        if self._claim.is_acting:
             self._dispatcher.activate(rival_s)
--- a/greengagetack/coordination/messages.py
+++ b/greengagetack/coordination/messages.py
@@ -10,7 +10,6 @@
 from greengagetack.gateway.stream_origins import StreamOrigin
 
 __all__ = [
-    "RELAYED_LENGTH_BYTES",
     "CrashReports",
     "HandOver",
     "JobHint",
@@ -109,8 +108,5 @@
     software: str | None
 
 
-# A relayed answer is preceded by its length, as the body of the response follows it.
-RELAYED_LENGTH_BYTES = 4
-
 encode = msgspec.msgpack.encode
 decode = msgspec.msgpack.decode
--- a/greengagetack/coordination/path_watch.py
+++ b/greengagetack/coordination/path_watch.py
@@ -28,8 +28,8 @@
     """The claim of this daemon."""
 
     @property
-    def is_held_locally(self) -> bool:
-        """Whether this daemon holds the claim."""
+    def is_acting(self) -> bool:
+        """Whether this daemon holds the claim and is not about to release it."""
 
     async def hand_over(self, successor: Member) -> bool:
         """Pass the claim to another daemon; return whether that succeeded."""
@@ -87,7 +87,7 @@
 
     async def tick(self) -> None:
         """Pass the claim on if a path is lost and another daemon has one."""
-        if not self._claim.is_held_locally or time.monotonic() < self._paused_until_s:
+        if not self._claim.is_acting or time.monotonic() < self._paused_until_s:
             return
         lost = [service for service in self._services() if self._paths.is_lost(service)]
         if not lost:
--- a/greengagetack/coordination/server.py
+++ b/greengagetack/coordination/server.py
@@ -1,6 +1,6 @@
 """greengagetack.coordination.server: HTTP endpoints for other daemons."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
 
 from starlette.applications import Starlette
 from starlette.requests import Request
@@ -9,9 +9,7 @@
 
 from greengagetack.batches.dispatcher import Dispatcher
 from greengagetack.batches.reading import JobReader
-from greengagetack.coordination.facts import FactCursor
 from greengagetack.coordination.messages import (
-    RELAYED_LENGTH_BYTES,
     CrashReports,
     HandOver,
     JobHint,
@@ -23,10 +21,11 @@
     decode,
     encode,
 )
+from greengagetack.coordination.relayed import encode_relayed
 from greengagetack.errors import CodedError
-from greengagetack.gateway.attempt import Attempt
+from greengagetack.facts import FactCursor
 from greengagetack.gateway.clients import ClientDisconnected, cancel_on_disconnect
-from greengagetack.gateway.detours import RelayedAnswer, RelayedRequest
+from greengagetack.gateway.detours import RelayedRequest
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.stream_origins import StreamOrigins
 from greengagetack.gateway.suspects import ProbeRequest, Suspects
@@ -126,7 +125,7 @@
             attempt = await cancel_on_disconnect(pending, request.receive)
         except ClientDisconnected:
             return Response(status_code=CLIENT_CLOSED_REQUEST)
-        return StreamingResponse(_relayed_parts(attempt))
+        return StreamingResponse(encode_relayed(attempt))
 
     async def record_origins(request: Request) -> Response:
         recorded = decode(await request.body(), type=RecordedOrigins)
@@ -173,26 +172,3 @@
             KeyError: error_response,
         },
     )
-
-
-async def _relayed_parts(attempt: Attempt) -> AsyncIterator[bytes]:
-    """Yield the encoded outcome of an attempt, then the body of the response."""
-    reply = attempt.reply
-    answer = encode(
-        RelayedAnswer(
-            attempt.result,
-            attempt.reason,
-            attempt.replica_id,
-            attempt.software,
-            0 if reply is None else reply.head.status,
-            () if reply is None else reply.head.headers,
-        )
-    )
-    yield len(answer).to_bytes(RELAYED_LENGTH_BYTES) + answer
-    if reply is None:
-        return
-    if reply.body:
-        yield reply.body
-    if reply.parts is not None:
-        async for part in reply.parts:
-            yield part
--- a/greengagetack/coordination/facts.py
+++ b/greengagetack/facts.py
@@ -1,4 +1,4 @@
-"""greengagetack.coordination.facts: facts that one daemon learns and all must obey.
+"""greengagetack.facts: facts that one daemon learns and all must obey.
 
 The daemon that runs the jobs owns the table of facts. The others get what is new with
 the answers to the pings that they send it anyway: a fact costs no call of its own and
@@ -31,14 +31,28 @@
 
 T = TypeVar("T")
 FactListener = Callable[[str, Any], None]
+Merge = Callable[[T, T], T]
 
 FACT_TYPES: dict[str, type] = {}
 _TOPICS: dict[type, str] = {}
+_MERGES: dict[type, Merge[Any]] = {}
 
 
-def fact_type(topic: str) -> Callable[[type[T]], type[T]]:
+def _take_newer(earlier: T, newer: T) -> T:
+    return newer
+
+
+def fact_type(
+    topic: str, merge: Merge[Any] = _take_newer
+) -> Callable[[type[T]], type[T]]:
     """Register a frozen data class as the value of a topic's facts.
 
+    Parameters
+    ----------
+    merge : callable
+        Called with an earlier and a newer fact of a key; returns what to publish. Only
+        a retraction and the end of its lifetime remove a fact without a merge.
+
     Raises
     ------
     ValueError
@@ -50,6 +64,7 @@
             raise ValueError(f"duplicate topic {topic!r}")
         FACT_TYPES[topic] = value_type
         _TOPICS[value_type] = topic
+        _MERGES[value_type] = merge
         return value_type
 
     return register
@@ -118,9 +133,18 @@
         """Call `listener` with key and value of each fact learnt, None if retracted."""
         self._listeners.setdefault(_TOPICS[value_type], []).append(listener)
 
+    def get(self, value_type: type[T], key: str) -> T | None:
+        """Return a fact, None if it is not known."""
+        entry = self._entries.get((_TOPICS[value_type], key))
+        return None if entry is None else entry.value
+
     def publish(self, key: str, value: Any, lifetime_s: float) -> None:
-        """Add or replace a fact; all daemons forget it after `lifetime_s`."""
-        self._put(_TOPICS[type(value)], key, value, lifetime_s)
+        """Add a fact or merge it into the known one; it ends after `lifetime_s`."""
+        known = self.get(type(value), key)
+        if known is not None:
+            value = _MERGES[type(value)](known, value)
+        if value != known:
+            self._put(_TOPICS[type(value)], key, value, lifetime_s)
 
     def retract(self, value_type: type, key: str) -> None:
         """Let all daemons forget a fact."""
@@ -206,15 +230,8 @@
         self.cursor = update.cursor
 
     def _learn(self, fact: Fact, revision: int) -> None:
-        value_type = FACT_TYPES.get(fact.topic)
-        if value_type is None:
-            # A daemon of a newer software version may own the table.
-            logger.info("facts: ignoring the unknown topic {}", fact.topic)
-            return
         try:
-            value = (
-                None if fact.value is None else msgspec.convert(fact.value, value_type)
-            )
+            value = _decode(fact)
         except msgspec.ValidationError as error:
             logger.warning("facts: {} {} is invalid: {}", fact.topic, fact.key, error)
             return
@@ -222,24 +239,22 @@
         self._store(fact.topic, fact.key, _Entry(value, revision, expires_s))
 
     def restore(self, facts: tuple[Fact, ...]) -> None:
-        """Publish facts that were saved.
-
-        A newer fact stays as it is, unless its type has a method `merged_with`.
-        """
+        """Publish facts that an earlier owner saved, as earlier than the known ones."""
         for fact in facts:
-            newer = self._entries.get((fact.topic, fact.key))
-            if newer is not None and newer.value is None:
-                continue
-            if newer is not None and not hasattr(newer.value, "merged_with"):
+            known = self._entries.get((fact.topic, fact.key))
+            if known is not None and known.value is None:
                 continue
-            self._learn(fact, 0)
-            entry = self._entries.get((fact.topic, fact.key))
-            if entry is None:
+            try:
+                value = _decode(fact)
+            except msgspec.ValidationError as error:
+                logger.warning(
+                    "facts: saved {} {} is invalid: {}", fact.topic, fact.key, error
+                )
                 continue
-            value = entry.value
-            if newer is not None and newer is not entry:
-                value = newer.value.merged_with(value)
-            self._put(fact.topic, fact.key, value, fact.lifetime_s)
+            if known is not None:
+                value = _MERGES[type(value)](value, known.value)
+            if known is None or value != known.value:
+                self._put(fact.topic, fact.key, value, fact.lifetime_s)
 
     def current(self) -> tuple[Fact, ...]:
         """Return all facts that are neither retracted nor expired."""
@@ -265,5 +280,22 @@
                 listener(key, None)
 
 
+def _decode(fact: Fact) -> Any:
+    """Return the value of a received fact, None for a retracted one.
+
+    Raises
+    ------
+    msgspec.ValidationError
+        If the value does not fit its topic, or a newer software version's topic is not
+        known here.
+    """
+    if fact.value is None:
+        return None
+    value_type = FACT_TYPES.get(fact.topic)
+    if value_type is None:
+        raise msgspec.ValidationError(f"unknown topic {fact.topic!r}")
+    return msgspec.convert(fact.value, value_type)
+
+
 def _to_builtins(value: Any) -> Any:
     return None if value is None else msgspec.to_builtins(value)
--- a/greengagetack/gateway/attempt.py
+++ b/greengagetack/gateway/attempt.py
@@ -6,7 +6,29 @@
 from greengagetack.gateway.retry import AttemptResult
 from greengagetack.http1.message import ResponseHead
 
-__all__ = ["Attempt", "Reply"]
+__all__ = ["Attempt", "AttemptTerms", "Reply"]
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptTerms:
+    """How a request is sent to one replica.
+
+    Attributes
+    ----------
+    deadline_s : float
+        Monotonic time until which the caller waits.
+    is_streaming : bool
+        Whether a successful response is a stream of events.
+    after_event : str or None
+        The event after which a stream is resumed, None for a new one.
+    is_fresh : bool
+        Whether no connection that is open already may be used.
+    """
+
+    deadline_s: float
+    is_streaming: bool = False
+    after_event: str | None = None
+    is_fresh: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,6 +39,14 @@
     body: bytes
     parts: AsyncIterator[bytes] | None = None
 
+    async def body_parts(self) -> AsyncIterator[bytes]:
+        """Yield the whole body, streamed or not."""
+        if self.body:
+            yield self.body
+        if self.parts is not None:
+            async for part in self.parts:
+                yield part
+
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
--- a/greengagetack/gateway/crash_evidence.py
+++ b/greengagetack/gateway/crash_evidence.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from greengagetack.facts import fact_type
 from greengagetack.replicas.replica import Incarnation
 
 __all__ = ["CRASH_LIMIT", "CrashEvidence", "Standing", "PROBE_THRESHOLD"]
@@ -33,6 +34,11 @@
 MAX_BLOCKED = 1_000
 
 
+def _keep_blocked(earlier: "Standing", newer: "Standing") -> "Standing":
+    return earlier if earlier.is_blocked else newer
+
+
+@fact_type("suspect_request", merge=_keep_blocked)
 @dataclass(frozen=True, slots=True)
 class Standing:
     """What is known of a request.
--- a/greengagetack/gateway/crash_reports.py
+++ b/greengagetack/gateway/crash_reports.py
@@ -8,8 +8,8 @@
 
 from loguru import logger
 
-from greengagetack.coordination.facts import FactTable
 from greengagetack.errors import CodedError
+from greengagetack.facts import FactTable
 
 __all__ = ["CrashReport", "CrashReporter", "ReportReceiver"]
 
--- a/greengagetack/gateway/detours.py
+++ b/greengagetack/gateway/detours.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from greengagetack.errors import CodedError
-from greengagetack.gateway.attempt import Attempt, Reply
+from greengagetack.gateway.attempt import Attempt, AttemptTerms, Reply
 from greengagetack.gateway.call import Call
 from greengagetack.gateway.retry import AttemptResult
 from greengagetack.http1.message import ExchangeError, Headers, ResponseHead
@@ -61,6 +61,19 @@
     status: int = 0
     headers: Headers = ()
 
+    @classmethod
+    def of(cls, attempt: Attempt) -> "RelayedAnswer":
+        """Return the answer that tells how an attempt ended."""
+        head = ResponseHead(0, ()) if attempt.reply is None else attempt.reply.head
+        return cls(
+            attempt.result,
+            attempt.reason,
+            attempt.replica_id,
+            attempt.software,
+            head.status,
+            head.headers,
+        )
+
 
 class DetourPeers(Protocol):
     """Calls to the daemons that send requests on."""
@@ -118,9 +131,7 @@
         address: Address,
         service: str,
         call: Call,
-        deadline_s: float,
-        is_streaming: bool,
-        after_event: str | None,
+        terms: AttemptTerms,
         tried: Collection[str],
         software: str | None,
     ) -> Attempt:
@@ -132,15 +143,15 @@
             call.target,
             call.headers,
             call.body,
-            (deadline_s - time.monotonic()) * MS_PER_S,
-            is_streaming,
-            after_event,
+            (terms.deadline_s - time.monotonic()) * MS_PER_S,
+            terms.is_streaming,
+            terms.after_event,
             tuple(sorted(tried)),
             software,
         )
         try:
             answer, parts = await self._peers.send_relayed(address, request)
-            is_stream = is_streaming and answer.result is AttemptResult.ANSWERED
+            is_stream = terms.is_streaming and answer.result is AttemptResult.ANSWERED
             body = b"" if is_stream else b"".join([part async for part in parts])
         except CodedError as error:
             self._pause(service, address, error.reason)
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from greengagetack.gateway.attempt import Attempt, Reply
+from greengagetack.gateway.attempt import Attempt, AttemptTerms, Reply
 from greengagetack.gateway.call import (
     Call,
     ExecutionStatus,
@@ -147,43 +147,34 @@
         self,
         call: Call,
         state: ReplicaState,
-        deadline_s: float,
-        is_streaming: bool,
-        after_event: str | None = None,
-        is_fresh: bool = False,
+        terms: AttemptTerms,
     ) -> Attempt:
         """Send a call to one replica, unless its rate limit forbids that now."""
         if not await self._permits.acquire(state):
             reason = f"replica {state.replica.replica_id} is at its rate limit"
             return Attempt(AttemptResult.NOT_SENT, None, reason)
-        return await self.send_attempt(
-            call, state, deadline_s, is_streaming, after_event, is_fresh
-        )
+        return await self.send_attempt(call, state, terms)
 
     async def send_attempt(
         self,
         call: Call,
         state: ReplicaState,
-        deadline_s: float,
-        is_streaming: bool,
-        after_event: str | None = None,
-        is_fresh: bool = False,
+        terms: AttemptTerms,
     ) -> Attempt:
-        """Send a call to one replica; resume a stream if `after_event` is given.
+        """Send a call to one replica.
 
-        A rate-limited replica needs a permit, which the sender has taken before. With
-        `is_fresh`, no connection that is open already is used.
+        A rate-limited replica needs a permit, which the sender has taken before.
         """
-        remaining_s = deadline_s - time.monotonic()
+        remaining_s = terms.deadline_s - time.monotonic()
         replica = state.replica
         request = self._dialect.build_request(
-            call, replica, remaining_s * 1000, after_event
+            call, replica, remaining_s * MS_PER_S, terms.after_event
         )
         state.record_send()
         started_s = time.monotonic()
         is_sent = False
         is_handed_over = False
-        pool_context = self._pool.connection(replica.address, is_fresh)
+        pool_context = self._pool.connection(replica.address, terms.is_fresh)
         try:
             connection = await pool_context.__aenter__()
             try:
@@ -193,7 +184,7 @@
                 execution = self._dialect.execution_status(head)
                 if execution is not ExecutionStatus.OTHER_REPLICA:
                     record_announcements(state, self._dialect, head)
-                is_stream = is_streaming and head.status == OK
+                is_stream = terms.is_streaming and head.status == OK
                 if execution is ExecutionStatus.RAN and is_stream:
                     is_handed_over = True
                     parts = self._stream(call, connection, pool_context, state)
@@ -253,7 +244,11 @@
             request.headers,
             request.body,
         )
-        deadline_s = time.monotonic() + request.remaining_ms / MS_PER_S
+        terms = AttemptTerms(
+            time.monotonic() + request.remaining_ms / MS_PER_S,
+            request.is_streaming,
+            request.after_event,
+        )
         tried = set(request.tried)
         attempt = Attempt(
             AttemptResult.NOT_SENT, None, self.unusable_reason(service, None)
@@ -265,9 +260,7 @@
             replica_id = state.replica.replica_id
             tried.add(replica_id)
             attempt = replace(
-                await self.attempt_with_permit(
-                    call, state, deadline_s, request.is_streaming, request.after_event
-                ),
+                await self.attempt_with_permit(call, state, terms),
                 replica_id=replica_id,
             )
             if attempt.result in (AttemptResult.ANSWERED, AttemptResult.UNKNOWN):
--- a/greengagetack/gateway/request_key.py
+++ b/greengagetack/gateway/request_key.py
@@ -5,7 +5,7 @@
 from greengagetack.gateway.call import Call
 from greengagetack.http1.message import header
 
-__all__ = ["body_digest", "request_key", "target_digest"]
+__all__ = ["request_key", "target_digest", "target_of"]
 
 TARGET_DIGEST_BYTES = 8
 BODY_DIGEST_BYTES = 16
@@ -20,7 +20,7 @@
     return digest.hexdigest()
 
 
-def body_digest(call: Call) -> str:
+def _body_digest(call: Call) -> str:
     """Return a digest of the body and the caller of a request."""
     digest = hashlib.blake2b(call.body, digest_size=BODY_DIGEST_BYTES)
     for name in CALLER_HEADERS:
@@ -30,4 +30,9 @@
 
 def request_key(call: Call, service: str) -> str:
     """Return the key of a request, which begins with the digest of its target."""
-    return f"{target_digest(call, service)}.{body_digest(call)}"
+    return f"{target_digest(call, service)}.{_body_digest(call)}"
+
+
+def target_of(key: str) -> str:
+    """Return the digest of the target that a key begins with."""
+    return key.partition(".")[0]
--- a/greengagetack/gateway/request_run.py
+++ b/greengagetack/gateway/request_run.py
@@ -13,7 +13,7 @@
     EndpointRefused,
     NoEndpoint,
 )
-from greengagetack.gateway.attempt import Attempt, Reply
+from greengagetack.gateway.attempt import Attempt, AttemptTerms, Reply
 from greengagetack.gateway.call import Call
 from greengagetack.gateway.retry import (
     AttemptResult,
@@ -139,11 +139,8 @@
         if not self._direct:
             return
         if not paths.is_lost(self._service):
-            silent_s = time.monotonic() - max(
-                started_s, paths.last_contact_s(self._service)
-            )
-            if silent_s > self._forwarder.silence_limit_s(self._tried):
-                paths.suspect(self._service)
+            limit_s = self._forwarder.silence_limit_s(self._tried)
+            paths.suspect_if_silent(self._service, started_s, limit_s)
             return
         if self._has_detoured or not self._route.may_repeat:
             return
@@ -249,37 +246,24 @@
         self, after_event: str | None = None, is_fresh: bool = False
     ) -> Coroutine[Any, Any, Attempt] | None:
         """Return an attempt at a replica not yet tried, None if none is left."""
+        terms = AttemptTerms(
+            self._deadline_s, self._is_streaming, after_event, is_fresh
+        )
         if self._is_path_lost():
-            return self._next_detour(after_event)
+            return self._next_detour(terms)
         state = self._next_replica()
         if state is None:
             return None
         self._tried.add(state.replica.replica_id)
-        return self._forwarder.attempt_with_permit(
-            self._call,
-            state,
-            self._deadline_s,
-            self._is_streaming,
-            after_event,
-            is_fresh,
-        )
+        return self._forwarder.attempt_with_permit(self._call, state, terms)
 
-    def _next_detour(
-        self, after_event: str | None
-    ) -> Coroutine[Any, Any, Attempt] | None:
+    def _next_detour(self, terms: AttemptTerms) -> Coroutine[Any, Any, Attempt] | None:
         peer = self._next_peer()
         if peer is None:
             return None
         self._tried_peers.add(peer)
         return self._forwarder.detours.attempt(
-            peer,
-            self._service,
-            self._call,
-            self._deadline_s,
-            self._is_streaming,
-            after_event,
-            self._tried,
-            self._software,
+            peer, self._service, self._call, terms, self._tried, self._software
         )
 
     def _start_attempt(self, is_fresh: bool = False) -> bool:
--- a/greengagetack/gateway/suspects.py
+++ b/greengagetack/gateway/suspects.py
@@ -14,8 +14,8 @@
 
 from loguru import logger
 
-from greengagetack.coordination.facts import FactTable, fact_type
 from greengagetack.errors import CodedError, EndpointRefused, RequestCrashesReplicas
+from greengagetack.facts import FactTable
 from greengagetack.gateway.call import Call
 from greengagetack.gateway.crash_evidence import (
     BLOCK_S,
@@ -29,7 +29,8 @@
     CrashReporter,
     ReportReceiver,
 )
-from greengagetack.gateway.request_key import body_digest, request_key, target_digest
+from greengagetack.gateway.request_key import request_key, target_digest, target_of
+from greengagetack.grants import OWNER_UNREACHABLE_PAUSE_S, Grant
 from greengagetack.http1.message import ExchangeError
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
@@ -37,9 +38,7 @@
 from greengagetack.replicas.replica import Incarnation, Replica, ReplicaState
 
 __all__ = [
-    "Probe",
     "ProbeRequest",
-    "SuspectRequest",
     "Suspects",
     "SuspectsOwner",
 ]
@@ -52,21 +51,6 @@
 PROBE_S = 2.0
 # When a suspect may be tried again whose replicas' ends are not confirmed yet.
 SETTLE_PAUSE_S = 0.5
-OWNER_UNREACHABLE_PAUSE_S = 0.25
-
-
-@fact_type("suspect_request")
-@dataclass(frozen=True, slots=True)
-class SuspectRequest:
-    """What all daemons know of a request under which replicas ended."""
-
-    crashes: int
-    is_settled: bool
-    is_blocked: bool
-
-    def merged_with(self, earlier: "SuspectRequest") -> "SuspectRequest":
-        """Return what is known together with an earlier owner's knowledge."""
-        return earlier if earlier.is_blocked else self
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,18 +61,10 @@
     service: str
 
 
-@dataclass(frozen=True, slots=True)
-class Probe:
-    """Answer to a request for a probe; without a grant, `wait_s` is a time to wait."""
-
-    is_granted: bool
-    wait_s: float = 0.0
-
-
 class SuspectsOwner(ReportReceiver, Protocol):
     """Calls to the owner of the facts."""
 
-    async def request_probe(self, request: ProbeRequest) -> Probe:
+    async def request_probe(self, request: ProbeRequest) -> Grant:
         """Ask whether a suspect may run now."""
 
 
@@ -113,72 +89,64 @@
         self._metrics = metrics
         # What this daemon has observed, and as the owner what all have.
         self._evidence = CrashEvidence()
-        self._published: dict[str, SuspectRequest] = {}
         # Requests whose standings this process has published as the owner.
         self._evaluated: set[str] = set()
         # Requests that broke off at replicas that may have ended.
         self._broken: dict[Incarnation, set[str]] = {}
-        # Number of suspects by the digest of their targets.
-        self._targets: dict[str, int] = {}
-        self._keys: set[str] = set()
+        # The keys of requests under suspicion, by the digests of their targets.
+        self._keys: dict[str, set[str]] = {}
         # Probes that were refused here, with the time of the next one.
         self._refused_until_s: dict[str, float] = {}
         # The running probe of each service, as granted by this daemon, with its end.
         self._probes: dict[str, tuple[str, float]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        facts.subscribe(SuspectRequest, self._on_fact)
+        facts.subscribe(Standing, self._on_fact)
         fleet.subscribe_removals(self._on_removal)
 
     # -- what is known
 
-    def _on_fact(self, key: str, fact: SuspectRequest | None) -> None:
-        if fact is None:
-            self._published.pop(key, None)
+    def _on_fact(self, key: str, standing: Standing | None) -> None:
+        if standing is None:
             self._evaluated.discard(key)
         else:
-            if key not in self._published:
-                logger.warning(
-                    "suspects: replicas ended under request {}",
-                    key,
-                    crashes=fact.crashes,
-                    is_blocked=fact.is_blocked,
-                )
-            self._published[key] = fact
+            logger.warning(
+                "suspects: replicas ended under request {}",
+                key,
+                crashes=standing.crashes,
+                is_blocked=standing.is_blocked,
+            )
         self._refused_until_s.pop(key, None)
         self._update_key(key)
 
     def _update_key(self, key: str) -> None:
-        """Keep the index of targets in step with what is known of a request."""
+        """Keep the index of keys in step with what is known of a request."""
         is_known = (
-            key in self._published
+            self._facts.get(Standing, key) is not None
             or self._evidence.standing(key).crashes > 0
             or any(key in keys for keys in self._broken.values())
         )
-        if is_known == (key in self._keys):
-            return
-        target = key.partition(".")[0]
+        target = target_of(key)
         if is_known:
-            self._keys.add(key)
-            self._targets[target] = self._targets.get(target, 0) + 1
+            self._keys.setdefault(target, set()).add(key)
             return
-        self._keys.discard(key)
         self._refused_until_s.pop(key, None)
-        self._targets[target] -= 1
-        if not self._targets[target]:
-            del self._targets[target]
+        keys = self._keys.get(target, set())
+        keys.discard(key)
+        if not keys:
+            self._keys.pop(target, None)
 
     def _known_key(self, call: Call, service: str) -> str | None:
         """Return the key of a request under suspicion, None for any other."""
         if not self._keys or call.is_deferred:
             return None
-        target = target_digest(call, service)
-        if target not in self._targets:
+        keys = self._keys.get(target_digest(call, service))
+        if keys is None:
             return None
-        key = f"{target}.{body_digest(call)}"
-        return key if key in self._keys else None
+        key = request_key(call, service)
+        return key if key in keys else None
 
     def _standing(self, key: str) -> Standing:
-        known = self._published.get(key)
+        known = self._facts.get(Standing, key)
         own = self._evidence.standing(key)
         if known is None:
             # Others may have seen another request at the same crashes.
@@ -232,16 +200,16 @@
         """Whether a request may be sent to a second replica while the first runs it."""
         return self._known_key(call, service) is None
 
-    async def _request_probe(self, key: str, service: str, standing: Standing) -> Probe:
+    async def _request_probe(self, key: str, service: str, standing: Standing) -> Grant:
         now_s = time.monotonic()
         refused_s = self._refused_until_s.get(key, 0.0) - now_s
         if refused_s > 0:
-            return Probe(False, refused_s)
+            return Grant(False, refused_s)
         request = ProbeRequest(key, service)
         if self._facts.is_owner:
             return self.handle_probe_request(request)
         if not standing.is_settled:
-            return Probe(False, SETTLE_PAUSE_S)
+            return Grant(False, SETTLE_PAUSE_S)
         # Repeats that arrive meanwhile are refused without a call of their own.
         self._refused_until_s[key] = now_s + OWNER_UNREACHABLE_PAUSE_S
         try:
@@ -252,7 +220,7 @@
                 key,
                 reason=error.reason,
             )
-            probe = Probe(False, OWNER_UNREACHABLE_PAUSE_S)
+            probe = Grant(False, OWNER_UNREACHABLE_PAUSE_S)
         if probe.is_granted:
             self._refused_until_s.pop(key, None)
         else:
@@ -355,7 +323,7 @@
             self._end_probe(key)
             self._publish(self._evidence.record_answer(key, now_s))
             if self._facts.is_owner:
-                self._facts.retract(SuspectRequest, key)
+                self._facts.retract(Standing, key)
             return
         incarnation = (report.replica_id, report.started_ms)
         logger.info(
@@ -375,29 +343,23 @@
             if standing.crashes < PROBE_THRESHOLD:
                 # What an earlier owner has published stays until it expires.
                 if key in self._evaluated:
-                    self._facts.retract(SuspectRequest, key)
+                    self._facts.retract(Standing, key)
                 continue
             self._evaluated.add(key)
-            fact = SuspectRequest(
-                standing.crashes, standing.is_settled, standing.is_blocked
-            )
-            known = self._published.get(key)
-            if fact == known or (known is not None and known.is_blocked):
-                continue
-            lifetime_s = BLOCK_S if fact.is_blocked else CRASH_RETENTION_S
-            self._facts.publish(key, fact, lifetime_s)
+            lifetime_s = BLOCK_S if standing.is_blocked else CRASH_RETENTION_S
+            self._facts.publish(key, standing, lifetime_s)
 
-    def handle_probe_request(self, request: ProbeRequest) -> Probe:
+    def handle_probe_request(self, request: ProbeRequest) -> Grant:
         """Decide whether a suspect may run: one of a service at a time."""
         key, now_s = request.request_key, time.monotonic()
         if not self._facts.is_owner:
-            return Probe(False, OWNER_UNREACHABLE_PAUSE_S)
+            return Grant(False, OWNER_UNREACHABLE_PAUSE_S)
         standing = self._standing(key)
         if standing.is_blocked or not standing.is_settled:
-            return Probe(False, SETTLE_PAUSE_S)
+            return Grant(False, SETTLE_PAUSE_S)
         _, until_s = self._probes.get(request.service, ("", now_s))
         if now_s < until_s:
-            return Probe(False, until_s - now_s)
+            return Grant(False, until_s - now_s)
         self._probes[request.service] = (key, now_s + PROBE_S)
         logger.info(
             "suspects: request may run alone",
@@ -405,7 +367,7 @@
             service=request.service,
             crashes=standing.crashes,
         )
-        return Probe(True)
+        return Grant(True)
 
     def _end_probe(self, key: str) -> None:
         for service, (tried, _) in list(self._probes.items()):
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -16,7 +16,6 @@
 from greengagetack.coordination.claim import DispatcherClaim
 from greengagetack.coordination.client import PeerClient
 from greengagetack.coordination.fact_archive import FactArchive
-from greengagetack.coordination.facts import FactCursor, FactTable
 from greengagetack.coordination.lifecycle import DispatcherLifecycle
 from greengagetack.coordination.messages import Member, Pong
 from greengagetack.coordination.path_watch import PathWatch
@@ -27,6 +26,7 @@
 from greengagetack.daemons.protocol import HttpBounds, bounded_config
 from greengagetack.daemons.status import build_status_application
 from greengagetack.daemons.supervise import supervise
+from greengagetack.facts import FactCursor, FactTable
 from greengagetack.gateway.detours import Detours
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.routes import Configuration, Limits, Route, RouteTable
@@ -144,8 +144,8 @@
             lambda: self._fact_table.cursor,
             lambda: self._path_watch.reaches_work(),
         )
-        self._fact_table = FactTable(self._incarnation, self._is_owner)
-        self._fact_archive = FactArchive(self._store, self._fact_table, self._is_owner)
+        self._fact_table = FactTable(self._incarnation, lambda: self._claim.is_acting)
+        self._fact_archive = FactArchive(self._store, self._fact_table)
         self._peers = PeerClient(
             facts.node,
             self._claim.holder_address,
@@ -334,10 +334,6 @@
     async def _remove_silent_members(self) -> None:
         await self._roster.remove_silent_members(lambda: self._dispatcher.is_active)
 
-    def _is_owner(self) -> bool:
-        """Whether this daemon grants permits and owns the facts that all obey."""
-        return self._claim.is_held_locally and not self._claim.is_leaving
-
     def _pong(self, known: FactCursor) -> Pong:
         return Pong(
             self._local_member.node,
--- a/greengagetack/replicas/paths.py
+++ b/greengagetack/replicas/paths.py
@@ -49,10 +49,6 @@
         """Whether this VM reaches none of the service's replicas."""
         return service in self._lost
 
-    def last_contact_s(self, service: str) -> float:
-        """Return the monotonic time of the last answer of a replica of a service."""
-        return self._last_contact_s.get(service, float("-inf"))
-
     def record_contact(self, service: str) -> None:
         """Record that a replica of a service has answered or accepted a connection."""
         self._last_contact_s[service] = time.monotonic()
@@ -68,6 +64,15 @@
             return
         self._start_checks(service, 0.0)
 
+    def suspect_if_silent(self, service: str, since_s: float, limit_s: float) -> None:
+        """Check the path to a service of which nothing was heard for a time.
+
+        `since_s` is the monotonic time since when an answer has been waited for.
+        """
+        last_contact_s = self._last_contact_s.get(service, since_s)
+        if time.monotonic() - max(since_s, last_contact_s) > limit_s:
+            self.suspect(service)
+
     def _start_checks(self, service: str, pause_s: float) -> None:
         """Check a path until it is found."""
         task = asyncio.create_task(self._check_until_found(service, pause_s))
--- a/greengagetack/replicas/permits.py
+++ b/greengagetack/replicas/permits.py
@@ -11,8 +11,9 @@
 
 from loguru import logger
 
-from greengagetack.coordination.facts import FactTable, fact_type
 from greengagetack.errors import CodedError
+from greengagetack.facts import FactTable, fact_type
+from greengagetack.grants import OWNER_UNREACHABLE_PAUSE_S, Grant
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.replicas.rate_limit import (
@@ -24,7 +25,6 @@
 from greengagetack.replicas.replica import Incarnation, Replica, ReplicaState
 
 __all__ = [
-    "Permit",
     "PermitOwner",
     "PermitRequest",
     "Permits",
@@ -32,8 +32,6 @@
     "RateLimitNotice",
 ]
 
-# Pause of the requests to limited replicas while their permits cannot be asked for.
-OWNER_UNREACHABLE_PAUSE_S = 0.25
 # An end of a limit takes this long to reach all daemons; until then some still ask for
 # permits, which does not mean that the limit is back.
 LIMIT_SPREAD_S = 3.0
@@ -47,10 +45,8 @@
 @fact_type("rate_limit")
 @dataclass(frozen=True, slots=True)
 class RateLimit:
-    """The limit of a replica, as all daemons know it."""
+    """The limit of the replica that the fact's key names, as all daemons know it."""
 
-    replica_id: str
-    started_ms: int
     limit_per_s: float
 
 
@@ -63,14 +59,6 @@
     limit_per_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class Permit:
-    """Answer to a request; without a grant, `wait_s` is the time to the next permit."""
-
-    is_granted: bool
-    wait_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class RateLimitNotice:
     """Notifies the owner of a limit that a replica named, None for no limit."""
@@ -83,7 +71,7 @@
 class PermitOwner(Protocol):
     """Calls to the daemon that grants the permits."""
 
-    async def request_permit(self, request: PermitRequest) -> Permit:
+    async def request_permit(self, request: PermitRequest) -> Grant:
         """Ask the owner for one permit."""
 
     async def send_rate_limit(self, notice: RateLimitNotice) -> None:
@@ -115,8 +103,7 @@
         self._owner_since_s: float | None = None
         self._owner_unreachable_until_s = float("-inf")
         self._buckets: dict[Incarnation, TokenBucket] = {}
-        # The limits that all daemons know, and those of replicas not listed here yet.
-        self._limits: dict[str, RateLimit] = {}
+        # Keys of the limits of replicas that are not listed here yet.
         self._unlisted: set[str] = set()
         self._notices: set[asyncio.Task[None]] = set()
         fleet.subscribe(self._apply_to_listed)
@@ -149,10 +136,10 @@
             state.rate_limited_until_s = time.monotonic() + permit.wait_s
         return permit.is_granted
 
-    async def _request(self, state: ReplicaState, limit_per_s: float) -> Permit:
+    async def _request(self, state: ReplicaState, limit_per_s: float) -> Grant:
         now_s = time.monotonic()
         if now_s < self._owner_unreachable_until_s:
-            return Permit(False, self._owner_unreachable_until_s - now_s)
+            return Grant(False, self._owner_unreachable_until_s - now_s)
         replica = state.replica
         request = PermitRequest(replica.replica_id, replica.started_ms, limit_per_s)
         try:
@@ -165,7 +152,7 @@
             )
             pause_s = OWNER_UNREACHABLE_PAUSE_S
             self._owner_unreachable_until_s = time.monotonic() + pause_s
-            return Permit(False, pause_s)
+            return Grant(False, pause_s)
 
     def has_permit(self, state: ReplicaState, is_reward: bool = False) -> bool:
         """Whether `take` may be called, which needs no call to another daemon."""
@@ -211,20 +198,20 @@
         bucket.refill(now_s, self._rate_per_s(state), burst)
         return bucket
 
-    def _grant(self, state: ReplicaState) -> Permit:
+    def _grant(self, state: ReplicaState) -> Grant:
         if state.rate_limit_per_s is None:
-            return Permit(True, 0.0)
+            return Grant(True, 0.0)
         bucket = self._refilled_bucket(state)
         if bucket.level < 1.0:
-            return Permit(False, bucket.wait_s(self._rate_per_s(state)))
+            return Grant(False, bucket.wait_s(self._rate_per_s(state)))
         bucket.take()
-        return Permit(True, 0.0)
+        return Grant(True, 0.0)
 
-    def handle_request(self, request: PermitRequest) -> Permit:
+    def handle_request(self, request: PermitRequest) -> Grant:
         """Answer another daemon's request for a permit."""
         state = self._listed_state(request.replica_id, request.started_ms)
         if state is None or not self._is_granting():
-            return Permit(False, OWNER_UNREACHABLE_PAUSE_S)
+            return Grant(False, OWNER_UNREACHABLE_PAUSE_S)
         since_change_s = time.monotonic() - state.rate_limit_since_s
         if state.rate_limit_per_s is None and since_change_s > LIMIT_SPREAD_S:
             state.record_rate_limit(request.limit_per_s)
@@ -274,37 +261,30 @@
         for state in self._fleet.all_replicas():
             replica, limit_per_s = state.replica, state.rate_limit_per_s
             key = _limit_key(replica)
-            known = self._limits.get(key)
             if limit_per_s is None:
-                if known is not None:
-                    self._facts.retract(RateLimit, key)
-                continue
-            limit = RateLimit(replica.replica_id, replica.started_ms, limit_per_s)
-            if limit != known and not state.is_gone:
-                self._facts.publish(key, limit, LIMIT_LIFETIME_S)
+                self._facts.retract(RateLimit, key)
+            elif not state.is_gone:
+                self._facts.publish(key, RateLimit(limit_per_s), LIMIT_LIFETIME_S)
 
     def _on_fact(self, key: str, limit: RateLimit | None) -> None:
-        former = self._limits.pop(key, None)
         self._unlisted.discard(key)
-        if limit is not None:
-            self._limits[key] = limit
-            if not self._apply(limit, limit.limit_per_s):
-                self._unlisted.add(key)
-        elif former is not None:
-            self._apply(former, None)
-
-    def _apply(self, limit: RateLimit, limit_per_s: float | None) -> bool:
+        is_listed = self._apply(key, limit)
+        if limit is not None and not is_listed:
+            self._unlisted.add(key)
+
+    def _apply(self, key: str, limit: RateLimit | None) -> bool:
         """Record a limit at its replica; return whether that is listed."""
-        state = self._listed_state(limit.replica_id, limit.started_ms)
+        replica_id, _, started_ms = key.rpartition("/")
+        state = self._listed_state(replica_id, int(started_ms))
         if state is None:
             return False
-        state.record_rate_limit(limit_per_s)
+        state.record_rate_limit(None if limit is None else limit.limit_per_s)
         return True
 
     def _apply_to_listed(self) -> None:
         """Apply the limits of replicas that have just been listed."""
         for key in list(self._unlisted):
-            if self._apply(self._limits[key], self._limits[key].limit_per_s):
+            if self._apply(key, self._facts.get(RateLimit, key)):
                 self._unlisted.discard(key)
 
 
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -344,6 +344,10 @@
 value_bytes = 1048576
 """
 
+    def address_of(self, edge: str, listener: str) -> str:
+        """Return the address of a daemon's listener."""
+        return self._addresses[edge][listener]
+
     def is_ready(self, name: str) -> bool:
         """Whether a daemon's readiness check succeeds."""
         try:
