Decode the customers of a configuration and index them by key

Cause: callers are to be identified by keys that the configuration lists per customer; so far the configuration's tenants and a route's public flag were ignored.

A customer whose name cannot be sent in a header is skipped with a log line and a priority outside 0 to 9 is clamped, so that the rest of a new version still takes effect; a list of another form rejects the version, as for routes.

--- a/greengagetack/errors.py
+++ b/greengagetack/errors.py
@@ -126,6 +126,15 @@
     remedy = "Send a valid bearer token of your team."
 
 
+@register_error
+class UnknownKey(CodedError):
+    """The customer's key is missing or is not in the configuration."""
+
+    code = "unknown_key"
+    http_status = 401
+    remedy = "Send a current key of your customer in the X-Api-Key header."
+
+
 @register_error
 class Forbidden(CodedError):
     """The token's team may not access the requested object."""
--- a/greengagetack/gateway/routes.py
+++ b/greengagetack/gateway/routes.py
@@ -5,6 +5,8 @@
 
 import xxhash
 
+from greengagetack.gateway.customers import Customer, CustomerDirectory
+
 __all__ = [
     "Configuration",
     "EngineSpec",
@@ -34,7 +36,8 @@
 class Route:
     """Target services and time limits of requests with a host and path prefix.
 
-    `services` holds the name and the traffic weight of each target service.
+    `services` holds the name and the traffic weight of each target service. A public
+    route needs no key.
     """
 
     name: str
@@ -50,6 +53,7 @@
     single_version: bool = False
     give_up_after_s: float = 0.0
     due_after_ms: float = 0.0
+    is_public: bool = False
 
     @property
     def may_repeat(self) -> bool:
@@ -96,6 +100,7 @@
     routes: tuple[Route, ...]
     limits: Limits = Limits()
     engines: tuple[EngineSpec, ...] = ()
+    customers: tuple[Customer, ...] = ()
 
     def rollout_services(self) -> list[str]:
         """Return the services to which rollout routes send trainers' jobs."""
@@ -128,10 +133,23 @@
 
 
 class RouteTable:
-    """Finds the route of a request in one configuration."""
+    """Finds the route of a request in one configuration.
+
+    The customers' directory of `previous` is kept if its customers are the same.
+    """
 
-    def __init__(self, configuration: Configuration) -> None:
+    def __init__(
+        self, configuration: Configuration, previous: "RouteTable | None" = None
+    ) -> None:
         self.configuration = configuration
+        self.customers: CustomerDirectory
+        if (
+            previous is not None
+            and previous.configuration.customers == configuration.customers
+        ):
+            self.customers = previous.customers
+        else:
+            self.customers = CustomerDirectory(configuration.customers)
         self._hosts: dict[str, list[Route]] = {}
         by_length = sorted(
             configuration.routes, key=lambda r: len(r.path_prefix), reverse=True
@@ -149,3 +167,9 @@
             if path.startswith(route.path_prefix):
                 return route
         return None
+
+    def has_public_jobs(self, host: str) -> bool:
+        """Whether jobs can be submitted to a host without a key."""
+        name = host.lower()
+        routes = self._hosts.get(name) or self._hosts.get(name.partition(":")[0], [])
+        return any(route.is_public and route.kind.is_batch for route in routes)
--- a/greengagetack/platform/documents.py
+++ b/greengagetack/platform/documents.py
@@ -5,6 +5,7 @@
 import msgspec
 from loguru import logger
 
+from greengagetack.gateway.customers import Customer
 from greengagetack.gateway.routes import (
     Configuration,
     EngineSpec,
@@ -29,6 +30,7 @@
     "batch": RequestKind.BATCH,
     "rollout": RequestKind.ROLLOUT,
 }
+LOWEST_PRIORITY = 9
 READY = "ready"
 DRAINING = "draining"
 
@@ -56,6 +58,7 @@
     item_ttl_s: float = 0.0
     # All results are due this long after their job was submitted.
     run_target_ms: float = 0.0
+    public: bool = False
 
 
 class _Engine(msgspec.Struct, frozen=True):
@@ -79,11 +82,18 @@
     idle_timeout_ms: float = 15_000.0
 
 
+class _Tenant(msgspec.Struct, frozen=True):
+    name: str
+    api_keys: tuple[str, ...]
+    priority: int | None = None
+
+
 class _Configuration(msgspec.Struct, frozen=True):
     version: int
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] = ()
 
 
 class _Model(msgspec.Struct, frozen=True):
@@ -135,9 +145,31 @@
             for service in decoded.services
             if service.engine is not None
         ),
+        customers=_convert_customers(decoded.tenants),
     )
 
 
+def _convert_customers(tenants: Iterable[_Tenant]) -> tuple[Customer, ...]:
+    """Return the customers, without those whose name cannot be sent in a header."""
+    customers: list[Customer] = []
+    for tenant in tenants:
+        if not tenant.name or not tenant.name.isprintable():
+            logger.error("config: skipping a customer with bad name {!r}", tenant.name)
+            continue
+        priority = tenant.priority
+        if priority is not None and not 0 <= priority <= LOWEST_PRIORITY:
+            logger.warning(
+                "config: priority {} of customer {} is not within 0 to {}",
+                priority,
+                tenant.name,
+                LOWEST_PRIORITY,
+            )
+            priority = min(max(priority, 0), LOWEST_PRIORITY)
+        keys = tuple(key for key in tenant.api_keys if key)
+        customers.append(Customer(tenant.name, keys, priority))
+    return tuple(customers)
+
+
 def _convert_route(route: _Route) -> Route:
     targets = tuple((split.service, split.weight) for split in route.traffic_split)
     return Route(
@@ -154,6 +186,7 @@
         single_version=route.single_version,
         give_up_after_s=route.item_ttl_s,
         due_after_ms=route.run_target_ms,
+        is_public=route.public,
     )
 
 
--- a/greengagetack/platform/wire.py
+++ b/greengagetack/platform/wire.py
@@ -1,7 +1,9 @@
 """greengagetack.platform.wire: header names and object kinds of the platform."""
 
 __all__ = [
+    "API_KEY",
     "CONFIG_KIND",
+    "CUSTOMER",
     "DEADLINE",
     "EXPECT_INSTANCE",
     "INSTANCE_ID",
@@ -24,6 +26,8 @@
 ]
 
 REQUEST_ID = b"x-request-id"
+API_KEY = b"x-api-key"
+CUSTOMER = b"x-tenant"
 DEADLINE = b"x-deadline-ms"
 EXPECT_INSTANCE = b"x-expect-instance"
 INSTANCE_ID = b"x-instance-id"
