Check customers' keys and send replicas the customer's name in their place

Cause: with customers in the configuration, requests on routes that are not public need a known key, replicas are to get the customer's name and never the key, and a batch job belongs to the customer that submitted it.

Change: the ingress identifies the caller before it reads the body. A refused request is answered at once; the rest of its body is discarded for at most 0.5 s, because a client that still sends while its connection is closed may lose the answer, and the connection is closed after that. The call carries customer and priority, also by way of another daemon; key and client's name are removed from its headers at the ingress already, so that a daemon of the previous release on a detour passes the right name. Jobs store their customer, and items and reward calls run under it. The owner is compared before a job is read, ended or submitted again, and before a submission's items are cached: items of a refused submission were readable under the existing job's name at the daemon that had received them.

A configuration without customers is served as before: nothing is checked, dropped or set.

--- a/features/run.py
+++ b/features/run.py
@@ -24,6 +24,7 @@
 LONG_FEATURES = frozenset(
     {
         "cell_processes.feature",
+        "customers.feature",
         "platform_calls.feature",
         "platform_jobs.feature",
         "promises.feature",
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -30,6 +30,7 @@
 from greengagetack.batches.rewards import RewardCalls
 from greengagetack.errors import CodedError
 from greengagetack.gateway.call import Call, ReplicaDialect
+from greengagetack.gateway.customers import CustomerDirectory
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.routes import Route
 from greengagetack.http1.pool import Pool
@@ -98,6 +99,7 @@
         permits: Permits,
         paths: ReplicaPaths,
         find_route: Callable[[str, str], Route | None],
+        customers: Callable[[], CustomerDirectory],
         engine_properties: EngineProperties,
         metrics: Metrics,
         result_retention_s: float,
@@ -106,6 +108,7 @@
         self._ledger = ledger
         self._checkpoints = checkpoints
         self._resubmitted = ResubmittedGroups(ledger)
+        self._customers = customers
         self._jobs = jobs
         self._fleet = fleet
         self._pool = pool
@@ -130,7 +133,14 @@
         self.demand_tokens: dict[str, float] = {}
         self._wake_event = asyncio.Event()
         self._rewards = RewardCalls(
-            fleet, forwarder, dialect, permits, find_route, metrics, self.wake
+            fleet,
+            forwarder,
+            dialect,
+            permits,
+            find_route,
+            customers,
+            metrics,
+            self.wake,
         )
         self._rival_until_s = float("-inf")
         self.is_active = False
@@ -706,6 +716,7 @@
     ) -> None:
         item, job = progress.item, run.job
         replica_id = state.replica.replica_id
+        customers = self._customers()
         call = Call(
             item.item_id,
             b"POST",
@@ -715,6 +726,8 @@
                 *((k.lower().encode(), v.encode()) for k, v in item.headers),
             ),
             item.body,
+            customer=customers.sender_of_job(job.customer),
+            urgency=customers.priority_of(job.customer),
         )
         started_s = time.monotonic()
         from_event = progress.last_event_id
--- a/greengagetack/batches/job.py
+++ b/greengagetack/batches/job.py
@@ -64,6 +64,9 @@
         Number of stored objects that hold the items.
     is_ended : bool
         Whether the client has ended the job.
+    customer : str
+        The customer that submitted the job, empty if there is none. Jobs that the
+        previous release stored have none.
     """
 
     job_id: str
@@ -82,6 +85,7 @@
     wanted_groups: int = 0
     single_version: bool = False
     is_ended: bool = False
+    customer: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagetack/batches/reading.py
+++ b/greengagetack/batches/reading.py
@@ -12,6 +12,7 @@
 from greengagetack.batches.log import JobLog, LogCache
 from greengagetack.coordination.client import PeerClient
 from greengagetack.errors import NotFound, PeerUnreachable
+from greengagetack.gateway.customers import may_access
 
 __all__ = ["JobReader"]
 
@@ -56,6 +57,26 @@
         self.cache_job(job)
         return job
 
+    async def job_for(self, job_id: str, customer: str | None) -> Job:
+        """Return a job for a caller, see `may_access`.
+
+        Raises
+        ------
+        NotFound
+            If there is no such job, or it belongs to another customer.
+        PlatformUnavailable
+            If the store does not answer.
+        """
+        job = await self.job(job_id)
+        if not may_access(job.customer, customer):
+            logger.info(
+                "read: job withheld from another customer",
+                request_id=job_id,
+                customer=customer,
+            )
+            raise _missing(job_id)
+        return job
+
     async def _fetch_job(self, job_id: str) -> Job:
         """Fetch a job from the dispatcher, or from the store if it is unknown there.
 
@@ -72,7 +93,7 @@
             logger.debug("read: job {} not found at the dispatcher: {}", job_id, error)
         job = await self._ledger.find(job_id)
         if job is None:
-            raise NotFound(f"job {job_id} does not exist")
+            raise _missing(job_id)
         return job
 
     def is_known(self, job_id: str) -> bool:
@@ -217,6 +238,11 @@
         return item.body
 
 
+def _missing(job_id: str) -> NotFound:
+    """Return one error for missing jobs and for those of other customers."""
+    return NotFound(f"job {job_id} does not exist")
+
+
 async def _wait_for_result(log: JobLog, position: int, wait_s: float) -> None:
     try:
         async with asyncio.timeout(wait_s):
--- a/greengagetack/batches/rewards.py
+++ b/greengagetack/batches/rewards.py
@@ -23,6 +23,7 @@
 )
 from greengagetack.gateway.attempt import Attempt, AttemptTerms
 from greengagetack.gateway.call import Call, ReplicaDialect
+from greengagetack.gateway.customers import CustomerDirectory
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.retry import AttemptResult
 from greengagetack.gateway.routes import Route
@@ -92,6 +93,8 @@
     ----------
     find_route : callable
         Returns the route in force for a host and path, None if none matches.
+    customers : callable
+        Returns the customers in force.
     wake : callable
         Called when waiting calls may be sent again.
     """
@@ -103,6 +106,7 @@
         dialect: ReplicaDialect,
         permits: Permits,
         find_route: Callable[[str, str], Route | None],
+        customers: Callable[[], CustomerDirectory],
         metrics: Metrics,
         wake: Callable[[], None],
     ) -> None:
@@ -111,6 +115,7 @@
         self._dialect = dialect
         self._permits = permits
         self._find_route = find_route
+        self._customers = customers
         self._metrics = metrics
         self._wake = wake
         self._limits = RewardLimits()
@@ -206,6 +211,7 @@
         # One point in time for all attempts, so that a repeated call never ends later.
         deadline_s = started_s + _time_left_s(run.job)
         headers = ((b"host", reward.host.encode()),)
+        customers = self._customers()
         call = Call(
             reward.request_id,
             b"POST",
@@ -213,6 +219,8 @@
             headers,
             reward.body,
             is_deferred=True,
+            customer=customers.sender_of_job(run.job.customer),
+            urgency=customers.priority_of(run.job.customer),
         )
         end, attempt = RewardEnd.CANCELLED, None
         try:
--- a/greengagetack/batches/service.py
+++ b/greengagetack/batches/service.py
@@ -9,7 +9,8 @@
 from greengagetack.batches.ledger import Ledger
 from greengagetack.batches.reading import JobReader
 from greengagetack.coordination.client import PeerClient
-from greengagetack.errors import NotFound
+from greengagetack.errors import NotFound, PlatformUnavailable
+from greengagetack.objects.base import WriteUnknown
 
 __all__ = ["JobService"]
 
@@ -33,33 +34,53 @@
         self._peers = peers
         self._hint_tasks: set[asyncio.Task[None]] = set()
 
-    async def submit(self, job: Job, items: tuple[Item, ...]) -> bool:
+    async def submit(
+        self, job: Job, items: tuple[Item, ...], customer: str | None = None
+    ) -> bool:
         """Accept a job; return whether this call was the first for its identifier.
 
         Raises
         ------
+        NotFound
+            If the identifier belongs to a job of another customer.
         PlatformUnavailable
             If the job was not accepted and will not be.
         WriteUnknown
             If the job may have been accepted.
         """
         if self._reader.is_known(job.job_id):
+            await self._reader.job_for(job.job_id, customer)
             return False
         accepted = await self._ledger.accept(job, items, ACCEPT_TIMEOUT_S)
+        if accepted is None and customer is not None:
+            await self._check_owner(job.job_id, customer)
         self._reader.cache_items(job.job_id, items)
         self._notify_dispatcher(job.job_id, is_ended=False)
         if accepted is not None:
             self._reader.cache_job(accepted)
         return accepted is not None
 
-    async def end(self, job_id: str) -> None:
+    async def _check_owner(self, job_id: str, customer: str) -> None:
+        """Check that an existing job belongs to a customer.
+
+        Without an answer it is unknown whether the submission stands, as an earlier
+        one of the same customer may have been accepted.
+        """
+        try:
+            await self._reader.job_for(job_id, customer)
+        except PlatformUnavailable as error:
+            raise WriteUnknown(error.reason, error.retry_after_s) from error
+
+    async def end(self, job_id: str, customer: str | None = None) -> None:
         """End a job; this is idempotent.
 
         Raises
         ------
         NotFound
-            If the job does not exist.
+            If the job does not exist or belongs to another customer.
         """
+        if customer is not None:
+            await self._reader.job_for(job_id, customer)
         is_known = await self._ledger.end(job_id)
         logger.info("batch: job ended by the client", request_id=job_id, known=is_known)
         if not is_known:
--- a/greengagetack/gateway/call.py
+++ b/greengagetack/gateway/call.py
@@ -27,6 +27,10 @@
     `resumes` is the identifier of the request that began the stream, if this one takes
     a stream up after a later event, else an empty string. `is_deferred` tells that the
     request belongs to an item that was accepted earlier and is owed.
+
+    `customer` is the name that replicas get: empty on a public route, None if the
+    deployment has no customers and headers pass unchanged. `urgency` is the customer's
+    priority, 0 for the highest, None if it has none.
     """
 
     request_id: str
@@ -36,6 +40,8 @@
     body: bytes
     resumes: str = ""
     is_deferred: bool = False
+    customer: str | None = None
+    urgency: int | None = None
 
     @property
     def routing_id(self) -> str:
--- a/greengagetack/gateway/clients.py
+++ b/greengagetack/gateway/clients.py
@@ -12,6 +12,7 @@
     "Scope",
     "Send",
     "cancel_on_disconnect",
+    "discard_body",
     "read_body",
 ]
 
@@ -50,6 +51,23 @@
             return b"".join(parts)
 
 
+async def discard_body(receive: Receive, limit_s: float) -> bool:
+    """Discard the body of a request that was answered; return whether it has ended.
+
+    A client that still sends while its connection is closed may lose the response.
+    """
+    try:
+        async with asyncio.timeout(limit_s):
+            while True:
+                message = await receive()
+                if message["type"] != "http.request":
+                    return False
+                if not message.get("more_body"):
+                    return True
+    except TimeoutError:
+        return False
+
+
 async def cancel_on_disconnect(work: Awaitable[T], receive: Receive) -> T:
     """Return the result of `work`; cancel it if the client disconnects.
 
--- a/greengagetack/gateway/detours.py
+++ b/greengagetack/gateway/detours.py
@@ -34,7 +34,8 @@
     """A request that another daemon is to send to one replica of a service.
 
     `tried` names replicas that must not get it. `software` restricts the choice if it
-    is not None.
+    is not None. `customer` and `urgency` are those of `Call`; requests of the previous
+    release have none.
     """
 
     service: str
@@ -48,6 +49,8 @@
     after_event: str | None
     tried: tuple[str, ...]
     software: str | None
+    customer: str | None = None
+    urgency: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,6 +151,8 @@
             terms.after_event,
             tuple(sorted(tried)),
             software,
+            call.customer,
+            call.urgency,
         )
         try:
             answer, parts = await self._peers.send_relayed(address, request)
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -243,6 +243,8 @@
             request.target,
             request.headers,
             request.body,
+            customer=request.customer,
+            urgency=request.urgency,
         )
         terms = AttemptTerms(
             time.monotonic() + request.remaining_ms / MS_PER_S,
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -27,6 +27,7 @@
 from greengagetack.daemons.status import build_status_application
 from greengagetack.daemons.supervise import supervise
 from greengagetack.facts import FactCursor, FactTable
+from greengagetack.gateway.customers import CustomerDirectory
 from greengagetack.gateway.detours import Detours
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.routes import Configuration, Limits, Route, RouteTable
@@ -200,6 +201,7 @@
             self._permits,
             self._paths,
             self._find_route,
+            self._customers,
             self._engine_properties,
             self._metrics,
             facts.result_retention_s,
@@ -268,6 +270,13 @@
     def _find_route(self, host: str, path: str) -> Route | None:
         return None if self._route_table is None else self._route_table.find(host, path)
 
+    def _customers(self) -> CustomerDirectory:
+        return (
+            CustomerDirectory()
+            if self._route_table is None
+            else self._route_table.customers
+        )
+
     def _on_config(
         self, changed: tuple[PlatformObject, ...], deleted: tuple[str, ...]
     ) -> None:
@@ -276,7 +285,7 @@
             if configuration is None or configuration.version <= self._config_version:
                 continue
             self._config_version = configuration.version
-            self._route_table = RouteTable(configuration)
+            self._route_table = RouteTable(configuration, self._route_table)
             for engine in configuration.engines:
                 self._engine_properties.memory_tokens[engine.service] = (
                     engine.memory_tokens
@@ -289,6 +298,7 @@
                 version=configuration.version,
                 revision=stored.version,
                 routes=len(configuration.routes),
+                customers=len(configuration.customers),
             )
 
     def _http_bounds(self) -> HttpBounds:
--- a/greengagetack/platform/ingress.py
+++ b/greengagetack/platform/ingress.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from urllib.parse import parse_qs, unquote
 
 from loguru import logger
@@ -14,6 +15,7 @@
     InvalidRequest,
     NotFound,
     NotReady,
+    UnknownKey,
 )
 from greengagetack.gateway.attempt import Reply
 from greengagetack.gateway.call import Call
@@ -23,6 +25,7 @@
     Scope,
     Send,
     cancel_on_disconnect,
+    discard_body,
     read_body,
 )
 from greengagetack.gateway.forward import Forwarder
@@ -32,6 +35,12 @@
 from greengagetack.observability.metrics import Metrics
 from greengagetack.platform import wire
 from greengagetack.platform.batch_api import decode_submission, encode_results
+from greengagetack.platform.identity import (
+    Caller,
+    identify,
+    with_identity,
+    without_item_identity,
+)
 
 __all__ = ["Ingress"]
 
@@ -45,6 +54,9 @@
 # will.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 UNKNOWN_OUTCOME_STATUS = 502
+# How long the rest of a request without a known key is discarded before its connection
+# is closed.
+UNREAD_BODY_LIMIT_S = 0.5
 NO_BODY_STATUSES = frozenset({204, 304})
 HOP_BY_HOP_HEADERS = frozenset(
     {b"connection", b"keep-alive", b"transfer-encoding", b"content-length", b"upgrade"}
@@ -100,6 +112,9 @@
             logger.info("entry: client disconnected", request_id=request_id)
             self._metrics.add("requests", kind=kind, status="gone")
             return
+        except UnknownKey as error:
+            await self._send_error(error, request_id, scope, arrived_s, send, receive)
+            return
         except CodedError as error:
             await self._send_error(error, request_id, scope, arrived_s, send)
             return
@@ -132,19 +147,28 @@
         route_table = self._route_table()
         if route_table is None:
             raise NotReady("no configuration has been received yet", SUGGESTED_RETRY_S)
+        is_job_request = scope["path"].startswith((RESULTS_PATH, BODIES_PATH))
+        host = _header_value(headers, b"host")
+        route = None
+        if not is_job_request:
+            route = route_table.find(host, scope["raw_path"].decode("latin-1"))
+        caller = Caller()
+        if route is not None:
+            caller = identify(route_table.customers, headers, route.is_public)
+        elif is_job_request:
+            is_public = route_table.has_public_jobs(host)
+            caller = identify(route_table.customers, headers, is_public)
         body = await read_body(receive, route_table.configuration.limits.max_body_bytes)
-        path = scope["path"]
-        if path.startswith((RESULTS_PATH, BODIES_PATH)):
-            pending_reply = self._handle_batch_request(scope, headers)
+        if is_job_request:
+            pending_reply = self._handle_batch_request(scope, headers, caller)
             return "batch", await cancel_on_disconnect(pending_reply, receive)
-        raw_path = scope["raw_path"].decode("latin-1")
-        route = route_table.find(_header_value(headers, b"host"), raw_path)
         if route is None:
             raise NotFound("no route matches the host and path")
         if route.kind.is_batch:
             if scope["method"] != "POST":
                 raise NotFound("jobs are submitted with POST")
-            return "submit", await self._submit(request_id, body, route, arrived_s)
+            reply = await self._submit(request_id, body, route, arrived_s, caller)
+            return "submit", reply
         if not request_id:
             raise InvalidRequest("the request has no identifier")
         target = scope["raw_path"]
@@ -154,9 +178,11 @@
             request_id,
             scope["method"].encode(),
             target,
-            headers,
+            with_identity(headers, caller.customer, caller.urgency),
             body,
             _resumed_request(headers, request_id),
+            customer=caller.customer,
+            urgency=caller.urgency,
         )
         deadline_ms = _parse_number(
             _header_value(headers, wire.DEADLINE), DEFAULT_DEADLINE_MS
@@ -179,12 +205,20 @@
     # -- batch jobs
 
     async def _submit(
-        self, job_id: str, body: bytes, route: Route, arrived_s: float
+        self,
+        job_id: str,
+        body: bytes,
+        route: Route,
+        arrived_s: float,
+        caller: Caller,
     ) -> Reply:
         if not job_id or "/" in job_id:
             raise InvalidRequest("the job has no identifier")
         job, items = decode_submission(job_id, body, route)
-        is_new = await self._jobs.submit(job, items)
+        if caller.customer is not None:
+            job = replace(job, customer=caller.customer)
+            items = without_item_identity(items)
+        is_new = await self._jobs.submit(job, items, caller.customer)
         logger.info(
             "batch: job accepted",
             request_id=job_id,
@@ -194,29 +228,31 @@
             min_version=job.min_version,
             items=len(items),
             is_new=is_new,
+            customer=caller.customer,
             ms=int((time.monotonic() - arrived_s) * MS_PER_S),
         )
         return _reply(202, b"")
 
     async def _handle_batch_request(
-        self, scope: Scope, headers: tuple[tuple[bytes, bytes], ...]
+        self, scope: Scope, headers: tuple[tuple[bytes, bytes], ...], caller: Caller
     ) -> Reply:
         method, path = scope["method"], scope["path"]
         query = parse_qs(scope["query_string"].decode("latin-1"))
         if path.startswith(BODIES_PATH):
             if method != "GET":
                 raise NotFound("bodies are read with GET")
-            job = await self._reader.job(unquote(path.removeprefix(BODIES_PATH)))
+            job_id = unquote(path.removeprefix(BODIES_PATH))
+            job = await self._reader.job_for(job_id, caller.customer)
             item_id = query.get("id", [""])[0]
             body = await self._reader.body(job, item_id)
             return _reply(200, body, b"application/octet-stream")
         job_id = unquote(path.removeprefix(RESULTS_PATH))
         if method == "DELETE":
-            await self._jobs.end(job_id)
+            await self._jobs.end(job_id, caller.customer)
             return _reply(200, b"{}")
         if method != "GET":
             raise NotFound("results are read with GET")
-        job = await self._reader.job(job_id)
+        job = await self._reader.job_for(job_id, caller.customer)
         after = int(_parse_number(query.get("after", ["0"])[0], 0.0))
         wait_ms = min(
             MAX_RESULTS_WAIT_MS, _parse_number(_header_value(headers, wire.WAIT), 0.0)
@@ -252,7 +288,13 @@
         scope: Scope,
         arrived_s: float,
         send: Send,
+        unread: Receive | None = None,
     ) -> None:
+        """Send an error.
+
+        If `unread` is given, the request's body has not been read. The connection is
+        closed unless the rest of it arrives soon.
+        """
         status = _http_status(error)
         logger.info(
             "entry: refused" if status in NOT_EXECUTED_STATUSES else "entry: failed",
@@ -274,11 +316,21 @@
             headers.append((wire.REQUEST_ID, request_id.encode()))
         if error.retry_after_s is not None:
             headers.append((b"retry-after", b"%.2f" % error.retry_after_s))
-        if self.is_draining:
+        # A client that waits for permission to send its body will not send it now.
+        awaits_permission = unread is not None and _header_value(
+            tuple(scope["headers"]), b"expect"
+        )
+        if self.is_draining or awaits_permission:
             headers.append((b"connection", b"close"))
         start = {"type": "http.response.start", "status": status, "headers": headers}
         await send(start)
-        await send({"type": "http.response.body", "body": body})
+        if unread is None or awaits_permission:
+            await send({"type": "http.response.body", "body": body})
+            return
+        await send({"type": "http.response.body", "body": body, "more_body": True})
+        if not await discard_body(unread, UNREAD_BODY_LIMIT_S):
+            raise _StreamBroken
+        await send({"type": "http.response.body"})
 
 
 def _http_status(error: CodedError) -> int:
--- a/greengagetack/platform/replica.py
+++ b/greengagetack/platform/replica.py
@@ -12,6 +12,7 @@
 from greengagetack.http1.message import ExchangeError, Request, ResponseHead, header
 from greengagetack.http1.pool import Pool
 from greengagetack.platform import wire
+from greengagetack.platform.identity import with_identity
 from greengagetack.replicas.replica import Replica
 from greengagetack.weights.orders import EngineReport, LoadMode, LoadOrder, OrderEnd
 
@@ -68,7 +69,8 @@
         after_event: str | None = None,
     ) -> Request:
         """Return the request for one replica, with the remaining time as deadline."""
-        headers = [pair for pair in call.headers if pair[0] not in DROPPED_HEADERS]
+        identified = with_identity(call.headers, call.customer, call.urgency)
+        headers = [pair for pair in identified if pair[0] not in DROPPED_HEADERS]
         headers.append((wire.REQUEST_ID, call.request_id.encode()))
         headers.append((wire.EXPECT_INSTANCE, replica.replica_id.encode()))
         if remaining_ms is not None:
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -8,7 +8,7 @@
 import os
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass
 from functools import partial
@@ -155,6 +155,11 @@
         self.crashed_s: list[float] = []
         self._store_address = self.loop.run(self._serve(self.store.app, "store"))
         self.memory_tokens = 100_000
+        # The configuration's customers, as the operator writes them; the names of the
+        # routes that need no key; and the key that clients send.
+        self.customers: list[dict[str, Any]] = []
+        self.public_routes: set[str] = set()
+        self.key = ""
         # Relays between daemons and the store, by daemon name.
         self.relays: dict[str, Relay] = {}
         self.configure(1)
@@ -202,12 +207,18 @@
             _route(f"r{prefix}", prefix, "idempotent", PLAIN_SERVICE)
             for prefix in extra_routes
         ]
+        for route in routes:
+            if route["name"] in self.public_routes:
+                route["public"] = True
         engine = {"slots": 4, "kv_capacity": self.memory_tokens, "stride": 1}
         services = [
             {"name": ENGINE_SERVICE, "health_path": "/healthz", "engine": engine},
             {"name": PLAIN_SERVICE, "health_path": "/healthz"},
         ]
         spec = {"version": version, "routes": routes, "services": services}
+        if self.customers:
+            spec["tenants"] = self.customers
+        self.config_version = version
         self.run_on_loop(lambda: self.store.put("config", "main", spec))
 
     def run_on_loop(self, function: Callable[[], Any]) -> Any:
@@ -399,8 +410,9 @@
         """Send one request on a new connection."""
         connection = self.connect(edge, listener, timeout_s)
         try:
+            key = {"X-Api-Key": self.key} if self.key else {}
             connection.request(
-                method, path, body, {"Host": HOST_NAME, **(headers or {})}
+                method, path, body, {"Host": HOST_NAME, **key, **(headers or {})}
             )
             response = connection.getresponse()
             response_headers = {
@@ -424,6 +436,47 @@
         path = f"/lots/{job_id}?after={after}"
         return self.call(edge, "GET", path, headers={"X-Wait-Ms": "500"})
 
+    def judge_identities(
+        self, prefix: str, customer: str, urgency: str
+    ) -> tuple[int, list[str]]:
+        """Compare the senders that replicas were told with the expected ones.
+
+        Parameters
+        ----------
+        prefix : str
+            Start of the identifiers of the requests that are judged.
+        customer, urgency : str
+            The expected name and priority, empty for no header.
+
+        Returns
+        -------
+        tuple
+            The number of judged requests and a description of each wrong one.
+        """
+        names = (customer,) if customer else ()
+        urgencies = (urgency,) if urgency else ()
+        judged = [
+            (replica, received)
+            for replica, standin in self.replicas.items()
+            for received in standin.identities
+            if received.request_id.startswith(prefix)
+        ]
+        wrong = [
+            f"{replica}: {received}"
+            for replica, received in judged
+            if (received.customers, received.urgencies) != (names, urgencies)
+        ]
+        return len(judged), wrong
+
+    def leaked_keys(self, keys: Iterable[str]) -> list[str]:
+        """Describe each request that reached a replica with a key in any place."""
+        return [
+            f"{name}: {received}"
+            for name, replica in self.replicas.items()
+            for received in replica.identities
+            if received.keys or any(key in received.text for key in keys)
+        ]
+
     def all_results(self, edge: str, job_id: str) -> list[dict[str, Any]]:
         """Read all results that a daemon lists so far."""
         results: list[dict[str, Any]] = []
