--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -30,6 +30,7 @@
 from greengagetack.batches.rewards import RewardCalls
 from greengagetack.errors import CodedError
 from greengagetack.gateway.call import Call, ReplicaDialect
+from greengagetack.gateway.customers import CustomerDirectory
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.routes import Route
 from greengagetack.http1.pool import Pool
@@ -99,6 +100,7 @@
         permits: Permits,
         paths: ReplicaPaths,
         find_route: Callable[[str, str], Route | None],
+        customers: Callable[[], CustomerDirectory],
         engine_properties: EngineProperties,
         metrics: Metrics,
         result_retention_s: float,
@@ -107,6 +109,7 @@
         self._ledger = ledger
         self._checkpoints = checkpoints
         self._resubmitted = ResubmittedGroups(ledger)
+        self._customers = customers
         self._jobs = jobs
         self._fleet = fleet
         self._pool = pool
@@ -131,7 +134,14 @@
         self.demand_tokens: dict[str, float] = {}
         self._wake_event = asyncio.Event()
         self._rewards = RewardCalls(
-            fleet, forwarder, dialect, permits, find_route, metrics, self.wake
+            fleet,
+            forwarder,
+            dialect,
+            permits,
+            find_route,
+            customers,
+            metrics,
+            self.wake,
         )
         self._rival_until_s = float("-inf")
         self.is_active = False
@@ -711,6 +721,7 @@
     ) -> None:
         item, job = progress.item, run.job
         replica_id = state.replica.replica_id
+        customers = self._customers()
         call = Call(
             item.item_id,
             b"POST",
@@ -720,6 +731,8 @@
                 *((k.lower().encode(), v.encode()) for k, v in item.headers),
             ),
             item.body,
+            customer=customers.sender_of_job(job.customer),
+            urgency=customers.priority_of(job.customer),
         )
         started_s = time.monotonic()
         from_event = progress.last_event_id
