Make the order lease one kind of lease for all duties

Usage reports and scaling orders need a single holder with the same rules as weight load orders. OrderLease becomes coordination.duty_lease.DutyLease with path, name, validity and renewal interval as parameters; record, path and timings of order-lease/main stay, so the previous release may run beside this one.

features/order_lease.feature: 4 of 4 scenarios pass.

--- a/features/steps/order_lease_steps.py
+++ b/features/steps/order_lease_steps.py
@@ -8,11 +8,11 @@
 from behave.runner import Context
 
 from features.support.memory_objects import MemoryObjects
-from greengagetack.weights import order_lease
-from greengagetack.weights.order_lease import (
-    LEASE_PATH,
-    OrderLease,
-    OrderLeaseRecord,
+from greengagetack.coordination import duty_lease
+from greengagetack.coordination.duty_lease import (
+    ORDER_LEASE_PATH,
+    DutyLease,
+    LeaseRecord,
 )
 
 STEP_S = 0.05
@@ -22,21 +22,21 @@
 @given("another daemon holds the order lease, with orders at least {apart:g} s apart")
 def step_held(context: Context, apart: float) -> None:
     context.store = MemoryObjects()
-    context.lease = OrderLease("b", context.store, apart)
-    context.record = OrderLeaseRecord("a", 1, 0)
+    context.lease = DutyLease("b", context.store, ORDER_LEASE_PATH, apart)
+    context.record = LeaseRecord("a", 1, 0)
     context.version = asyncio.run(_write(context, 0))
 
 
 async def _write(context: Context, version: int) -> int:
     value = msgspec.to_builtins(context.record)
-    written: int = await context.store.write(LEASE_PATH, value, version)
+    written: int = await context.store.write(ORDER_LEASE_PATH, value, version)
     return written
 
 
 @when("its version is reported {reported_s:g} s before the first read, {renewed} since")
 def step_reported(context: Context, reported_s: float, renewed: str) -> None:
     now_s = [1_000.0]
-    with mock.patch.object(order_lease, "_boottime_s", lambda: now_s[0]):
+    with mock.patch.object(duty_lease, "_boottime_s", lambda: now_s[0]):
         if reported_s:
             context.lease.record_version(context.version)
         if renewed == "renewed":
--- a/features/steps/platform_decisions_steps.py
+++ b/features/steps/platform_decisions_steps.py
@@ -19,13 +19,13 @@
 from greengagetack.batches.priority import WaitingGroup, needed_groups
 from greengagetack.batches.progress import ItemProgress, ProgressSnapshot
 from greengagetack.coordination.claim import takeover_delay_s
+from greengagetack.coordination.duty_lease import takeover_wait_s
 from greengagetack.gateway.retry import AttemptResult, next_step
 from greengagetack.http1.connection import open_connection
 from greengagetack.http1.message import IncompleteResponse, Request
 from greengagetack.objects.base import PlatformObject
 from greengagetack.weights.assignment import assign_replicas
 from greengagetack.weights.load_selection import LoadCandidate, choose_loads
-from greengagetack.weights.order_lease import takeover_wait_s
 from greengagetack.world import Address
 from standins.loops import BackgroundLoop
 
--- a/greengagetack/coordination/lifecycle.py
+++ b/greengagetack/coordination/lifecycle.py
@@ -9,11 +9,11 @@
 from greengagetack.batches.dispatcher import Dispatcher
 from greengagetack.coordination.claim import DispatcherClaim
 from greengagetack.coordination.client import PeerClient
+from greengagetack.coordination.duty_lease import DutyLease
 from greengagetack.daemons.supervise import supervise
 from greengagetack.errors import PeerUnreachable
 from greengagetack.objects.feed import Feed
 from greengagetack.weights.load_scheduler import LoadScheduler
-from greengagetack.weights.order_lease import OrderLease
 from greengagetack.world import Address
 
 __all__ = ["DispatcherLifecycle"]
@@ -40,7 +40,7 @@
         claim: DispatcherClaim,
         dispatcher: Dispatcher,
         load_scheduler: LoadScheduler,
-        lease: OrderLease,
+        lease: DutyLease,
         peers: PeerClient,
         feeds: tuple[Feed, ...],
     ) -> None:
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -15,6 +15,7 @@
 from greengagetack.batches.service import JobService
 from greengagetack.coordination.claim import DispatcherClaim
 from greengagetack.coordination.client import PeerClient
+from greengagetack.coordination.duty_lease import ORDER_LEASE_PATH, DutyLease
 from greengagetack.coordination.fact_archive import FactArchive
 from greengagetack.coordination.lifecycle import DispatcherLifecycle
 from greengagetack.coordination.messages import Member, Pong
@@ -54,7 +55,6 @@
 from greengagetack.replicas.replica import Replica
 from greengagetack.timer import Timer
 from greengagetack.weights.load_scheduler import LoadScheduler
-from greengagetack.weights.order_lease import OrderLease
 from greengagetack.world import Address
 
 __all__ = ["EdgeDaemon"]
@@ -213,7 +213,9 @@
             self._reader,
             self._metrics,
         )
-        self._lease = OrderLease(facts.node, self._store, facts.order_spacing_s)
+        self._lease = DutyLease(
+            facts.node, self._store, ORDER_LEASE_PATH, facts.order_spacing_s
+        )
         self._load_scheduler = LoadScheduler(
             self._lease,
             self._fleet,
--- a/greengagetack/weights/load_scheduler.py
+++ b/greengagetack/weights/load_scheduler.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from greengagetack.coordination.duty_lease import DutyLease
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.replicas.replica import Replica, ReplicaState
@@ -17,7 +18,6 @@
     choose_loads,
     max_concurrent_loads,
 )
-from greengagetack.weights.order_lease import OrderLease
 from greengagetack.weights.orders import LoadMode, LoadOrder, OrderEnd, OrderSender
 
 __all__ = ["LoadScheduler"]
@@ -63,7 +63,7 @@
 
     def __init__(
         self,
-        lease: OrderLease,
+        lease: DutyLease,
         fleet: Fleet,
         sender: OrderSender,
         requested_versions: Callable[[], dict[str, int]],
@@ -107,7 +107,7 @@
                 continue
             await self._lease.maintain()
             self._check_loads()
-            if self._lease.may_order():
+            if self._lease.may_act():
                 self._order_loads()
 
     async def wait_idle(self) -> None:
@@ -189,12 +189,12 @@
             LoadMode.WAIT if self._requires_single_version(model) else LoadMode.RETAIN
         )
         order = LoadOrder(model, version, mode, self._node, self._lease.fence, accepted)
-        if not self._lease.may_order():
+        if not self._lease.may_act():
             self._clear_load(replica_id)
             return
-        self._lease.record_order()
-        end = await self._sender.send(replica, order, self._lease.may_order)
-        self._lease.record_order()
+        self._lease.record_call()
+        end = await self._sender.send(replica, order, self._lease.may_act)
+        self._lease.record_call()
         logger.info(
             "weights: order sent",
             replica=replica_id,
--- a/model/order_lease.py
+++ b/model/order_lease.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from greengagetack.weights.order_lease import takeover_wait_s
+from greengagetack.coordination.duty_lease import takeover_wait_s
 from model.specification import Guard, Predicate, Specification, Step, specification
 
 __all__ = ["OrderLeaseSpecification"]
