--- a/greengagetack/platform/settings.py
+++ b/greengagetack/platform/settings.py
@@ -10,11 +10,20 @@
 from greengagetack.errors import CodedError, register_error
 from greengagetack.world import Address
 
-__all__ = ["METRICS_PORT", "SettingsUnreadable", "VmFacts", "load_vm_facts"]
+__all__ = [
+    "METRICS_PORT",
+    "CloudFacts",
+    "SettingsUnreadable",
+    "VmFacts",
+    "load_vm_facts",
+]
 
 SETTINGS_VARIABLE = "GREENGAGETACK_CONFIG"
 # deploy/system.toml names the same port.
 METRICS_PORT = 9464
+# Names of the duties in the settings file.
+USAGE_DUTY = "usage_report"
+SCALING_DUTY = "autoscale"
 
 
 @register_error
@@ -43,6 +52,11 @@
     lease_ms: float = 3_000.0
     # How long results stay readable after a job's submission.
     status_s: float = 120.0
+    # Length of the windows that usage is reported for, the time after a window's end
+    # within which its report is due, and the relative error that a report may have.
+    window_s: float = 5.0
+    usage_late_s: float = 10.0
+    usage_tolerance: float = 0.05
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -59,6 +73,15 @@
     value_bytes: int = 1_048_576
 
 
+class _Cloud(msgspec.Struct, frozen=True):
+    # Address of the platform's API for duties, empty without one.
+    address: str = ""
+    # Names of the duties that this deployment carries out.
+    duties: tuple[str, ...] = ()
+    # Calls a second that the API takes from all daemons together.
+    duty_per_s: float = 10.0
+
+
 class _SettingsFile(msgspec.Struct, frozen=True):
     node: str
     role: str
@@ -70,6 +93,17 @@
     listen: _Listen = _Listen()
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
+    cloud: _Cloud = _Cloud()
+
+
+@dataclass(frozen=True, slots=True)
+class CloudFacts:
+    """The platform's API and the duties that the deployment has towards it."""
+
+    api: Address
+    reports_usage: bool
+    orders_replicas: bool
+    calls_per_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +126,11 @@
     result_retention_s: float
     cores: float
     memory_mb: float
+    window_s: float = 5.0
+    usage_late_s: float = 10.0
+    usage_tolerance: float = 0.05
+    # None if the deployment has no duties.
+    cloud: CloudFacts | None = None
     metrics_port: int = METRICS_PORT
 
 
@@ -99,6 +138,17 @@
     return Address.parse(text) if text else None
 
 
+def _cloud_facts(cloud: _Cloud) -> CloudFacts | None:
+    if not cloud.address:
+        return None
+    return CloudFacts(
+        Address.parse(cloud.address),
+        USAGE_DUTY in cloud.duties,
+        SCALING_DUTY in cloud.duties,
+        cloud.duty_per_s,
+    )
+
+
 def load_vm_facts(path: str | None = None) -> VmFacts:
     """Read the settings file that the environment names.
 
@@ -131,6 +181,10 @@
             result_retention_s=file.bounds.status_s,
             cores=round(file.limits.cpu_share * file.limits.cores, 2),
             memory_mb=file.limits.memory_mb,
+            window_s=file.bounds.window_s,
+            usage_late_s=file.bounds.usage_late_s,
+            usage_tolerance=file.bounds.usage_tolerance,
+            cloud=_cloud_facts(file.cloud),
         )
     except (OSError, ValueError) as error:
         raise SettingsUnreadable(f"{name}: {error}") from error
--- a/greengagetack/platform/wire.py
+++ b/greengagetack/platform/wire.py
@@ -3,7 +3,9 @@
 __all__ = [
     "CONFIG_KIND",
     "DEADLINE",
+    "DUTY_HOLDER",
     "EXPECT_INSTANCE",
+    "FENCE_TOKEN",
     "INSTANCE_ID",
     "LAST_EVENT_ID",
     "MODEL",
@@ -25,7 +27,9 @@
 
 REQUEST_ID = b"x-request-id"
 DEADLINE = b"x-deadline-ms"
+DUTY_HOLDER = b"x-duty-holder"
 EXPECT_INSTANCE = b"x-expect-instance"
+FENCE_TOKEN = b"x-fence-token"
 INSTANCE_ID = b"x-instance-id"
 LAST_EVENT_ID = b"last-event-id"
 MODEL = b"x-model"
