Count callers' requests by customer and report them under a duty

A duty's seat ranks the daemons, acquires the lease, keeps the holder known as a fact through the dispatcher, and gives the duty up when this daemon becomes the dispatcher or only others reach the platform's API. Each daemon counts its callers' requests in windows of the fleet's time, which pings estimate, and sends totals to the holder. The holder stores a window's counts with a conditional write and only then reports them.

All of it starts only with a [cloud] section. Counting itself needs the customers of the configuration, which Call.customer names.

--- a/greengagetack/coordination/claim.py
+++ b/greengagetack/coordination/claim.py
@@ -12,6 +12,7 @@
 import msgspec
 from loguru import logger
 
+from greengagetack.accounting.clock import FleetClock
 from greengagetack.coordination.client import PeerClient
 from greengagetack.coordination.messages import Member, Pong
 from greengagetack.coordination.roster import Roster
@@ -76,6 +77,8 @@
         self._reaches_work = reaches_work
         self._last_contact_s = time.monotonic()
         self.is_leaving = False
+        # Estimates true time from the pings, if this deployment needs it.
+        self.clock: FleetClock | None = None
         feed.subscribe(self._on_claim_change)
 
     @property
@@ -163,7 +166,7 @@
             address = self.holder_address()
             assert address is not None
             try:
-                pong = await peers.ping(address, self._known_facts())
+                pong = await self._ping(peers, address, holder)
                 if pong.is_dispatcher and pong.node == holder.node:
                     self._last_contact_s = time.monotonic()
                     self._on_pong(pong)
@@ -180,6 +183,16 @@
             return
         await self._take_over(holder, silent_s)
 
+    async def _ping(self, peers: PeerClient, address: Address, holder: Member) -> Pong:
+        if self.clock is None:
+            return await peers.ping(address, self._known_facts())
+        offset_ms = self.clock.offset_ms(holder.incarnation)
+        sent_s = self.clock.steady_s()
+        pong = await peers.ping(address, self._known_facts(), offset_ms)
+        if pong.is_dispatcher and pong.fleet_time_s:
+            self.clock.learn(pong.incarnation, pong.clock_s, pong.fleet_time_s, sent_s)
+        return pong
+
     async def _take_over(self, former: Member | None, silent_s: float) -> None:
         stored = self._feed.objects.get(CLAIM_PATH)
         version = 0 if stored is None else stored.version
--- a/greengagetack/coordination/client.py
+++ b/greengagetack/coordination/client.py
@@ -9,8 +9,10 @@
 
 from loguru import logger
 
+from greengagetack.accounting.windows import UsageBundle
 from greengagetack.batches.job import Job, Segment
 from greengagetack.batches.progress import ProgressSnapshot
+from greengagetack.coordination.duty_board import DutyHeartbeat
 from greengagetack.coordination.messages import (
     CrashReports,
     HandOver,
@@ -96,9 +98,16 @@
         self._rng = random.Random()
         self._preferred_relay: Address | None = None
 
-    async def ping(self, address: Address, known: FactCursor) -> Pong:
-        """Return a daemon's identity, whether it is the dispatcher, and new facts."""
+    async def ping(
+        self, address: Address, known: FactCursor, offset_ms: float | None = None
+    ) -> Pong:
+        """Return a daemon's identity, whether it is the dispatcher, and new facts.
+
+        `offset_ms` is that of this VM's wall clock to the daemon's steady clock.
+        """
         path = f"/peer/ping?epoch={quote(known.epoch)}&revision={known.revision}"
+        if offset_ms is not None:
+            path += f"&node={quote(self.node)}&offset_ms={offset_ms:.1f}"
         body = await self._call(address, "GET", path, b"", CALL_TIMEOUT_S)
         return _decode_response(body, Pong)
 
@@ -243,6 +252,45 @@
         body = await self._call(address, "GET", path, b"", PATH_TIMEOUT_S)
         return _decode_response(body, bool)
 
+    async def send_duty_heartbeat(
+        self, heartbeat: DutyHeartbeat, address: Address | None = None
+    ) -> bool:
+        """Send a duty's heartbeat, by default to the dispatcher.
+
+        Returns whether the dispatcher has published the sender as the holder.
+
+        Raises
+        ------
+        PeerUnreachable
+            If the dispatcher is unknown or the daemon does not answer.
+        """
+        target = address or self._known_dispatcher()
+        body = encode(heartbeat)
+        answer = await self._call(target, "POST", "/peer/duties", body, CALL_TIMEOUT_S)
+        return _decode_response(answer, bool)
+
+    async def reaches_api(self, address: Address) -> bool:
+        """Return whether a daemon reaches the platform's API.
+
+        Raises
+        ------
+        PeerUnreachable
+            If the daemon does not answer in time.
+        """
+        body = await self._call(address, "GET", "/peer/api-path", b"", PATH_TIMEOUT_S)
+        return _decode_response(body, bool)
+
+    async def send_usage(self, address: Address, bundle: UsageBundle) -> None:
+        """Send counts of requests to the holder of the duty, or to a collector.
+
+        Raises
+        ------
+        PeerUnreachable
+            If the daemon does not answer.
+        """
+        body = encode(bundle)
+        await self._call(address, "POST", "/peer/usage", body, CALL_TIMEOUT_S)
+
     async def send_relayed(
         self, address: Address, request: RelayedRequest
     ) -> tuple[RelayedAnswer, AsyncIterator[bytes]]:
--- a/greengagetack/coordination/duty_lease.py
+++ b/greengagetack/coordination/duty_lease.py
@@ -245,3 +245,7 @@
             logger.info(f"{self._name}: released", fence=record.fence, quiet_s=quiet_s)
         except CodedError as error:
             logger.warning("{}: not released: {}", self._name, error.reason)
+
+    def abandon(self) -> None:
+        """Stop using the lease without a release, as a call may still be on its way."""
+        self._is_held = False
--- a/greengagetack/coordination/messages.py
+++ b/greengagetack/coordination/messages.py
@@ -46,7 +46,8 @@
     """Answer to a ping; `lease_version` is that of the held order lease, else 0.
 
     `facts` is an encoded update of what the sender of the ping does not know yet, None
-    for nothing.
+    for nothing. In deployments that measure time across VMs, `clock_s` is the steady
+    clock of the dispatcher and `fleet_time_s` its estimate of true Unix time, else 0.
     """
 
     node: str
@@ -54,6 +55,8 @@
     is_dispatcher: bool
     lease_version: int = 0
     facts: bytes | None = None
+    clock_s: float = 0.0
+    fleet_time_s: float = 0.0
 
 
 class Segments(msgspec.Struct, frozen=True):
--- a/greengagetack/coordination/server.py
+++ b/greengagetack/coordination/server.py
@@ -9,6 +9,7 @@
 
 from greengagetack.batches.dispatcher import Dispatcher
 from greengagetack.batches.reading import JobReader
+from greengagetack.coordination.duty_endpoints import DutyEndpoints
 from greengagetack.coordination.messages import (
     CrashReports,
     HandOver,
@@ -53,11 +54,14 @@
     feeds: dict[str, Feed],
     on_follower: Callable[[str], None],
     call_store: Callable[[RelayCall], Awaitable[StoreResponse]],
+    duties: DutyEndpoints | None = None,
 ) -> Starlette:
     """Return the HTTP application that serves a daemon's control address."""
 
     async def ping(request: Request) -> Response:
         query = request.query_params
+        if duties is not None:
+            duties.record_ping(query)
         known = FactCursor(query.get("epoch", ""), int(query.get("revision", "0")))
         return Response(encode(pong(known)))
 
@@ -165,6 +169,7 @@
             Route("/peer/stream-origins/{request_id}", stream_origin),
             Route("/peer/progress", progress, methods=["POST"]),
             Route("/peer/store", store, methods=["POST"]),
+            *(() if duties is None else duties.routes()),
         ],
         exception_handlers={
             CodedError: error_response,
--- a/greengagetack/gateway/attempt.py
+++ b/greengagetack/gateway/attempt.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
+from greengagetack.accounting.windows import RequestUsage
 from greengagetack.gateway.retry import AttemptResult
 from greengagetack.http1.message import ResponseHead
 
@@ -23,12 +24,15 @@
         The event after which a stream is resumed, None for a new one.
     is_fresh : bool
         Whether no connection that is open already may be used.
+    usage : RequestUsage or None
+        Counts the request for its customer, None if it is not counted here.
     """
 
     deadline_s: float
     is_streaming: bool = False
     after_event: str | None = None
     is_fresh: bool = False
+    usage: RequestUsage | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagetack/gateway/call.py
+++ b/greengagetack/gateway/call.py
@@ -26,7 +26,9 @@
 
     `resumes` is the identifier of the request that began the stream, if this one takes
     a stream up after a later event, else an empty string. `is_deferred` tells that the
-    request belongs to an item that was accepted earlier and is owed.
+    request belongs to an item that was accepted earlier and is owed. `customer` names
+    the customer that sent it: None in a deployment without customers, empty on a public
+    route.
     """
 
     request_id: str
@@ -36,6 +38,7 @@
     body: bytes
     resumes: str = ""
     is_deferred: bool = False
+    customer: str | None = None
 
     @property
     def routing_id(self) -> str:
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from greengagetack.accounting.windows import UsageCounter
 from greengagetack.gateway.attempt import Attempt, AttemptTerms, Reply
 from greengagetack.gateway.call import (
     Call,
@@ -78,6 +79,8 @@
         self._memory = memory
         self._zone = zone
         self._rng = random.Random()
+        # Counts callers' requests by customer, if this deployment reports them.
+        self.usage: UsageCounter | None = None
 
     async def forward(self, call: Call, route: Route, deadline_s: float) -> Reply:
         """Forward a request and return the response of a replica.
@@ -98,6 +101,7 @@
             return await run.execute()
         finally:
             run.cancel()
+            run.settle_usage()
 
     def unusable_reason(self, service: str, software: str | None) -> str:
         """Describe why no replica can get a request now."""
@@ -179,6 +183,7 @@
             connection = await pool_context.__aenter__()
             try:
                 is_sent = True
+                sent_s = 0.0 if terms.usage is None else terms.usage.record_sent()
                 head = await connection.send(request, call.request_id.encode())
                 self.paths.record_contact(replica.service)
                 execution = self._dialect.execution_status(head)
@@ -217,6 +222,8 @@
             if execution is ExecutionStatus.OTHER_REPLICA:
                 state.is_gone = True
             state.record_refusal(FULL_REPLICA_PAUSE_S)
+            if terms.usage is not None:
+                terms.usage.record_refused(sent_s)
             reason = f"replica {replica.replica_id} refused with status {head.status}"
             return Attempt(AttemptResult.NOT_RUN, None, reason)
         if not self._dialect.is_genuine(head):
--- a/greengagetack/gateway/request_run.py
+++ b/greengagetack/gateway/request_run.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from greengagetack.accounting.windows import RequestUsage
 from greengagetack.errors import (
     DeadlineExceeded,
     EndpointFailed,
@@ -58,12 +59,23 @@
         self._tried_peers: set[Address] = set()
         self._has_detoured = False
         self._is_streaming = route.kind is RequestKind.STREAM
+        self._usage = self._make_usage()
         self._run_count = 0
         self._may_have_run = False
         self._pending: set[asyncio.Task[Attempt]] = set()
         # Attempts at replicas over this VM's own links.
         self._direct: set[asyncio.Task[Attempt]] = set()
 
+    def _make_usage(self) -> RequestUsage | None:
+        """Return what counts this request, None if it is not counted.
+
+        A stream that is taken up was counted when it began.
+        """
+        counter, customer = self._forwarder.usage, self._call.customer
+        if counter is None or not customer or self._call.resumes:
+            return None
+        return RequestUsage(counter, customer)
+
     async def find_software(self) -> None:
         """Find the software that began the stream, if this request takes one up.
 
@@ -197,7 +209,8 @@
             origin = StreamOrigin(self._call.request_id, attempt.software)
             self._forwarder.origins.record(origin)
         resume = self._resume if self._route.is_resumable else None
-        parts = resumable_stream(self._call, reply.parts, resume)
+        on_first = None if self._usage is None else self._usage.record_began
+        parts = resumable_stream(self._call, reply.parts, resume, on_first)
         return Reply(reply.head, reply.body, parts)
 
     async def _resume(self, after_event: str) -> AsyncIterator[bytes] | None:
@@ -247,7 +260,12 @@
     ) -> Coroutine[Any, Any, Attempt] | None:
         """Return an attempt at a replica not yet tried, None if none is left."""
         terms = AttemptTerms(
-            self._deadline_s, self._is_streaming, after_event, is_fresh
+            self._deadline_s,
+            self._is_streaming,
+            after_event,
+            is_fresh,
+            # A stream counts from its first event on.
+            None if self._is_streaming else self._usage,
         )
         if self._is_path_lost():
             return self._next_detour(terms)
@@ -262,9 +280,10 @@
         if peer is None:
             return None
         self._tried_peers.add(peer)
-        return self._forwarder.detours.attempt(
+        attempt = self._forwarder.detours.attempt(
             peer, self._service, self._call, terms, self._tried, self._software
         )
+        return attempt if terms.usage is None else _counted(attempt, terms.usage)
 
     def _start_attempt(self, is_fresh: bool = False) -> bool:
         is_direct = not self._is_path_lost()
@@ -289,3 +308,19 @@
         """Cancel the pending attempts, so that their replicas drop the request."""
         for task in self._pending:
             task.cancel()
+
+    def settle_usage(self) -> None:
+        """Count the request, as no other attempt follows; streams count later."""
+        if self._usage is not None and not self._is_streaming:
+            self._usage.settle()
+
+
+async def _counted(
+    attempt: Coroutine[Any, Any, Attempt], usage: RequestUsage
+) -> Attempt:
+    """Run an attempt at a replica that another daemon makes, and count it."""
+    sent_s = usage.record_sent()
+    ended = await attempt
+    if ended.result in (AttemptResult.NOT_RUN, AttemptResult.NOT_SENT):
+        usage.record_refused(sent_s)
+    return ended
--- a/greengagetack/gateway/stream.py
+++ b/greengagetack/gateway/stream.py
@@ -65,7 +65,10 @@
 
 
 async def resumable_stream(
-    call: Call, first_parts: AsyncIterator[bytes], resume: ResumeStream | None
+    call: Call,
+    first_parts: AsyncIterator[bytes],
+    resume: ResumeStream | None,
+    on_first_event: Callable[[], None] | None = None,
 ) -> AsyncIterator[bytes]:
     """Yield complete events; resume at another replica when the stream breaks.
 
@@ -73,6 +76,8 @@
     ----------
     resume : callable or None
         Opens the stream resumed after an event; None if it may not be resumed.
+    on_first_event : callable or None
+        Called when the first event has arrived.
 
     Raises
     ------
@@ -93,7 +98,11 @@
                 if not part:
                     break
                 former_lines = blocks.event_lines
-                if complete := blocks.feed(part):
+                complete = blocks.feed(part)
+                if on_first_event is not None and blocks.event_lines:
+                    on_first_event()
+                    on_first_event = None
+                if complete:
                     yield complete
                 if blocks.event_lines > former_lines:
                     progress_s = time.monotonic()
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -45,6 +45,7 @@
 from greengagetack.observability.metrics import Metrics
 from greengagetack.peers.node import listening_socket
 from greengagetack.platform import documents, wire
+from greengagetack.platform.duty_parts import make_duty_parts
 from greengagetack.platform.ingress import Ingress
 from greengagetack.platform.replica import PlatformDialect, PlatformOrderSender
 from greengagetack.platform.settings import VmFacts
@@ -153,6 +154,16 @@
             self._roster.member_addresses,
         )
         self._stream_origins = StreamOrigins(self._peers, facts.control)
+        self._duties = make_duty_parts(
+            facts,
+            self._local_member,
+            self._store,
+            self._roster,
+            self._claim,
+            self._fact_table,
+            self._peers,
+            self._metrics,
+        )
         self._permits = Permits(
             self._fleet,
             self._peers,
@@ -189,6 +200,8 @@
             ResponseMemory(int(facts.memory_mb * BYTES_PER_MB * RESPONSE_MEMORY_SHARE)),
             facts.availability_zone,
         )
+        if self._duties is not None:
+            forwarder.usage = self._duties.counter
         self._dispatcher = Dispatcher(
             self._ledger,
             Checkpoints(self._store),
@@ -343,6 +356,7 @@
             self._dispatcher.is_active,
             self._lease.held_version,
             self._fact_table.update_after(known),
+            *(() if self._duties is None else self._duties.clock.times()),
         )
 
     def _on_pong(self, pong: Pong) -> None:
@@ -384,6 +398,7 @@
                     lambda call: self._transport.call_for_peer(
                         call.method, call.target, call.body, call.wait_s
                     ),
+                    None if self._duties is None else self._duties.endpoints,
                 ),
                 date_header=False,
             )
@@ -418,6 +433,8 @@
         self._start_part(lambda: self._claim.run(self._peers), "claim")
         self._start_part(self._dispatcher.run, "dispatch")
         self._start_part(self._load_scheduler.run, "weights")
+        if self._duties is not None:
+            self._duties.start(self._start_part)
         self._timer.subscribe(
             CHECKPOINT_INTERVAL_S, self._dispatcher.save_checkpoint, "checkpoint"
         )
@@ -446,6 +463,8 @@
         self._peers.node = ""
         await self._claim.release(self._roster.successor())
         self._dispatcher_lifecycle.on_claim_change()
+        if self._duties is not None:
+            await self._duties.leave()
         await asyncio.sleep(
             max(0.0, stop_requested_s + ROTATION_REMOVAL_TIME_S - time.monotonic())
         )
@@ -457,6 +476,8 @@
             logger.warning(
                 "daemon: requests were still open when the shutdown time ran out"
             )
+        if self._duties is not None:
+            await self._duties.flush()
         self._timer.close()
         self._dispatcher_lifecycle.close()
         for task in [*self._tasks, *serving]:
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -18,6 +18,7 @@
 import uvicorn
 
 from greengagetack.world import Address
+from standins.duty_api import DutyApi, DutyJudge
 from standins.kv_store import KvStore
 from standins.loops import BackgroundLoop
 from standins.processes import Process, ProcessGroup
@@ -155,6 +156,9 @@
         self.crashed_s: list[float] = []
         self._store_address = self.loop.run(self._serve(self.store.app, "store"))
         self.memory_tokens = 100_000
+        # The platform's API for duties, if the deployment has any.
+        self.duty_api: DutyApi | None = None
+        self._duty_address = ""
         # Relays between daemons and the store, by daemon name.
         self.relays: dict[str, Relay] = {}
         self.configure(1)
@@ -320,6 +324,26 @@
         number = int(name.rpartition("-")[2])
         return f"127.{1 + pid // 256 % 250}.{pid % 256}.{10 + number}"
 
+    def add_duty_api(self, window_s: float = 5.0, due_s: float = 10.0) -> DutyApi:
+        """Serve the API for duties; daemons that start later report usage to it."""
+        judge = DutyJudge(ORDER_SPACING_S, window_s, due_s)
+        self.duty_api = DutyApi(judge)
+        self._duty_address = self.loop.run(self._serve(self.duty_api.app, "duties"))
+        self._window_s, self._due_s = window_s, due_s
+        return self.duty_api
+
+    def _cloud_settings(self) -> str:
+        if self.duty_api is None:
+            return ""
+        return f"""
+window_s = {self._window_s}
+usage_late_s = {self._due_s}
+[cloud]
+address = "{self._duty_address}"
+duties = ["usage_report", "autoscale"]
+duty_per_s = 10
+"""
+
     def _settings(self, name: str, ip: str) -> str:
         listen = "\n".join(
             f'{listener} = "{address}"'
@@ -339,6 +363,7 @@
 [bounds]
 grace_s = 8
 lease_ms = {int(ORDER_SPACING_S * 1000)}
+{self._cloud_settings()}
 [provider]
 address = "{store}"
 value_bytes = 1048576
