Keep the counts that only the duty's holder knows

A killed holder took its own totals of up to a window with it, and a holder that became the dispatcher, because that had failed, also those of the failed one: 569 of 720 requests of a window were reported. The holder now sends its own totals to its next successor, and hands over what it has collected when it gives the duty up; a released duty is retracted at once instead of after 3 s of silence.

--- a/greengagetack/accounting/collection.py
+++ b/greengagetack/accounting/collection.py
@@ -9,7 +9,14 @@
 
 from greengagetack.accounting.windows import CLOSE_DELAY_S, WindowCounts
 
-__all__ = ["EntryKey", "UsageTable", "collector_of", "next_send_s"]
+__all__ = [
+    "MAX_DIRECT_DAEMONS",
+    "SEND_INTERVAL_S",
+    "EntryKey",
+    "UsageTable",
+    "collector_of",
+    "next_send_s",
+]
 
 # Up to this many daemons, each sends to the holder itself.
 MAX_DIRECT_DAEMONS = 128
--- a/greengagetack/accounting/reporter.py
+++ b/greengagetack/accounting/reporter.py
@@ -121,7 +121,8 @@
         self._fence = 0
         self._answered: set[int] = set()
         self._dropped: set[int] = set()
-        self._checked: set[int] = set()
+        # Windows that this daemon has stored, until their counts are settled.
+        self._unsettled: set[int] = set()
         self._collecting_since_s: float | None = None
         self._store_due_s = float("-inf")
         self._call_due_s = float("-inf")
@@ -233,6 +234,7 @@
             return
         self._reports = reports
         for window, counts in added.items():
+            self._unsettled.add(window)
             self._log_stored(window, counts)
 
     def _log_stored(self, window: int, counts: dict[str, int]) -> None:
@@ -290,27 +292,29 @@
     def _check_late(self) -> None:
         """Log what arrived too late for a report, before it is forgotten."""
         now_s = self._counter.now_s()
-        for window, stored in self._stored().items():
-            is_over = self._timings.age_s(window, now_s) > self._timings.due_s
-            if window in self._checked or not is_over:
+        for window in sorted(self._unsettled):
+            if self._timings.age_s(window, now_s) <= self._timings.due_s:
                 continue
-            self._checked.add(window)
-            if window not in self._table.windows():
-                continue
-            counts = self._table.counts(window)
-            late = sum(
-                abs(counts.get(name, 0) - stored.counts.get(name, 0))
-                for name in counts | stored.counts
-            )
-            if late:
-                logger.warning(
-                    "usage: counts changed after the report",
-                    window=window,
-                    requests=sum(stored.counts.values()),
-                    changed=late,
-                )
-                self._metrics.add("usage_late_counts", late, where="holder")
+            self._unsettled.discard(window)
+            stored = self._stored().get(window)
+            if stored is not None and self._table.is_known(window):
+                self._log_late(window, stored.counts)
         oldest = self._counter.current_window() - REMEMBERED_WINDOWS
-        self._checked = {one for one in self._checked if one > oldest}
         self._dropped = {one for one in self._dropped if one > oldest}
         self._answered = {one for one in self._answered if one > oldest}
+
+    def _log_late(self, window: int, reported: dict[str, int]) -> None:
+        counts = self._table.counts(window)
+        late = sum(
+            abs(counts.get(name, 0) - reported.get(name, 0))
+            for name in counts | reported
+        )
+        if not late:
+            return
+        logger.warning(
+            "usage: counts changed after the report",
+            window=window,
+            requests=sum(reported.values()),
+            changed=late,
+        )
+        self._metrics.add("usage_late_counts", late, where="holder")
--- a/greengagetack/accounting/sender.py
+++ b/greengagetack/accounting/sender.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from greengagetack.accounting.collection import (
+    MAX_DIRECT_DAEMONS,
     SEND_INTERVAL_S,
     EntryKey,
     UsageTable,
@@ -139,16 +140,17 @@
         self._table.prune(self._counter.current_window() - KEPT_WINDOWS)
 
     async def send(self, is_final: bool = False) -> bool:
-        """Send what has changed; return whether that succeeded."""
+        """Send what has changed; return whether that succeeded.
+
+        The holder sends its own totals to its next successor, which otherwise would not
+        know them if the holder fails.
+        """
         self.update(is_final)
         holder = self._holder()
-        if holder is not None and holder.node == self._node:
-            holder = None
+        self._note_holder(holder)
         if holder is None and not self._is_leaving:
-            self._known_holder = None
             return True
-        self._note_holder(holder)
-        entries = self._changed_entries()
+        entries = self._changed_entries(holder)
         if not entries:
             return True
         for address in self._targets(holder):
@@ -156,34 +158,37 @@
                 return True
             # A daemon that collects may have failed with what it has not sent on.
             self._sent_revisions.clear()
-            entries = self._changed_entries()
+            entries = self._changed_entries(holder)
         return False
 
     def _note_holder(self, holder: DutyHolder | None) -> None:
+        """Forget what was sent to a holder that is no longer the same process."""
         known, self._known_holder = self._known_holder, holder
-        if holder is None:
-            return
-        if known is not None and known.node == holder.node:
+        if known is not None and holder is not None and known.node == holder.node:
             is_acquired = known.fence == 0
             if is_acquired or known.fence == holder.fence:
                 return
         self._sent_revisions.clear()
 
-    def _changed_entries(self) -> tuple[WindowCounts, ...]:
+    def _changed_entries(self, holder: DutyHolder | None) -> tuple[WindowCounts, ...]:
         self._relayed = {key for key in self._relayed if self._table.get(key)}
+        # What a holder has sent to its successor is not for the holder itself.
+        skipped = "" if holder is None or holder.node == self._node else holder.node
         changed = []
         for window in self._table.windows():
             for entry in self._table.entries(window):
                 key = _key_of(entry)
                 if entry.node != self._node and key not in self._relayed:
                     continue
+                if entry.node == skipped:
+                    continue
                 if entry.revision > self._sent_revisions.get(key, 0):
                     changed.append(entry)
         return tuple(changed)
 
     def _targets(self, holder: DutyHolder | None) -> list[Address]:
         """Return where to send totals, in the order in which it is tried."""
-        if holder is None:
+        if holder is None or holder.node == self._node:
             controls = [member.control for member in self._successors()[:MAX_RELAYS]]
             return [Address.parse(control) for control in controls]
         members = self._members()
@@ -220,21 +225,26 @@
         self._sent_revisions = kept
         return True
 
-    def leave(self) -> None:
-        """Hand over what only this daemon knows, as it is about to stop.
+    def hand_over(self) -> None:
+        """Send what was collected to the next daemons, as the duty is given up.
 
-        That is its own totals, and if it was the holder those of daemons that have
-        stopped before it and cannot send theirs again.
+        The others send their totals again, but those that have failed or stopped
+        cannot, and one that has failed just now is not yet known to have.
         """
-        self._is_leaving = True
+        is_small = len(self._members()) <= MAX_DIRECT_DAEMONS
         for window in self._table.windows():
             self._relayed.update(
                 _key_of(entry)
                 for entry in self._table.entries(window)
-                if self._is_gone(entry)
+                if is_small or self._is_gone(entry)
             )
         self._due.set()
 
+    def leave(self) -> None:
+        """Go on sending totals to the next daemons, as this one is about to stop."""
+        self._is_leaving = True
+        self.hand_over()
+
     def _is_gone(self, entry: WindowCounts) -> bool:
         member = self._members().get(entry.node)
         is_listed = member is not None and member.incarnation == entry.incarnation
--- a/greengagetack/coordination/duty_board.py
+++ b/greengagetack/coordination/duty_board.py
@@ -35,6 +35,8 @@
         Seconds since the lease was acquired.
     lease_version : int
         Stored version of the lease, 0 if the daemon does not hold it.
+    is_released : bool
+        Whether the daemon has just given the duty up.
     """
 
     duty: str
@@ -43,6 +45,7 @@
     fence: int
     since_s: float
     lease_version: int = 0
+    is_released: bool = False
 
 
 @fact_type("duty-holder")
@@ -86,6 +89,10 @@
         self._duties.add(heartbeat.duty)
         now_s = time.monotonic()
         known = self.holder(heartbeat.duty)
+        if heartbeat.is_released:
+            if known is not None and known.node == heartbeat.node:
+                self._retract(known, "released")
+            return False
         if known is not None and known.node != heartbeat.node:
             is_alive = now_s - self._heard_s.get(heartbeat.duty, now_s) < SILENCE_S
             if is_alive and known.fence >= heartbeat.fence:
@@ -125,12 +132,15 @@
             silent_s = now_s - self._heard_s.setdefault(duty, now_s)
             if silent_s < SILENCE_S:
                 continue
-            logger.warning(
-                "duties: holder is silent",
-                duty=duty,
-                holder=holder.node,
-                fence=holder.fence,
-                silent_ms=int(silent_s * 1000),
-            )
-            self._table.retract(DutyHolder, duty)
-            del self._heard_s[duty]
+            self._retract(holder, f"silent for {silent_s:.1f} s")
+
+    def _retract(self, holder: DutyHolder, reason: str) -> None:
+        logger.info(
+            "duties: holder retracted",
+            duty=holder.duty,
+            holder=holder.node,
+            fence=holder.fence,
+            reason=reason,
+        )
+        self._table.retract(DutyHolder, holder.duty)
+        self._heard_s.pop(holder.duty, None)
--- a/greengagetack/coordination/duty_seat.py
+++ b/greengagetack/coordination/duty_seat.py
@@ -166,6 +166,8 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self._beat_due = asyncio.Event()
+        # Called when this daemon has given the duty up.
+        self.on_release: Callable[[], None] = lambda: None
         board.watch(duty)
 
     @property
@@ -220,6 +222,9 @@
         """Take note of a heartbeat that the holder sent to its next successors."""
         if heartbeat.duty != self.duty or heartbeat.node == self._local_member.node:
             return
+        if heartbeat.is_released:
+            self._heard_s = float("-inf")
+            return
         self._lease.record_version(heartbeat.lease_version)
         if heartbeat.fence:
             self._heard_s = time.monotonic()
@@ -338,10 +343,11 @@
     async def stop(self) -> None:
         """Release the lease for good."""
         self._is_stopping = True
-        self._candidate_since_s = None
         await self._release()
 
     async def _release(self) -> None:
+        if not self.is_candidate:
+            return
         # Otherwise a call in flight could arrive after the release.
         self._is_leaving = True
         try:
@@ -355,6 +361,8 @@
             else:
                 await self._lease.release()
         self._is_leaving = False
+        self.on_release()
+        await self._send_heartbeat(is_released=True)
 
     # -- heartbeats and contact
 
@@ -374,6 +382,13 @@
         is_holder = self.is_holder
         if self._is_stopping or not (is_holder or self._candidate_since_s is not None):
             return
+        await self._send_heartbeat()
+        unconfirmed_s = time.monotonic() - self._confirmed_s
+        if is_holder and unconfirmed_s > UNCONFIRMED_LIMIT_S:
+            await self.give_up("the dispatcher does not confirm the holder")
+
+    async def _send_heartbeat(self, is_released: bool = False) -> None:
+        is_holder = self.is_holder
         heartbeat = DutyHeartbeat(
             self.duty,
             self._local_member.node,
@@ -381,6 +396,7 @@
             self._lease.fence if is_holder else 0,
             time.monotonic() - self._acquired_s if is_holder else 0.0,
             self._lease.held_version if is_holder else 0,
+            is_released,
         )
         successors = [m for m in self._ranked() if m.node != self._local_member.node]
         await asyncio.gather(
@@ -388,12 +404,9 @@
             *(
                 self._beat_successor(heartbeat, member)
                 for member in successors[:INFORMED_SUCCESSORS]
-                if is_holder
+                if is_holder or is_released
             ),
         )
-        unconfirmed_s = time.monotonic() - self._confirmed_s
-        if is_holder and unconfirmed_s > UNCONFIRMED_LIMIT_S:
-            await self.give_up("the dispatcher does not confirm the holder")
 
     async def _beat_dispatcher(self, heartbeat: DutyHeartbeat) -> None:
         if self._claim.is_acting:
--- a/greengagetack/platform/duty_parts.py
+++ b/greengagetack/platform/duty_parts.py
@@ -113,8 +113,10 @@
         return seat
 
     def _make_reporter(self, cloud: CloudFacts) -> Reporter:
+        seat = self.make_seat(USAGE)
+        seat.on_release = self._sender.hand_over
         return Reporter(
-            self.make_seat(USAGE),
+            seat,
             self.api,
             self._store,
             self._counter,
@@ -163,10 +165,10 @@
 
     async def leave(self) -> None:
         """Release the duties, as this daemon is about to stop."""
-        for seat in self.endpoints.seats:
-            await seat.stop()
         if self._reporter is not None:
             self._sender.leave()
+        for seat in self.endpoints.seats:
+            await seat.stop()
 
     async def flush(self) -> None:
         """Send what was counted until all requests have ended."""
