--- a/greengagetack/platform/wire.py
+++ b/greengagetack/platform/wire.py
@@ -5,7 +5,9 @@
     "CONFIG_KIND",
     "CUSTOMER",
     "DEADLINE",
+    "DUTY_HOLDER",
     "EXPECT_INSTANCE",
+    "FENCE_TOKEN",
     "INSTANCE_ID",
     "LAST_EVENT_ID",
     "MODEL",
@@ -29,7 +31,9 @@
 API_KEY = b"x-api-key"
 CUSTOMER = b"x-tenant"
 DEADLINE = b"x-deadline-ms"
+DUTY_HOLDER = b"x-duty-holder"
 EXPECT_INSTANCE = b"x-expect-instance"
+FENCE_TOKEN = b"x-fence-token"
 INSTANCE_ID = b"x-instance-id"
 LAST_EVENT_ID = b"last-event-id"
 MODEL = b"x-model"
