Decode the scaling limits of services and the spot kind of replicas

The configuration may limit and price the replicas of a service, and a replica's entry may name the spot kind and the time that a reclaimed one has left. Both are decoded into ScalingSpec and Replica; entries without the fields decode as before.

--- a/greengagetack/gateway/routes.py
+++ b/greengagetack/gateway/routes.py
@@ -5,6 +5,8 @@
 
 import xxhash
 
+from greengagetack.scaling.spec import ScalingSpec
+
 __all__ = [
     "Configuration",
     "EngineSpec",
@@ -96,6 +98,7 @@
     routes: tuple[Route, ...]
     limits: Limits = Limits()
     engines: tuple[EngineSpec, ...] = ()
+    scaling: tuple[ScalingSpec, ...] = ()
 
     def rollout_services(self) -> list[str]:
         """Return the services to which rollout routes send trainers' jobs."""
--- a/greengagetack/platform/documents.py
+++ b/greengagetack/platform/documents.py
@@ -14,6 +14,7 @@
 )
 from greengagetack.objects.base import PlatformObject
 from greengagetack.replicas.replica import Replica
+from greengagetack.scaling.spec import ScalingSpec
 from greengagetack.world import Address
 
 __all__ = [
@@ -66,10 +67,22 @@
     stride: int = 1
 
 
+class _Scaling(msgspec.Struct, frozen=True):
+    # Limits on the replicas in each zone, both kinds together.
+    min: int = 0
+    max: int = 0
+    # Time from an order until the new replica serves.
+    boot_s: float = 4.0
+    # Price of a spot replica as a share of the zone's price.
+    spot_price: float = 1.0
+    zone_prices: dict[str, float] = {}
+
+
 class _Service(msgspec.Struct, frozen=True):
     name: str
     health_path: str = ""
     engine: _Engine | None = None
+    scaling: _Scaling | None = None
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -103,6 +116,9 @@
     # Unix time of the replica's start, in milliseconds.
     born: int = 0
     cold_left_ms: float = 0.0
+    # A replica of the spot kind may be reclaimed; `leaves_ms` is then what is left.
+    spot: bool = False
+    leaves_ms: float | None = None
 
 
 class _NamedVersion(msgspec.Struct, frozen=True):
@@ -135,6 +151,22 @@
             for service in decoded.services
             if service.engine is not None
         ),
+        scaling=tuple(
+            _convert_scaling(service.name, service.scaling)
+            for service in decoded.services
+            if service.scaling is not None
+        ),
+    )
+
+
+def _convert_scaling(service: str, scaling: _Scaling) -> ScalingSpec:
+    return ScalingSpec(
+        service=service,
+        min_replicas=scaling.min,
+        max_replicas=scaling.max,
+        boot_s=scaling.boot_s,
+        spot_price_ratio=scaling.spot_price,
+        zone_prices=tuple(sorted(scaling.zone_prices.items())),
     )
 
 
@@ -183,6 +215,8 @@
         started_ms=decoded.born,
         cold_left_ms=decoded.cold_left_ms,
         software_version=decoded.version,
+        is_spot=decoded.spot,
+        leaves_in_ms=decoded.leaves_ms,
     )
 
 
--- a/greengagetack/replicas/replica.py
+++ b/greengagetack/replicas/replica.py
@@ -33,6 +33,11 @@
         Remaining time of slow operation after the start, in milliseconds.
     software_version : str
         Version of the replica's software, empty if unknown.
+    is_spot : bool
+        Whether the replica is of the kind that the platform may reclaim.
+    leaves_in_ms : float or None
+        Time from the entry's publication until a reclaimed replica ends, in
+        milliseconds, None if it is not reclaimed.
     """
 
     replica_id: str
@@ -45,6 +50,8 @@
     started_ms: int = 0
     cold_left_ms: float = 0.0
     software_version: str = ""
+    is_spot: bool = False
+    leaves_in_ms: float | None = None
 
     @property
     def incarnation(self) -> Incarnation:
