--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -412,6 +412,10 @@
                 return
             logger.info("dispatch: job removed", request_id=job.job_id)
 
+    def workload(self) -> tuple[list[JobRun], Paces]:
+        """Return the open jobs and the measured paces of replicas."""
+        return list(self._runs.values()), self._paces.current()
+
     # -- sending items
 
     def wake(self) -> None:
--- /dev/null
+++ b/greengagetack/scaling/scaler.py
@@ -0,0 +1,334 @@
+"""greengagetack.scaling.scaler: the loop that orders replicas.
+
+Only the holder of the scaling duty orders. Its orders are absolute targets, so a
+successor that decides from the same list of replicas repeats them without harm. What
+was there at the start is counted by each daemon for itself, in memory.
+"""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from loguru import logger
+
+from greengagetack.coordination.duty_api import (
+    DutyApi,
+    DutyEnd,
+    DutyTerms,
+    ReplicaOrder,
+)
+from greengagetack.errors import CodedError
+from greengagetack.observability.metrics import Metrics
+from greengagetack.replicas.rate_limit import TokenBucket
+from greengagetack.replicas.replica import ReplicaState
+from greengagetack.scaling.decision import Decision, choose_orders
+from greengagetack.scaling.demand import DemandReport
+from greengagetack.scaling.memory import START_S, ServiceMemory
+from greengagetack.scaling.need import ServiceDemand
+from greengagetack.scaling.spec import ScalingSpec
+from greengagetack.scaling.view import Pool, ReplicaSeen, ServiceView, pool_of
+
+__all__ = ["DutyTenure", "ReplicaList", "Scaler"]
+
+# An order must be sent within 1 s of the loss of a replica.
+TICK_INTERVAL_S = 0.25
+DEMAND_INTERVAL_S = 1.0
+MAX_DEMAND_AGE_S = 2.0
+MAX_VIEW_AGE_S = 2.0
+# After a refusal the next pool is tried at once, at most so often in one tick.
+MAX_ROUNDS = 4
+# Share of the API's rate limit that orders use; usage reports use the rest.
+RATE_SHARE = 0.5
+
+
+class DutyTenure(Protocol):
+    """The scaling duty as this daemon holds it or not."""
+
+    @property
+    def is_holder(self) -> bool:
+        """Whether this daemon holds the duty."""
+
+    @property
+    def fence(self) -> int:
+        """The fencing token of the lease."""
+
+    async def call(self, send: Callable[[DutyTerms], Awaitable[DutyEnd]]) -> DutyEnd:
+        """Make a call under the lease; NOT_SENT if it is not held."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaList:
+    """The listed replicas with the revision and the age of the list."""
+
+    replicas: tuple[ReplicaState, ...]
+    revision: int
+    age_s: float
+
+
+class Scaler:
+    """Orders replicas for all scaled services while this daemon holds the duty.
+
+    Parameters
+    ----------
+    specs : callable
+        Returns the services that are scaled.
+    read_replicas : callable
+        Returns the list of replicas, None while there is no complete one.
+    fetch_demand : callable
+        Returns the dispatcher's report.
+    calls_per_s : float
+        Limit of the platform's API on the calls of all daemons.
+    """
+
+    def __init__(
+        self,
+        tenure: DutyTenure,
+        api: DutyApi,
+        specs: Callable[[], tuple[ScalingSpec, ...]],
+        read_replicas: Callable[[], ReplicaList | None],
+        fetch_demand: Callable[[], Awaitable[DemandReport]],
+        calls_per_s: float,
+        metrics: Metrics,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._tenure = tenure
+        self._api = api
+        self._specs = specs
+        self._read_replicas = read_replicas
+        self._fetch_demand = fetch_demand
+        self._metrics = metrics
+        self._clock = clock
+        self._memories: dict[str, ServiceMemory] = {}
+        self._report: DemandReport | None = None
+        self._report_s = float("-inf")
+        self._held_fence = 0
+        self._is_stale = False
+        self._rate_per_s = calls_per_s * RATE_SHARE
+        self._permits = TokenBucket(max(1.0, self._rate_per_s), clock())
+
+    # -- loops
+
+    async def run(self) -> None:
+        """Decide and order until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._run_demand())
+            group.create_task(self._run_orders())
+
+    async def _run_orders(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_INTERVAL_S)
+            await self.tick()
+
+    async def _run_demand(self) -> None:
+        while True:
+            await asyncio.sleep(DEMAND_INTERVAL_S)
+            await self.update_demand()
+
+    async def update_demand(self) -> None:
+        """Ask the dispatcher for the demand while this daemon holds the duty."""
+        if not self._tenure.is_holder or not self._specs():
+            return
+        asked_s = self._clock()
+        try:
+            self._report = await self._fetch_demand()
+        except CodedError as error:
+            self._metrics.add("scaling_demand_failures")
+            logger.info("scaling: demand not known", reason=error.reason)
+            return
+        self._report_s = asked_s
+
+    # -- one tick
+
+    async def tick(self) -> None:
+        """Observe the replicas and, as the holder, order what is due."""
+        specs = self._specs()
+        for service in self._memories.keys() - {spec.service for spec in specs}:
+            del self._memories[service]
+        if not specs:
+            return
+        if not self._tenure.is_holder:
+            self._held_fence = 0
+            self._observe_start(specs)
+            return
+        self._begin_tenure(self._tenure.fence)
+        for _ in range(MAX_ROUNDS):
+            has_refusal = False
+            for spec in specs:
+                has_refusal |= await self._decide_service(spec)
+            if not has_refusal:
+                return
+
+    def _begin_tenure(self, fence: int) -> None:
+        if fence == self._held_fence:
+            return
+        self._held_fence = fence
+        self._report = None
+        for memory in self._memories.values():
+            memory.begin_tenure()
+        logger.info("scaling: this daemon orders replicas", fence=fence)
+
+    def _observe_start(self, specs: tuple[ScalingSpec, ...]) -> None:
+        """Count the replicas that are there at the start, for a later tenure."""
+        listed = self._fresh_list()
+        if listed is None:
+            return
+        for spec in specs:
+            memory = self._memory(spec.service)
+            first_s = memory.first_view_s
+            if first_s is not None and self._clock() - first_s > START_S:
+                continue
+            view = self._view(spec.service, listed, frozenset())
+            memory.observe(spec, view, None, self._clock())
+
+    def _memory(self, service: str) -> ServiceMemory:
+        return self._memories.setdefault(service, ServiceMemory())
+
+    def _fresh_list(self) -> ReplicaList | None:
+        """Return the list of replicas, None if it is not complete or too old.
+
+        A follower's copy was confirmed by the dispatcher's, so both ages add up.
+        """
+        listed = self._read_replicas()
+        is_stale = listed is not None and self._age_s(listed) > MAX_VIEW_AGE_S
+        if is_stale and not self._is_stale:
+            self._metrics.add("scaling_stale_views")
+            assert listed is not None
+            logger.warning(
+                "scaling: nothing is ordered, the list of replicas is too old",
+                revision=listed.revision,
+                age_ms=int(self._age_s(listed) * 1000),
+            )
+        self._is_stale = is_stale
+        return None if is_stale else listed
+
+    def _age_s(self, listed: ReplicaList) -> float:
+        report = self._fresh_report()
+        return listed.age_s + (report.view_age_s if report is not None else 0.0)
+
+    def _fresh_report(self) -> DemandReport | None:
+        is_fresh = self._clock() - self._report_s <= MAX_DEMAND_AGE_S
+        return self._report if is_fresh else None
+
+    @staticmethod
+    def _view(
+        service: str, listed: ReplicaList, slow_ids: frozenset[str]
+    ) -> ServiceView:
+        return ServiceView(
+            _seen(state, slow_ids)
+            for state in listed.replicas
+            if state.replica.service == service and not state.is_gone
+        )
+
+    async def _decide_service(self, spec: ScalingSpec) -> bool:
+        """Order what one service needs; return whether a pool refused an order."""
+        listed = self._fresh_list()
+        if listed is None:
+            return False
+        report = self._fresh_report()
+        slow_ids = frozenset(report.slow_ids) if report else frozenset()
+        view = self._view(spec.service, listed, slow_ids)
+        demand = report.services.get(spec.service) if report else None
+        memory = self._memory(spec.service)
+        memory.observe(spec, view, demand, self._clock())
+        decision = choose_orders(spec, view, demand, memory, self._clock())
+        self._publish(spec, view, decision)
+        allowed = self._admit(decision.orders)
+        ends = await asyncio.gather(*(self._send(order) for order in allowed))
+        for order, end in zip(allowed, ends, strict=True):
+            self._log_order(spec, view, demand, listed, memory, decision, order, end)
+            memory.record_result(order, end, view, self._clock())
+        return DutyEnd.CONFLICT in ends
+
+    def _admit(self, orders: tuple[ReplicaOrder, ...]) -> list[ReplicaOrder]:
+        """Return the orders that the API's rate limit allows now."""
+        burst = max(1.0, self._rate_per_s)
+        self._permits.refill(self._clock(), self._rate_per_s, burst)
+        allowed = []
+        for order in orders:
+            if self._permits.level < 1.0:
+                break
+            self._permits.take()
+            allowed.append(order)
+        return allowed
+
+    async def _send(self, order: ReplicaOrder) -> DutyEnd:
+        return await self._tenure.call(
+            lambda terms: self._api.order_replicas(order, terms)
+        )
+
+    # -- what operators see
+
+    def _publish(
+        self, spec: ScalingSpec, view: ServiceView, decision: Decision
+    ) -> None:
+        service = spec.service
+        prices = dict(spec.zone_prices)
+        price = sum(
+            count * _unit_price(spec, prices, pool)
+            for pool, count in view.living.items()
+        )
+        self._metrics.set("scaling_price_per_s", price, service=service)
+        self._metrics.set("scaling_wanted", decision.wanted, service=service)
+        self._metrics.set("scaling_usable", decision.usable, service=service)
+
+    def _log_order(
+        self,
+        spec: ScalingSpec,
+        view: ServiceView,
+        demand: ServiceDemand | None,
+        listed: ReplicaList,
+        memory: ServiceMemory,
+        decision: Decision,
+        order: ReplicaOrder,
+        end: DutyEnd,
+    ) -> None:
+        pool = pool_of(order)
+        kind = "spot" if order.is_spot else "regular"
+        self._metrics.add("scaling_orders", service=spec.service, end=end.value)
+        logger.info(
+            "scaling: order",
+            service=spec.service,
+            zone=order.availability_zone,
+            kind=kind,
+            target=order.replicas,
+            end=end.value,
+            reason=decision.reason,
+            wanted=decision.wanted,
+            usable=decision.usable,
+            living_here=view.living[pool],
+            living=view.living_count,
+            slow=view.slow_count,
+            booting=memory.booting_count,
+            steps=-1 if demand is None else len(demand.steps),
+            tokens_left=-1 if demand is None else int(_tokens_left(demand)),
+            tokens_per_s=-1 if demand is None else int(demand.tokens_per_s),
+            arrivals_per_s=-1 if demand is None else round(demand.arrivals_per_s, 1),
+            busy_slots=-1 if demand is None else round(demand.busy_slots, 1),
+            price=round(_unit_price(spec, dict(spec.zone_prices), pool), 4),
+            revision=listed.revision,
+            view_age_ms=int(self._age_s(listed) * 1000),
+            fence=self._held_fence,
+        )
+
+
+def _seen(state: ReplicaState, slow_ids: frozenset[str]) -> ReplicaSeen:
+    replica = state.replica
+    return ReplicaSeen(
+        replica.incarnation,
+        Pool(replica.availability_zone, replica.is_spot),
+        replica.slots,
+        is_leaving=not state.is_serving,
+        is_reclaimed=replica.is_spot and replica.leaves_in_ms is not None,
+        is_slow=replica.replica_id in slow_ids,
+    )
+
+
+def _unit_price(spec: ScalingSpec, prices: dict[str, float], pool: Pool) -> float:
+    ratio = spec.spot_price_ratio if pool.is_spot else 1.0
+    return prices.get(pool.zone, 0.0) * ratio
+
+
+def _tokens_left(demand: ServiceDemand) -> float:
+    return sum(step.tokens_left for step in demand.steps)
