Take runs off a reclaimed replica before it ends

The dispatcher sent a draining replica nothing new, but left its runs there: they broke off at the end of the replica, or stayed silent until the time-out. Arrivals of callers' requests are counted for the decisions about scaling.

--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from greengagetack.batches.checkpoint import Checkpoints
+from greengagetack.batches.ending import departing_runs, ending_replicas
 from greengagetack.batches.item_run import RunEnd, run_item
 from greengagetack.batches.job import Item, Job
 from greengagetack.batches.job_run import JobRun
@@ -433,6 +434,7 @@
                 self._send_waiting()
                 self._rewards.dispatch(self._runs.values())
                 self._move_from_slow_replicas()
+                self._move_from_ending_replicas()
                 self._check_paths()
             try:
                 async with asyncio.timeout(MAX_DISPATCH_INTERVAL_S):
@@ -571,6 +573,29 @@
             if task is not None:
                 task.cancel()
 
+    def _move_from_ending_replicas(self) -> None:
+        """Cancel runs on replicas that end soon, so that they resume elsewhere."""
+        left_s = ending_replicas(self._fleet.all_replicas())
+        if not left_s:
+            return
+        paces = self._paces.current()
+        memory_use = self._memory_use(paces)
+
+        def find_target(item_id: str) -> str:
+            run, progress, _ = self._running[item_id]
+            need = self._memory_need(run.job, progress, paces)
+            state = self._choose_replica(run.job, progress, paces, need, memory_use)
+            return "" if state is None else state.replica.replica_id
+
+        running = [
+            RunningItem(item_id, replica_id, self._events_left(run.job, progress))
+            for item_id, (run, progress, replica_id) in self._running.items()
+            if replica_id in left_s
+        ]
+        for item_id in departing_runs(running, left_s, paces, find_target):
+            self._metrics.add("runs_off_ending_replicas")
+            self._item_tasks[item_id].cancel()
+
     def _find_move_target(
         self,
         job: Job,
--- a/greengagetack/batches/rewards.py
+++ b/greengagetack/batches/rewards.py
@@ -215,6 +215,7 @@
             is_deferred=True,
         )
         end, attempt = RewardEnd.CANCELLED, None
+        self._forwarder.on_arrival(state.replica.service)
         try:
             timeout_s = attempt_timeout_s(route, progress.reward_timeouts)
             async with asyncio.timeout(timeout_s):
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections.abc import AsyncIterator, Collection
+from collections.abc import AsyncIterator, Callable, Collection
 from dataclasses import replace
 
 from loguru import logger
@@ -78,6 +78,8 @@
         self._memory = memory
         self._zone = zone
         self._rng = random.Random()
+        # Called with the service of each caller's request.
+        self.on_arrival: Callable[[str], None] = lambda service: None
 
     async def forward(self, call: Call, route: Route, deadline_s: float) -> Reply:
         """Forward a request and return the response of a replica.
@@ -91,6 +93,7 @@
         EndpointFailed, DeadlineExceeded
             If the request may have run.
         """
+        self.on_arrival(route.service_for(call.routing_id))
         run = RequestRun(self, call, route, deadline_s)
         await self.suspects.admit(call, route.service_for(call.routing_id))
         try:
--- a/greengagetack/replicas/fleet.py
+++ b/greengagetack/replicas/fleet.py
@@ -136,7 +136,7 @@
             return
         if replica.is_draining and not state.replica.is_draining:
             logger.info("replicas: {} is draining", replica.replica_id)
-        state.replica = replica
+        state.apply_entry(replica)
         state.is_gone = False
 
     def _on_observed_limit(self, state: ReplicaState) -> None:
--- a/greengagetack/replicas/replica.py
+++ b/greengagetack/replicas/replica.py
@@ -14,6 +14,7 @@
 MAX_SUSPENSION_S = 2.0
 # Weight of the newest sample in the moving average of the service time.
 SMOOTHING_FACTOR = 0.3
+MS_PER_S = 1_000.0
 
 # Identifier and start of a replica: it may start again under its identifier.
 Incarnation = tuple[str, int]
@@ -92,6 +93,22 @@
     # No permit is due before this time.
     rate_limited_until_s: float = float("-inf")
     on_observed_limit: Callable[["ReplicaState"], None] | None = None
+    # Monotonic time at which a reclaimed replica ends, None for others.
+    ends_at_s: float | None = None
+
+    def __post_init__(self) -> None:
+        self.apply_entry(self.replica)
+
+    def apply_entry(self, replica: Replica) -> None:
+        """Take over an entry of the same incarnation."""
+        self.replica = replica
+        if replica.leaves_in_ms is None:
+            self.ends_at_s = None
+            return
+        ends_at_s = time.monotonic() + replica.leaves_in_ms / MS_PER_S
+        # An entry may arrive late, so the earliest end that was announced counts.
+        known_s = self.ends_at_s
+        self.ends_at_s = ends_at_s if known_s is None else min(known_s, ends_at_s)
 
     @property
     def is_serving(self) -> bool:
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -254,11 +254,11 @@
         await self._serve(replica.app, name, port)
         self._write_entry(name, "ready")
 
-    def list_replica(self, name: str, state: str = "ready") -> None:
-        """Write a replica's entry to the store."""
-        self.run_on_loop(lambda: self._write_entry(name, state))
+    def list_replica(self, name: str, state: str = "ready", **fields: Any) -> None:
+        """Write a replica's entry to the store, with additional fields if given."""
+        self.run_on_loop(lambda: self._write_entry(name, state, **fields))
 
-    def _write_entry(self, name: str, state: str) -> None:
+    def _write_entry(self, name: str, state: str, **fields: Any) -> None:
         replica = self.replicas[name]
         entry = {
             **self._addresses[name],
@@ -270,6 +270,7 @@
             "models": [{"name": MODEL, "version": replica.version}],
             "sequence": 7,
             "born": replica.started_ms,
+            **fields,
         }
         self.store.put("servers", name, entry)
 
