Measure the demand for scaling and answer it to the duty's holder

The dispatcher reports open steps, measured speeds and slow replicas at GET /peer/demand; the arrivals of callers' requests travel with the pings that daemons send anyway.

--- a/features/support/scaling_world.py
+++ b/features/support/scaling_world.py
@@ -9,8 +9,7 @@
 from greengagetack.errors import PeerUnreachable
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.replica import Replica, ReplicaState
-from greengagetack.scaling.demand import DemandReport
-from greengagetack.scaling.need import ServiceDemand, StepDemand
+from greengagetack.scaling.need import DemandReport, ServiceDemand, StepDemand
 from greengagetack.scaling.scaler import TICK_INTERVAL_S, ReplicaList, Scaler
 from greengagetack.scaling.spec import ScalingSpec
 from greengagetack.scaling.view import Pool, pool_of
--- a/greengagetack/coordination/client.py
+++ b/greengagetack/coordination/client.py
@@ -41,6 +41,7 @@
 from greengagetack.objects.base import HistoryGone, WatchAnswer
 from greengagetack.objects.transport import StoreResponse
 from greengagetack.replicas.permits import PermitRequest, RateLimitNotice
+from greengagetack.scaling.need import DemandReport
 from greengagetack.world import Address
 
 __all__ = ["PeerClient"]
@@ -95,10 +96,13 @@
         self._pool = Pool(CONNECT_TIMEOUT_S)
         self._rng = random.Random()
         self._preferred_relay: Address | None = None
+        # Returns further fields of the query of pings.
+        self.ping_fields: Callable[[], str] = lambda: ""
 
     async def ping(self, address: Address, known: FactCursor) -> Pong:
         """Return a daemon's identity, whether it is the dispatcher, and new facts."""
         path = f"/peer/ping?epoch={quote(known.epoch)}&revision={known.revision}"
+        path += self.ping_fields()
         body = await self._call(address, "GET", path, b"", CALL_TIMEOUT_S)
         return _decode_response(body, Pong)
 
@@ -243,6 +247,18 @@
         body = await self._call(address, "GET", path, b"", PATH_TIMEOUT_S)
         return _decode_response(body, bool)
 
+    async def fetch_demand(self) -> DemandReport:
+        """Return the demand that scaling decisions need from the dispatcher.
+
+        Raises
+        ------
+        PeerUnreachable
+            If the dispatcher is unknown, does not answer or does not know the call.
+        """
+        address = self._known_dispatcher()
+        body = await self._call(address, "GET", "/peer/demand", b"", CALL_TIMEOUT_S)
+        return _decode_response(body, DemandReport)
+
     async def send_relayed(
         self, address: Address, request: RelayedRequest
     ) -> tuple[RelayedAnswer, AsyncIterator[bytes]]:
--- a/greengagetack/coordination/server.py
+++ b/greengagetack/coordination/server.py
@@ -32,6 +32,7 @@
 from greengagetack.objects.feed import Feed
 from greengagetack.objects.transport import StoreResponse
 from greengagetack.replicas.permits import PermitRequest, Permits, RateLimitNotice
+from greengagetack.scaling.endpoints import ScalingEndpoints
 
 __all__ = ["build_peer_application"]
 
@@ -53,11 +54,14 @@
     feeds: dict[str, Feed],
     on_follower: Callable[[str], None],
     call_store: Callable[[RelayCall], Awaitable[StoreResponse]],
+    scaling: ScalingEndpoints | None = None,
 ) -> Starlette:
     """Return the HTTP application that serves a daemon's control address."""
 
     async def ping(request: Request) -> Response:
         query = request.query_params
+        if scaling is not None:
+            scaling.record_ping(query)
         known = FactCursor(query.get("epoch", ""), int(query.get("revision", "0")))
         return Response(encode(pong(known)))
 
@@ -165,6 +169,7 @@
             Route("/peer/stream-origins/{request_id}", stream_origin),
             Route("/peer/progress", progress, methods=["POST"]),
             Route("/peer/store", store, methods=["POST"]),
+            *(() if scaling is None else scaling.routes()),
         ],
         exception_handlers={
             CodedError: error_response,
--- /dev/null
+++ b/greengagetack/scaling/assembly.py
@@ -0,0 +1,94 @@
+"""greengagetack.scaling.assembly: connects the parts that scale the services."""
+
+import time
+from collections.abc import Callable
+
+from greengagetack.batches.dispatcher import Dispatcher, EngineProperties
+from greengagetack.coordination.client import PeerClient
+from greengagetack.coordination.duty_api import DutyApi
+from greengagetack.gateway.forward import Forwarder
+from greengagetack.gateway.routes import Configuration
+from greengagetack.objects.feed import Feed
+from greengagetack.observability.metrics import Metrics
+from greengagetack.replicas.fleet import Fleet
+from greengagetack.scaling.demand import DemandSource
+from greengagetack.scaling.endpoints import ScalingEndpoints
+from greengagetack.scaling.need import DemandReport
+from greengagetack.scaling.scaler import DutyTenure, ReplicaList, Scaler
+
+__all__ = ["ScalingParts"]
+
+
+class ScalingParts:
+    """The demand's measurement on each daemon, and the loop of the duty.
+
+    Parameters
+    ----------
+    servers : Feed
+        The list of replicas that the fleet follows.
+    member_count : callable
+        Returns the number of listed daemons.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        dispatcher: Dispatcher,
+        forwarder: Forwarder,
+        fleet: Fleet,
+        properties: EngineProperties,
+        configuration: Callable[[], Configuration],
+        servers: Feed,
+        peers: PeerClient,
+        member_count: Callable[[], int],
+        metrics: Metrics,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._fleet = fleet
+        self._configuration = configuration
+        self._servers = servers
+        self._peers = peers
+        self._metrics = metrics
+        self._source = DemandSource(
+            node,
+            dispatcher,
+            fleet,
+            properties,
+            lambda: configuration().scaling,
+            member_count,
+            self._view_age_s,
+        )
+        self.endpoints = ScalingEndpoints(self._source, dispatcher)
+        forwarder.on_arrival = self._source.arrivals.record
+        peers.ping_fields = self._source.ping_fields
+
+    def _view_age_s(self) -> float:
+        return time.monotonic() - self._servers.last_answer_s
+
+    def _read_replicas(self) -> ReplicaList | None:
+        if not self._servers.is_synced:
+            return None
+        return ReplicaList(
+            tuple(self._fleet.all_replicas()),
+            self._servers.revision,
+            self._view_age_s(),
+        )
+
+    async def _fetch_demand(self) -> DemandReport:
+        if self._dispatcher.is_active:
+            # The list of replicas is this daemon's own, so its age counts once.
+            report = self._source.report()
+            return DemandReport(report.services, report.slow_ids)
+        return await self._peers.fetch_demand()
+
+    def scaler(self, tenure: DutyTenure, api: DutyApi, calls_per_s: float) -> Scaler:
+        """Return the loop that orders replicas while the duty is held."""
+        return Scaler(
+            tenure,
+            api,
+            lambda: self._configuration().scaling,
+            self._read_replicas,
+            self._fetch_demand,
+            calls_per_s,
+            self._metrics,
+        )
--- a/greengagetack/scaling/demand.py
+++ b/greengagetack/scaling/demand.py
@@ -6,23 +6,23 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 from urllib.parse import quote
 
 from greengagetack.batches.dispatcher import Dispatcher, EngineProperties
 from greengagetack.batches.job_run import JobRun
 from greengagetack.batches.memory import memory_need
-from greengagetack.batches.pace import SLOW_RATIO, Paces, usual_pace_s
+from greengagetack.batches.pace import SLOW_RATIO, usual_pace_s
 from greengagetack.replicas.fleet import Fleet
+from greengagetack.replicas.replica import ReplicaState
 from greengagetack.scaling.arrivals import (
     ArrivalCounter,
     ArrivalReports,
     encode_arrivals,
 )
-from greengagetack.scaling.need import ServiceDemand, StepDemand
+from greengagetack.scaling.need import DemandReport, ServiceDemand, StepDemand
 from greengagetack.scaling.spec import ScalingSpec
 
-__all__ = ["DemandReport", "DemandSource"]
+__all__ = ["DemandSource"]
 
 # Horizon of a job without a due time.
 NO_DUE_S = 60.0
@@ -30,19 +30,6 @@
 DEFAULT_SLOTS = 8
 
 
-@dataclass(frozen=True, slots=True)
-class DemandReport:
-    """The demand of all scaled services as the dispatcher knows it.
-
-    `slow_ids` are replicas whose pace is far above the usual one; `view_age_s` is the
-    age of the dispatcher's list of replicas, which other daemons follow.
-    """
-
-    services: dict[str, ServiceDemand]
-    slow_ids: tuple[str, ...] = ()
-    view_age_s: float = 0.0
-
-
 class DemandSource:
     """Measures the demand on this daemon; complete while this is the dispatcher.
 
@@ -83,30 +70,23 @@
 
     def _encode_arrivals(self) -> str:
         runs, _ = self._dispatcher.workload()
+        states = self._states_by_service()
         rates = []
         for spec in self._specs():
             rate = self.arrivals.rate_per_s(spec.service)
-            busy = self._busy_slots(spec.service, rate, runs)
+            own = [run for run in runs if run.job.service == spec.service]
+            busy = _busy_slots(states[spec.service], rate, own)
             if rate or busy:
                 rates.append((spec.service, rate, busy))
         return encode_arrivals(rates)
 
-    def _busy_slots(self, service: str, rate: float, runs: list[JobRun]) -> float:
-        """Return how many slots this daemon's callers occupy on average.
-
-        The time of a stream is not measured, so that streams are counted as they run.
-        """
-        states = self._fleet.replicas_of_service(service)
-        known_s = [s.service_time_s for s in states if s.service_time_s is not None]
-        if known_s:
-            return rate * sum(known_s) / len(known_s)
-        items = sum(
-            progress.is_running
-            for run in runs
-            if run.job.service == service
-            for progress in run.unfinished.values()
-        )
-        return float(max(0, sum(state.in_flight for state in states) - items))
+    def _states_by_service(self) -> dict[str, list[ReplicaState]]:
+        """Return the listed replicas of the scaled services, in one pass."""
+        found: dict[str, list[ReplicaState]] = {s.service: [] for s in self._specs()}
+        for state in self._fleet.all_replicas():
+            if state.replica.service in found:
+                found[state.replica.service].append(state)
+        return found
 
     def record_ping(self, node: str, arrivals: str) -> None:
         """Record what a ping of another daemon carries."""
@@ -115,42 +95,38 @@
 
     def report(self) -> DemandReport:
         """Return the demand of all scaled services."""
-        self._reports.record(self._node, self._encode_arrivals())
+        if self._reports.is_reporter(self._node):
+            self._reports.record(self._node, self._encode_arrivals())
         runs, paces = self._dispatcher.workload()
         slow_ids: list[str] = []
         services: dict[str, ServiceDemand] = {}
-        for spec in self._specs():
-            service = spec.service
+        for service, states in self._states_by_service().items():
             own = [run for run in runs if run.job.service == service]
-            services[service] = self._service_demand(service, own, paces)
-            slow_ids += self._slow_ids(service, paces)
+            known_s = {
+                state.replica.replica_id: paces.reliable_s[state.replica.replica_id]
+                for state in states
+                if state.replica.replica_id in paces.reliable_s
+            }
+            services[service] = self._service_demand(service, own, states, known_s)
+            slow_ids += _slow_ids(known_s)
         return DemandReport(services, tuple(slow_ids), self._view_age_s())
 
-    def _event_times_s(self, service: str, paces: Paces) -> dict[str, float]:
-        return {
-            state.replica.replica_id: paces.reliable_s[state.replica.replica_id]
-            for state in self._fleet.replicas_of_service(service)
-            if state.replica.replica_id in paces.reliable_s
-        }
-
-    def _slow_ids(self, service: str, paces: Paces) -> list[str]:
-        known_s = self._event_times_s(service, paces)
-        usual_s = usual_pace_s(known_s.values())
-        return [name for name, pace in known_s.items() if pace > SLOW_RATIO * usual_s]
-
     def _service_demand(
-        self, service: str, runs: list[JobRun], paces: Paces
+        self,
+        service: str,
+        runs: list[JobRun],
+        states: list[ReplicaState],
+        known_s: dict[str, float],
     ) -> ServiceDemand:
         per_event = self._properties.tokens_per_event_of(service)
-        known_s = [
-            pace for pace in self._event_times_s(service, paces).values() if pace
-        ]
-        if known_s:
+        paces_s = [pace for pace in known_s.values() if pace]
+        if paces_s:
             # Replicas of different speeds: their mean rate counts, not their mean pace.
-            self._event_s[service] = len(known_s) / sum(1 / pace for pace in known_s)
+            self._event_s[service] = len(paces_s) / sum(1 / pace for pace in paces_s)
         event_s = self._event_s.get(service)
-        steps = tuple(self._step_demand(run, per_event) for run in runs)
-        per_replica = self._items_per_replica(service, runs, per_event)
+        steps = tuple(_step_demand(run, per_event) for run in runs)
+        memory = self._properties.memory_tokens.get(service, 0)
+        per_replica = _items_per_replica(states, runs, memory, per_event)
         rate, busy_slots = self._reports.totals(service)
         return ServiceDemand(
             tuple(step for step in steps if step.items_left),
@@ -160,34 +136,53 @@
             busy_slots,
         )
 
-    @staticmethod
-    def _step_demand(run: JobRun, per_event: int) -> StepDemand:
-        needed = run.needed_groups()
-        events = [
-            progress.events_left(per_event)
-            for progress in run.unfinished.values()
-            if progress.item.group in needed and not progress.is_complete
-        ]
-        due_in_s = run.due_ms / MS_PER_S - time.time()
-        if not run.job.due_after_ms:
-            due_in_s = NO_DUE_S
-        return StepDemand(float(sum(events) * per_event), len(events), due_in_s)
-
-    def _items_per_replica(
-        self, service: str, runs: list[JobRun], per_event: int
-    ) -> float:
-        """Return how many items a replica runs at a time, by slots and by memory."""
-        states = self._fleet.replicas_of_service(service)
-        slots = [state.replica.slots or DEFAULT_SLOTS for state in states]
-        mean_slots = sum(slots) / len(slots) if slots else float(DEFAULT_SLOTS)
-        memory = self._properties.memory_tokens.get(service, 0)
-        tokens = [
-            memory_need(progress, per_event, 1.0).final_tokens
-            for run in runs
-            for progress in run.unfinished.values()
-        ]
-        if not memory or not sum(tokens):
-            return mean_slots
-        # Runs are at different points: on average they hold half of their tokens.
-        mean_tokens = sum(tokens) / len(tokens) / 2
-        return max(1.0, min(mean_slots, memory / mean_tokens))
+
+def _busy_slots(states: list[ReplicaState], rate: float, runs: list[JobRun]) -> float:
+    """Return how many slots this daemon's callers occupy on average.
+
+    The time of a stream is not measured, so that streams are counted as they run.
+    """
+    known_s = [s.service_time_s for s in states if s.service_time_s is not None]
+    if known_s:
+        return rate * sum(known_s) / len(known_s)
+    items = sum(
+        progress.is_running for run in runs for progress in run.unfinished.values()
+    )
+    return float(max(0, sum(state.in_flight for state in states) - items))
+
+
+def _slow_ids(known_s: dict[str, float]) -> list[str]:
+    usual_s = usual_pace_s(known_s.values())
+    return [name for name, pace in known_s.items() if pace > SLOW_RATIO * usual_s]
+
+
+def _step_demand(run: JobRun, per_event: int) -> StepDemand:
+    """Return what is left of a step in the groups that its trainer waits for."""
+    needed = run.needed_groups()
+    events = [
+        progress.events_left(per_event)
+        for progress in run.unfinished.values()
+        if progress.item.group in needed and not progress.is_complete
+    ]
+    due_in_s = run.due_ms / MS_PER_S - time.time()
+    if not run.job.due_after_ms:
+        due_in_s = NO_DUE_S
+    return StepDemand(float(sum(events) * per_event), len(events), due_in_s)
+
+
+def _items_per_replica(
+    states: list[ReplicaState], runs: list[JobRun], memory: int, per_event: int
+) -> float:
+    """Return how many items a replica runs at a time, by slots and by memory."""
+    slots = [state.replica.slots or DEFAULT_SLOTS for state in states]
+    mean_slots = sum(slots) / len(slots) if slots else float(DEFAULT_SLOTS)
+    tokens = [
+        memory_need(progress, per_event, 1.0).final_tokens
+        for run in runs
+        for progress in run.unfinished.values()
+    ]
+    if not memory or not sum(tokens):
+        return mean_slots
+    # Runs are at different points: on average they hold half of their tokens.
+    mean_tokens = sum(tokens) / len(tokens) / 2
+    return max(1.0, min(mean_slots, memory / mean_tokens))
--- /dev/null
+++ b/greengagetack/scaling/endpoints.py
@@ -0,0 +1,37 @@
+"""greengagetack.scaling.endpoints: HTTP endpoint for the holder of the scaling duty."""
+
+from collections.abc import Mapping
+
+import msgspec
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from greengagetack.batches.dispatcher import Dispatcher
+from greengagetack.scaling.demand import DemandSource
+
+__all__ = ["ScalingEndpoints"]
+
+NOT_FOUND = 404
+
+
+class ScalingEndpoints:
+    """Answers with the demand, and takes arrivals from pings."""
+
+    def __init__(self, source: DemandSource, dispatcher: Dispatcher) -> None:
+        self._source = source
+        self._dispatcher = dispatcher
+
+    def record_ping(self, query: Mapping[str, str]) -> None:
+        """Record the arrivals of callers' requests that a ping tells."""
+        arrivals = query.get("arrivals", "")
+        self._source.record_ping(query.get("node", ""), arrivals)
+
+    async def _demand(self, request: Request) -> Response:
+        if not self._dispatcher.is_active:
+            return Response(status_code=NOT_FOUND)
+        return Response(msgspec.msgpack.encode(self._source.report()))
+
+    def routes(self) -> tuple[Route, ...]:
+        """Return the routes of the control address."""
+        return (Route("/peer/demand", self._demand),)
--- a/greengagetack/scaling/memory.py
+++ b/greengagetack/scaling/memory.py
@@ -89,6 +89,12 @@
             found[pool] += memory.booting
         return found
 
+    def is_starting(self, now_s: float) -> bool:
+        """Whether listed replicas still count as there at the start."""
+        if self._has_ordered:
+            return False
+        return self.first_view_s is None or now_s - self.first_view_s <= START_S
+
     def begin_tenure(self) -> None:
         """Forget the orders of an earlier tenure; another holder may have ordered."""
         for memory in self.pools.values():
@@ -107,7 +113,7 @@
         """Update the memory from a view; the demand is None while it is not known."""
         if self.first_view_s is None:
             self.first_view_s = now_s
-        if now_s - self.first_view_s <= START_S and not self._has_ordered:
+        if self.is_starting(now_s):
             self.standing |= view.living
         for pool in view.reclaimed:
             self.pool(pool)
@@ -128,8 +134,10 @@
             memory.reclaimed_s = now_s
             memory.reclaim_count += not memory.is_being_reclaimed
         memory.is_being_reclaimed = is_reclaimed
-        arrived = view.incarnations(pool) - memory.known
-        if arrived and memory.booting:
+        arrived = (
+            view.incarnations(pool) - memory.known if memory.booting else frozenset()
+        )
+        if arrived:
             memory.booting = max(0, memory.booting - len(arrived))
             memory.known |= arrived
             memory.has_stalled = False
--- a/greengagetack/scaling/need.py
+++ b/greengagetack/scaling/need.py
@@ -3,7 +3,13 @@
 import math
 from dataclasses import dataclass
 
-__all__ = ["ServiceDemand", "StepDemand", "load_replicas", "needed_replicas"]
+__all__ = [
+    "DemandReport",
+    "ServiceDemand",
+    "StepDemand",
+    "load_replicas",
+    "needed_replicas",
+]
 
 # A replica that would serve for less than this before the work is due gains too little.
 MIN_USEFUL_S = 1.0
@@ -51,6 +57,19 @@
     busy_slots: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class DemandReport:
+    """The demand of all scaled services as the dispatcher knows it.
+
+    `slow_ids` are replicas whose pace is far above the usual one; `view_age_s` is the
+    age of the dispatcher's list of replicas, which other daemons follow.
+    """
+
+    services: dict[str, ServiceDemand]
+    slow_ids: tuple[str, ...] = ()
+    view_age_s: float = 0.0
+
+
 def _by_due_time(demand: ServiceDemand) -> list[tuple[float, float, float]]:
     """Return due time, tokens and replicas that can be busy, up to each due time."""
     found: list[tuple[float, float, float]] = []
--- a/greengagetack/scaling/scaler.py
+++ b/greengagetack/scaling/scaler.py
@@ -22,11 +22,10 @@
 from greengagetack.errors import CodedError
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.rate_limit import TokenBucket
-from greengagetack.replicas.replica import ReplicaState
+from greengagetack.replicas.replica import Replica, ReplicaState
 from greengagetack.scaling.decision import Decision, choose_orders
-from greengagetack.scaling.demand import DemandReport
-from greengagetack.scaling.memory import START_S, ServiceMemory
-from greengagetack.scaling.need import ServiceDemand
+from greengagetack.scaling.memory import ServiceMemory
+from greengagetack.scaling.need import DemandReport, ServiceDemand
 from greengagetack.scaling.spec import ScalingSpec
 from greengagetack.scaling.view import Pool, ReplicaSeen, ServiceView, pool_of
 
@@ -34,6 +33,9 @@
 
 # An order must be sent within 1 s of the loss of a replica.
 TICK_INTERVAL_S = 0.25
+# In large fleets the list is read less often: 6,600 replicas take about 6 ms.
+TICK_INTERVAL_PER_REPLICA_S = 0.000_1
+MAX_TICK_INTERVAL_S = 0.75
 DEMAND_INTERVAL_S = 1.0
 MAX_DEMAND_AGE_S = 2.0
 MAX_VIEW_AGE_S = 2.0
@@ -105,6 +107,9 @@
         self._report_s = float("-inf")
         self._held_fence = 0
         self._is_stale = False
+        # What was made of each replica's entry, as most do not change between ticks.
+        self._seen: dict[str, ReplicaSeen] = {}
+        self._seen_entries: dict[str, tuple[Replica, bool, bool]] = {}
         self._rate_per_s = calls_per_s * RATE_SHARE
         self._permits = TokenBucket(max(1.0, self._rate_per_s), clock())
 
@@ -118,7 +123,8 @@
 
     async def _run_orders(self) -> None:
         while True:
-            await asyncio.sleep(TICK_INTERVAL_S)
+            interval_s = TICK_INTERVAL_S + TICK_INTERVAL_PER_REPLICA_S * len(self._seen)
+            await asyncio.sleep(min(MAX_TICK_INTERVAL_S, interval_s))
             await self.tick()
 
     async def _run_demand(self) -> None:
@@ -154,10 +160,16 @@
             return
         self._begin_tenure(self._tenure.fence)
         for _ in range(MAX_ROUNDS):
-            has_refusal = False
-            for spec in specs:
-                has_refusal |= await self._decide_service(spec)
-            if not has_refusal:
+            listed = self._fresh_list()
+            if listed is None:
+                return
+            self._forget_removed(listed)
+            grouped = _by_service(listed, specs)
+            refusals = [
+                await self._decide_service(spec, listed, grouped[spec.service])
+                for spec in specs
+            ]
+            if not any(refusals):
                 return
 
     def _begin_tenure(self, fence: int) -> None:
@@ -171,16 +183,17 @@
 
     def _observe_start(self, specs: tuple[ScalingSpec, ...]) -> None:
         """Count the replicas that are there at the start, for a later tenure."""
-        listed = self._fresh_list()
-        if listed is None:
+        now_s = self._clock()
+        starting = [
+            spec for spec in specs if self._memory(spec.service).is_starting(now_s)
+        ]
+        listed = self._read_replicas() if starting else None
+        if listed is None or listed.age_s > MAX_VIEW_AGE_S:
             return
-        for spec in specs:
-            memory = self._memory(spec.service)
-            first_s = memory.first_view_s
-            if first_s is not None and self._clock() - first_s > START_S:
-                continue
-            view = self._view(spec.service, listed, frozenset())
-            memory.observe(spec, view, None, self._clock())
+        grouped = _by_service(listed, specs)
+        for spec in starting:
+            view = self._view(grouped[spec.service], frozenset())
+            self._memory(spec.service).observe(spec, view, None, now_s)
 
     def _memory(self, service: str) -> ServiceMemory:
         return self._memories.setdefault(service, ServiceMemory())
@@ -211,24 +224,40 @@
         is_fresh = self._clock() - self._report_s <= MAX_DEMAND_AGE_S
         return self._report if is_fresh else None
 
-    @staticmethod
     def _view(
-        service: str, listed: ReplicaList, slow_ids: frozenset[str]
+        self, states: list[ReplicaState], slow_ids: frozenset[str]
     ) -> ServiceView:
-        return ServiceView(
-            _seen(state, slow_ids)
-            for state in listed.replicas
-            if state.replica.service == service and not state.is_gone
-        )
+        return ServiceView(self._see(state, slow_ids) for state in states)
+
+    def _see(self, state: ReplicaState, slow_ids: frozenset[str]) -> ReplicaSeen:
+        replica = state.replica
+        replica_id = replica.replica_id
+        known = self._seen_entries.get(replica_id)
+        is_serving, is_slow = state.is_serving, replica_id in slow_ids
+        if (
+            known is not None
+            and known[0] is replica
+            and known[1] == is_serving
+            and known[2] == is_slow
+        ):
+            return self._seen[replica_id]
+        entry = self._seen_entries[replica_id] = (replica, is_serving, is_slow)
+        seen = self._seen[replica_id] = _seen(entry)
+        return seen
+
+    def _forget_removed(self, listed: ReplicaList) -> None:
+        if len(self._seen) <= 2 * len(listed.replicas):
+            return
+        self._seen.clear()
+        self._seen_entries.clear()
 
-    async def _decide_service(self, spec: ScalingSpec) -> bool:
+    async def _decide_service(
+        self, spec: ScalingSpec, listed: ReplicaList, states: list[ReplicaState]
+    ) -> bool:
         """Order what one service needs; return whether a pool refused an order."""
-        listed = self._fresh_list()
-        if listed is None:
-            return False
         report = self._fresh_report()
         slow_ids = frozenset(report.slow_ids) if report else frozenset()
-        view = self._view(spec.service, listed, slow_ids)
+        view = self._view(states, slow_ids)
         demand = report.services.get(spec.service) if report else None
         memory = self._memory(spec.service)
         memory.observe(spec, view, demand, self._clock())
@@ -313,15 +342,25 @@
         )
 
 
-def _seen(state: ReplicaState, slow_ids: frozenset[str]) -> ReplicaSeen:
-    replica = state.replica
+def _by_service(
+    listed: ReplicaList, specs: tuple[ScalingSpec, ...]
+) -> dict[str, list[ReplicaState]]:
+    found: dict[str, list[ReplicaState]] = {spec.service: [] for spec in specs}
+    for state in listed.replicas:
+        if state.replica.service in found and not state.is_gone:
+            found[state.replica.service].append(state)
+    return found
+
+
+def _seen(entry: tuple[Replica, bool, bool]) -> ReplicaSeen:
+    replica, is_serving, is_slow = entry
     return ReplicaSeen(
         replica.incarnation,
         Pool(replica.availability_zone, replica.is_spot),
         replica.slots,
-        is_leaving=not state.is_serving,
+        is_leaving=not is_serving,
         is_reclaimed=replica.is_spot and replica.leaves_in_ms is not None,
-        is_slow=replica.replica_id in slow_ids,
+        is_slow=is_slow,
     )
 
 
--- a/greengagetack/scaling/view.py
+++ b/greengagetack/scaling/view.py
@@ -3,14 +3,14 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from greengagetack.coordination.duty_api import ReplicaOrder
 
 __all__ = ["Pool", "ReplicaSeen", "ServiceView", "pool_of", "total_in_zone"]
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Pool:
+class Pool(NamedTuple):
     """The replicas of one kind in one availability zone; each is counted separately."""
 
     zone: str
