--- a/greengagetack/coordination/server.py
+++ b/greengagetack/coordination/server.py
@@ -9,6 +9,7 @@
 
 from greengagetack.batches.dispatcher import Dispatcher
 from greengagetack.batches.reading import JobReader
+from greengagetack.coordination.duty_endpoints import DutyEndpoints
 from greengagetack.coordination.messages import (
     CrashReports,
     HandOver,
@@ -32,7 +33,6 @@
 from greengagetack.objects.feed import Feed
 from greengagetack.objects.transport import StoreResponse
 from greengagetack.replicas.permits import PermitRequest, Permits, RateLimitNotice
-from greengagetack.scaling.endpoints import ScalingEndpoints
 
 __all__ = ["build_peer_application"]
 
@@ -54,14 +54,14 @@
     feeds: dict[str, Feed],
     on_follower: Callable[[str], None],
     call_store: Callable[[RelayCall], Awaitable[StoreResponse]],
-    scaling: ScalingEndpoints | None = None,
+    duties: DutyEndpoints | None = None,
 ) -> Starlette:
     """Return the HTTP application that serves a daemon's control address."""
 
     async def ping(request: Request) -> Response:
         query = request.query_params
-        if scaling is not None:
-            scaling.record_ping(query)
+        if duties is not None:
+            duties.record_ping(query)
         known = FactCursor(query.get("epoch", ""), int(query.get("revision", "0")))
         return Response(encode(pong(known)))
 
@@ -169,7 +169,7 @@
             Route("/peer/stream-origins/{request_id}", stream_origin),
             Route("/peer/progress", progress, methods=["POST"]),
             Route("/peer/store", store, methods=["POST"]),
-            *(() if scaling is None else scaling.routes()),
+            *(() if duties is None else duties.routes()),
         ],
         exception_handlers={
             CodedError: error_response,
