Replace reclaimed engines in a deployment of daemons and stand-ins

The stand-in of the platform's API carries out orders of replicas. A scenario reclaims the spot engine of a zone in the middle of a job: the replacement is refused as spot and ordered as regular in the same second, runs items, and no rule of the duties is broken.

--- a/features/scaling.feature
+++ b/features/scaling.feature
@@ -153,3 +153,16 @@
     Then the orders are none
     When the scalers run for 3 s
     Then the orders are a~:0
+
+  Scenario: The platform reclaims the spot engines of a zone while a job runs
+    Given a platform that grants engines, 1 regular and 1 spot, and 3 daemons
+    And one of the daemons orders replicas
+    And the engines send an event every 150 ms
+    When job "j1" with 3 groups of 4 is submitted at edge-1
+    And an item of "j1" has sent 2 events
+    And the platform has no spot engines in zone-b and reclaims engine-2 in 1500 ms
+    Then a replacement is ordered within 1000 ms, after a refusal as the regular kind
+    And job "j1" completes at edge-2
+    And every result of "j1" is its item's complete output
+    And a granted engine has run items
+    And no rule of the duties is broken
--- a/features/steps/scaling_steps.py
+++ b/features/steps/scaling_steps.py
@@ -1,11 +1,15 @@
 """features.steps.scaling_steps: scaling decisions, without a network."""
 
+import time
+
 from behave import given, then, when
 from behave.runner import Context
 
 from features.support.scaling_world import BOOT_S, SERVICE, ScalingWorld, parse_pools
 from greengagetack.scaling.spec import ScalingSpec
 from greengagetack.scaling.view import Pool
+from standins.grants import ReplicaGrants
+from standins.platform_cluster import PlatformCluster, wait_for
 
 SPOT_PRICE_RATIO = 0.18
 # Long enough for the first view and the first report of demand.
@@ -138,3 +142,67 @@
         pool = text.partition(":")[0]
         assert ordered_s - last_s.get(pool, 0.0) >= 1.0, context.world.orders
         last_s[pool] = ordered_s
+
+
+@given("a platform that grants engines, 1 regular and 1 spot, and {daemons:d} daemons")
+def step_grants(context: Context, daemons: int) -> None:
+    cluster = context.cluster = PlatformCluster()
+    context.add_cleanup(cluster.close)
+    context.submissions, context.answers, context.read_results = {}, {}, {}
+    context.longest_submission_s = 0.0
+    context.grants = ReplicaGrants(cluster, {"zone-a": 1.0, "zone-b": 1.2})
+    context.grants.add_engine("engine-1", "zone-a", False, events=30)
+    context.grants.add_engine("engine-2", "zone-a", True, events=30)
+    cluster.start_edges(daemons)
+
+
+@given("one of the daemons orders replicas")
+def step_holder(context: Context) -> None:
+    cluster = context.cluster
+    message = "scaling: this daemon orders replicas"
+    wait_for(
+        "a daemon holds the scaling duty",
+        lambda: any(cluster.has_logged(name, message) for name in cluster.edges),
+    )
+
+
+@when("the platform has no spot engines in zone-b and reclaims {name} in {left:d} ms")
+def step_reclaims(context: Context, name: str, left: int) -> None:
+    context.grants.refused.add(("zone-b", True))
+    context.reclaimed_s = time.monotonic()
+    context.grants.reclaim(name, left)
+    context.ends_s = context.reclaimed_s + left / 1_000
+
+
+@then(
+    "a replacement is ordered within {limit:d} ms, after a refusal as the regular kind"
+)
+def step_replaced(context: Context, limit: int) -> None:
+    grants, cluster = context.grants, context.cluster
+    wait_for("two orders", lambda: len(grants.orders) >= 2, limit / 1_000)
+    first, second = grants.orders[:2]
+    assert (first["zone"], first.get("spot"), first["target_groups"]) == (
+        "zone-b",
+        True,
+        1,
+    ), first
+    assert not second.get("spot"), second
+    time.sleep(max(0.0, context.ends_s - time.monotonic()))
+    cluster.replicas["engine-2"].fault.silent = True
+    cluster.run_on_loop(lambda: cluster.store.remove("servers", "engine-2"))
+
+
+@then("a granted engine has run items")
+def step_granted_ran(context: Context) -> None:
+    granted = [
+        replica
+        for name, replica in context.cluster.replicas.items()
+        if name.startswith("granted")
+    ]
+    assert any(replica.arrivals for replica in granted), granted
+
+
+@then("no rule of the duties is broken")
+def step_no_violation(context: Context) -> None:
+    violations = context.cluster.duty_api.judge.violations
+    assert not violations, violations
--- a/greengagetack/scaling/scaler.py
+++ b/greengagetack/scaling/scaler.py
@@ -129,7 +129,8 @@
 
     async def _run_demand(self) -> None:
         while True:
-            await asyncio.sleep(DEMAND_INTERVAL_S)
+            is_holder = self._tenure.is_holder
+            await asyncio.sleep(DEMAND_INTERVAL_S if is_holder else TICK_INTERVAL_S)
             await self.update_demand()
 
     async def update_demand(self) -> None:
--- a/standins/duty_api.py
+++ b/standins/duty_api.py
@@ -20,6 +20,7 @@
 __all__ = ["DutyApi", "DutyApiFault", "DutyCall", "DutyJudge"]
 
 FOREVER_S = 3_600.0
+OK = 200
 
 
 @dataclass(frozen=True)
@@ -126,6 +127,8 @@
 
     judge: DutyJudge = field(default_factory=DutyJudge)
     fault: DutyApiFault = field(default_factory=DutyApiFault)
+    # Carries out an order of replicas and returns the status of the answer.
+    on_scale: Callable[[dict[str, Any]], int] | None = None
 
     def __post_init__(self) -> None:
         self.app = Starlette(
@@ -150,8 +153,11 @@
         if self.fault.mode in statuses:
             return Response(status_code=statuses[self.fault.mode])
         self.judge.judge(call)
+        status = OK
+        if call.duty == "scale" and self.on_scale is not None:
+            status = self.on_scale(body)
         await asyncio.sleep(self.fault.delay_s)
         if self.fault.lose_answers:
             self.fault.lose_answers -= 1
             return await drop_connection(request)
-        return Response(b"{}", media_type="application/json")
+        return Response(b"{}", status, media_type="application/json")
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -156,6 +156,9 @@
         self.crashed_s: list[float] = []
         self._store_address = self.loop.run(self._serve(self.store.app, "store"))
         self.memory_tokens = 100_000
+        # Additional fields of the engines' service, and of replicas' entries by name.
+        self.engine_fields: dict[str, Any] = {}
+        self.entry_fields: dict[str, dict[str, Any]] = {}
         # The platform's API for duties, if the deployment has any.
         self.duty_api: DutyApi | None = None
         self._duty_address = ""
@@ -208,7 +211,12 @@
         ]
         engine = {"slots": 4, "kv_capacity": self.memory_tokens, "stride": 1}
         services = [
-            {"name": ENGINE_SERVICE, "health_path": "/healthz", "engine": engine},
+            {
+                "name": ENGINE_SERVICE,
+                "health_path": "/healthz",
+                "engine": engine,
+                **self.engine_fields,
+            },
             {"name": PLAIN_SERVICE, "health_path": "/healthz"},
         ]
         spec = {"version": version, "routes": routes, "services": services}
@@ -226,12 +234,16 @@
         self, name: str, service: str = ENGINE_SERVICE, **options: Any
     ) -> Replica:
         """Start a replica and write its entry to the store."""
+        return self.loop.run(self.serve_replica(name, service, **options))
+
+    async def serve_replica(self, name: str, service: str, **options: Any) -> Replica:
+        """Start a replica, on the stand-ins' loop."""
         replica = Replica(name, **options)
         self.replicas[name] = replica
-        address = self.loop.run(self._serve(replica.app, name))
+        address = await self._serve(replica.app, name)
         self._addresses[name] = {"address": address, "service": service}
         replica.on_crash = partial(self._crash_replica, name)
-        self.list_replica(name)
+        self._write_entry(name, "ready")
         return replica
 
     def _crash_replica(self, name: str) -> None:
@@ -274,6 +286,7 @@
             "models": [{"name": MODEL, "version": replica.version}],
             "sequence": 7,
             "born": replica.started_ms,
+            **self.entry_fields.get(name, {}),
             **fields,
         }
         self.store.put("servers", name, entry)
