--- a/greengagetack/coordination/duty_endpoints.py
+++ b/greengagetack/coordination/duty_endpoints.py
@@ -13,6 +13,7 @@
 from greengagetack.coordination.duty_board import DutyBoard, DutyHeartbeat
 from greengagetack.coordination.duty_seat import DutySeat
 from greengagetack.coordination.messages import decode, encode
+from greengagetack.scaling.endpoints import ScalingEndpoints
 
 __all__ = ["DutyEndpoints", "UsageReceiver"]
 
@@ -39,9 +40,13 @@
         self._clock = clock
         self._usage = usage
         self.seats: list[DutySeat] = []
+        # Set if the deployment scales its services.
+        self.scaling: ScalingEndpoints | None = None
 
     def record_ping(self, query: Mapping[str, str]) -> None:
-        """Record the offset of a clock that a ping tells."""
+        """Record the offset of a clock and the arrivals that a ping tells."""
+        if self.scaling is not None:
+            self.scaling.record_ping(query)
         offset_ms = query.get("offset_ms")
         if offset_ms is not None:
             self._clock.record_offset(query.get("node", ""), float(offset_ms))
@@ -65,4 +70,5 @@
             Route("/peer/duties", self._heartbeat, methods=["POST"]),
             Route("/peer/api-path", self._api_path),
             Route("/peer/usage", self._receive_usage, methods=["POST"]),
+            *(() if self.scaling is None else self.scaling.routes()),
         )
--- a/greengagetack/gateway/routes.py
+++ b/greengagetack/gateway/routes.py
@@ -6,6 +6,7 @@
 import xxhash
 
 from greengagetack.gateway.customers import Customer, CustomerDirectory
+from greengagetack.scaling.spec import ScalingSpec
 
 __all__ = [
     "Configuration",
@@ -101,6 +102,7 @@
     limits: Limits = Limits()
     engines: tuple[EngineSpec, ...] = ()
     customers: tuple[Customer, ...] = ()
+    scaling: tuple[ScalingSpec, ...] = ()
 
     def rollout_services(self) -> list[str]:
         """Return the services to which rollout routes send trainers' jobs."""
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -55,6 +55,7 @@
 from greengagetack.replicas.paths import ReplicaPaths
 from greengagetack.replicas.permits import Permits
 from greengagetack.replicas.replica import Replica
+from greengagetack.scaling.assembly import ScalingParts
 from greengagetack.timer import Timer
 from greengagetack.weights.load_scheduler import LoadScheduler
 from greengagetack.world import Address
@@ -219,6 +220,21 @@
             self._metrics,
             facts.result_retention_s,
         )
+        if self._duties is not None and self._duties.orders_replicas:
+            self._duties.add_scaling(
+                ScalingParts(
+                    facts.node,
+                    self._dispatcher,
+                    forwarder,
+                    self._fleet,
+                    self._engine_properties,
+                    self._configuration,
+                    self._servers_feed,
+                    self._peers,
+                    lambda: len(self._roster.member_addresses()),
+                    self._metrics,
+                )
+            )
         self._source_selector = SourceSelector(self._store, self._peers, self._claim)
         self._reader = JobReader(self._ledger, self._dispatcher, self._peers)
         self._ingress = Ingress(
--- a/greengagetack/platform/duty_parts.py
+++ b/greengagetack/platform/duty_parts.py
@@ -24,6 +24,8 @@
 from greengagetack.platform.duties import PlatformDutyApi
 from greengagetack.platform.settings import CloudFacts, VmFacts
 from greengagetack.platform.store import PlatformStore
+from greengagetack.scaling.assembly import ScalingParts
+from greengagetack.scaling.scaler import Scaler
 
 __all__ = ["SCALING", "USAGE", "DutyParts", "make_duty_parts"]
 
@@ -83,6 +85,9 @@
         table.subscribe(DutyHolder, self._on_holder)
         self.endpoints = DutyEndpoints(self.board, self.api, self.clock, self._sender)
         self._reporter: Reporter | None = None
+        self._scaler: Scaler | None = None
+        self.orders_replicas = cloud.orders_replicas
+        self._calls_per_s = cloud.calls_per_s
         claim.clock = self.clock
         if cloud.reports_usage:
             self._reporter = self._make_reporter(cloud)
@@ -112,6 +117,12 @@
         self.endpoints.seats.append(seat)
         return seat
 
+    def add_scaling(self, parts: ScalingParts) -> None:
+        """Add the loop that orders replicas; called before the parts are started."""
+        self.endpoints.scaling = parts.endpoints
+        seat = self.make_seat(SCALING)
+        self._scaler = parts.scaler(seat, self.api, self._calls_per_s)
+
     def _make_reporter(self, cloud: CloudFacts) -> Reporter:
         seat = self.make_seat(USAGE)
         seat.on_release = self._sender.hand_over
@@ -162,6 +173,8 @@
         if self._reporter is not None:
             start_part(self._sender.run, "usage")
             start_part(self._reporter.run, "usage reports")
+        if self._scaler is not None:
+            start_part(self._scaler.run, "scaling")
 
     async def leave(self) -> None:
         """Release the duties, as this daemon is about to stop."""
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -161,6 +161,9 @@
         self.customers: list[dict[str, Any]] = []
         self.public_routes: set[str] = set()
         self.key = ""
+        # Additional fields of the engines' service, and of replicas' entries by name.
+        self.engine_fields: dict[str, Any] = {}
+        self.entry_fields: dict[str, dict[str, Any]] = {}
         # The platform's API for duties, if the deployment has any.
         self.duty_api: DutyApi | None = None
         self._duty_address = ""
@@ -216,7 +219,12 @@
                 route["public"] = True
         engine = {"slots": 4, "kv_capacity": self.memory_tokens, "stride": 1}
         services = [
-            {"name": ENGINE_SERVICE, "health_path": "/healthz", "engine": engine},
+            {
+                "name": ENGINE_SERVICE,
+                "health_path": "/healthz",
+                "engine": engine,
+                **self.engine_fields,
+            },
             {"name": PLAIN_SERVICE, "health_path": "/healthz"},
         ]
         spec = {"version": version, "routes": routes, "services": services}
@@ -237,12 +245,16 @@
         self, name: str, service: str = ENGINE_SERVICE, **options: Any
     ) -> Replica:
         """Start a replica and write its entry to the store."""
+        return self.loop.run(self.serve_replica(name, service, **options))
+
+    async def serve_replica(self, name: str, service: str, **options: Any) -> Replica:
+        """Start a replica, on the stand-ins' loop."""
         replica = Replica(name, **options)
         self.replicas[name] = replica
-        address = self.loop.run(self._serve(replica.app, name))
+        address = await self._serve(replica.app, name)
         self._addresses[name] = {"address": address, "service": service}
         replica.on_crash = partial(self._crash_replica, name)
-        self.list_replica(name)
+        self._write_entry(name, "ready")
         return replica
 
     def _crash_replica(self, name: str) -> None:
@@ -269,11 +281,11 @@
         await self._serve(replica.app, name, port)
         self._write_entry(name, "ready")
 
-    def list_replica(self, name: str, state: str = "ready") -> None:
-        """Write a replica's entry to the store."""
-        self.run_on_loop(lambda: self._write_entry(name, state))
+    def list_replica(self, name: str, state: str = "ready", **fields: Any) -> None:
+        """Write a replica's entry to the store, with additional fields if given."""
+        self.run_on_loop(lambda: self._write_entry(name, state, **fields))
 
-    def _write_entry(self, name: str, state: str) -> None:
+    def _write_entry(self, name: str, state: str, **fields: Any) -> None:
         replica = self.replicas[name]
         entry = {
             **self._addresses[name],
@@ -285,6 +297,8 @@
             "models": [{"name": MODEL, "version": replica.version}],
             "sequence": 7,
             "born": replica.started_ms,
+            **self.entry_fields.get(name, {}),
+            **fields,
         }
         self.store.put("servers", name, entry)
 
