Place items where they are expected to end first

Items went to the replica with the lowest load, with a fixed bonus for a kept prompt, and a slow replica was only avoided above 1.8 times the usual pace. On engines of speeds 0.55 to 1.2 long items therefore started on slow engines while fast ones had slots.

The choice now compares the expected ends: time per event measured of the replica times the events left, a term for its load, reading of the prompt if it is not kept, and the way to another zone. Slots and memory bounds are as before. A long-term average stands for the pace of a replica that has been idle. Moves compare a run's replica with the replica of the free slot instead of with the usual pace, and the items that would end last move first.

--- a/features/steps/platform_decisions_steps.py
+++ b/features/steps/platform_decisions_steps.py
@@ -15,7 +15,7 @@
 from greengagetack.batches.ledger import Ledger, is_expired
 from greengagetack.batches.memory import MemoryNeed, MemoryUsage, memory_need
 from greengagetack.batches.pace import RunningItem, choose_moves
-from greengagetack.batches.placement import Candidate, choose_candidate
+from greengagetack.batches.placement import Candidate, ItemWork, choose_candidate
 from greengagetack.batches.priority import WaitingGroup, needed_groups
 from greengagetack.batches.progress import ItemProgress, ProgressSnapshot
 from greengagetack.coordination.claim import takeover_delay_s
@@ -115,7 +115,7 @@
                 "holds" in marks,
             )
         )
-    context.chosen = choose_candidate(candidates, 100)
+    context.chosen = choose_candidate(candidates, ItemWork(20, 100, 1_000))
 
 
 @then("the chosen replica is {chosen}")
@@ -171,7 +171,7 @@
             book.final_tokens("a") / context.memory,
             False,
         )
-        if choose_candidate([candidate], need.soon_tokens) is not None:
+        if choose_candidate([candidate], ItemWork(1, need.soon_tokens)) is not None:
             book.add("a", need)
             context.placed.append(hint)
 
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -8,24 +8,15 @@
 from loguru import logger
 
 from greengagetack.batches.checkpoint import Checkpoints
+from greengagetack.batches.engine_properties import EngineProperties
+from greengagetack.batches.item_placement import ItemPlacement, PlacementRound
 from greengagetack.batches.item_run import RunEnd, run_item
 from greengagetack.batches.job import Item, Job
 from greengagetack.batches.job_run import JobRun
 from greengagetack.batches.ledger import JOBS_PREFIX, Ledger, decode_job, is_expired
 from greengagetack.batches.log import JobLog, LogCache
-from greengagetack.batches.memory import MemoryNeed, MemoryUsage, memory_need
-from greengagetack.batches.pace import (
-    SLOW_RATIO,
-    Paces,
-    PaceTracker,
-    RunningItem,
-    choose_moves,
-    usual_pace_s,
-)
-from greengagetack.batches.placement import Candidate, choose_candidate
 from greengagetack.batches.priority import item_sort_key
 from greengagetack.batches.progress import ItemProgress, ProgressSnapshot
-from greengagetack.batches.prompts import PromptTracker
 from greengagetack.batches.resubmitted import ResubmittedGroups
 from greengagetack.batches.rewards import RewardCalls
 from greengagetack.errors import CodedError
@@ -39,7 +30,8 @@
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.replicas.paths import ReplicaPaths
 from greengagetack.replicas.permits import Permits
-from greengagetack.replicas.replica import Replica, ReplicaState
+from greengagetack.replicas.replica import ReplicaState
+from greengagetack.replicas.zone_cost import ZoneCost
 
 __all__ = ["Dispatcher", "EngineProperties"]
 
@@ -60,27 +52,10 @@
 # every clock.
 TTL_MARGIN_S = 6.0
 MAX_DISPATCH_INTERVAL_S = 0.25
-# Minimum age of a run before it may be moved, and the time for which it then does not
-# return to the same replica.
-MIN_RUN_BEFORE_MOVE_S = 0.3
 # Silence of all running items of a service that puts the path to it in doubt.
 PATH_SILENCE_S = 0.5
+# A run that was moved does not return to the same replica for this long.
 AVOID_REPLICA_S = 1.0
-DEFAULT_SLOTS = 8
-# Assumed for a service without a configured memory size.
-UNLIMITED_MEMORY_TOKENS = 1 << 40
-
-
-class EngineProperties:
-    """Configured properties of the engines of each service."""
-
-    def __init__(self) -> None:
-        self.memory_tokens: dict[str, int] = {}
-        self.tokens_per_event: dict[str, int] = {}
-
-    def tokens_per_event_of(self, service: str) -> int:
-        """Return the number of tokens per event in a service's streams."""
-        return self.tokens_per_event.get(service, 1) or 1
 
 
 class Dispatcher:
@@ -101,6 +76,8 @@
         engine_properties: EngineProperties,
         metrics: Metrics,
         result_retention_s: float,
+        zone: str = "",
+        zone_cost: ZoneCost = ZoneCost(),  # noqa: B008
     ) -> None:
         self._result_retention_s = result_retention_s
         self._ledger = ledger
@@ -118,15 +95,16 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._item_tasks: dict[str, asyncio.Task[None]] = {}
         self._progresses: OrderedDict[str, ItemProgress] = OrderedDict()
-        self._prompts = PromptTracker()
+        self._placement = ItemPlacement(
+            fleet, permits, paths, engine_properties, zone, zone_cost
+        )
         self._closed_logs = LogCache(MAX_CLOSED_LOG_BYTES)
         self._sealing: dict[str, JobRun] = {}
         self._seal_tasks: set[asyncio.Task[None]] = set()
         self._received_progress: dict[str, ProgressSnapshot] = {}
         self._hint_tasks: set[asyncio.Task[None]] = set()
-        self._paces = PaceTracker()
         self._running: dict[str, tuple[JobRun, ItemProgress, str]] = {}
-        self.loading_ids: set[str] = set()
+        self.loading_ids = self._placement.loading_ids
         self.demand_tokens: dict[str, float] = {}
         self._wake_event = asyncio.Event()
         self._rewards = RewardCalls(
@@ -136,7 +114,7 @@
         self.is_active = False
         jobs.subscribe(self._on_jobs)
         fleet.subscribe(self._wake_event.set)
-        fleet.subscribe_removals(self._on_removal)
+        fleet.subscribe_removals(self._placement.forget)
 
     # -- activation
 
@@ -229,10 +207,6 @@
         run = self._runs.get(job_id)
         return None if run is None else run.items.get(item_id)
 
-    def _on_removal(self, replica: Replica) -> None:
-        self._prompts.forget(replica.replica_id)
-        self._paces.forget(replica.replica_id)
-
     def _on_jobs(
         self, changed: tuple[PlatformObject, ...], gone: tuple[str, ...]
     ) -> None:
@@ -426,9 +400,13 @@
                 self._expire_items()
                 for run in self._runs.values():
                     run.collect_finished()
-                self._send_waiting()
+                placement_round = self._placement.start_round(
+                    (run.job, progress, replica_id)
+                    for run, progress, replica_id in self._running.values()
+                )
+                self._send_waiting(placement_round)
                 self._rewards.dispatch(self._runs.values())
-                self._move_from_slow_replicas()
+                self._move_runs(placement_round)
                 self._check_paths()
             try:
                 async with asyncio.timeout(MAX_DISPATCH_INTERVAL_S):
@@ -465,7 +443,7 @@
                 )
                 run.add_result(progress.lost_result())
 
-    def _send_waiting(self) -> None:
+    def _send_waiting(self, placement_round: PlacementRound) -> None:
         now_s = time.monotonic()
         waiting: list[tuple[tuple[bool, float, bool, int], JobRun, ItemProgress]] = []
         for run in self._runs.values():
@@ -480,165 +458,35 @@
                     run.due_ms,
                     group in needed,
                     group in run.required_groups,
-                    self._events_left(run.job, progress),
+                    self._placement.events_left(run.job, progress),
                 )
                 waiting.append((key, run, progress))
         if not waiting:
             return
         waiting.sort(key=lambda entry: entry[0])
-        paces = self._paces.current()
-        memory_use = self._memory_use(paces)
         for _, run, progress in waiting:
             if not self._can_continue(run.job, progress):
                 progress.restart()
-            need = self._memory_need(run.job, progress, paces)
-            state = self._choose_replica(run.job, progress, paces, need, memory_use)
+            state = placement_round.choose(run.job, progress)
             if state is None:
                 continue
-            memory_use.add(state.replica.replica_id, need)
+            placement_round.add(run.job, progress, state)
             self._start_run(run, progress, state)
 
-    def _memory_use(self, paces: Paces) -> MemoryUsage:
-        memory_use = MemoryUsage()
-        for run, progress, replica_id in self._running.values():
-            memory_use.add(replica_id, self._memory_need(run.job, progress, paces))
-        return memory_use
-
-    def _events_left(self, job: Job, progress: ItemProgress) -> int:
-        return progress.events_left(
-            self._engine_properties.tokens_per_event_of(job.service)
-        )
-
-    def _memory_need(
-        self, job: Job, progress: ItemProgress, paces: Paces
-    ) -> MemoryNeed:
-        per_event = self._engine_properties.tokens_per_event_of(job.service)
-        return memory_need(progress, per_event, paces.usual_s)
-
-    def _move_from_slow_replicas(self) -> None:
+    def _move_runs(self, placement_round: PlacementRound) -> None:
         """Cancel runs on slow replicas; the next dispatch sends their items again."""
-        now_s = time.monotonic()
-        paces = self._paces.current()
-        paces_s: dict[str, float] = {}
-        free_slots: dict[str, int] = {}
-        for service in {run.job.service for run in self._runs.values()}:
-            for state in self._fleet.replicas_of_service(service):
-                replica_id = state.replica.replica_id
-                paces_s[replica_id] = paces.pace_of(replica_id)
-                if state.is_usable(now_s) and replica_id not in self.loading_ids:
-                    slots = state.replica.slots or DEFAULT_SLOTS
-                    free_slots[replica_id] = max(0, slots - state.in_flight)
-        running = [
-            RunningItem(
-                item_id,
-                replica_id,
-                self._events_left(run.job, progress),
-            )
-            for item_id, (run, progress, replica_id) in self._running.items()
-            if now_s - progress.run_started_s > MIN_RUN_BEFORE_MOVE_S
-        ]
-        moves = choose_moves(running, paces_s, free_slots)
-        if not moves:
-            return
-        memory_use = self._memory_use(paces)
-        chosen_targets: set[str] = set()
-        for item_id in moves:
-            run, progress, replica_id = self._running[item_id]
-            target = self._find_move_target(
-                run.job, progress, replica_id, paces, memory_use
-            )
-            # Free slots are not updated for moves within one check, so each target
-            # takes one run.
-            if target is None or target in chosen_targets:
-                continue
-            chosen_targets.add(target)
-            self._avoid_replica(progress, replica_id)
-            logger.info(
-                "dispatch: run moved from a slow replica",
-                request_id=item_id,
-                job=run.job.job_id,
-                replica=replica_id,
-                target=target,
-                pace_ms=int(paces_s[replica_id] * MS_PER_S),
-                usual_ms=int(usual_pace_s(paces_s.values()) * MS_PER_S),
-            )
+        for move in placement_round.moves():
+            _, progress, _ = self._running[move.item_id]
+            self._avoid_replica(progress, move.replica_id)
             self._metrics.add("moved_runs")
-            task = self._item_tasks.get(item_id)
+            task = self._item_tasks.get(move.item_id)
             if task is not None:
                 task.cancel()
 
-    def _find_move_target(
-        self,
-        job: Job,
-        progress: ItemProgress,
-        replica_id: str,
-        paces: Paces,
-        memory_use: MemoryUsage,
-    ) -> str | None:
-        """Return the replica a run would move to, None if there is no faster one.
-
-        Other replicas may be fast but full, or lack the weights that the item needs.
-        """
-        need = self._memory_need(job, progress, paces)
-        state = self._choose_replica(
-            job, progress, paces, need, memory_use, leaving=replica_id
-        )
-        if state is None:
-            return None
-        target = state.replica.replica_id
-        return target if paces.pace_of(target) <= SLOW_RATIO * paces.usual_s else None
-
     def _avoid_replica(self, progress: ItemProgress, replica_id: str) -> None:
         progress.avoided_replica = replica_id
         progress.avoided_until_s = time.monotonic() + AVOID_REPLICA_S
 
-    def _choose_replica(
-        self,
-        job: Job,
-        progress: ItemProgress,
-        paces: Paces,
-        need: MemoryNeed,
-        memory_use: MemoryUsage,
-        leaving: str = "",
-    ) -> ReplicaState | None:
-        if self._paths.is_lost(job.service):
-            return None
-        now_s = time.monotonic()
-        group = progress.item.group
-        candidates = []
-        for state in self._fleet.serving_replicas(job.service):
-            version = state.version_of(job.model)
-            replica_id = state.replica.replica_id
-            if not state.is_usable(now_s) or replica_id in self.loading_ids:
-                continue
-            if version < job.min_version or replica_id == leaving:
-                continue
-            if not progress.may_continue_at(state.replica.software_version):
-                continue
-            if not self._permits.has_permit(state):
-                continue
-            is_avoided = now_s < progress.avoided_until_s
-            if is_avoided and replica_id == progress.avoided_replica:
-                continue
-            if job.single_version and progress.versions not in ([], [version]):
-                continue
-            memory = self._engine_properties.memory_tokens.get(
-                job.service, UNLIMITED_MEMORY_TOKENS
-            )
-            candidates.append(
-                Candidate(
-                    replica_id,
-                    state.in_flight,
-                    state.replica.slots or DEFAULT_SLOTS,
-                    paces.pace_of(replica_id),
-                    memory - memory_use.soon_tokens(replica_id),
-                    memory_use.final_tokens(replica_id) / memory,
-                    self._prompts.has_prompt(replica_id, group, version),
-                )
-            )
-        chosen = choose_candidate(candidates, need.soon_tokens)
-        return None if chosen is None else self._fleet.get(chosen.replica_id)
-
     def _can_continue(self, job: Job, progress: ItemProgress) -> bool:
         """Whether a replica that still serves may continue an item's output.
 
@@ -666,7 +514,7 @@
         state.record_send()
         replica_id = state.replica.replica_id
         version = state.version_of(run.job.model)
-        self._prompts.record(replica_id, progress.item.group, version)
+        self._placement.prompts.record(replica_id, progress.item.group, version)
         item_id = progress.item.item_id
         if not progress.has_allowed_versions(
             run.job.min_version, run.job.single_version
@@ -754,8 +602,7 @@
 
     def _record_event(self, state: ReplicaState, gap_s: float) -> None:
         self._paths.record_contact(state.replica.service)
-        if gap_s:
-            self._paces.record(state.replica.replica_id, gap_s)
+        self._placement.record_event(state.replica.replica_id, gap_s)
 
     def _accept_version(
         self, job: Job, progress: ItemProgress, state: ReplicaState, version: int
--- a/greengagetack/batches/pace.py
+++ b/greengagetack/batches/pace.py
@@ -1,8 +1,8 @@
 """greengagetack.batches.pace: tracks replica speed and selects runs to move."""
 
 import time
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
 
 __all__ = [
     "SLOW_RATIO",
@@ -10,6 +10,7 @@
     "Paces",
     "RunningItem",
     "choose_moves",
+    "is_worth_moving",
     "usual_pace_s",
 ]
 
@@ -18,9 +19,12 @@
 MIN_OBSERVATIONS = 20
 # Older observations do not reflect the replica's current speed.
 MAX_OBSERVATION_AGE_S = 3.0
+# Time constant of the average that is used for a replica without recent observations.
+# Phases in which a replica is slow last some seconds, its own speed lasts.
+SETTLING_S = 20.0
 # Assumed while no replica has enough observations.
 DEFAULT_EVENT_S = 0.05
-# A replica counts as slow if its time per event exceeds the typical one by this factor.
+# A run leaves a replica whose time per event exceeds that of another by this factor.
 SLOW_RATIO = 1.8
 # A move costs a new connection and reprocessing the prompt, so it must save more.
 MIN_MOVE_GAIN_S = 0.4
@@ -29,6 +33,7 @@
 @dataclass(frozen=True, slots=True)
 class _Pace:
     event_s: float
+    settled_s: float
     observation_count: int
     observed_s: float
 
@@ -38,31 +43,44 @@
     """Snapshot of the times per event, in seconds.
 
     `reliable_s` has the replicas with enough recent observations; `usual_s` is the
-    typical value among them.
+    typical value among them. `settled_s` has long-term averages, also of replicas that
+    have been idle since.
     """
 
     reliable_s: dict[str, float]
     usual_s: float
+    settled_s: Mapping[str, float] = field(default_factory=dict)
 
     def pace_of(self, replica_id: str) -> float:
         """Return a replica's time per event, the typical one if it is unknown."""
-        return self.reliable_s.get(replica_id, self.usual_s)
+        pace_s = self.reliable_s.get(replica_id)
+        return (
+            self.settled_s.get(replica_id, self.usual_s) if pace_s is None else pace_s
+        )
 
 
 class PaceTracker:
     """Moving average of the time per event of each replica."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
         self._paces: dict[str, _Pace] = {}
 
     def record(self, replica_id: str, gap_s: float) -> None:
         """Record the time between two events of a run."""
-        now_s = time.monotonic()
+        now_s = self._clock()
         pace = self._paces.get(replica_id)
-        if pace is None or now_s - pace.observed_s > MAX_OBSERVATION_AGE_S:
-            pace = _Pace(gap_s, 0, now_s)
-        pace_s = pace.event_s + SMOOTHING_FACTOR * (gap_s - pace.event_s)
-        self._paces[replica_id] = _Pace(pace_s, pace.observation_count + 1, now_s)
+        if pace is None:
+            pace = _Pace(gap_s, gap_s, 0, now_s)
+        elif now_s - pace.observed_s > MAX_OBSERVATION_AGE_S:
+            pace = _Pace(gap_s, pace.settled_s, 0, now_s)
+        event_s = pace.event_s + SMOOTHING_FACTOR * (gap_s - pace.event_s)
+        # Until there are enough observations, both averages are the same.
+        weight = min(1.0, (now_s - pace.observed_s) / SETTLING_S)
+        settled_s = pace.settled_s + weight * (event_s - pace.settled_s)
+        self._paces[replica_id] = _Pace(
+            event_s, settled_s, pace.observation_count + 1, now_s
+        )
 
     def forget(self, replica_id: str) -> None:
         """Remove the observations of a replica that is gone."""
@@ -70,13 +88,14 @@
 
     def current(self) -> Paces:
         """Return the paces that are recent and based on enough observations."""
-        oldest_s = time.monotonic() - MAX_OBSERVATION_AGE_S
+        oldest_s = self._clock() - MAX_OBSERVATION_AGE_S
         reliable_s = {
             replica_id: pace.event_s
             for replica_id, pace in self._paces.items()
             if pace.observed_s > oldest_s and pace.observation_count >= MIN_OBSERVATIONS
         }
-        return Paces(reliable_s, usual_pace_s(reliable_s.values()))
+        settled_s = {name: pace.settled_s for name, pace in self._paces.items()}
+        return Paces(reliable_s, usual_pace_s(reliable_s.values()), settled_s)
 
 
 def usual_pace_s(paces_s: Iterable[float]) -> float:
@@ -97,15 +116,23 @@
     events_left: int
 
 
+def is_worth_moving(events_left: int, pace_s: float, target_pace_s: float) -> bool:
+    """Whether a run should move to a replica with another time per event."""
+    gain_s = events_left * (pace_s - target_pace_s)
+    return gain_s > MIN_MOVE_GAIN_S and pace_s > SLOW_RATIO * target_pace_s
+
+
 def choose_moves(
     running: Iterable[RunningItem],
     paces_s: dict[str, float],
     free_slots: dict[str, int],
 ) -> list[str]:
-    """Return the items to move off slow replicas, those with the largest gain first.
+    """Return the items to move to faster replicas, those that would end last first.
 
-    This handles a replica that becomes slow while it runs items of many jobs. A run
-    resumes elsewhere from its last event, at the cost of reprocessing its prompt.
+    This handles a replica that becomes slow while it runs items of many jobs, and free
+    slots of fast replicas at the end of a job. A run resumes elsewhere from its last
+    event, at the cost of reading its prompt again. The items that would end last get
+    the fastest slots.
 
     Parameters
     ----------
@@ -114,20 +141,27 @@
     free_slots : dict of str to int
         Free slots of each usable replica.
     """
-    if not paces_s:
+    slot_paces_s = sorted(
+        pace_s
+        for name, pace_s in paces_s.items()
+        for _ in range(free_slots.get(name, 0))
+    )
+    if not slot_paces_s:
         return []
-    usual_s = usual_pace_s(paces_s.values())
-    targets = {
-        name for name, pace_s in paces_s.items() if pace_s <= SLOW_RATIO * usual_s
-    }
-    free_count = sum(free_slots.get(name, 0) for name in targets)
-    gains: list[tuple[float, str]] = []
-    for run in running:
-        pace_s = paces_s.get(run.replica_id)
-        if pace_s is None or run.replica_id in targets:
-            continue
-        gain_s = run.events_left * (pace_s - usual_s)
-        if gain_s > MIN_MOVE_GAIN_S:
-            gains.append((gain_s, run.item_id))
-    gains.sort(reverse=True)
-    return [item_id for _, item_id in gains[:free_count]]
+    ends = sorted(
+        (
+            (run.events_left * paces_s[run.replica_id], run.item_id, run)
+            for run in running
+            if run.replica_id in paces_s
+        ),
+        key=lambda entry: entry[:2],
+        reverse=True,
+    )
+    moves: list[str] = []
+    for _, item_id, run in ends:
+        if len(moves) == len(slot_paces_s):
+            break
+        target_pace_s = slot_paces_s[len(moves)]
+        if is_worth_moving(run.events_left, paces_s[run.replica_id], target_pace_s):
+            moves.append(item_id)
+    return moves
--- a/greengagetack/batches/placement.py
+++ b/greengagetack/batches/placement.py
@@ -3,13 +3,13 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from greengagetack.batches.pace import SLOW_RATIO, usual_pace_s
+__all__ = ["Candidate", "ItemWork", "choose_candidate", "expected_end_s"]
 
-__all__ = ["Candidate", "choose_candidate"]
-
-# A replica that holds the group's prompt is preferred unless its load share exceeds the
-# lowest one by more than this.
-PROMPT_AFFINITY = 0.3
+# Speed at which an engine reads a prompt. Every run of the engine waits meanwhile.
+PROMPT_TOKENS_PER_S = 400_000.0
+# Assumed increase of the time per event between an empty and a full replica. The
+# measured time contains the present load, not that of the items placed with this one.
+LOAD_SLOWDOWN = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +27,8 @@
         same time; it may exceed 1.
     has_prompt : bool
         Whether an item of the same group was sent there with the same weight version.
+    is_other_zone : bool
+        Whether it is in another availability zone than the sender.
     """
 
     replica_id: str
@@ -36,41 +38,68 @@
     free_tokens: int
     memory_share: float
     has_prompt: bool
+    is_other_zone: bool = False
 
+    @property
+    def load(self) -> float:
+        """The larger of the shares of used slots and memory."""
+        return max(self.in_flight / self.slots, self.memory_share)
 
-def choose_candidate(
-    candidates: Iterable[Candidate], expected_tokens: int
-) -> Candidate | None:
-    """Return the replica for an item, None if all are full.
 
-    Engines have a fixed number of slots, groups share a prompt, and a few long items
-    can fill the memory. The replica with the lowest load is chosen, where load is the
-    larger of its shares of used slots and memory. A replica that holds the prompt is
-    preferred unless it is much fuller, and a slow one is used only if the others are
-    full.
+@dataclass(frozen=True, slots=True)
+class ItemWork:
+    """What is left to do for an item.
 
-    Parameters
+    Attributes
     ----------
-    expected_tokens : int
+    events_left : int
+        Expected number of remaining events.
+    soon_tokens : int
         Memory that the item will occupy in the near future.
+    prompt_tokens : int
+        Tokens that a replica without the prompt has to read first.
+    other_zone_s : float
+        Cost of the way to a replica in another availability zone, in seconds.
+    """
+
+    events_left: int
+    soon_tokens: int
+    prompt_tokens: int = 0
+    other_zone_s: float = 0.0
+
+
+def expected_end_s(candidate: Candidate, work: ItemWork) -> float:
+    """Return the expected time until an item ends at a replica, in seconds.
+
+    Reading a prompt delays the replica's other runs too, so it counts once for each.
+    """
+    event_s = candidate.pace_s * (1 + LOAD_SLOWDOWN * candidate.load)
+    end_s = work.events_left * event_s
+    if not candidate.has_prompt:
+        read_s = work.prompt_tokens / PROMPT_TOKENS_PER_S
+        end_s += read_s * (1 + candidate.in_flight)
+    if candidate.is_other_zone:
+        end_s += work.other_zone_s
+    return end_s
+
+
+def choose_candidate(
+    candidates: Iterable[Candidate], work: ItemWork
+) -> Candidate | None:
+    """Return the replica at which an item should end first, None if all are full.
+
+    Engines have a fixed number of slots, groups share a prompt, a few long items can
+    fill the memory, and replicas differ in speed. The time that a faster replica saves
+    grows with the item, so long items, which are placed first, take its slots.
     """
-    available = [
-        candidate
-        for candidate in candidates
-        if candidate.in_flight < candidate.slots
-        and (candidate.free_tokens >= expected_tokens or candidate.in_flight == 0)
-    ]
-    if not available:
-        return None
-    usual_s = usual_pace_s(candidate.pace_s for candidate in available)
     best: Candidate | None = None
-    best_cost = float("inf")
-    for candidate in available:
-        cost = max(candidate.in_flight / candidate.slots, candidate.memory_share)
-        if candidate.has_prompt:
-            cost -= PROMPT_AFFINITY
-        if candidate.pace_s > SLOW_RATIO * usual_s:
-            cost += candidate.pace_s / usual_s
-        if cost < best_cost:
-            best, best_cost = candidate, cost
+    best_end_s = float("inf")
+    for candidate in candidates:
+        if candidate.in_flight >= candidate.slots:
+            continue
+        if candidate.free_tokens < work.soon_tokens and candidate.in_flight:
+            continue
+        end_s = expected_end_s(candidate, work)
+        if end_s < best_end_s:
+            best, best_end_s = candidate, end_s
     return best
