--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -9,7 +9,8 @@
 from loguru import logger
 
 from greengagetack.batches.checkpoint import Checkpoints
-from greengagetack.batches.dispatcher import Dispatcher, EngineProperties
+from greengagetack.batches.dispatcher import Dispatcher
+from greengagetack.batches.engine_properties import EngineProperties
 from greengagetack.batches.ledger import JOBS_PREFIX, Ledger
 from greengagetack.batches.reading import JobReader
 from greengagetack.batches.service import JobService
--- a/greengagetack/scaling/assembly.py
+++ b/greengagetack/scaling/assembly.py
@@ -3,7 +3,8 @@
 import time
 from collections.abc import Callable
 
-from greengagetack.batches.dispatcher import Dispatcher, EngineProperties
+from greengagetack.batches.dispatcher import Dispatcher
+from greengagetack.batches.engine_properties import EngineProperties
 from greengagetack.coordination.client import PeerClient
 from greengagetack.coordination.duty_api import DutyApi
 from greengagetack.gateway.forward import Forwarder
--- a/greengagetack/scaling/demand.py
+++ b/greengagetack/scaling/demand.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable
 from urllib.parse import quote
 
-from greengagetack.batches.dispatcher import Dispatcher, EngineProperties
+from greengagetack.batches.dispatcher import Dispatcher
+from greengagetack.batches.engine_properties import EngineProperties
 from greengagetack.batches.job_run import JobRun
 from greengagetack.batches.memory import memory_need
 from greengagetack.batches.pace import SLOW_RATIO, usual_pace_s
