--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -21,6 +21,7 @@
 from greengagetack.batches.progress import ItemProgress, ProgressSnapshot
 from greengagetack.batches.resubmitted import ResubmittedGroups
 from greengagetack.batches.rewards import RewardCalls
+from greengagetack.batches.start_waits import StartWaits
 from greengagetack.errors import CodedError
 from greengagetack.gateway.call import Call, ReplicaDialect
 from greengagetack.gateway.customers import CustomerDirectory
@@ -111,6 +112,7 @@
         self._hint_tasks: set[asyncio.Task[None]] = set()
         self._running: dict[str, tuple[JobRun, ItemProgress, str]] = {}
         self.loading_ids = self._placement.loading_ids
+        self.start_waits = StartWaits()
         self.demand_tokens: dict[str, float] = {}
         self._wake_event = asyncio.Event()
         self._rewards = RewardCalls(
@@ -485,14 +487,17 @@
                 waiting.append((key, run, progress))
         if not waiting:
             return
+        self.start_waits.record_open_items(self._runs.values())
         waiting.sort(key=lambda entry: entry[0])
-        for _, run, progress in waiting:
+        for (is_unneeded, *_), run, progress in waiting:
             if not self._can_continue(run.job, progress):
                 progress.restart()
             state = placement_round.choose(run.job, progress)
             if state is None:
                 continue
             placement_round.add(run.job, progress, state)
+            if not is_unneeded:
+                self.start_waits.record_start(run, progress)
             self._start_run(run, progress, state)
 
     def _move_runs(self, placement_round: PlacementRound) -> None:
@@ -647,6 +652,9 @@
                 in_flight=state.in_flight,
             )
             self._metrics.add("item_runs", end=end.value)
+        if end is RunEnd.COMPLETED and not from_event:
+            duration_s = time.monotonic() - started_s
+            self.start_waits.record_duration(job.service, duration_s)
         self._handle_run_end(run, progress, state, end)
 
     def _record_event(self, state: ReplicaState, gap_s: float) -> None:
--- a/greengagetack/batches/job_run.py
+++ b/greengagetack/batches/job_run.py
@@ -58,6 +58,7 @@
         tokens_per_event: Callable[[], int],
     ) -> None:
         self.job = job
+        self.opened_s = time.monotonic()
         self.log = log
         self._ledger = ledger
         self._metrics = metrics
--- a/greengagetack/scaling/demand.py
+++ b/greengagetack/scaling/demand.py
@@ -129,12 +129,17 @@
         memory = self._properties.memory_tokens.get(service, 0)
         per_replica = _items_per_replica(states, runs, memory, per_event)
         rate, busy_slots = self._reports.totals(service)
+        due_after_s = min(
+            (run.job.due_after_ms / MS_PER_S or NO_DUE_S for run in runs),
+            default=NO_DUE_S,
+        )
         return ServiceDemand(
             tuple(step for step in steps if step.items_left),
             per_replica * per_event / event_s if event_s else 0.0,
             per_replica,
             rate,
             busy_slots,
+            self._dispatcher.start_waits.demand_of(service, due_after_s),
         )
 
 
--- a/greengagetack/scaling/need.py
+++ b/greengagetack/scaling/need.py
@@ -3,6 +3,8 @@
 import math
 from dataclasses import dataclass
 
+from greengagetack.batches.start_waits import StartDemand
+
 __all__ = [
     "DemandReport",
     "ServiceDemand",
@@ -24,6 +26,10 @@
 GOAL_CALLER_SHARE = 0.7
 
 
+# Where items may wait for less than this, a step needs a slot for each of its items.
+TIGHT_WAIT_S = 1.0
+
+
 @dataclass(frozen=True, slots=True)
 class StepDemand:
     """What is left of an open step in the groups that its trainer waits for.
@@ -48,6 +54,8 @@
         Items that one replica runs at a time, bounded by its slots and its memory.
     arrivals_per_s, busy_slots : float
         Callers' requests at all daemons together, and the slots that they occupy.
+    starts : StartDemand
+        How long items wait for a slot, and how many are open at a time.
     """
 
     steps: tuple[StepDemand, ...] = ()
@@ -55,6 +63,7 @@
     items_per_replica: float = 1.0
     arrivals_per_s: float = 0.0
     busy_slots: float = 0.0
+    starts: StartDemand = StartDemand()
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +96,16 @@
     return demand.busy_slots / max(1.0, slots)
 
 
+def _peak_replicas(demand: ServiceDemand) -> int:
+    """Return how many replicas run all open items at once.
+
+    Each model has replicas of its own, as each replica loads the newest weights of some
+    models only.
+    """
+    per_replica = max(1.0, demand.items_per_replica)
+    return sum(math.ceil(peak / per_replica) for peak in demand.starts.peak_items)
+
+
 def load_replicas(demand: ServiceDemand, slots: float) -> float:
     """Return how many replicas the present work would keep busy until it is due."""
     load = 0.0
@@ -98,6 +117,8 @@
             continue
         needed = tokens / (rate * max(MIN_HORIZON_S, due_in_s))
         load = max(load, min(needed, busiest))
+    if demand.starts.allowed_wait_s < TIGHT_WAIT_S:
+        load = max(load, _peak_replicas(demand))
     return load + _caller_replicas(demand, slots)
 
 
@@ -107,8 +128,9 @@
     """Return how many replicas are needed so that the work is in time.
 
     This addresses a step that is larger than the replicas can finish by its due time,
-    and a rise of the callers' rate. A replica ordered now starts after its boot time
-    and can only run items that still wait for a slot.
+    steps whose long items start too late, and a rise of the callers' rate. A replica
+    ordered now starts after its boot time and can only run items that still wait for a
+    slot.
 
     Parameters
     ----------
@@ -124,6 +146,8 @@
             continue
         wanted = usable + math.ceil(missing / (rate * gained_s))
         need = max(need, min(wanted, math.ceil(busiest)))
+    if demand.starts.wait_s > demand.starts.allowed_wait_s:
+        need = max(need, _peak_replicas(demand))
     callers = _caller_replicas(demand, slots)
     if callers > MAX_CALLER_SHARE * usable:
         need = max(need, math.ceil(callers / GOAL_CALLER_SHARE))
