Hand the numbers of replicas to keep to the next holder of the scaling duty

A successor went on with the replicas that it saw at its own start, so it ordered again what its predecessor had given back, and kept for good what had been ordered for a while. The dispatcher keeps the numbers now, and the successor asks for them first.

--- a/features/support/scaling_world.py
+++ b/features/support/scaling_world.py
@@ -9,9 +9,11 @@
 from greengagetack.errors import PeerUnreachable
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.replica import Replica, ReplicaState
+from greengagetack.scaling.listing import ReplicaList
 from greengagetack.scaling.need import DemandReport, ServiceDemand, StepDemand
-from greengagetack.scaling.scaler import TICK_INTERVAL_S, ReplicaList, Scaler
+from greengagetack.scaling.scaler import TICK_INTERVAL_S, Scaler
 from greengagetack.scaling.spec import ScalingSpec
+from greengagetack.scaling.standing import digest_of
 from greengagetack.scaling.view import Pool, pool_of
 from greengagetack.world import Address
 
@@ -69,6 +71,8 @@
         self.wave = 0.0
         self.steps: list[tuple[float, int, float]] = []
         self.slow_ids: list[str] = []
+        # What the dispatcher keeps for a successor.
+        self.standing = ""
         self._numbers = itertools.count(1)
         self._pending: list[tuple[float, Pool]] = []
         self._ends: list[tuple[float, str]] = []
@@ -148,9 +152,10 @@
 
     # -- demand
 
-    async def _fetch_demand(self) -> DemandReport:
+    async def _fetch_demand(self, standing: str, wants_standing: bool) -> DemandReport:
         if not self.is_demand_known:
             raise PeerUnreachable("the test says so", 0.1)
+        self.standing = standing or self.standing
         swing = self.wave * math.sin(2 * math.pi * self.now_s / WAVE_S)
         busy = self.caller_load * (1 + swing) * SLOTS
         steps = tuple(
@@ -158,7 +163,12 @@
             for tokens, items, due_s in self.steps
         )
         demand = ServiceDemand(steps, TOKENS_PER_S, float(SLOTS), 1.0, busy)
-        return DemandReport({SERVICE: demand}, tuple(self.slow_ids))
+        return DemandReport(
+            {SERVICE: demand},
+            tuple(self.slow_ids),
+            standing_digest=digest_of(self.standing),
+            standing=self.standing if wants_standing else "",
+        )
 
     # -- time
 
--- a/greengagetack/coordination/client.py
+++ b/greengagetack/coordination/client.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack
 from typing import TypeVar
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 from loguru import logger
 
@@ -295,16 +295,24 @@
         body = encode(bundle)
         await self._call(address, "POST", "/peer/usage", body, CALL_TIMEOUT_S)
 
-    async def fetch_demand(self) -> DemandReport:
+    async def fetch_demand(
+        self, standing: str = "", wants_standing: bool = False
+    ) -> DemandReport:
         """Return the demand that scaling decisions need from the dispatcher.
 
+        The dispatcher keeps `standing` for a successor, which asks for it.
+
         Raises
         ------
         PeerUnreachable
             If the dispatcher is unknown, does not answer or does not know the call.
         """
         address = self._known_dispatcher()
-        body = await self._call(address, "GET", "/peer/demand", b"", CALL_TIMEOUT_S)
+        fields = {"standing": standing} if standing else {}
+        if wants_standing:
+            fields["wants_standing"] = "1"
+        path = f"/peer/demand?{urlencode(fields)}"
+        body = await self._call(address, "GET", path, b"", CALL_TIMEOUT_S)
         return _decode_response(body, DemandReport)
 
     async def send_relayed(
--- a/greengagetack/scaling/assembly.py
+++ b/greengagetack/scaling/assembly.py
@@ -1,5 +1,6 @@
 """greengagetack.scaling.assembly: connects the parts that scale the services."""
 
+import dataclasses
 import time
 from collections.abc import Callable
 
@@ -13,8 +14,9 @@
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.scaling.demand import DemandSource
 from greengagetack.scaling.endpoints import ScalingEndpoints
+from greengagetack.scaling.listing import ReplicaList
 from greengagetack.scaling.need import DemandReport
-from greengagetack.scaling.scaler import DutyTenure, ReplicaList, Scaler
+from greengagetack.scaling.scaler import DutyTenure, Scaler
 
 __all__ = ["ScalingParts"]
 
@@ -74,12 +76,13 @@
             self._view_age_s(),
         )
 
-    async def _fetch_demand(self) -> DemandReport:
-        if self._dispatcher.is_active:
-            # The list of replicas is this daemon's own, so its age counts once.
-            report = self._source.report()
-            return DemandReport(report.services, report.slow_ids)
-        return await self._peers.fetch_demand()
+    async def _fetch_demand(self, standing: str, wants_standing: bool) -> DemandReport:
+        if not self._dispatcher.is_active:
+            return await self._peers.fetch_demand(standing, wants_standing)
+        self._source.keep_standing(standing)
+        report = self._source.report(wants_standing)
+        # The list of replicas is this daemon's own, so its age counts once.
+        return dataclasses.replace(report, view_age_s=0.0)
 
     def scaler(self, tenure: DutyTenure, api: DutyApi, calls_per_s: float) -> Scaler:
         """Return the loop that orders replicas while the duty is held."""
--- a/greengagetack/scaling/decision.py
+++ b/greengagetack/scaling/decision.py
@@ -64,6 +64,12 @@
     return price * (spec.spot_price_ratio + risk)
 
 
+def _pools_of(spec: ScalingSpec, zone: str) -> list[Pool]:
+    """Return the pools of a zone that may be ordered; spot only if it is cheaper."""
+    regular, spot = Pool(zone, False), Pool(zone, True)
+    return [regular, spot] if spec.spot_price_ratio < 1.0 else [regular]
+
+
 def _is_open(memory: ServiceMemory, pool: Pool, now_s: float) -> bool:
     """Whether an order for a pool may be sent now and may be accepted."""
     known = memory.pool(pool)
@@ -91,7 +97,7 @@
     for zone in zones:
         if total_in_zone(counts, zone) >= spec.max_replicas:
             continue
-        for pool in (Pool(zone, False), Pool(zone, True)):
+        for pool in _pools_of(spec, zone):
             if not _is_open(memory, pool, now_s):
                 continue
             has_lost = view.living[pool] < memory.standing[pool]
--- a/greengagetack/scaling/demand.py
+++ b/greengagetack/scaling/demand.py
@@ -21,6 +21,7 @@
 )
 from greengagetack.scaling.need import DemandReport, ServiceDemand, StepDemand
 from greengagetack.scaling.spec import ScalingSpec
+from greengagetack.scaling.standing import digest_of
 
 __all__ = ["DemandSource"]
 
@@ -61,6 +62,7 @@
         self._reports = ArrivalReports(member_count)
         # The last measured time per event, for the start of the next step.
         self._event_s: dict[str, float] = {}
+        self._standing = ""
 
     def ping_fields(self) -> str:
         """Return what the pings to the dispatcher carry, empty for nothing."""
@@ -93,7 +95,12 @@
         if node and arrivals:
             self._reports.record(node, arrivals)
 
-    def report(self) -> DemandReport:
+    def keep_standing(self, standing: str) -> None:
+        """Keep the holder's numbers of replicas for its successor."""
+        if standing:
+            self._standing = standing
+
+    def report(self, wants_standing: bool = False) -> DemandReport:
         """Return the demand of all scaled services."""
         if self._reports.is_reporter(self._node):
             self._reports.record(self._node, self._encode_arrivals())
@@ -109,7 +116,13 @@
             }
             services[service] = self._service_demand(service, own, states, known_s)
             slow_ids += _slow_ids(known_s)
-        return DemandReport(services, tuple(slow_ids), self._view_age_s())
+        return DemandReport(
+            services,
+            tuple(slow_ids),
+            self._view_age_s(),
+            digest_of(self._standing),
+            self._standing if wants_standing else "",
+        )
 
     def _service_demand(
         self,
--- a/greengagetack/scaling/endpoints.py
+++ b/greengagetack/scaling/endpoints.py
@@ -30,7 +30,10 @@
     async def _demand(self, request: Request) -> Response:
         if not self._dispatcher.is_active:
             return Response(status_code=NOT_FOUND)
-        return Response(msgspec.msgpack.encode(self._source.report()))
+        query = request.query_params
+        self._source.keep_standing(query.get("standing", ""))
+        report = self._source.report("wants_standing" in query)
+        return Response(msgspec.msgpack.encode(report))
 
     def routes(self) -> tuple[Route, ...]:
         """Return the routes of the control address."""
--- a/greengagetack/scaling/memory.py
+++ b/greengagetack/scaling/memory.py
@@ -103,6 +103,11 @@
             memory.is_unconfirmed = memory.has_stalled = False
         self.surplus_since_s = None
 
+    def adopt_standing(self, standing: Counter[Pool]) -> None:
+        """Go on with the numbers of replicas that an earlier holder kept."""
+        self.standing = Counter(standing)
+        self._has_ordered = True
+
     def observe(
         self,
         spec: ScalingSpec,
@@ -173,7 +178,7 @@
         pool = pool_of(order)
         memory = self.pool(pool)
         memory.ordered_s = now_s
-        if end is DutyEnd.CONFLICT:
+        if end in (DutyEnd.CONFLICT, DutyEnd.REFUSED):
             pause_s = FIRST_REFUSAL_PAUSE_S * 2**memory.refusal_count
             memory.paused_until_s = now_s + min(MAX_REFUSAL_PAUSE_S, pause_s)
             memory.refusal_count += 1
--- a/greengagetack/scaling/need.py
+++ b/greengagetack/scaling/need.py
@@ -63,11 +63,15 @@
 
     `slow_ids` are replicas whose pace is far above the usual one; `view_age_s` is the
     age of the dispatcher's list of replicas, which other daemons follow.
+    `standing_digest` tells which numbers of replicas to keep the dispatcher has, and
+    `standing` has these if they were asked for.
     """
 
     services: dict[str, ServiceDemand]
     slow_ids: tuple[str, ...] = ()
     view_age_s: float = 0.0
+    standing_digest: str = ""
+    standing: str = ""
 
 
 def _by_due_time(demand: ServiceDemand) -> list[tuple[float, float, float]]:
--- a/greengagetack/scaling/scaler.py
+++ b/greengagetack/scaling/scaler.py
@@ -8,7 +8,6 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Protocol
 
 from loguru import logger
@@ -22,14 +21,20 @@
 from greengagetack.errors import CodedError
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.rate_limit import TokenBucket
-from greengagetack.replicas.replica import Replica, ReplicaState
+from greengagetack.replicas.replica import ReplicaState
 from greengagetack.scaling.decision import Decision, choose_orders
+from greengagetack.scaling.listing import ReplicaList, ViewBuilder
 from greengagetack.scaling.memory import ServiceMemory
 from greengagetack.scaling.need import DemandReport, ServiceDemand
 from greengagetack.scaling.spec import ScalingSpec
-from greengagetack.scaling.view import Pool, ReplicaSeen, ServiceView, pool_of
+from greengagetack.scaling.standing import (
+    decode_standing,
+    digest_of,
+    encode_standing,
+)
+from greengagetack.scaling.view import Pool, ServiceView, pool_of
 
-__all__ = ["DutyTenure", "ReplicaList", "Scaler"]
+__all__ = ["DutyTenure", "Scaler"]
 
 # An order must be sent within 1 s of the loss of a replica.
 TICK_INTERVAL_S = 0.25
@@ -39,6 +44,8 @@
 DEMAND_INTERVAL_S = 1.0
 MAX_DEMAND_AGE_S = 2.0
 MAX_VIEW_AGE_S = 2.0
+# A new holder waits this long for the dispatcher's first report.
+FIRST_DEMAND_S = 0.75
 # After a refusal the next pool is tried at once, at most so often in one tick.
 MAX_ROUNDS = 4
 # Share of the API's rate limit that orders use; usage reports use the rest.
@@ -60,15 +67,6 @@
         """Make a call under the lease; NOT_SENT if it is not held."""
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicaList:
-    """The listed replicas with the revision and the age of the list."""
-
-    replicas: tuple[ReplicaState, ...]
-    revision: int
-    age_s: float
-
-
 class Scaler:
     """Orders replicas for all scaled services while this daemon holds the duty.
 
@@ -79,7 +77,8 @@
     read_replicas : callable
         Returns the list of replicas, None while there is no complete one.
     fetch_demand : callable
-        Returns the dispatcher's report.
+        Returns the dispatcher's report. It is called with the numbers of replicas to
+        keep, empty for none, and whether the report is to have an earlier holder's.
     calls_per_s : float
         Limit of the platform's API on the calls of all daemons.
     """
@@ -90,7 +89,7 @@
         api: DutyApi,
         specs: Callable[[], tuple[ScalingSpec, ...]],
         read_replicas: Callable[[], ReplicaList | None],
-        fetch_demand: Callable[[], Awaitable[DemandReport]],
+        fetch_demand: Callable[[str, bool], Awaitable[DemandReport]],
         calls_per_s: float,
         metrics: Metrics,
         clock: Callable[[], float] = time.monotonic,
@@ -106,10 +105,11 @@
         self._report: DemandReport | None = None
         self._report_s = float("-inf")
         self._held_fence = 0
+        self._held_since_s = float("-inf")
+        # The lease under which an earlier holder's numbers were asked for.
+        self._adopted_fence = 0
         self._is_stale = False
-        # What was made of each replica's entry, as most do not change between ticks.
-        self._seen: dict[str, ReplicaSeen] = {}
-        self._seen_entries: dict[str, tuple[Replica, bool, bool]] = {}
+        self._views = ViewBuilder()
         self._rate_per_s = calls_per_s * RATE_SHARE
         self._permits = TokenBucket(max(1.0, self._rate_per_s), clock())
 
@@ -123,7 +123,10 @@
 
     async def _run_orders(self) -> None:
         while True:
-            interval_s = TICK_INTERVAL_S + TICK_INTERVAL_PER_REPLICA_S * len(self._seen)
+            interval_s = (
+                TICK_INTERVAL_S
+                + TICK_INTERVAL_PER_REPLICA_S * self._views.replica_count
+            )
             await asyncio.sleep(min(MAX_TICK_INTERVAL_S, interval_s))
             await self.tick()
 
@@ -138,14 +141,41 @@
         if not self._tenure.is_holder or not self._specs():
             return
         asked_s = self._clock()
+        fence = self._tenure.fence
+        is_first = fence != self._adopted_fence
         try:
-            self._report = await self._fetch_demand()
+            report = await self._fetch_demand(self._unsent_standing(), is_first)
         except CodedError as error:
             self._metrics.add("scaling_demand_failures")
             logger.info("scaling: demand not known", reason=error.reason)
             return
+        if is_first:
+            self._adopt_standing(report.standing)
+            self._adopted_fence = fence
+        self._report = report
         self._report_s = asked_s
 
+    def _unsent_standing(self) -> str:
+        """Return the numbers of replicas to keep if the dispatcher has others."""
+        report = self._fresh_report()
+        if report is None or self._tenure.fence != self._adopted_fence:
+            return ""
+        standing = encode_standing(
+            {service: memory.standing for service, memory in self._memories.items()}
+        )
+        return standing if digest_of(standing) != report.standing_digest else ""
+
+    def _adopt_standing(self, encoded: str) -> None:
+        try:
+            standing = decode_standing(encoded)
+        except ValueError as error:
+            logger.warning("scaling: numbers of replicas not decoded: {}", error)
+            return
+        for service, counts in standing.items():
+            self._memory(service).adopt_standing(counts)
+        if standing:
+            logger.info("scaling: earlier numbers of replicas adopted", kept=encoded)
+
     # -- one tick
 
     async def tick(self) -> None:
@@ -159,28 +189,34 @@
             self._held_fence = 0
             self._observe_start(specs)
             return
-        self._begin_tenure(self._tenure.fence)
+        if not self._begin_tenure(self._tenure.fence):
+            return
         for _ in range(MAX_ROUNDS):
             listed = self._fresh_list()
             if listed is None:
                 return
-            self._forget_removed(listed)
-            grouped = _by_service(listed, specs)
-            refusals = [
-                await self._decide_service(spec, listed, grouped[spec.service])
-                for spec in specs
-            ]
+            grouped = self._views.group(listed, specs)
+            # A slow answer about one service must not delay the others.
+            refusals = await asyncio.gather(
+                *(
+                    self._decide_service(spec, listed, grouped[spec.service])
+                    for spec in specs
+                )
+            )
             if not any(refusals):
                 return
 
-    def _begin_tenure(self, fence: int) -> None:
-        if fence == self._held_fence:
-            return
-        self._held_fence = fence
-        self._report = None
-        for memory in self._memories.values():
-            memory.begin_tenure()
-        logger.info("scaling: this daemon orders replicas", fence=fence)
+    def _begin_tenure(self, fence: int) -> bool:
+        """Return whether orders may begin: a new holder first asks for the demand."""
+        now_s = self._clock()
+        if fence != self._held_fence:
+            self._held_fence = fence
+            self._held_since_s = now_s
+            for memory in self._memories.values():
+                memory.begin_tenure()
+            logger.info("scaling: this daemon orders replicas", fence=fence)
+        is_informed = self._adopted_fence == fence
+        return is_informed or now_s - self._held_since_s >= FIRST_DEMAND_S
 
     def _observe_start(self, specs: tuple[ScalingSpec, ...]) -> None:
         """Count the replicas that are there at the start, for a later tenure."""
@@ -191,9 +227,9 @@
         listed = self._read_replicas() if starting else None
         if listed is None or listed.age_s > MAX_VIEW_AGE_S:
             return
-        grouped = _by_service(listed, specs)
+        grouped = self._views.group(listed, specs)
         for spec in starting:
-            view = self._view(grouped[spec.service], frozenset())
+            view = self._views.build(grouped[spec.service], frozenset())
             self._memory(spec.service).observe(spec, view, None, now_s)
 
     def _memory(self, service: str) -> ServiceMemory:
@@ -225,40 +261,13 @@
         is_fresh = self._clock() - self._report_s <= MAX_DEMAND_AGE_S
         return self._report if is_fresh else None
 
-    def _view(
-        self, states: list[ReplicaState], slow_ids: frozenset[str]
-    ) -> ServiceView:
-        return ServiceView(self._see(state, slow_ids) for state in states)
-
-    def _see(self, state: ReplicaState, slow_ids: frozenset[str]) -> ReplicaSeen:
-        replica = state.replica
-        replica_id = replica.replica_id
-        known = self._seen_entries.get(replica_id)
-        is_serving, is_slow = state.is_serving, replica_id in slow_ids
-        if (
-            known is not None
-            and known[0] is replica
-            and known[1] == is_serving
-            and known[2] == is_slow
-        ):
-            return self._seen[replica_id]
-        entry = self._seen_entries[replica_id] = (replica, is_serving, is_slow)
-        seen = self._seen[replica_id] = _seen(entry)
-        return seen
-
-    def _forget_removed(self, listed: ReplicaList) -> None:
-        if len(self._seen) <= 2 * len(listed.replicas):
-            return
-        self._seen.clear()
-        self._seen_entries.clear()
-
     async def _decide_service(
         self, spec: ScalingSpec, listed: ReplicaList, states: list[ReplicaState]
     ) -> bool:
         """Order what one service needs; return whether a pool refused an order."""
         report = self._fresh_report()
         slow_ids = frozenset(report.slow_ids) if report else frozenset()
-        view = self._view(states, slow_ids)
+        view = self._views.build(states, slow_ids)
         demand = report.services.get(spec.service) if report else None
         memory = self._memory(spec.service)
         memory.observe(spec, view, demand, self._clock())
@@ -343,28 +352,6 @@
         )
 
 
-def _by_service(
-    listed: ReplicaList, specs: tuple[ScalingSpec, ...]
-) -> dict[str, list[ReplicaState]]:
-    found: dict[str, list[ReplicaState]] = {spec.service: [] for spec in specs}
-    for state in listed.replicas:
-        if state.replica.service in found and not state.is_gone:
-            found[state.replica.service].append(state)
-    return found
-
-
-def _seen(entry: tuple[Replica, bool, bool]) -> ReplicaSeen:
-    replica, is_serving, is_slow = entry
-    return ReplicaSeen(
-        replica.incarnation,
-        Pool(replica.availability_zone, replica.is_spot),
-        replica.slots,
-        is_leaving=not is_serving,
-        is_reclaimed=replica.is_spot and replica.leaves_in_ms is not None,
-        is_slow=is_slow,
-    )
-
-
 def _unit_price(spec: ScalingSpec, prices: dict[str, float], pool: Pool) -> float:
     ratio = spec.spot_price_ratio if pool.is_spot else 1.0
     return prices.get(pool.zone, 0.0) * ratio
