--- a/features/scaling.feature
+++ b/features/scaling.feature
@@ -154,6 +154,52 @@
     When the scalers run for 3 s
     Then the orders are a~:0
 
+  Scenario: A successor does not order again what was given back
+    Given replicas a:2 b:2, limits 1 to 6 and prices a:1 b:1.2
+    And callers keep 1.4 replicas busy
+    And the daemons have seen the start
+    When the scalers run for 20 s
+    Then the orders are b:1
+    When the other daemon takes the duty over after 4 s
+    And the scalers run for 20 s
+    Then the orders are none
+
+  Scenario: Only regular replicas are ordered where spot ones are not cheaper
+    Given replicas a:2 b:2, limits 1 to 6 and prices a:1 b:1.2
+    And spot replicas cost 100 % of the price
+    And the daemons have seen the start
+    When callers keep 4 replicas busy
+    And the scalers run for 2 s
+    Then the orders are a:4
+
+  Scenario Outline: Arrivals at all daemons are added up
+    Given <count> daemons, each with 2 requests a second that keep 0.5 slots busy
+    When each reports its arrivals in its pings, <silent> of them too long ago
+    Then <reports> reports have arrived, and the arrivals are within <percent> % of <rate> a second
+
+    Examples:
+      | count | silent | reports | rate | percent |
+      | 9     | 0      | 9       | 18   | 0       |
+      | 70    | 10     | 70      | 120  | 0       |
+      | 1700  | 0      | 123     | 3400 | 10      |
+
+  Scenario Outline: The demand of open steps
+    Given a step with groups <groups> of which the trainer waits for <target>, due in 6 s
+    And engines with <slots> slots and memory for <memory> tokens, one event of 10 tokens every 50 ms
+    When the demand is measured
+    Then <tokens> tokens in <items> items are left, and one engine does <rate> tokens a second
+
+    Examples:
+      | groups    | target | slots | memory | tokens | items | rate |
+      | a:100,50  | 0      | 4     | 0      | 150    | 2     | 800  |
+      | a:100,50 b:10,10 | 1 | 4    | 0      | 20     | 2     | 800  |
+      | a:100,100 | 0      | 4     | 100    | 200    | 2     | 400  |
+
+  Scenario: Limits, prices and kinds are decoded, and their absence changes nothing
+    When a configuration and entries with and without the fields of scaling are decoded
+    Then only the service with limits is scaled
+    And the entries have their kinds and the time that they have left
+
   Scenario: The platform reclaims the spot engines of a zone while a job runs
     Given a platform that grants engines, 1 regular and 1 spot, and 3 daemons
     And one of the daemons orders replicas
@@ -165,4 +211,5 @@
     And job "j1" completes at edge-2
     And every result of "j1" is its item's complete output
     And a granted engine has run items
+    And the dispatcher answers with the demand of the engines
     And no rule of the duties is broken
