Let the regular kind carry the base load when replicas are given back

With no load, the regular replica went first, as it costs more, and a deployment was left with spot replicas alone. Below the number at the start, regular replicas now stay while the load needs them. features/scaling.feature: 40 scenarios passed.

--- a/features/scaling.feature
+++ b/features/scaling.feature
@@ -59,6 +59,19 @@
     Then 3 replicas serve
     And the orders are b:1
 
+  Scenario Outline: The regular kind keeps the base load
+    Given replicas <replicas>, limits 0 to 6 and prices a:1 b:1.2
+    And callers keep <load> replicas busy
+    And the daemons have seen the start
+    When the scalers run for 10 s
+    Then the orders are <orders>
+
+    Examples:
+      | replicas    | load | orders |
+      | a:1 b~:1    | 0    | b~:0   |
+      | a:2 b~:3    | 1.2  | b~:2   |
+      | a:3 b~:3    | 1.2  | a:2    |
+
   Scenario: A zone keeps its minimum
     Given replicas a:2 b:2, limits 2 to 6 and prices a:1 b:1.2
     And the daemons have seen the start
--- a/greengagetack/scaling/decision.py
+++ b/greengagetack/scaling/decision.py
@@ -11,7 +11,7 @@
 
 from greengagetack.coordination.duty_api import ReplicaOrder
 from greengagetack.scaling.memory import ServiceMemory
-from greengagetack.scaling.need import ServiceDemand, needed_replicas
+from greengagetack.scaling.need import ServiceDemand, load_replicas, needed_replicas
 from greengagetack.scaling.spec import ScalingSpec
 from greengagetack.scaling.view import Pool, ServiceView, pool_of, total_in_zone
 
@@ -231,6 +231,9 @@
     if since_s is None or now_s - since_s < SURPLUS_S:
         return []
     prices = _prices(spec)
+    # The regular kind alone carries the base load.
+    base = max(1.0, load_replicas(demand, view.mean_slots))
+    regular_count = _count_regular(view.living)
     orders: list[ReplicaOrder] = []
     pools = sorted(
         (pool for pool in view.living if view.living[pool] and pool.zone in prices),
@@ -248,6 +251,8 @@
             continue
         if not _may_reduce(memory, pool, now_s):
             continue
+        if not pool.is_spot and not is_extra and regular_count - 1 < base:
+            continue
         if not memory.can_spare(view, demand, removed):
             break
         done.add(pool.zone)
