Distrust the list of replicas from before a suspension of the VM

The monotonic clock stops while a VM is suspended, so a list that was read before it seemed fresh for up to 2 s after the thaw, while a lease of 3 s could still be valid. Nothing is ordered now until the list was confirmed 0.2 s after the thaw, and an order that was decided before is not sent.

--- a/features/scaling.feature
+++ b/features/scaling.feature
@@ -120,6 +120,16 @@
     And the scalers run for 0.5 s
     Then the orders are b:4
 
+  Scenario: A list of replicas from before a suspension is old, whatever its age says
+    Given replicas a:3 b:3, limits 0 to 6 and prices a:1 b:1.2
+    And the daemons have seen the start
+    When these events happen: a loses one
+    And the holder's VM is suspended for 2.5 s
+    And the scalers run for 0.25 s
+    Then the orders are none
+    When the scalers run for 0.5 s
+    Then the orders are b:4
+
   Scenario: Without the demand only missing replicas are ordered
     Given replicas a:3 b:3, limits 0 to 6 and prices a:1 b:1.2
     And the daemons have seen the start
--- a/features/steps/scaling_steps.py
+++ b/features/steps/scaling_steps.py
@@ -122,6 +122,11 @@
     context.world.view_age_s = age
 
 
+@when("the holder's VM is suspended for {duration:g} s")
+def step_suspend(context: Context, duration: float) -> None:
+    context.world.suspended_s += duration
+
+
 @when("the dispatcher does not answer")
 def step_no_demand(context: Context) -> None:
     context.world.is_demand_known = False
--- a/features/support/scaling_world.py
+++ b/features/support/scaling_world.py
@@ -66,6 +66,7 @@
         self.dry: set[Pool] = set()
         self.lost_answers = 0
         self.view_age_s = 0.0
+        self.suspended_s = 0.0
         self.is_demand_known = True
         self.caller_load = 0.0
         self.wave = 0.0
@@ -93,6 +94,7 @@
             CALLS_PER_S,
             Metrics(),
             lambda: self.now_s,
+            lambda: self.suspended_s,
         )
 
     def _list(self, pool: Pool) -> None:
--- a/greengagetack/scaling/decision.py
+++ b/greengagetack/scaling/decision.py
@@ -212,7 +212,7 @@
         if known.is_unconfirmed
         and known.target is not None
         and not added[pool]
-        and now_s - known.ordered_s >= ORDER_INTERVAL_S
+        and _is_open(memory, pool, now_s)
     ]
 
 
--- a/greengagetack/scaling/memory.py
+++ b/greengagetack/scaling/memory.py
@@ -137,7 +137,11 @@
         is_reclaimed = pool in view.reclaimed
         if is_reclaimed:
             memory.reclaimed_s = now_s
-            memory.reclaim_count += not memory.is_being_reclaimed
+        if is_reclaimed and not memory.is_being_reclaimed:
+            # All of the zone are taken back, those that still boot included.
+            memory.reclaim_count += 1
+            memory.booting = 0
+            memory.is_unconfirmed = False
         memory.is_being_reclaimed = is_reclaimed
         arrived = (
             view.incarnations(pool) - memory.known if memory.booting else frozenset()
--- a/greengagetack/scaling/scaler.py
+++ b/greengagetack/scaling/scaler.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 import time
 from collections.abc import Awaitable, Callable
 from typing import Protocol
@@ -46,12 +47,21 @@
 MAX_VIEW_AGE_S = 2.0
 # A new holder waits this long for the dispatcher's first report.
 FIRST_DEMAND_S = 0.75
+# Growth of the time that the VM was suspended for that shows a thaw.
+MIN_SUSPENSION_S = 0.1
+# What is read sooner after a thaw may have arrived before the suspension.
+THAW_SETTLE_S = 0.2
 # After a refusal the next pool is tried at once, at most so often in one tick.
 MAX_ROUNDS = 4
 # Share of the API's rate limit that orders use; usage reports use the rest.
 RATE_SHARE = 0.5
 
 
+def suspended_s() -> float:
+    """Return for how long the VM was suspended; the monotonic clock stops then."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
+
+
 class DutyTenure(Protocol):
     """The scaling duty as this daemon holds it or not."""
 
@@ -93,6 +103,7 @@
         calls_per_s: float,
         metrics: Metrics,
         clock: Callable[[], float] = time.monotonic,
+        suspended: Callable[[], float] = suspended_s,
     ) -> None:
         self._tenure = tenure
         self._api = api
@@ -101,6 +112,9 @@
         self._fetch_demand = fetch_demand
         self._metrics = metrics
         self._clock = clock
+        self._suspended = suspended
+        self._suspended_s = suspended()
+        self._thawed_s = float("-inf")
         self._memories: dict[str, ServiceMemory] = {}
         self._report: DemandReport | None = None
         self._report_s = float("-inf")
@@ -180,6 +194,7 @@
 
     async def tick(self) -> None:
         """Observe the replicas and, as the holder, order what is due."""
+        self._check_thaw()
         specs = self._specs()
         for service in self._memories.keys() - {spec.service for spec in specs}:
             del self._memories[service]
@@ -206,6 +221,19 @@
             if not any(refusals):
                 return
 
+    def _check_thaw(self) -> None:
+        """Distrust what was known before the VM was suspended."""
+        if not self._was_suspended():
+            return
+        self._suspended_s = self._suspended()
+        self._thawed_s = self._clock()
+        self._report = None
+        for memory in self._memories.values():
+            memory.surplus_since_s = None
+
+    def _was_suspended(self) -> bool:
+        return self._suspended() - self._suspended_s > MIN_SUSPENSION_S
+
     def _begin_tenure(self, fence: int) -> bool:
         """Return whether orders may begin: a new holder first asks for the demand."""
         now_s = self._clock()
@@ -241,7 +269,10 @@
         A follower's copy was confirmed by the dispatcher's, so both ages add up.
         """
         listed = self._read_replicas()
-        is_stale = listed is not None and self._age_s(listed) > MAX_VIEW_AGE_S
+        is_stale = listed is not None and (
+            self._age_s(listed) > MAX_VIEW_AGE_S
+            or self._clock() - listed.age_s < self._thawed_s + THAW_SETTLE_S
+        )
         if is_stale and not self._is_stale:
             self._metrics.add("scaling_stale_views")
             assert listed is not None
@@ -293,9 +324,15 @@
         return allowed
 
     async def _send(self, order: ReplicaOrder) -> DutyEnd:
-        return await self._tenure.call(
-            lambda terms: self._api.order_replicas(order, terms)
-        )
+        async def send(terms: DutyTerms) -> DutyEnd:
+            # The VM may have been suspended since the decision.
+            def may_send() -> bool:
+                return not self._was_suspended() and terms.may_send()
+
+            checked = dataclasses.replace(terms, may_send=may_send)
+            return await self._api.order_replicas(order, checked)
+
+        return await self._tenure.call(send)
 
     # -- what operators see
 
