--- a/greengagetack/scaling/decision.py
+++ b/greengagetack/scaling/decision.py
@@ -11,7 +11,7 @@
 
 from greengagetack.coordination.duty_api import ReplicaOrder
 from greengagetack.scaling.memory import ServiceMemory
-from greengagetack.scaling.need import ServiceDemand, needed_replicas
+from greengagetack.scaling.need import ServiceDemand, load_replicas, needed_replicas
 from greengagetack.scaling.spec import ScalingSpec
 from greengagetack.scaling.view import Pool, ServiceView, pool_of, total_in_zone
 
@@ -64,6 +64,12 @@
     return price * (spec.spot_price_ratio + risk)
 
 
+def _pools_of(spec: ScalingSpec, zone: str) -> list[Pool]:
+    """Return the pools of a zone that may be ordered; spot only if it is cheaper."""
+    regular, spot = Pool(zone, False), Pool(zone, True)
+    return [regular, spot] if spec.spot_price_ratio < 1.0 else [regular]
+
+
 def _is_open(memory: ServiceMemory, pool: Pool, now_s: float) -> bool:
     """Whether an order for a pool may be sent now and may be accepted."""
     known = memory.pool(pool)
@@ -91,7 +97,7 @@
     for zone in zones:
         if total_in_zone(counts, zone) >= spec.max_replicas:
             continue
-        for pool in (Pool(zone, False), Pool(zone, True)):
+        for pool in _pools_of(spec, zone):
             if not _is_open(memory, pool, now_s):
                 continue
             has_lost = view.living[pool] < memory.standing[pool]
@@ -206,7 +212,7 @@
         if known.is_unconfirmed
         and known.target is not None
         and not added[pool]
-        and now_s - known.ordered_s >= ORDER_INTERVAL_S
+        and _is_open(memory, pool, now_s)
     ]
 
 
@@ -225,6 +231,9 @@
     if since_s is None or now_s - since_s < SURPLUS_S:
         return []
     prices = _prices(spec)
+    # The regular kind alone carries the base load.
+    base = max(1.0, load_replicas(demand, view.mean_slots))
+    regular_count = _count_regular(view.living)
     orders: list[ReplicaOrder] = []
     pools = sorted(
         (pool for pool in view.living if view.living[pool] and pool.zone in prices),
@@ -242,6 +251,8 @@
             continue
         if not _may_reduce(memory, pool, now_s):
             continue
+        if not pool.is_spot and not is_extra and regular_count - 1 < base:
+            continue
         if not memory.can_spare(view, demand, removed):
             break
         done.add(pool.zone)
