Let a duty's successor be ready, and its holder wait for all totals

A new holder that acquires a released lease at once stored a window before the others had sent it their totals; it now waits until it has been known for 1.8 s or all daemons have closed the window. Heartbeats go to the first two successors that answer, a successor that has heard none notes the lease at its start, and a dispatcher of the previous release, which does not know heartbeats, no longer makes holders give up.

--- a/greengagetack/accounting/collection.py
+++ b/greengagetack/accounting/collection.py
@@ -109,16 +109,16 @@
         heard_s = self._heard_s.get(node, float("-inf"))
         return time.monotonic() - heard_s > EXPECTED_S
 
-    def missing(self, window: int, nodes: Iterable[str], since_s: float) -> list[str]:
+    def missing(self, window: int, nodes: Iterable[str], known_s: float) -> list[str]:
         """Return the daemons that have not closed a window but may still do so.
 
         Parameters
         ----------
-        since_s : float
-            Monotonic time since which the daemons know where to send their totals.
+        known_s : float
+            For how long the daemons have known where to send their totals.
         """
         closed = {entry.node for entry in self.entries(window) if entry.is_closed}
-        is_new = time.monotonic() - since_s < EXPECTED_S
+        is_new = known_s < EXPECTED_S
         return [
             node
             for node in nodes
--- a/greengagetack/accounting/report.py
+++ b/greengagetack/accounting/report.py
@@ -95,6 +95,7 @@
     first_window: int,
     is_known: Callable[[int], bool],
     is_complete: Callable[[int], bool],
+    has_collected: bool = True,
 ) -> ReportPlan:
     """Decide what the holder does about the windows.
 
@@ -113,6 +114,9 @@
         were lost, there is nothing to report.
     is_complete : callable
         Returns whether all daemons have closed a window.
+    has_collected : bool
+        Whether the holder has been known long enough that all daemons that can have
+        sent it their totals.
     """
     last = int((now_s - timings.ready_s) // timings.window_s) - 1
     next_window = max(stored) + 1 if stored else first_window
@@ -123,7 +127,8 @@
         if age_s > timings.end_s:
             drop.append(window)
             continue
-        if age_s < timings.limit_s and not is_complete(window):
+        is_over = has_collected and age_s >= timings.limit_s
+        if not is_over and not is_complete(window):
             # In order: a window in the store shows that the earlier ones are settled.
             break
         (store if is_known(window) else drop).append(window)
--- a/greengagetack/accounting/reporter.py
+++ b/greengagetack/accounting/reporter.py
@@ -32,6 +32,9 @@
 LIMITED_PAUSE_S = 1.0
 STORE_PAUSE_S = 0.5
 WRITE_LIMIT_S = 1.0
+# Within this time, all daemons learn of a new holder with their pings, and send it
+# their totals.
+COLLECTION_S = 1.8
 MAX_LOGGED_NODES = 5
 # More than the store keeps.
 REMEMBERED_WINDOWS = 24
@@ -45,8 +48,8 @@
         """Whether this daemon may make the duty's calls now."""
 
     @property
-    def is_candidate(self) -> bool:
-        """Whether this daemon holds the duty or is about to acquire it."""
+    def known_s(self) -> float:
+        """Seconds since which the others can know this daemon, 0 if they do not."""
 
     @property
     def is_confirmed(self) -> bool:
@@ -123,7 +126,6 @@
         self._dropped: set[int] = set()
         # Windows that this daemon has stored, until their counts are settled.
         self._unsettled: set[int] = set()
-        self._collecting_since_s: float | None = None
         self._store_due_s = float("-inf")
         self._call_due_s = float("-inf")
 
@@ -135,7 +137,6 @@
 
     async def tick(self) -> None:
         """Take what is due: read the store, store windows, or report one."""
-        self._note_collecting()
         if not self._seat.is_holder:
             return
         if self._seat.fence != self._fence:
@@ -155,12 +156,6 @@
             await self._send(plan.send[0])
         self._check_late()
 
-    def _note_collecting(self) -> None:
-        if not self._seat.is_candidate:
-            self._collecting_since_s = None
-        elif self._collecting_since_s is None:
-            self._collecting_since_s = time.monotonic()
-
     def _plan(self) -> ReportPlan:
         stored = self._stored()
         return plan_reports(
@@ -171,6 +166,7 @@
             self._first_window(),
             self._table.is_known,
             self._is_complete,
+            self._seat.known_s >= COLLECTION_S,
         )
 
     def _stored(self) -> dict[int, StoredWindow]:
@@ -182,10 +178,7 @@
         return min([self._counter.first_window, *self._table.windows()])
 
     def _is_complete(self, window: int) -> bool:
-        since_s = self._collecting_since_s
-        if since_s is None:
-            return False
-        return not self._table.missing(window, self._nodes(), since_s)
+        return not self._table.missing(window, self._nodes(), self._seat.known_s)
 
     # -- the store
 
@@ -238,8 +231,7 @@
             self._log_stored(window, counts)
 
     def _log_stored(self, window: int, counts: dict[str, int]) -> None:
-        assert self._collecting_since_s is not None
-        missing = self._table.missing(window, self._nodes(), self._collecting_since_s)
+        missing = self._table.missing(window, self._nodes(), self._seat.known_s)
         age_s = self._timings.age_s(window, self._counter.now_s())
         logger.info(
             "usage: window stored",
--- a/greengagetack/coordination/client.py
+++ b/greengagetack/coordination/client.py
@@ -62,12 +62,17 @@
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 RETRY_AFTER_S = 0.5
 OK = 200
+NOT_FOUND = 404
 GONE = 410
 REFUSED_STATUSES = frozenset({429, 503})
 
 T = TypeVar("T")
 
 
+class MessageUnknown(PeerUnreachable):
+    """The daemon does not know the message, as one of the previous release."""
+
+
 class PeerClient:
     """Calls the dispatcher and, for relays to the store, any other daemon.
 
@@ -266,7 +271,11 @@
         """
         target = address or self._known_dispatcher()
         body = encode(heartbeat)
-        answer = await self._call(target, "POST", "/peer/duties", body, CALL_TIMEOUT_S)
+        path = "/peer/duties"
+        try:
+            answer = await self._call(target, "POST", path, body, CALL_TIMEOUT_S)
+        except MessageUnknown:
+            return False
         return _decode_response(answer, bool)
 
     async def reaches_api(self, address: Address) -> bool:
@@ -392,9 +401,8 @@
         if head.status == GONE:
             raise HistoryGone(f"{address} no longer has the changes of {path}")
         if head.status != OK:
-            raise PeerUnreachable(
-                f"{address} responded with status {head.status}", RETRY_AFTER_S
-            )
+            kind = MessageUnknown if head.status == NOT_FOUND else PeerUnreachable
+            raise kind(f"{address} responded with status {head.status}", RETRY_AFTER_S)
         return content
 
 
--- a/greengagetack/coordination/duty_lease.py
+++ b/greengagetack/coordination/duty_lease.py
@@ -144,6 +144,22 @@
             self._seen_version = version
             self._seen_s = _boottime_s()
 
+    async def observe(self) -> None:
+        """Read the lease once, so that a later acquisition waits from now on.
+
+        A daemon that the holder does not inform, because it has failed before this one
+        started, would otherwise wait from the time at which it begins to acquire.
+        """
+        now_s = _boottime_s()
+        try:
+            version, _ = await self._read()
+        except CodedError as error:
+            logger.info("{}: not read: {}", self._name, error.reason)
+            return
+        if version != self._seen_version:
+            self._seen_version = version
+            self._seen_s = now_s
+
     def may_act(self) -> bool:
         """Whether a call may be sent right now."""
         return self._is_held and _boottime_s() < self._valid_until_s - SEND_MARGIN_S
--- a/greengagetack/coordination/duty_seat.py
+++ b/greengagetack/coordination/duty_seat.py
@@ -10,37 +10,36 @@
 
 from greengagetack.coordination.duty_api import DutyApi, DutyEnd, DutyTerms
 from greengagetack.coordination.duty_board import DutyBoard, DutyHeartbeat
+from greengagetack.coordination.duty_contact import (
+    HEARTBEAT_INTERVAL_S,
+    INFORMED_SUCCESSORS,
+    ApiContact,
+    DutyHeartbeats,
+    DutyPeers,
+)
 from greengagetack.coordination.duty_lease import DutyLease
 from greengagetack.coordination.messages import Member
-from greengagetack.errors import CodedError
 from greengagetack.observability.metrics import Metrics
-from greengagetack.world import Address
 
-__all__ = ["DutyClaim", "DutyMembers", "DutyPeers", "DutySeat", "duty_rank", "ranked"]
+__all__ = ["DutyClaim", "DutyMembers", "DutySeat", "duty_rank", "ranked"]
 
 TICK_INTERVAL_S = 0.1
-HEARTBEAT_INTERVAL_S = 1.0
-# Daemons that rank next and get the heartbeats too, so that a successor waits from the
-# last renewal instead of from its own first read.
-INFORMED_SUCCESSORS = 2
 RANK_DELAY_S = 0.7
 FIRST_START_DELAY_S = 2.0
+# By then, a holder that is alive has informed its successors.
+OBSERVATION_S = 1.5
 # Longer than two heartbeats.
 HEARD_S = 2.5
 # VMs with less than this share of the cores of the largest one take a duty last.
 SMALL_VM_SHARE = 0.5
-# The dispatcher no longer publishes a holder after 3 s without a heartbeat; a holder
-# that is not confirmed for this long may miss counts and orders of other daemons.
-CONFIRMATION_S = 2.0
-UNCONFIRMED_LIMIT_S = 4.0
-API_SILENCE_S = 3.0
+# A holder that no dispatcher answers for this long gives the duty up.
+UNANSWERED_LIMIT_S = 4.0
 # A daemon that cannot reach the store lets another one acquire the lease.
 STORE_SILENCE_S = 2.5
 FIRST_PAUSE_S = 5.0
 MAX_PAUSE_S = 60.0
 # A pause doubles if the former one began less than this long ago.
 RECURRENCE_S = 120.0
-MAX_ASKED = 8
 # Longer than the time-out of a call.
 IDLE_LIMIT_S = 2.0
 
@@ -68,18 +67,6 @@
         """Whether this daemon holds the claim."""
 
 
-class DutyPeers(Protocol):
-    """Calls to other daemons."""
-
-    async def send_duty_heartbeat(
-        self, heartbeat: DutyHeartbeat, address: Address | None = None
-    ) -> bool:
-        """Send a heartbeat, by default to the dispatcher; return its answer."""
-
-    async def reaches_api(self, address: Address) -> bool:
-        """Return whether a daemon reaches the platform's API."""
-
-
 def ranked(
     duty: str, members: Iterable[Member], dispatcher: str, others: Collection[str]
 ) -> list[Member]:
@@ -109,15 +96,8 @@
     return sorted(listed, key=sort_key)
 
 
-def duty_rank(
-    duty: str,
-    node: str,
-    members: Iterable[Member],
-    dispatcher: str,
-    others: Collection[str],
-) -> int | None:
-    """Return a daemon's rank for a duty, None if it is not listed."""
-    order = ranked(duty, members, dispatcher, others)
+def duty_rank(node: str, order: list[Member]) -> int | None:
+    """Return a daemon's rank in an order, None if it is not listed."""
     return next((n for n, member in enumerate(order) if member.node == node), None)
 
 
@@ -145,17 +125,23 @@
         self._board = board
         self._members = members
         self._claim = claim
-        self._peers = peers
-        self._api = api
+        self._heartbeats = DutyHeartbeats(
+            duty,
+            local_member,
+            lease,
+            board,
+            lambda: claim.is_acting,
+            peers,
+            self._ranked,
+        )
+        self._contact = ApiContact(duty, api, peers, self.successors)
         self._metrics = metrics
         self._lock = asyncio.Lock()
         self._started_s = time.monotonic()
         self._vacant_since_s: float | None = None
         self._candidate_since_s: float | None = None
         self._heard_s = float("-inf")
-        self._confirmed_s = float("-inf")
-        self._reached_api_s = float("-inf")
-        self._acquired_s = float("-inf")
+        self._has_observed = False
         self._paused_until_s = float("-inf")
         self._paused_s = float("-inf")
         self._pause_s = 0.0
@@ -189,7 +175,16 @@
     @property
     def is_confirmed(self) -> bool:
         """Whether the dispatcher has just published this daemon as the holder."""
-        return time.monotonic() - self._confirmed_s < CONFIRMATION_S
+        return self._heartbeats.is_confirmed
+
+    @property
+    def known_s(self) -> float:
+        """Seconds since which the others can know this daemon, 0 if they do not."""
+        return self._heartbeats.known_s if self.is_candidate else 0.0
+
+    def successors(self) -> list[Member]:
+        """Return the other daemons in the order in which they take the duty."""
+        return self._heartbeats.successors()
 
     async def call(self, send: Callable[[DutyTerms], Awaitable[DutyEnd]]) -> DutyEnd:
         """Make one call under the lease; NOT_SENT if it is not held."""
@@ -214,7 +209,7 @@
         if end is not DutyEnd.NOT_SENT:
             self._lease.record_call()
         if end not in (DutyEnd.NOT_SENT, DutyEnd.UNKNOWN):
-            self._reached_api_s = time.monotonic()
+            self._contact.note_reached()
         self._metrics.add("duty_calls", duty=self.duty, result=end.value)
         return end
 
@@ -244,6 +239,7 @@
         was_held = self._lease.held_version != 0
         if not was_held and not self._may_compete():
             self._candidate_since_s = None
+            await self._observe()
             return
         if was_held and self._has_become_dispatcher():
             await self.give_up("this daemon is now the dispatcher")
@@ -261,21 +257,29 @@
         self._metrics.set("duty_held", float(self.is_holder), duty=self.duty)
 
     def _on_acquired(self) -> None:
-        now_s = time.monotonic()
-        self._acquired_s = self._reached_api_s = self._confirmed_s = now_s
+        self._heartbeats.note_acquired()
+        self._contact.note_reached()
         self._candidate_since_s = None
         self._was_acting = self._claim.is_acting
         logger.info("duties: this daemon holds the duty", duty=self.duty)
 
-    def _dispatcher_node(self) -> str:
-        holder = self._claim.holder
-        return "" if holder is None else holder.node
+    async def _observe(self) -> None:
+        """Note the lease once if this daemon ranks next and has heard nothing of it."""
+        if self._has_observed or time.monotonic() < self._started_s + OBSERVATION_S:
+            return
+        rank = duty_rank(self._local_member.node, self._ranked())
+        if rank is None:
+            return
+        self._has_observed = True
+        if rank <= INFORMED_SUCCESSORS and self._heard_s == float("-inf"):
+            await self._lease.observe()
 
     def _ranked(self) -> list[Member]:
+        dispatcher = self._claim.holder
         return ranked(
             self.duty,
             self._members.members().values(),
-            self._dispatcher_node(),
+            "" if dispatcher is None else dispatcher.node,
             self._board.other_holders(self.duty),
         )
 
@@ -294,11 +298,8 @@
         earliest_s = max(self._vacant_since_s, self._started_s + FIRST_START_DELAY_S)
         if now_s < earliest_s:
             return False
-        order = [member.node for member in self._ranked()]
-        if self._local_member.node not in order:
-            return False
-        rank = order.index(self._local_member.node)
-        return now_s >= earliest_s + RANK_DELAY_S * rank
+        rank = duty_rank(self._local_member.node, self._ranked())
+        return rank is not None and now_s >= earliest_s + RANK_DELAY_S * rank
 
     def _is_cut_off(self, now_s: float, since_s: float) -> bool:
         """Let others compete while this daemon does not reach the store."""
@@ -315,8 +316,7 @@
         was_acting, self._was_acting = self._was_acting, self._claim.is_acting
         if was_acting or not self._was_acting:
             return False
-        order = self._ranked()
-        return bool(order) and order[0].node != self._local_member.node
+        return duty_rank(self._local_member.node, self._ranked()) != 0
 
     def _pause(self, reason: str) -> None:
         now_s = time.monotonic()
@@ -361,8 +361,9 @@
             else:
                 await self._lease.release()
         self._is_leaving = False
+        self._heartbeats.note_released()
         self.on_release()
-        await self._send_heartbeat(is_released=True)
+        await self._heartbeats.send(is_holder=False, is_released=True)
 
     # -- heartbeats and contact
 
@@ -382,54 +383,9 @@
         is_holder = self.is_holder
         if self._is_stopping or not (is_holder or self._candidate_since_s is not None):
             return
-        await self._send_heartbeat()
-        unconfirmed_s = time.monotonic() - self._confirmed_s
-        if is_holder and unconfirmed_s > UNCONFIRMED_LIMIT_S:
-            await self.give_up("the dispatcher does not confirm the holder")
-
-    async def _send_heartbeat(self, is_released: bool = False) -> None:
-        is_holder = self.is_holder
-        heartbeat = DutyHeartbeat(
-            self.duty,
-            self._local_member.node,
-            self._local_member.control,
-            self._lease.fence if is_holder else 0,
-            time.monotonic() - self._acquired_s if is_holder else 0.0,
-            self._lease.held_version if is_holder else 0,
-            is_released,
-        )
-        successors = [m for m in self._ranked() if m.node != self._local_member.node]
-        await asyncio.gather(
-            self._beat_dispatcher(heartbeat),
-            *(
-                self._beat_successor(heartbeat, member)
-                for member in successors[:INFORMED_SUCCESSORS]
-                if is_holder or is_released
-            ),
-        )
-
-    async def _beat_dispatcher(self, heartbeat: DutyHeartbeat) -> None:
-        if self._claim.is_acting:
-            is_known = self._board.receive(heartbeat)
-        else:
-            try:
-                is_known = await self._peers.send_duty_heartbeat(heartbeat)
-            except CodedError as error:
-                logger.info(
-                    "duties: the dispatcher does not answer a heartbeat",
-                    duty=self.duty,
-                    reason=error.reason,
-                )
-                return
-        if is_known:
-            self._confirmed_s = time.monotonic()
-
-    async def _beat_successor(self, heartbeat: DutyHeartbeat, member: Member) -> None:
-        try:
-            address = Address.parse(member.control)
-            await self._peers.send_duty_heartbeat(heartbeat, address)
-        except CodedError as error:
-            logger.debug("duties: no heartbeat to {}: {}", member.node, error.reason)
+        await self._heartbeats.send(is_holder)
+        if is_holder and self._heartbeats.unanswered_s > UNANSWERED_LIMIT_S:
+            await self.give_up("no dispatcher answers")
 
     async def run_contact(self) -> None:
         """Give the duty up when only other daemons reach the platform's API."""
@@ -439,33 +395,5 @@
 
     async def check_contact(self) -> None:
         """Check the path to the platform's API, and whether others have one."""
-        if not self.is_holder:
-            return
-        if time.monotonic() - self._reached_api_s < HEARTBEAT_INTERVAL_S:
-            return
-        if await self._api.is_reachable():
-            self._reached_api_s = time.monotonic()
-            return
-        silent_s = time.monotonic() - self._reached_api_s
-        if silent_s < API_SILENCE_S or not self.is_holder:
-            return
-        others = [m for m in self._ranked() if m.node != self._local_member.node]
-        answers = await asyncio.gather(*(self._ask(m) for m in others[:MAX_ASKED]))
-        reaching = [node for node in answers if node]
-        logger.warning(
-            "duties: the platform's API is not reached from here",
-            duty=self.duty,
-            silent_ms=int(silent_s * 1000),
-            reached_from=",".join(reaching),
-        )
-        if reaching and self.is_holder:
+        if self.is_holder and await self._contact.is_lost() and self.is_holder:
             await self.give_up("only other daemons reach the platform's API")
-
-    async def _ask(self, member: Member) -> str:
-        """Return a daemon's name if it reaches the platform's API."""
-        try:
-            address = Address.parse(member.control)
-            return member.node if await self._peers.reaches_api(address) else ""
-        except CodedError as error:
-            logger.debug("duties: {} does not answer: {}", member.node, error.reason)
-            return ""
--- a/greengagetack/observability/explain.py
+++ b/greengagetack/observability/explain.py
@@ -15,11 +15,14 @@
     "config:",
     "daemon:",
     "dispatch: this daemon",
+    "duties:",
     "feed:",
     "logs:",
     "order lease:",
     "replicas:",
+    "scaling lease:",
     "store:",
+    "usage lease:",
     "weights:",
 )
 # Changes of state up to this long before a request's first line are included.
--- a/greengagetack/platform/duty_parts.py
+++ b/greengagetack/platform/duty_parts.py
@@ -16,7 +16,7 @@
 from greengagetack.coordination.duty_board import DutyBoard, DutyHolder
 from greengagetack.coordination.duty_endpoints import DutyEndpoints
 from greengagetack.coordination.duty_lease import DutyLease
-from greengagetack.coordination.duty_seat import DutySeat, ranked
+from greengagetack.coordination.duty_seat import DutySeat
 from greengagetack.coordination.messages import Member
 from greengagetack.coordination.roster import Roster
 from greengagetack.facts import FactTable
@@ -76,7 +76,7 @@
             self._usage_table,
             lambda: self.board.holder(USAGE),
             roster.members,
-            self._successors,
+            lambda: self._usage_seat.successors(),
             peers,
             metrics,
         )
@@ -85,6 +85,8 @@
         self._reporter: Reporter | None = None
         claim.clock = self.clock
         if cloud.reports_usage:
+            self._usage_seat = self.make_seat(USAGE)
+            self._usage_seat.on_release = self._sender.hand_over
             self._reporter = self._make_reporter(cloud)
 
     def make_seat(self, duty: str) -> DutySeat:
@@ -113,10 +115,8 @@
         return seat
 
     def _make_reporter(self, cloud: CloudFacts) -> Reporter:
-        seat = self.make_seat(USAGE)
-        seat.on_release = self._sender.hand_over
         return Reporter(
-            seat,
+            self._usage_seat,
             self.api,
             self._store,
             self._counter,
@@ -137,21 +137,6 @@
         if duty == USAGE:
             self._sender.on_holder_change()
 
-    def _successors(self) -> list[Member]:
-        """Return the other daemons in the order in which they take the duty."""
-        dispatcher = self._claim.holder
-        others = [
-            member
-            for member in self._roster.members().values()
-            if member.node != self._local_member.node
-        ]
-        return ranked(
-            USAGE,
-            others,
-            "" if dispatcher is None else dispatcher.node,
-            self.board.other_holders(USAGE),
-        )
-
     def start(self, start_part: StartPart) -> None:
         """Start all parts."""
         for seat in self.endpoints.seats:
