Test that a refused submission leaves no items behind

Guards against another customer's items being served under an existing job's identifier: with the owner's check moved after the items' caching, the scenario at a daemon that does not run jobs fails. Both scenarios pass on this code.

--- a/features/customers.feature
+++ b/features/customers.feature
@@ -224,6 +224,21 @@
       | edge-2 | zenith-1 | 404  | equal       | 404    | 404 |
       | edge-1 | forged   | 401  | equal       | 401    | 401 |
 
+  Scenario Outline: A submission of another customer's identifier leaves no trace
+    Given a platform with 2 engines and 2 daemons
+    And customers acme with keys "acme-1 acme-2" and zenith with key "zenith-1" and priority 3
+    When clients send the key "acme-1"
+    And job "j1" with 1 groups of 2 is submitted at the daemon that runs the jobs
+    And clients send the key "zenith-1"
+    Then submitting job "j1" again at <edge> is answered with 404
+    And the body of item "j1-0-0" is unchanged for key "acme-2" at edge-1
+    And the body of item "j1-0-0" is unchanged for key "acme-2" at edge-2
+
+    Examples:
+      | edge                              |
+      | the daemon that runs the jobs     |
+      | a daemon that does not run jobs   |
+
   Scenario: A job whose key was removed goes on under its customer's name at another daemon
     Given a platform with 2 engines and 3 daemons
     And customers acme with keys "acme-1 acme-2" and zenith with key "zenith-1" and priority 3
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -393,9 +393,16 @@
         self, edge: str, listener: str = "front", timeout_s: float = 10.0
     ) -> http.client.HTTPConnection:
         """Return a new connection to a daemon."""
-        return http.client.HTTPConnection(
-            self._addresses[edge][listener], timeout=timeout_s
-        )
+        address = self._addresses[self._named_edge(edge)][listener]
+        return http.client.HTTPConnection(address, timeout=timeout_s)
+
+    def _named_edge(self, edge: str) -> str:
+        """Return the name of a daemon that may be given by its role."""
+        if edge == "the daemon that runs the jobs":
+            return self.dispatcher()
+        if edge == "a daemon that does not run jobs":
+            return next(name for name in self.edges if name != self.dispatcher())
+        return edge
 
     def call(
         self,
