Send items and reward calls of customers with a better priority first

Cause: a customer's priority is to replace age in the order of items; so far due time alone decided among needed groups.

Change: the rank of the job's customer (its priority, 5 without one, as replicas assume) comes after whether a group is needed and before the due time. A better priority therefore does not let surplus groups delay groups that others wait for, and the order is as before while all are equal.

--- a/features/customers.feature
+++ b/features/customers.feature
@@ -82,6 +82,25 @@
       | [{"name": "a", "api_keys": [7]}]                                 | not accepted |
       | {}                                                               | not accepted |
 
+  Scenario Outline: A customer's priority decides whose items go first
+    Given a configuration with these customers
+      | name   | keys | priority |
+      | first  | k1   | 0        |
+      | third  | k3   | 3        |
+      | last   | k9   | 9        |
+      | plain  | k    |          |
+    When items <items> wait
+    Then they are sent in the order <order>
+
+    # An item is CUSTOMER/DUE-MS, followed by ! if its group is not needed.
+    Examples:
+      | items                         | order                         | why                         |
+      | plain/2 plain/1 nobody/3      | plain/1 plain/2 nobody/3      | all alike: the older first  |
+      | plain/1 third/2 first/3       | first/3 third/2 plain/1       | priority before age         |
+      | last/1 plain/2 nobody/3       | plain/2 nobody/3 last/1       | none counts as 5            |
+      | first/1! last/2               | last/2 first/1!               | surplus delays nobody       |
+      | first/1! plain/2 third/3!     | plain/2 first/1! third/3!     | priority among the surplus  |
+
   Scenario: The directory is rebuilt only when the customers differ
     Given a configuration with these customers
       | name | keys   | priority |
@@ -239,6 +258,19 @@
       | the daemon that runs the jobs     |
       | a daemon that does not run jobs   |
 
+  Scenario: Items of a customer with a better priority go before older ones
+    Given a platform with 1 engines and 1 daemons
+    And customers acme with keys "acme-1 acme-2" and zenith with key "zenith-1" and priority 3
+    And the engines send an event every 60 ms
+    When clients send the key "acme-1"
+    And job "j1" with 4 groups of 4 is submitted at edge-1
+    And clients send the key "zenith-1"
+    And job "j2" with 1 groups of 4 is submitted at edge-1
+    Then job "j2" completes at edge-1
+    When clients send the key "acme-1"
+    Then job "j1" completes at edge-1
+    And every item of "j2" was sent before the last 4 items of "j1"
+
   Scenario: A job whose key was removed goes on under its customer's name at another daemon
     Given a platform with 2 engines and 3 daemons
     And customers acme with keys "acme-1 acme-2" and zenith with key "zenith-1" and priority 3
--- a/features/steps/customers_steps.py
+++ b/features/steps/customers_steps.py
@@ -12,6 +12,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from greengagetack.batches.priority import ItemSortKey, item_sort_key
 from greengagetack.coordination.messages import decode, encode
 from greengagetack.errors import UnknownKey
 from greengagetack.gateway.call import Call
@@ -132,6 +133,24 @@
     assert is_allowed == (may == "may read")
 
 
+@when("items {items} wait")
+def step_wait(context: Context, items: str) -> None:
+    customers = context.route_table.customers
+
+    def sort_key(item: str) -> ItemSortKey:
+        customer, _, due = item.rstrip("!").partition("/")
+        name = "" if customer == "nobody" else customer
+        rank = customers.rank_of(name)
+        return item_sort_key(float(due), not item.endswith("!"), False, 1, rank)
+
+    context.order = sorted(items.split(), key=sort_key)
+
+
+@then("they are sent in the order {order}")
+def step_order(context: Context, order: str) -> None:
+    assert context.order == order.split(), context.order
+
+
 @when("customers {tenants} are decoded")
 def step_decode(context: Context, tenants: str) -> None:
     value: dict[str, Any] = {"version": 1, "routes": []}
@@ -495,6 +514,14 @@
     assert answer.status == status, answer
 
 
+@then('every item of "{job}" was sent before the last {count:d} items of "{other}"')
+def step_sent_before(context: Context, job: str, count: int, other: str) -> None:
+    arrived_s = dict(_cluster(context).replicas["engine-1"].arrived_s)
+    ours = sorted(s for name, s in arrived_s.items() if name.startswith(f"{job}-"))
+    others = sorted(s for name, s in arrived_s.items() if name.startswith(f"{other}-"))
+    assert ours[-1] < others[-count], (ours, others)
+
+
 @then('the body of item "{item}" is unchanged for key "{key}" at {edge}')
 def step_unchanged(context: Context, item: str, key: str, edge: str) -> None:
     job = item.partition("-")[0]
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -23,7 +23,7 @@
     usual_pace_s,
 )
 from greengagetack.batches.placement import Candidate, choose_candidate
-from greengagetack.batches.priority import item_sort_key
+from greengagetack.batches.priority import ItemSortKey, item_sort_key
 from greengagetack.batches.progress import ItemProgress, ProgressSnapshot
 from greengagetack.batches.prompts import PromptTracker
 from greengagetack.batches.resubmitted import ResubmittedGroups
@@ -477,9 +477,10 @@
 
     def _send_waiting(self) -> None:
         now_s = time.monotonic()
-        waiting: list[tuple[tuple[bool, float, bool, int], JobRun, ItemProgress]] = []
+        waiting: list[tuple[ItemSortKey, JobRun, ItemProgress]] = []
         for run in self._runs.values():
             needed = run.needed_groups()
+            rank = self._customers().rank_of(run.job.customer)
             for progress in run.unfinished.values():
                 if progress.is_running or progress.is_complete:
                     continue
@@ -491,6 +492,7 @@
                     group in needed,
                     group in run.required_groups,
                     self._events_left(run.job, progress),
+                    rank,
                 )
                 waiting.append((key, run, progress))
         if not waiting:
--- a/greengagetack/batches/priority.py
+++ b/greengagetack/batches/priority.py
@@ -3,7 +3,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-__all__ = ["WaitingGroup", "item_sort_key", "needed_groups"]
+__all__ = ["ItemSortKey", "WaitingGroup", "item_sort_key", "needed_groups"]
+
+ItemSortKey = tuple[bool, int, float, bool, int]
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,12 +36,17 @@
 
 
 def item_sort_key(
-    due_ms: float, is_needed: bool, is_required: bool, events_left: int
-) -> tuple[bool, float, bool, int]:
+    due_ms: float,
+    is_needed: bool,
+    is_required: bool,
+    events_left: int,
+    customer_rank: int,
+) -> ItemSortKey:
     """Return the sort key of a waiting item; the smallest is sent first.
 
     In jobs where a few items take many times longer than the rest, the longest items
     determine when the job completes. Among the needed groups these are therefore sent
-    first. An older job has priority over a newer one.
+    first. An older job has priority over a newer one of customers of the same rank. A
+    customer's rank does not let its surplus groups delay groups that others wait for.
     """
-    return (not is_needed, due_ms, not is_required, -events_left)
+    return (not is_needed, customer_rank, due_ms, not is_required, -events_left)
--- a/greengagetack/batches/rewards.py
+++ b/greengagetack/batches/rewards.py
@@ -14,7 +14,7 @@
 
 from greengagetack.batches.job import Job, RewardRequest
 from greengagetack.batches.job_run import JobRun
-from greengagetack.batches.priority import item_sort_key
+from greengagetack.batches.priority import ItemSortKey, item_sort_key
 from greengagetack.batches.progress import ItemProgress
 from greengagetack.batches.reward_placement import (
     RewardCandidate,
@@ -128,7 +128,7 @@
     def dispatch(self, runs: Iterable[JobRun]) -> None:
         """Send as many waiting reward calls as the replicas may take, by priority."""
         now_s = time.monotonic()
-        waiting: list[tuple[tuple[bool, float, bool, int], JobRun, ItemProgress]] = []
+        waiting: list[tuple[ItemSortKey, JobRun, ItemProgress]] = []
         for run in runs:
             unscored = [
                 progress
@@ -140,10 +140,11 @@
             if not unscored:
                 continue
             needed = run.needed_groups()
+            rank = self._customers().rank_of(run.job.customer)
             for progress in unscored:
                 group = progress.item.group
                 key = item_sort_key(
-                    run.due_ms, group in needed, group in run.required_groups, 0
+                    run.due_ms, group in needed, group in run.required_groups, 0, rank
                 )
                 waiting.append((key, run, progress))
         waiting.sort(key=lambda entry: entry[0])
--- a/greengagetack/gateway/customers.py
+++ b/greengagetack/gateway/customers.py
@@ -9,6 +9,8 @@
 
 __all__ = ["Customer", "CustomerDirectory", "key_fingerprint", "may_access"]
 
+# Rank of customers without a priority; replicas assume the same without a header.
+DEFAULT_RANK = 5
 FINGERPRINT_BYTES = 4
 # Fingerprints cannot be compared with those of another process, so that a log does not
 # help to confirm a guessed key.
@@ -69,6 +71,11 @@
         """Return the priority of a customer, None if it has none or is unknown."""
         return self._priorities.get(name)
 
+    def rank_of(self, name: str) -> int:
+        """Return the rank of a customer among others, 0 for the first."""
+        priority = self._priorities.get(name)
+        return DEFAULT_RANK if priority is None else priority
+
     def sender_of_job(self, name: str) -> str | None:
         """Return the customer that calls for a job carry (`Call.customer`).
 
