--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -17,7 +17,7 @@
 from greengagetack.batches.ledger import JOBS_PREFIX, Ledger, decode_job, is_expired
 from greengagetack.batches.log import JobLog, LogCache
 from greengagetack.batches.pace import Paces, RunningItem
-from greengagetack.batches.priority import item_sort_key
+from greengagetack.batches.priority import ItemSortKey, item_sort_key
 from greengagetack.batches.progress import ItemProgress, ProgressSnapshot
 from greengagetack.batches.resubmitted import ResubmittedGroups
 from greengagetack.batches.rewards import RewardCalls
@@ -469,9 +469,10 @@
 
     def _send_waiting(self, placement_round: PlacementRound) -> None:
         now_s = time.monotonic()
-        waiting: list[tuple[tuple[bool, float, bool, int], JobRun, ItemProgress]] = []
+        waiting: list[tuple[ItemSortKey, JobRun, ItemProgress]] = []
         for run in self._runs.values():
             needed = run.needed_groups()
+            rank = self._customers().rank_of(run.job.customer)
             for progress in run.unfinished.values():
                 if progress.is_running or progress.is_complete:
                     continue
@@ -483,6 +484,7 @@
                     group in needed,
                     group in run.required_groups,
                     self._placement.events_left(run.job, progress),
+                    rank,
                 )
                 waiting.append((key, run, progress))
         if not waiting:
