Let callers' requests leave their zone by shares that follow the waits

Each daemon compared single replicas with a fixed penalty of 4 ms for another zone, so that requests left the zone as soon as two of one daemon were in flight there, and nothing kept the daemons of a zone from filling a neighbour's places.

How many places all daemons use is summed by the owner of the facts from reports that go with the pings (topic zone-load, at most 10 facts a second, only above 50 % use, not saved in the store). Items count the same cost of the way.

--- a/features/support/cut_network.py
+++ b/features/support/cut_network.py
@@ -19,6 +19,7 @@
 from greengagetack.gateway.routes import RequestKind, Route
 from greengagetack.gateway.stream_origins import StreamOrigins
 from greengagetack.gateway.suspects import Suspects
+from greengagetack.gateway.zone_routing import ZoneRouting
 from greengagetack.http1.memory import ResponseMemory
 from greengagetack.http1.message import (
     ConnectFailed,
@@ -33,6 +34,7 @@
 from greengagetack.replicas.paths import ReplicaPaths
 from greengagetack.replicas.permits import Permits
 from greengagetack.replicas.replica import Replica
+from greengagetack.replicas.zone_cost import ZoneCost
 from greengagetack.world import Address
 
 __all__ = ["CutNetwork", "Outcome"]
@@ -232,7 +234,7 @@
             paths,
             Detours(_Peers(self, number), self.addresses[number], metrics),
             ResponseMemory(1_000_000),
-            f"zone-{number % 2}",
+            ZoneRouting(f"zone-{number % 2}", ZoneCost()),
         )
 
     async def request(self, daemon: int, request_id: str) -> Outcome:
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -48,6 +48,7 @@
 # Other daemons still read jobs that ended some time ago.
 MAX_CLOSED_LOG_BYTES = 16 * 1024 * 1024
 MS_PER_S = 1_000
+BYTES_PER_KB = 1_000
 # Clocks of VMs differ; items are reported as lost only once the deadline has passed on
 # every clock.
 TTL_MARGIN_S = 6.0
@@ -566,6 +567,7 @@
         )
         started_s = time.monotonic()
         from_event = progress.last_event_id
+        former_chars = progress.output_chars
         end, reason = RunEnd.BROKEN, "cancelled"
         try:
             end, reason = await run_item(
@@ -598,6 +600,11 @@
                 in_flight=state.in_flight,
             )
             self._metrics.add("item_runs", end=end.value)
+            size_bytes = len(item.body) + progress.output_chars - former_chars
+            if self._placement.is_other_zone(state.replica):
+                zone = state.replica.availability_zone
+                kb = max(0, size_bytes) / BYTES_PER_KB
+                self._metrics.add("zone_kb", kb, service=job.service, zone=zone)
         self._handle_run_end(run, progress, state, end)
 
     def _record_event(self, state: ReplicaState, gap_s: float) -> None:
--- a/greengagetack/batches/item_placement.py
+++ b/greengagetack/batches/item_placement.py
@@ -84,6 +84,10 @@
         self._paces = PaceTracker()
         self._silences = SilenceWatch()
 
+    def is_other_zone(self, replica: Replica) -> bool:
+        """Whether a replica is in another availability zone than this VM."""
+        return bool(self.zone) and replica.availability_zone != self.zone
+
     def record_event(self, replica_id: str, gap_s: float) -> None:
         """Record an event of a run, `gap_s` after the previous one, 0 for the first."""
         self._silences.record_event(replica_id)
@@ -194,7 +198,6 @@
         replica = state.replica
         replica_id = replica.replica_id
         memory = self._placement.engine_properties.memory_tokens_of(job.service)
-        zone = self._placement.zone
         return Candidate(
             replica_id,
             state.in_flight + self._reserved.get(replica_id, 0),
@@ -205,7 +208,7 @@
             self._placement.prompts.has_prompt(
                 replica_id, progress.item.group, state.version_of(job.model)
             ),
-            bool(zone) and replica.availability_zone != zone,
+            self._placement.is_other_zone(replica),
         )
 
     def _work(self, job: Job, progress: ItemProgress) -> ItemWork:
--- a/greengagetack/coordination/client.py
+++ b/greengagetack/coordination/client.py
@@ -95,10 +95,14 @@
         self._pool = Pool(CONNECT_TIMEOUT_S)
         self._rng = random.Random()
         self._preferred_relay: Address | None = None
+        # Returns what to report with a ping, an empty text for nothing.
+        self.take_load_report: Callable[[], str] = str
 
     async def ping(self, address: Address, known: FactCursor) -> Pong:
         """Return a daemon's identity, whether it is the dispatcher, and new facts."""
         path = f"/peer/ping?epoch={quote(known.epoch)}&revision={known.revision}"
+        if load := self.take_load_report():
+            path += f"&node={quote(self.node)}&load={quote(load)}"
         body = await self._call(address, "GET", path, b"", CALL_TIMEOUT_S)
         return _decode_response(body, Pong)
 
--- a/greengagetack/coordination/fact_archive.py
+++ b/greengagetack/coordination/fact_archive.py
@@ -86,7 +86,7 @@
         logger.info("facts: loaded from the archive", facts=len(facts))
 
     async def _save(self) -> None:
-        facts = self._table.current()
+        facts = self._table.lasting()
         identities = _identities(facts)
         if identities == self._saved:
             return
--- a/greengagetack/coordination/server.py
+++ b/greengagetack/coordination/server.py
@@ -53,12 +53,15 @@
     feeds: dict[str, Feed],
     on_follower: Callable[[str], None],
     call_store: Callable[[RelayCall], Awaitable[StoreResponse]],
+    on_load_report: Callable[[str, str], None],
 ) -> Starlette:
     """Return the HTTP application that serves a daemon's control address."""
 
     async def ping(request: Request) -> Response:
         query = request.query_params
         known = FactCursor(query.get("epoch", ""), int(query.get("revision", "0")))
+        if load := query.get("load"):
+            on_load_report(query.get("node", ""), load)
         return Response(encode(pong(known)))
 
     async def segments(request: Request) -> Response:
--- a/greengagetack/facts.py
+++ b/greengagetack/facts.py
@@ -36,6 +36,7 @@
 FACT_TYPES: dict[str, type] = {}
 _TOPICS: dict[type, str] = {}
 _MERGES: dict[type, Merge[Any]] = {}
+_LASTING_TOPICS: set[str] = set()
 
 
 def _take_newer(earlier: T, newer: T) -> T:
@@ -43,7 +44,7 @@
 
 
 def fact_type(
-    topic: str, merge: Merge[Any] = _take_newer
+    topic: str, merge: Merge[Any] = _take_newer, is_lasting: bool = True
 ) -> Callable[[type[T]], type[T]]:
     """Register a frozen data class as the value of a topic's facts.
 
@@ -52,6 +53,9 @@
     merge : callable
         Called with an earlier and a newer fact of a key; returns what to publish. Only
         a retraction and the end of its lifetime remove a fact without a merge.
+    is_lasting : bool
+        Whether the facts are saved for a loss of all daemons. Those that change each
+        second are not, as each save is a call to the store.
 
     Raises
     ------
@@ -65,6 +69,8 @@
         FACT_TYPES[topic] = value_type
         _TOPICS[value_type] = topic
         _MERGES[value_type] = merge
+        if is_lasting:
+            _LASTING_TOPICS.add(topic)
         return value_type
 
     return register
@@ -265,6 +271,10 @@
             if entry.value is not None and entry.expires_s > now_s
         )
 
+    def lasting(self) -> tuple[Fact, ...]:
+        """Return the current facts that are saved for a loss of all daemons."""
+        return tuple(fact for fact in self.current() if fact.topic in _LASTING_TOPICS)
+
     def forget_expired(self) -> None:
         """Drop expired facts and tell their listeners."""
         now_s = time.monotonic()
--- a/greengagetack/gateway/choice.py
+++ b/greengagetack/gateway/choice.py
@@ -1,16 +1,13 @@
 """greengagetack.gateway.choice: selects the replica for a caller's request."""
 
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 
+from greengagetack.gateway.zone_routing import ZoneRouting, expected_wait_s
 from greengagetack.replicas.replica import ReplicaState
 
 __all__ = ["choose_replica", "suggested_retry_s"]
 
-# Assumed service time of a replica without any measured one.
-DEFAULT_SERVICE_TIME_S = 0.04
-# Added to the expected wait at a replica in another availability zone.
-OTHER_ZONE_PENALTY_S = 0.004
 # Random increase of the expected wait, so that daemons with equal candidates choose
 # different ones.
 MAX_JITTER_RATIO = 0.1
@@ -22,21 +19,23 @@
 
 
 def choose_replica(
-    states: Iterable[ReplicaState],
+    service: str,
+    states: Sequence[ReplicaState],
     tried: Collection[str],
-    zone: str,
+    routing: ZoneRouting,
     now_s: float,
     rng: random.Random,
 ) -> ReplicaState | None:
     """Return the replica with the shortest expected wait, None if none is usable.
 
-    Replicas have few slots and requests are short, so the expected wait grows with
-    the ratio of requests in flight to slots. A suspended or busy replica is used
-    only if no other is left; then the one whose suspension ends first is returned. A
-    replica without a permit left is never used.
+    The zone is chosen first: the own one, except for the share of requests that leaves
+    it. While the own zone has no place left as far as this daemon knows, the way is
+    counted as a part of the wait instead, and a zone without a place for others is not
+    used. A suspended or busy replica is used only if
+    no other is left; then the one whose suspension ends first is returned. A replica
+    without a permit left is never used.
     """
-    best: ReplicaState | None = None
-    best_cost = float("inf")
+    best: dict[str, tuple[float, ReplicaState]] = {}
     fallback: ReplicaState | None = None
     for state in states:
         replica = state.replica
@@ -50,13 +49,28 @@
             )
             fallback = state if resumes_sooner else fallback
             continue
-        service_time_s = state.service_time_s or DEFAULT_SERVICE_TIME_S
-        cost = service_time_s * (1 + state.in_flight / max(1, replica.slots))
-        cost += OTHER_ZONE_PENALTY_S * (replica.availability_zone != zone)
+        cost = expected_wait_s(state, state.service_time_s)
         cost *= 1 + MAX_JITTER_RATIO * rng.random()
-        if cost < best_cost:
-            best, best_cost = state, cost
-    return best or fallback
+        known = best.get(replica.availability_zone)
+        if known is None or cost < known[0]:
+            best[replica.availability_zone] = (cost, state)
+    if not best:
+        return fallback
+    zone = routing.pick(service, states, best, now_s, rng.random())
+    own = best.get(routing.zone)
+    if own is None:
+        zone = min(best, key=lambda name: best[name][0])
+    elif zone == routing.zone and _is_full(own[1]):
+        cost_s = routing.cost_s(service)
+        zones = [
+            name for name in best if name == zone or routing.has_places(service, name)
+        ]
+        zone = min(zones, key=lambda name: best[name][0] + cost_s * (name != zone))
+    return best[zone][1]
+
+
+def _is_full(state: ReplicaState) -> bool:
+    return state.in_flight >= max(1, state.replica.slots)
 
 
 def suggested_retry_s(
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -26,6 +26,7 @@
     StreamOrigins,
 )
 from greengagetack.gateway.suspects import Suspects
+from greengagetack.gateway.zone_routing import ZoneRouting
 from greengagetack.http1.connection import Connection
 from greengagetack.http1.memory import ResponseMemory
 from greengagetack.http1.message import ExchangeError
@@ -65,7 +66,7 @@
         paths: ReplicaPaths,
         detours: Detours,
         memory: ResponseMemory,
-        zone: str,
+        zones: ZoneRouting,
     ) -> None:
         self._fleet = fleet
         self._pool = pool
@@ -76,7 +77,7 @@
         self.paths = paths
         self.detours = detours
         self._memory = memory
-        self._zone = zone
+        self._zones = zones
         self._rng = random.Random()
 
     async def forward(self, call: Call, route: Route, deadline_s: float) -> Reply:
@@ -136,7 +137,7 @@
         """Return the best replica outside `tried`, None if none is left."""
         states = self.serving_replicas(service, software)
         now_s = time.monotonic()
-        return choose_replica(states, tried, self._zone, now_s, self._rng)
+        return choose_replica(service, states, tried, self._zones, now_s, self._rng)
 
     def retry_after_s(self, service: str) -> float:
         """Return when a caller whose request was refused should come back."""
@@ -192,6 +193,10 @@
                     software = replica.software_version
                     return Attempt(AttemptResult.ANSWERED, reply, "", software)
                 body = await self._memory.read_all(connection)
+                size_bytes = len(call.body) + len(body)
+                self._zones.record_size(
+                    replica.service, replica.availability_zone, size_bytes
+                )
             finally:
                 if not is_handed_over:
                     await pool_context.__aexit__(None, None, None)
@@ -283,8 +288,12 @@
         pool_context: object,
         state: ReplicaState,
     ) -> AsyncIterator[bytes]:
+        replica = state.replica
         try:
             while part := await connection.read():
+                self._zones.record_size(
+                    replica.service, replica.availability_zone, len(part), False
+                )
                 yield part
             state.record_success()
             self.suspects.record_answer(call, state.replica.service)
--- a/greengagetack/platform/__main__.py
+++ b/greengagetack/platform/__main__.py
@@ -13,6 +13,11 @@
 from greengagetack.errors import CodedError
 from greengagetack.observability.logs import configure_structured_logs
 from greengagetack.platform.settings import METRICS_PORT, VmFacts, load_vm_facts
+from greengagetack.replicas.zone_cost import (
+    DEFAULT_HOP_MS,
+    DEFAULT_MS_PER_KB,
+    ZoneCost,
+)
 
 __all__ = ["main"]
 
@@ -63,19 +68,40 @@
 @click.command()
 @click.option("--settings", default="", help="Settings file instead of the platform's.")
 @click.option("--metrics-port", default=METRICS_PORT, show_default=True)
-def main(settings: str, metrics_port: int) -> None:
+@click.option(
+    "--zone-hop-ms",
+    default=DEFAULT_HOP_MS,
+    show_default=True,
+    type=click.FloatRange(min=0.0),
+    help="Delay of the way to another availability zone and back, in milliseconds.",
+)
+@click.option(
+    "--zone-ms-per-kb",
+    default=DEFAULT_MS_PER_KB,
+    show_default=True,
+    type=click.FloatRange(min=0.0),
+    help="Additional wait that is accepted to keep one KB inside the zone.",
+)
+def main(
+    settings: str, metrics_port: int, zone_hop_ms: float, zone_ms_per_kb: float
+) -> None:
     """Run the daemon of this VM until it is stopped."""
     try:
         facts = load_vm_facts(settings or None)
     except CodedError as error:
         click.echo(f"{error.code}: {error.reason}\n{error.remedy}", err=True)
         sys.exit(USAGE_EXIT_CODE)
+    facts = dataclasses.replace(
+        facts,
+        metrics_port=metrics_port,
+        zone_cost=ZoneCost(zone_hop_ms, zone_ms_per_kb),
+    )
     configure_structured_logs(facts.node)
     # uvicorn logs a traceback for each stream that the daemon interrupts on
     # purpose; the parts of the daemon log their own errors.
     logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
     try:
-        asyncio.run(_run(dataclasses.replace(facts, metrics_port=metrics_port)))
+        asyncio.run(_run(facts))
     except asyncio.CancelledError:
         logger.info("daemon: cancelled")
 
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -32,6 +32,8 @@
 from greengagetack.gateway.routes import Configuration, Limits, Route, RouteTable
 from greengagetack.gateway.stream_origins import StreamOrigins
 from greengagetack.gateway.suspects import Suspects
+from greengagetack.gateway.zone_load import TICK_S, ZoneLoads
+from greengagetack.gateway.zone_routing import ZoneRouting
 from greengagetack.http1.memory import ResponseMemory
 from greengagetack.http1.pool import Pool
 from greengagetack.objects.base import PlatformObject
@@ -152,6 +154,13 @@
             self._roster.addresses,
             self._roster.member_addresses,
         )
+        self._zone_loads = ZoneLoads(
+            facts.node,
+            self._fleet,
+            self._fact_table,
+            lambda: len(self._roster.member_addresses()),
+        )
+        self._peers.take_load_report = self._zone_loads.take_report
         self._stream_origins = StreamOrigins(self._peers, facts.control)
         self._permits = Permits(
             self._fleet,
@@ -187,7 +196,12 @@
             self._paths,
             Detours(self._peers, facts.control, self._metrics),
             ResponseMemory(int(facts.memory_mb * BYTES_PER_MB * RESPONSE_MEMORY_SHARE)),
-            facts.availability_zone,
+            ZoneRouting(
+                facts.availability_zone,
+                facts.zone_cost,
+                self._zone_loads.used_share,
+                self._metrics,
+            ),
         )
         self._dispatcher = Dispatcher(
             self._ledger,
@@ -203,6 +217,8 @@
             self._engine_properties,
             self._metrics,
             facts.result_retention_s,
+            facts.availability_zone,
+            facts.zone_cost,
         )
         self._source_selector = SourceSelector(self._store, self._peers, self._claim)
         self._reader = JobReader(self._ledger, self._dispatcher, self._peers)
@@ -382,6 +398,7 @@
                     lambda call: self._transport.call_for_peer(
                         call.method, call.target, call.body, call.wait_s
                     ),
+                    self._zone_loads.handle_report,
                 ),
                 date_header=False,
             )
@@ -427,6 +444,7 @@
             PUBLISH_INTERVAL_S, self._permits.publish_changes, "rate limits"
         )
         self._timer.subscribe(PATH_INTERVAL_S, self._path_watch.tick, "paths")
+        self._timer.subscribe(TICK_S, self._zone_loads.tick, "zone loads")
         self._timer.subscribe(SUSPECTS_INTERVAL_S, self._suspects.tick, "suspects")
         self._timer.subscribe(
             ARCHIVE_INTERVAL_S, self._fact_archive.synchronize, "facts"
--- a/greengagetack/platform/settings.py
+++ b/greengagetack/platform/settings.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from greengagetack.errors import CodedError, register_error
+from greengagetack.replicas.zone_cost import ZoneCost
 from greengagetack.world import Address
 
 __all__ = ["METRICS_PORT", "SettingsUnreadable", "VmFacts", "load_vm_facts"]
@@ -93,6 +94,7 @@
     cores: float
     memory_mb: float
     metrics_port: int = METRICS_PORT
+    zone_cost: ZoneCost = ZoneCost()  # noqa: RUF009
 
 
 def _parse_optional_address(text: str) -> Address | None:
--- a/greengagetack/replicas/replica.py
+++ b/greengagetack/replicas/replica.py
@@ -12,8 +12,11 @@
 
 INITIAL_SUSPENSION_S = 0.3
 MAX_SUSPENSION_S = 2.0
-# Weight of the newest sample in the moving average of the service time.
+# Weight of the newest sample in the moving average of the service time, and of one that
+# comes so long after the previous one that the average is out of date.
 SMOOTHING_FACTOR = 0.3
+STALE_SMOOTHING_FACTOR = 0.7
+STALE_S = 2.0
 
 # Identifier and start of a replica: it may start again under its identifier.
 Incarnation = tuple[str, int]
@@ -76,6 +79,8 @@
     busy_until_s: float = float("-inf")
     is_gone: bool = False
     service_time_s: float | None = None
+    # Time of the newest sample of the service time.
+    measured_s: float = float("-inf")
     known_versions: dict[str, int] = field(default_factory=dict)
     leaving_since_s: float | None = None
     rate_limit_per_s: float | None = None
@@ -174,12 +179,16 @@
         self.suspended_until_s = float("-inf")
         if duration_s is None:
             return
+        now_s = time.monotonic()
+        is_stale = now_s - self.measured_s > STALE_S
+        weight = STALE_SMOOTHING_FACTOR if is_stale else SMOOTHING_FACTOR
         average_s = self.service_time_s
         self.service_time_s = (
             duration_s
             if average_s is None
-            else average_s + SMOOTHING_FACTOR * (duration_s - average_s)
+            else average_s + weight * (duration_s - average_s)
         )
+        self.measured_s = now_s
 
     def record_failure(self) -> float:
         """Suspend the replica with exponential backoff; return the pause in seconds."""
