--- a/greengagetack/coordination/client.py
+++ b/greengagetack/coordination/client.py
@@ -25,6 +25,7 @@
     decode,
     encode,
 )
+from greengagetack.coordination.ping_reports import PingReports
 from greengagetack.coordination.relayed import read_relayed_answer, read_relayed_body
 from greengagetack.errors import PeerUnreachable, PlatformUnavailable
 from greengagetack.facts import FactCursor
@@ -103,8 +104,7 @@
         self._pool = Pool(CONNECT_TIMEOUT_S)
         self._rng = random.Random()
         self._preferred_relay: Address | None = None
-        # Returns further fields of the query of pings.
-        self.ping_fields: Callable[[], str] = lambda: ""
+        self.ping_reports = PingReports(lambda: self.node)
 
     async def ping(
         self, address: Address, known: FactCursor, offset_ms: float | None = None
@@ -114,9 +114,9 @@
         `offset_ms` is that of this VM's wall clock to the daemon's steady clock.
         """
         path = f"/peer/ping?epoch={quote(known.epoch)}&revision={known.revision}"
-        path += self.ping_fields()
+        path += self.ping_reports.query()
         if offset_ms is not None:
-            path += f"&node={quote(self.node)}&offset_ms={offset_ms:.1f}"
+            path += f"&clock={quote(self.node)}&offset_ms={offset_ms:.1f}"
         body = await self._call(address, "GET", path, b"", CALL_TIMEOUT_S)
         return _decode_response(body, Pong)
 
--- a/greengagetack/coordination/duty_endpoints.py
+++ b/greengagetack/coordination/duty_endpoints.py
@@ -44,12 +44,10 @@
         self.scaling: ScalingEndpoints | None = None
 
     def record_ping(self, query: Mapping[str, str]) -> None:
-        """Record the offset of a clock and the arrivals that a ping tells."""
-        if self.scaling is not None:
-            self.scaling.record_ping(query)
+        """Record the offset of a clock that a ping tells."""
         offset_ms = query.get("offset_ms")
         if offset_ms is not None:
-            self._clock.record_offset(query.get("node", ""), float(offset_ms))
+            self._clock.record_offset(query.get("clock", ""), float(offset_ms))
 
     async def _heartbeat(self, request: Request) -> Response:
         heartbeat = decode(await request.body(), type=DutyHeartbeat)
--- /dev/null
+++ b/greengagetack/coordination/ping_reports.py
@@ -0,0 +1,71 @@
+"""greengagetack.coordination.ping_reports: what pings carry to the dispatcher.
+
+Daemons ping the dispatcher anyway, so that what it collects costs no call of its own.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from urllib.parse import quote
+
+__all__ = ["PingReports"]
+
+NODE = "node"
+
+
+@dataclass(frozen=True, slots=True)
+class _Report:
+    take: Callable[[], str]
+    handle: Callable[[str, str], None]
+
+
+class PingReports:
+    """Short texts that daemons send with their pings, by name.
+
+    Parameters
+    ----------
+    node : callable
+        Returns the name of this VM.
+    """
+
+    def __init__(self, node: Callable[[], str]) -> None:
+        self._node = node
+        self._reports: dict[str, _Report] = {}
+
+    def add(
+        self, name: str, take: Callable[[], str], handle: Callable[[str, str], None]
+    ) -> None:
+        """Add a report.
+
+        Parameters
+        ----------
+        take : callable
+            Returns the text to send with the next ping, empty for nothing.
+        handle : callable
+            Called on the dispatcher with the sender's name and the text.
+        """
+        self._reports[name] = _Report(take, handle)
+
+    def query(self) -> str:
+        """Return the fields of a ping's query, empty without a report."""
+        fields = [
+            f"&{name}={quote(text, safe='')}"
+            for name, report in self._reports.items()
+            if (text := report.take())
+        ]
+        if not fields:
+            return ""
+        return f"&{NODE}={quote(self._node(), safe='')}" + "".join(fields)
+
+    def handle(self, query: Mapping[str, str]) -> None:
+        """Pass the fields of a ping on; unknown ones are ignored.
+
+        Raises
+        ------
+        ValueError
+            If a text is not valid.
+        """
+        node = query.get(NODE, "")
+        for name, report in self._reports.items():
+            text = query.get(name, "")
+            if node and text:
+                report.handle(node, text)
--- a/greengagetack/coordination/server.py
+++ b/greengagetack/coordination/server.py
@@ -22,6 +22,7 @@
     decode,
     encode,
 )
+from greengagetack.coordination.ping_reports import PingReports
 from greengagetack.coordination.relayed import encode_relayed
 from greengagetack.errors import CodedError
 from greengagetack.facts import FactCursor
@@ -54,6 +55,7 @@
     feeds: dict[str, Feed],
     on_follower: Callable[[str], None],
     call_store: Callable[[RelayCall], Awaitable[StoreResponse]],
+    ping_reports: PingReports,
     duties: DutyEndpoints | None = None,
 ) -> Starlette:
     """Return the HTTP application that serves a daemon's control address."""
@@ -63,6 +65,7 @@
         if duties is not None:
             duties.record_ping(query)
         known = FactCursor(query.get("epoch", ""), int(query.get("revision", "0")))
+        ping_reports.handle(query)
         return Response(encode(pong(known)))
 
     async def segments(request: Request) -> Response:
--- a/greengagetack/platform/settings.py
+++ b/greengagetack/platform/settings.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from greengagetack.errors import CodedError, register_error
+from greengagetack.replicas.zone_cost import ZoneCost
 from greengagetack.world import Address
 
 __all__ = [
@@ -132,6 +133,7 @@
     # None if the deployment has no duties.
     cloud: CloudFacts | None = None
     metrics_port: int = METRICS_PORT
+    zone_cost: ZoneCost = ZoneCost()  # noqa: RUF009
 
 
 def _parse_optional_address(text: str) -> Address | None:
--- a/greengagetack/scaling/assembly.py
+++ b/greengagetack/scaling/assembly.py
@@ -63,7 +63,9 @@
         )
         self.endpoints = ScalingEndpoints(self._source, dispatcher)
         forwarder.on_arrival = self._source.arrivals.record
-        peers.ping_fields = self._source.ping_fields
+        peers.ping_reports.add(
+            "arrivals", self._source.take_report, self._source.record_report
+        )
 
     def _view_age_s(self) -> float:
         return time.monotonic() - self._servers.last_answer_s
--- a/greengagetack/scaling/demand.py
+++ b/greengagetack/scaling/demand.py
@@ -6,7 +6,6 @@
 
 import time
 from collections.abc import Callable
-from urllib.parse import quote
 
 from greengagetack.batches.dispatcher import Dispatcher
 from greengagetack.batches.engine_properties import EngineProperties
@@ -65,11 +64,11 @@
         self._event_s: dict[str, float] = {}
         self._standing = ""
 
-    def ping_fields(self) -> str:
-        """Return what the pings to the dispatcher carry, empty for nothing."""
+    def take_report(self) -> str:
+        """Return this daemon's arrivals for a ping, empty for nothing."""
         if not self._specs() or not self._reports.is_reporter(self._node):
             return ""
-        return f"&node={quote(self._node)}&arrivals={self._encode_arrivals()}"
+        return self._encode_arrivals()
 
     def _encode_arrivals(self) -> str:
         runs, _ = self._dispatcher.workload()
@@ -91,10 +90,9 @@
                 found[state.replica.service].append(state)
         return found
 
-    def record_ping(self, node: str, arrivals: str) -> None:
-        """Record what a ping of another daemon carries."""
-        if node and arrivals:
-            self._reports.record(node, arrivals)
+    def record_report(self, node: str, arrivals: str) -> None:
+        """Record the arrivals of callers' requests at another daemon."""
+        self._reports.record(node, arrivals)
 
     def keep_standing(self, standing: str) -> None:
         """Keep the holder's numbers of replicas for its successor."""
--- a/greengagetack/scaling/endpoints.py
+++ b/greengagetack/scaling/endpoints.py
@@ -1,7 +1,5 @@
 """greengagetack.scaling.endpoints: HTTP endpoint for the holder of the scaling duty."""
 
-from collections.abc import Mapping
-
 import msgspec
 from starlette.requests import Request
 from starlette.responses import Response
@@ -16,17 +14,12 @@
 
 
 class ScalingEndpoints:
-    """Answers with the demand, and takes arrivals from pings."""
+    """Answers with the demand."""
 
     def __init__(self, source: DemandSource, dispatcher: Dispatcher) -> None:
         self._source = source
         self._dispatcher = dispatcher
 
-    def record_ping(self, query: Mapping[str, str]) -> None:
-        """Record the arrivals of callers' requests that a ping tells."""
-        arrivals = query.get("arrivals", "")
-        self._source.record_ping(query.get("node", ""), arrivals)
-
     async def _demand(self, request: Request) -> Response:
         if not self._dispatcher.is_active:
             return Response(status_code=NOT_FOUND)
