--- a/features/steps/load_timing_steps.py
+++ b/features/steps/load_timing_steps.py
@@ -27,12 +27,12 @@
     async def maintain(self) -> None:
         """Keep the lease."""
 
-    def may_order(self) -> bool:
-        """Whether an order may be sent."""
+    def may_act(self) -> bool:
+        """Whether an order may be sent now."""
         return True
 
-    def record_order(self) -> None:
-        """Ignore the order."""
+    def record_call(self) -> None:
+        """Ignore the call."""
 
 
 class RecordingSender:
--- a/features/steps/scaling_steps.py
+++ b/features/steps/scaling_steps.py
@@ -15,6 +15,7 @@
 from greengagetack.batches.log import JobLog
 from greengagetack.batches.pace import Paces
 from greengagetack.batches.progress import ItemProgress
+from greengagetack.batches.start_waits import StartWaits
 from greengagetack.objects.base import PlatformObject
 from greengagetack.observability.metrics import Metrics
 from greengagetack.platform.documents import decode_configuration, decode_replica
@@ -324,7 +325,9 @@
 
 @when("the demand is measured")
 def step_measure(context: Context) -> None:
-    dispatcher = SimpleNamespace(workload=lambda: ([context.run], context.paces))
+    dispatcher = SimpleNamespace(
+        workload=lambda: ([context.run], context.paces), start_waits=StartWaits()
+    )
     spec = ScalingSpec(SERVICE, 0, 4, 4.0, 0.18, (("a", 1.0),))
     source = DemandSource(
         "edge-1",
