--- a/features/load_timing.feature
+++ b/features/load_timing.feature
@@ -39,3 +39,14 @@
       | 6       | 0.9        | 0      | 0.8     |
       | 6       | 0.9        | 2      | 1.3     |
       | 6       | 9.0        | 2      | 1.9     |
+
+  Scenario Outline: Loads that slow each other down are ordered a few at a time
+    Given a fleet of 45 replicas whose loads take 0.9 s up to <knee> at a time
+    When <loads> loads are ordered, as many at a time as the limit allows
+    Then at the end at most <limit> load at a time, and at least <least>
+
+    Examples:
+      | knee | loads | limit | least |
+      | 45   | 400   | 18    | 18    |
+      | 9    | 100   | 13    | 6     |
+      | 9    | 400   | 13    | 6     |
--- a/features/steps/load_timing_steps.py
+++ b/features/steps/load_timing_steps.py
@@ -10,6 +10,7 @@
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.replicas.replica import Replica
+from greengagetack.weights.load_concurrency import LoadConcurrency
 from greengagetack.weights.load_scheduler import LoadScheduler
 from greengagetack.weights.load_selection import max_concurrent_loads_of_model
 from greengagetack.weights.load_timing import LoadTiming, ModelWork
@@ -148,3 +149,25 @@
     await asyncio.sleep(limit_s)
     run.cancel()
     return sender.ordered
+
+
+@given("a fleet of {count:d} replicas whose loads take 0.9 s up to {knee:d} at a time")
+def step_knee(context: Context, count: int, knee: int) -> None:
+    context.count, context.knee = count, knee
+
+
+@when("{loads:d} loads are ordered, as many at a time as the limit allows")
+def step_many_loads(context: Context, loads: int) -> None:
+    context.concurrency = LoadConcurrency()
+    while loads > 0:
+        batch = context.concurrency.limit(context.count)
+        for _ in range(batch):
+            duration_s = 0.9 * max(1.0, batch / context.knee)
+            context.concurrency.record(duration_s, batch)
+        loads -= batch
+
+
+@then("at the end at most {limit:d} load at a time, and at least {least:d}")
+def step_limit(context: Context, limit: int, least: int) -> None:
+    found = context.concurrency.limit(context.count)
+    assert least <= found <= limit, found
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -40,10 +40,6 @@
 
 __all__ = ["Dispatcher"]
 
-# An engine under load emits an event well within this time.
-STALL_TIMEOUT_S = 1.5
-# Loading weights pauses all runs of a replica.
-LOADING_STALL_TIMEOUT_S = 3.5
 REFUSAL_PAUSE_S = 0.1
 RETRY_PAUSE_S = 0.1
 OPEN_RETRY_PAUSE_S = 0.2
@@ -632,11 +628,7 @@
                 state,
                 self._pool,
                 self._dialect,
-                lambda: (
-                    LOADING_STALL_TIMEOUT_S
-                    if replica_id in self.loading_ids
-                    else STALL_TIMEOUT_S
-                ),
+                lambda: self._placement.stall_timeout_s(replica_id),
                 lambda gap_s: self._record_event(state, gap_s),
                 lambda version: self._accept_version(job, progress, state, version),
             )
--- a/greengagetack/batches/item_placement.py
+++ b/greengagetack/batches/item_placement.py
@@ -12,6 +12,7 @@
 
 from greengagetack.batches.engine_properties import DEFAULT_SLOTS, EngineProperties
 from greengagetack.batches.job import Job
+from greengagetack.batches.loading_pause import LoadingPause
 from greengagetack.batches.memory import MemoryNeed, MemoryUsage, memory_need
 from greengagetack.batches.pace import (
     Paces,
@@ -83,6 +84,7 @@
         self.prompts = PromptTracker()
         self._paces = PaceTracker()
         self._silences = SilenceWatch()
+        self._loading_pause = LoadingPause()
 
     def paces(self) -> Paces:
         """Return the measured times per event of the replicas."""
@@ -95,8 +97,15 @@
     def record_event(self, replica_id: str, gap_s: float) -> None:
         """Record an event of a run, `gap_s` after the previous one, 0 for the first."""
         self._silences.record_event(replica_id)
-        if gap_s:
-            self._paces.record(replica_id, gap_s)
+        if not gap_s:
+            return
+        self._paces.record(replica_id, gap_s)
+        if replica_id in self.loading_ids:
+            self._loading_pause.record_gap(gap_s)
+
+    def stall_timeout_s(self, replica_id: str) -> float:
+        """Return how long a run on a replica may emit no event, in seconds."""
+        return self._loading_pause.stall_timeout_s(replica_id in self.loading_ids)
 
     def forget(self, replica: Replica) -> None:
         """Remove what is known of a replica that is gone."""
@@ -116,7 +125,7 @@
         silences_s = self._silences.check(
             ((replica_id, run.run_started_s) for _, run, replica_id in entries),
             paces,
-            self.loading_ids,
+            self.loading_ids if self._loading_pause.pauses_runs else (),
         )
         if silences_s:
             reliable_s = {**paces.reliable_s, **silences_s}
--- a/greengagetack/scaling/memory.py
+++ b/greengagetack/scaling/memory.py
@@ -72,6 +72,7 @@
         self.first_view_s: float | None = None
         self.surplus_since_s: float | None = None
         self._has_ordered = False
+        self._was_used = False
 
     def pool(self, pool: Pool) -> PoolMemory:
         """Return the memory of a pool."""
@@ -159,11 +160,22 @@
     def _observe_surplus(
         self, view: ServiceView, demand: ServiceDemand | None, now_s: float
     ) -> None:
-        if demand is None or self.booting_count or not self.can_spare(view, demand, 1):
+        if (
+            demand is None
+            or not self._has_seen_work(demand)
+            or self.booting_count
+            or not self.can_spare(view, demand, 1)
+        ):
             self.surplus_since_s = None
         elif self.surplus_since_s is None:
             self.surplus_since_s = now_s
 
+    def _has_seen_work(self, demand: ServiceDemand) -> bool:
+        """Whether there has been work, before which the load is not known."""
+        has_work = bool(demand.steps or demand.arrivals_per_s or demand.busy_slots)
+        self._was_used = self._was_used or has_work
+        return self._was_used
+
     def can_spare(self, view: ServiceView, demand: ServiceDemand, count: int) -> bool:
         """Whether the remaining replicas would hold the load with room to spare.
 
--- a/greengagetack/weights/load_scheduler.py
+++ b/greengagetack/weights/load_scheduler.py
@@ -13,10 +13,10 @@
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.replicas.replica import Replica, ReplicaState
 from greengagetack.weights.assignment import assign_replicas
+from greengagetack.weights.load_concurrency import LoadConcurrency
 from greengagetack.weights.load_selection import (
     LoadCandidate,
     choose_loads,
-    max_concurrent_loads,
     max_concurrent_loads_of_model,
 )
 from greengagetack.weights.load_timing import LoadTiming, ModelWork
@@ -89,6 +89,7 @@
         self._demand_tokens = demand_tokens
         self._work_of = work_of
         self._timing = LoadTiming()
+        self._concurrency = LoadConcurrency()
         self._loading_ids = loading_ids
         self._on_loaded = on_loaded
         self._metrics = metrics
@@ -139,7 +140,7 @@
         assigned = assign_replicas(
             states, {name: demand.get(name, 0.0) for name in requested}
         )
-        load_budget = max_concurrent_loads(len(states)) - len(self._loads)
+        load_budget = self._concurrency.limit(len(states)) - len(self._loads)
         # The model with the largest version lag comes first.
         for model in sorted(
             requested, key=lambda name: -self._version_lag(name, requested, states)
@@ -269,6 +270,9 @@
             if replica_id in self._busy_ids:
                 continue
             if state.version_of(load.model) >= load.version:
+                # Loads that ended sooner are not told apart: polling begins then.
+                load_s = max(FIRST_POLL_DELAY_S, now_s - load.ordered_s)
+                self._concurrency.record(load_s, len(self._loads))
                 logger.info(
                     "weights: loaded",
                     replica=replica_id,
--- a/greengagetack/weights/load_selection.py
+++ b/greengagetack/weights/load_selection.py
@@ -7,12 +7,9 @@
 __all__ = [
     "LoadCandidate",
     "choose_loads",
-    "max_concurrent_loads",
     "max_concurrent_loads_of_model",
 ]
 
-# Maximum share of all replicas that load at the same time; more slow each other down.
-MAX_LOADING_RATIO = 0.4
 # The other half of a model's replicas runs its items meanwhile.
 MAX_MODEL_LOADING_RATIO = 0.5
 
@@ -56,11 +53,6 @@
     return [candidate.replica_id for candidate in outdated[: max(0, load_budget)]]
 
 
-def max_concurrent_loads(replica_count: int) -> int:
-    """Return how many replicas of a fleet may load at the same time."""
-    return max(1, int(MAX_LOADING_RATIO * replica_count))
-
-
 def max_concurrent_loads_of_model(replica_count: int) -> int:
     """Return how many replicas of one model may load at the same time."""
     return max(1, math.ceil(MAX_MODEL_LOADING_RATIO * replica_count))
--- a/greengagetack/weights/load_timing.py
+++ b/greengagetack/weights/load_timing.py
@@ -14,6 +14,8 @@
 NEXT_STEP_S = 0.5
 # A step that finds no place for all of its items does not hold the loads back longer.
 MAX_POSTPONEMENT_S = 1.5
+# Versions by which a step's oldest version usually lies behind the newest one.
+USUAL_LAG = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +60,7 @@
             self._namings[model] = _Naming(named_version, now_s)
         if work.newest_min_version:
             lag = max(0, named_version - work.newest_min_version)
-            self._allowed_lags[model] = min(1, lag)
+            self._allowed_lags[model] = min(USUAL_LAG, lag)
 
     def is_postponed(
         self, model: str, replica_version: int, work: ModelWork, now_s: float
@@ -73,5 +75,5 @@
             return False
         if work.waiting_items:
             return replica_version >= work.waiting_min_version
-        allowed = naming.version - self._allowed_lags.get(model, 0)
+        allowed = naming.version - self._allowed_lags.get(model, USUAL_LAG)
         return age_s < NEXT_STEP_S and allowed <= replica_version < naming.version
