Count requests and refusals by customer and keep keys out of logs

Cause: an operator needs to see who is over its share, with a bounded number of series, and no key may appear in a log line, metric or error.

Lines about answered requests and accepted jobs name the customer.

Reviewed for keys: each log call that takes headers, bodies, errors or stored objects. Fingerprints of keys with unpaired surrogates could not be computed; they can now.

Tests: the replica stand-in records what each request says of its sender, and scenarios now cover detours (in-process daemons and the wire between daemons; all 6 fail when the relayed request's fields are not applied), a detour by a daemon of the previous release, logs and metrics of daemons, and a store that answers one daemon only while keys are rotated.

--- a/features/customers.feature
+++ b/features/customers.feature
@@ -101,6 +101,39 @@
       | first/1! last/2               | last/2 first/1!               | surplus delays nobody       |
       | first/1! plain/2 third/3!     | plain/2 first/1! third/3!     | priority among the surplus  |
 
+  Scenario Outline: No key is logged when a configuration is read
+    When customers <tenants> are decoded
+    And a directory of them is built
+    Then the log has <text> and no key
+
+    Examples:
+      | tenants                                                                                                | text             |
+      | [{"name": "a", "api_keys": "secret-1"}]                                                                | cannot be decoded |
+      | [{"name": 7, "api_keys": ["secret-1"]}]                                                                | cannot be decoded |
+      | {"secret-1": {"name": "a", "api_keys": ["secret-1"]}}                                                  | cannot be decoded |
+      | ["secret-1"]                                                                                           | cannot be decoded |
+      | [{"name": "", "api_keys": ["secret-1"]}]                                                               | bad name         |
+      | [{"name": "a", "api_keys": ["secret-1"], "priority": 77}]                                              | not within 0 to 9 |
+      | [{"name": "a", "api_keys": ["secret-1"]}, {"name": "b", "api_keys": ["secret-1", "secret-2"]}]         | the same key     |
+
+  Scenario Outline: Metrics by customer are bounded
+    When <count> customers send 1 request each, "busy" sends 30 and <later> others send 9 a minute later
+    Then the metrics have at most <series> series of customer requests
+    And "busy" has a series of its own
+    And no request is counted twice
+
+    Examples:
+      | count | later | series |
+      | 3     | 0     | 4      |
+      | 19    | 0     | 20     |
+      | 50    | 0     | 21     |
+      | 10000 | 0     | 21     |
+      | 50    | 10    | 21     |
+
+  Scenario: The busiest customers replace those that have become quiet
+    When 30 customers send 9 requests each and 25 others send 9 a minute later
+    Then only the later ones have a series of their own
+
   Scenario: The directory is rebuilt only when the customers differ
     Given a configuration with these customers
       | name | keys   | priority |
@@ -111,8 +144,40 @@
   Scenario: A message of the previous release to relay a request can be decoded
     Then a relayed request without a customer decodes to one that passes its headers
 
+  Scenario: A daemon of the previous release on a detour passes the customer's name
+    Given headers x-api-key:acme-1 x-tenant:evil x-model:m that a daemon received for customer acme with urgency 2
+    When a daemon that knows no customers builds the replica request
+    Then it has the headers x-tenant:acme x-urgency-class:2 x-model:m
+
+  Scenario Outline: A request sent by way of another daemon carries the same customer
+    Given 4 daemons before 2 replicas, for <kind> requests
+    And their requests carry a key, are forged and belong to acme with urgency 2
+    When 20 requests a second arrive at each daemon for 1 s
+    And 2 of them are cut from all replicas: <how>
+    And 20 requests a second arrive at each daemon for 2 s
+    Then requests were sent by way of another daemon
+    And every run had customer acme, urgency 2 and no key
+
+    Examples:
+      | kind           | how      |
+      | idempotent     | silently |
+      | non_idempotent | reset    |
+      | stream         | silently |
+
   # -- over a daemon
 
+  Scenario Outline: A request of another daemon reaches the replica as its customer
+    Given a platform with 1 plain replicas and 1 daemons
+    When another daemon lets edge-1 send request "q1" of customer <sent>
+    Then replicas saw <customer> with urgency <urgency>
+    And no key reached a replica
+
+    Examples:
+      | sent     | customer | urgency |
+      | acme/2   | acme     | 2       |
+      | acme     | acme     | none    |
+      | public   | public   | none    |
+
   Scenario Outline: Requests with and without a key
     Given a platform with 1 plain replicas and 1 daemons
     And customers acme with keys "acme-1 acme-2" and zenith with key "zenith-1" and priority 3
@@ -192,14 +257,21 @@
     Then at least 2 requests "s1" reached replicas as zenith with urgency 3
     And no key reached a replica
 
-  Scenario: Keys are rotated and removed while connections stay open
+  Scenario Outline: Keys are rotated and removed while connections stay open
     Given a platform with 1 plain replicas and 2 daemons
     And customers acme with keys "acme-1 acme-2" and zenith with key "zenith-1" and priority 3
     When a connection to each daemon sends lookups with key "acme-1"
+    And the platform's store <fault>
     And a new version gives acme the keys "acme-2 acme-3"
     Then within 3000 ms key "acme-1" is refused on these connections
     And lookups with key "acme-3" are served on them
 
+    Examples:
+      | fault                          |
+      | works                          |
+      | refuses all daemons but edge-1 |
+      | refuses all daemons but edge-2 |
+
   Scenario: A running stream continues after its key was removed
     Given a platform with 1 engines and 1 daemons
     And customers acme with keys "acme-1 acme-2" and zenith with key "zenith-1" and priority 3
--- a/features/steps/customers_steps.py
+++ b/features/steps/customers_steps.py
@@ -1,5 +1,6 @@
 """features.steps.customers_steps: customers, their keys and the jobs they own."""
 
+import asyncio
 import http.client
 import json
 import re
@@ -11,17 +12,22 @@
 
 from behave import given, then, when
 from behave.runner import Context
+from loguru import logger
 
 from greengagetack.batches.priority import ItemSortKey, item_sort_key
+from greengagetack.coordination.client import PeerClient
 from greengagetack.coordination.messages import decode, encode
 from greengagetack.errors import UnknownKey
 from greengagetack.gateway.call import Call
+from greengagetack.gateway.customer_metrics import CustomerMetrics
 from greengagetack.gateway.customers import Customer, may_access
 from greengagetack.gateway.detours import RelayedRequest
+from greengagetack.gateway.retry import AttemptResult
 from greengagetack.gateway.routes import Configuration, RouteTable
 from greengagetack.objects.base import PlatformObject
+from greengagetack.observability.metrics import Metrics
 from greengagetack.platform.documents import decode_configuration
-from greengagetack.platform.identity import identify
+from greengagetack.platform.identity import identify, with_identity
 from greengagetack.platform.replica import PlatformDialect
 from greengagetack.replicas.replica import Replica
 from greengagetack.world import Address
@@ -30,6 +36,7 @@
     HOST_NAME,
     JOBS_PREFIX,
     LOOKUP_PREFIX,
+    PLAIN_SERVICE,
     PlatformCluster,
     Submission,
     wait_for,
@@ -38,6 +45,7 @@
 
 EFFECT_LIMIT_S = 3.0
 SOCKET_LIMIT_S = 5.0
+RELAYED_MS = 2_000.0
 # All keys of this feature's customers, which must not reach a replica or a log.
 KEYS = ("acme-1", "acme-2", "acme-3", "zenith-1", "forged")
 REPLICA = Replica("r1", "s", Address("10.0.0.1", 1), "zone-a", 8, False)
@@ -113,8 +121,13 @@
         customer=None if customer == "none" else _optional(customer),
         urgency=None if urgency == "none" else int(urgency),
     )
+    context.built = _built_headers(call)
+
+
+def _built_headers(call: Call) -> list[str]:
+    """Return the headers of a replica request that come from the call."""
     request = PlatformDialect().build_request(call, REPLICA, None)
-    context.built = sorted(
+    return sorted(
         f"{name.decode()}:{value.decode()}"
         for name, value in request.headers
         if name not in (b"x-request-id", b"x-expect-instance")
@@ -153,6 +166,9 @@
 
 @when("customers {tenants} are decoded")
 def step_decode(context: Context, tenants: str) -> None:
+    context.logged = []
+    sink = logger.add(context.logged.append, level="DEBUG")
+    context.add_cleanup(logger.remove, sink)
     value: dict[str, Any] = {"version": 1, "routes": []}
     if tenants != "absent":
         value["tenants"] = json.loads(tenants)
@@ -171,6 +187,86 @@
     assert found == ([] if customers == "none" else [customers]), found
 
 
+@when("a directory of them is built")
+def step_directory(context: Context) -> None:
+    if context.decoded is not None:
+        RouteTable(context.decoded)
+        assert "secret" not in repr(context.decoded), context.decoded
+
+
+@then("the log has {text} and no key")
+def step_log(context: Context, text: str) -> None:
+    lines = [str(message) + str(message.record["extra"]) for message in context.logged]
+    assert any(text in line for line in lines), lines
+    assert not any("secret" in line for line in lines), lines
+
+
+def _send_counted(
+    context: Context, counts: list[dict[str, int]], pause_s: float = 60.0
+) -> None:
+    """Count the requests of each round; rounds are `pause_s` apart."""
+    now_s = 0.0
+    context.metrics = Metrics()
+    customer_metrics = CustomerMetrics(context.metrics, lambda: now_s)
+    context.total = 0
+    for round_counts in counts:
+        for customer, count in round_counts.items():
+            for _ in range(count):
+                customer_metrics.add_request(customer)
+                context.total += 1
+        now_s += pause_s
+    context.series = {
+        name: float(value)
+        for name, value in re.findall(
+            r'customer_requests\{customer="([^"]+)"\} (\S+)',
+            context.metrics.render().decode(),
+        )
+    }
+
+
+@when(
+    '{count:d} customers send 1 request each, "busy" sends 30 and {later:d} others '
+    "send 9 a minute later"
+)
+def step_count(context: Context, count: int, later: int) -> None:
+    first = {f"c{number}": 1 for number in range(count)} | {"busy": 30}
+    second = {f"d{number}": 9 for number in range(later)} | {"busy": 1}
+    _send_counted(context, [first, second, {"busy": 1}])
+
+
+@when(
+    "{count:d} customers send 9 requests each and {later:d} others send 9 a minute "
+    "later"
+)
+def step_replace(context: Context, count: int, later: int) -> None:
+    first = {f"c{number}": 9 for number in range(count)}
+    second = {f"d{number}": 9 for number in range(later)}
+    rounds = [first, *[second] * 20]
+    _send_counted(context, rounds)
+
+
+@then("the metrics have at most {limit:d} series of customer requests")
+def step_bounded(context: Context, limit: int) -> None:
+    assert len(context.series) <= limit, context.series
+
+
+@then('"{name}" has a series of its own')
+def step_own_series(context: Context, name: str) -> None:
+    assert name in context.series, context.series
+
+
+@then("no request is counted twice")
+def step_sum(context: Context) -> None:
+    assert sum(context.series.values()) <= context.total, context.series
+
+
+@then("only the later ones have a series of their own")
+def step_later(context: Context) -> None:
+    own = [name for name in context.series if not name.startswith("(")]
+    assert len(own) == 20, context.series
+    assert all(name.startswith("d") for name in own), context.series
+
+
 @then("a new version with the same customers keeps the directory")
 def step_kept(context: Context) -> None:
     # A new version is decoded anew, so its customers are equal but not identical.
@@ -205,6 +301,84 @@
     assert (newer.customer, newer.urgency) == ("acme", 3), newer
 
 
+# -- detours
+
+
+@given(
+    "headers {headers} that a daemon received for customer {customer} with urgency "
+    "{urgency:d}"
+)
+def step_received(context: Context, headers: str, customer: str, urgency: int) -> None:
+    pairs = [pair.partition(":") for pair in headers.split()]
+    received = tuple((name.encode(), value.encode()) for name, _, value in pairs)
+    context.headers = with_identity(received, customer, urgency)
+
+
+@when("a daemon that knows no customers builds the replica request")
+def step_build_old(context: Context) -> None:
+    call = Call("i", b"POST", b"/", context.headers, b"")
+    context.built = _built_headers(call)
+
+
+@given("their requests carry a key, are forged and belong to {customer} with urgency 2")
+def step_forged(context: Context, customer: str) -> None:
+    context.network.headers = (
+        (b"x-api-key", b"acme-1"),
+        (b"x-tenant", b"zenith"),
+        (b"x-urgency-class", b"0"),
+    )
+    context.network.customer = customer
+    context.network.urgency = 2
+
+
+@then("requests were sent by way of another daemon")
+def step_detoured(context: Context) -> None:
+    assert context.network.detours_since(context.began_s) > 0
+
+
+@then("every run had customer {customer}, urgency {urgency:d} and no key")
+def step_run_headers(context: Context, customer: str, urgency: int) -> None:
+    names = (b"x-api-key", b"x-tenant", b"x-urgency-class")
+    expected = [(b"x-tenant", customer.encode()), (b"x-urgency-class", b"%d" % urgency)]
+    for headers in context.network.run_headers:
+        found = sorted(pair for pair in headers if pair[0] in names)
+        assert found == expected, headers
+
+
+@when('another daemon lets {edge} send request "{request_id}" of customer {customer}')
+def step_relay(context: Context, edge: str, request_id: str, customer: str) -> None:
+    name, _, urgency = customer.partition("/")
+    headers = (
+        (b"host", HOST_NAME.encode()),
+        (b"x-api-key", b"acme-1"),
+        (b"x-tenant", b"zenith"),
+    )
+    request = RelayedRequest(
+        PLAIN_SERVICE,
+        request_id,
+        b"POST",
+        f"{LOOKUP_PREFIX}{request_id}".encode(),
+        headers,
+        b"body",
+        RELAYED_MS,
+        False,
+        None,
+        (),
+        None,
+        _optional(name),
+        int(urgency) if urgency else None,
+    )
+    address = Address.parse(_cluster(context).address_of(edge, "control"))
+
+    async def relay() -> None:
+        peer = PeerClient("test", lambda: None, list, tuple)
+        answer, parts = await peer.send_relayed(address, request)
+        assert answer.result is AttemptResult.ANSWERED, answer
+        assert b"".join([part async for part in parts])
+
+    asyncio.run(relay())
+
+
 # -- over a daemon
 
 
@@ -302,6 +476,10 @@
             if any(f"{key}" in line for key in KEYS)
         ]
         assert not logged, logged
+        if cluster.edges[edge].running:
+            metrics = cluster.call(edge, "GET", "/metrics", listener="ready")
+            assert metrics.status == 200, metrics
+            assert not any(key.encode() in metrics.body for key in KEYS), metrics.body
 
 
 @when('{count:d} lookups with key "{key}" are sent to {edge} at once')
--- a/features/support/cut_network.py
+++ b/features/support/cut_network.py
@@ -22,6 +22,7 @@
 from greengagetack.http1.memory import ResponseMemory
 from greengagetack.http1.message import (
     ConnectFailed,
+    Headers,
     IncompleteResponse,
     Request,
     ResponseHead,
@@ -86,6 +87,7 @@
             await asyncio.sleep(FOREVER_S)
         assert header(request.headers, b"x-expect-instance") == self._replica.encode()
         self._network.runs.append((request_id.decode(), self._replica))
+        self._network.run_headers.append(request.headers)
         await asyncio.sleep(WORK_S)
         if self._network.cut_of(self._daemon) in ("silently", "one way"):
             await asyncio.sleep(FOREVER_S)
@@ -189,6 +191,12 @@
         self._cuts: dict[int, str] = {}
         # Request and replica of each run.
         self.runs: list[tuple[str, str]] = []
+        # Headers of each run.
+        self.run_headers: list[Headers] = []
+        # Headers, customer and priority that requests carry.
+        self.headers: Headers = ()
+        self.customer: str | None = None
+        self.urgency: int | None = None
         # When daemons asked another one to send a request.
         self.detoured_s: list[float] = []
         self._replicas = [
@@ -249,7 +257,15 @@
             1,
             MAX_ATTEMPTS,
         )
-        call = Call(request_id, b"POST", b"/" + request_id.encode(), (), b"body")
+        call = Call(
+            request_id,
+            b"POST",
+            b"/" + request_id.encode(),
+            self.headers,
+            b"body",
+            customer=self.customer,
+            urgency=self.urgency,
+        )
         sent_s = loop.time()
         is_served, may_have_run = False, True
         try:
--- a/greengagetack/gateway/customers.py
+++ b/greengagetack/gateway/customers.py
@@ -20,7 +20,7 @@
 def key_fingerprint(key: str) -> str:
     """Return a short hash that distinguishes keys in the log of one process."""
     return hashlib.blake2s(
-        key.encode(errors="surrogateescape"),
+        key.encode(errors="surrogatepass"),
         digest_size=FINGERPRINT_BYTES,
         key=_FINGERPRINT_SECRET,
     ).hexdigest()
--- a/greengagetack/observability/metrics.py
+++ b/greengagetack/observability/metrics.py
@@ -26,6 +26,12 @@
             self._counters[name] = counter
         counter.add(labels, value)
 
+    def remove(self, name: str, **labels: str) -> None:
+        """Remove one series of the counter `name`, if it exists."""
+        counter = self._counters.get(name)
+        if counter is not None and labels in counter.values:
+            del counter.values[labels]
+
     def set(self, name: str, value: float, **labels: str) -> None:
         """Set the gauge `name` to `value`."""
         gauge = self._gauges.get(name)
--- a/greengagetack/platform/identity.py
+++ b/greengagetack/platform/identity.py
@@ -28,6 +28,10 @@
     customer: str | None = None
     urgency: int | None = None
 
+    def log_fields(self) -> dict[str, str]:
+        """Return what log lines say of the caller, nothing without customers."""
+        return {} if self.customer is None else {"customer": self.customer}
+
 
 def identify(customers: CustomerDirectory, headers: Headers, is_public: bool) -> Caller:
     """Return the caller of a request.
--- a/greengagetack/platform/ingress.py
+++ b/greengagetack/platform/ingress.py
@@ -14,7 +14,6 @@
     CodedError,
     InvalidRequest,
     NotFound,
-    NotReady,
     UnknownKey,
 )
 from greengagetack.gateway.attempt import Reply
@@ -28,16 +27,23 @@
     discard_body,
     read_body,
 )
+from greengagetack.gateway.customer_metrics import CustomerMetrics
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.routes import Route, RouteTable
 from greengagetack.http1.message import ExchangeError, ResponseHead
 from greengagetack.objects.base import WriteUnknown
 from greengagetack.observability.metrics import Metrics
 from greengagetack.platform import wire
+from greengagetack.platform.admission import (
+    BODIES_PATH,
+    RESULTS_PATH,
+    Admission,
+    admit,
+    job_id_from_path,
+)
 from greengagetack.platform.batch_api import decode_submission, encode_results
 from greengagetack.platform.identity import (
     Caller,
-    identify,
     with_identity,
     without_item_identity,
 )
@@ -48,8 +54,6 @@
 # Applies to a request that carries no deadline.
 DEFAULT_DEADLINE_MS = 30_000.0
 MAX_RESULTS_WAIT_MS = 1_000.0
-# Sent as Retry-After while the daemon itself cannot serve.
-SUGGESTED_RETRY_S = 0.3
 # With these statuses, the daemon guarantees that the request has not run and never
 # will.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
@@ -61,8 +65,6 @@
 HOP_BY_HOP_HEADERS = frozenset(
     {b"connection", b"keep-alive", b"transfer-encoding", b"content-length", b"upgrade"}
 )
-RESULTS_PATH = "/lots/"
-BODIES_PATH = "/items/"
 
 
 class _StreamBroken(Exception):
@@ -91,6 +93,7 @@
         self._jobs = jobs
         self._reader = reader
         self._metrics = metrics
+        self._customer_metrics = CustomerMetrics(metrics)
         self.is_draining = False
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -99,7 +102,7 @@
             return
         arrived_s = time.monotonic()
         headers = tuple(scope["headers"])
-        request_id = _header_value(headers, wire.REQUEST_ID) or _job_id_from_path(
+        request_id = _header_value(headers, wire.REQUEST_ID) or job_id_from_path(
             scope["path"]
         )
         kind = "unrouted"
@@ -144,22 +147,31 @@
         receive: Receive,
         arrived_s: float,
     ) -> tuple[str, Reply]:
-        route_table = self._route_table()
-        if route_table is None:
-            raise NotReady("no configuration has been received yet", SUGGESTED_RETRY_S)
-        is_job_request = scope["path"].startswith((RESULTS_PATH, BODIES_PATH))
-        host = _header_value(headers, b"host")
-        route = None
-        if not is_job_request:
-            route = route_table.find(host, scope["raw_path"].decode("latin-1"))
-        caller = Caller()
-        if route is not None:
-            caller = identify(route_table.customers, headers, route.is_public)
-        elif is_job_request:
-            is_public = route_table.has_public_jobs(host)
-            caller = identify(route_table.customers, headers, is_public)
-        body = await read_body(receive, route_table.configuration.limits.max_body_bytes)
-        if is_job_request:
+        admission = admit(self._route_table(), scope, headers)
+        customer = admission.caller.customer
+        self._customer_metrics.add_request(customer)
+        try:
+            return await self._serve(
+                admission, scope, headers, request_id, receive, arrived_s
+            )
+        except CodedError as error:
+            if _http_status(error) in NOT_EXECUTED_STATUSES:
+                self._customer_metrics.add_refusal(customer)
+            raise
+
+    async def _serve(
+        self,
+        admission: Admission,
+        scope: Scope,
+        headers: tuple[tuple[bytes, bytes], ...],
+        request_id: str,
+        receive: Receive,
+        arrived_s: float,
+    ) -> tuple[str, Reply]:
+        route, caller = admission.route, admission.caller
+        max_body_bytes = admission.configuration.limits.max_body_bytes
+        body = await read_body(receive, max_body_bytes)
+        if admission.is_job_request:
             pending_reply = self._handle_batch_request(scope, headers, caller)
             return "batch", await cancel_on_disconnect(pending_reply, receive)
         if route is None:
@@ -195,10 +207,11 @@
             "entry: answered",
             request_id=request_id,
             route=route.name,
-            config=route_table.configuration.version,
+            config=admission.configuration.version,
             status=reply.head.status,
             ms=int((time.monotonic() - arrived_s) * MS_PER_S),
             limit_ms=int(limit_ms),
+            **caller.log_fields(),
         )
         return route.kind.value, reply
 
@@ -228,7 +241,7 @@
             min_version=job.min_version,
             items=len(items),
             is_new=is_new,
-            customer=caller.customer,
+            **caller.log_fields(),
             ms=int((time.monotonic() - arrived_s) * MS_PER_S),
         )
         return _reply(202, b"")
@@ -344,14 +357,6 @@
     return error.http_status
 
 
-def _job_id_from_path(path: str) -> str:
-    """Return the job identifier in a path, which identifies reads in the log."""
-    for prefix in (RESULTS_PATH, BODIES_PATH):
-        if path.startswith(prefix):
-            return unquote(path.removeprefix(prefix))
-    return ""
-
-
 def _header_value(headers: tuple[tuple[bytes, bytes], ...], name: bytes) -> str:
     for key, value in headers:
         if key == name:
