--- a/features/docs.feature
+++ b/features/docs.feature
@@ -37,6 +37,10 @@
       | x-prompt-prefix    |
       | x-response-seal    |
       | x-token-usage      |
+      | x-api-key          |
+      | x-tenant           |
+      | tenant             |
+      | api_keys           |
       | x-weight-versions  |
       | /lots/             |
       | kv_capacity        |
--- a/greengagetack/errors.py
+++ b/greengagetack/errors.py
@@ -132,7 +132,7 @@
 
     code = "unknown_key"
     http_status = 401
-    remedy = "Send a current key of your customer in the X-Api-Key header."
+    remedy = "Send a current key of your customer; ask the operators for one."
 
 
 @register_error
