Test refusals of clients that wait to send a body, and jobs of the previous release

Guards against asking a client for a body that will not be read, and against jobs stored before customers becoming unreadable.

--- a/features/customers.feature
+++ b/features/customers.feature
@@ -64,6 +64,9 @@
       | public | may read    | nobody   |
       | none   | may read    | acme     |
 
+  Scenario: A job that the previous release stored belongs to nobody
+    Then a stored job without a customer can be read by every known key
+
   Scenario Outline: The customers of a configuration are decoded
     When customers <tenants> are decoded
     Then the decoded customers are <customers>
@@ -220,6 +223,13 @@
       | /lookup/1 |
       | /jobs/j1  |
 
+  Scenario: A client that waits for permission to send its body gets the refusal instead
+    Given a platform with 1 plain replicas and 1 daemons
+    And customers acme with keys "acme-1 acme-2" and zenith with key "zenith-1" and priority 3
+    When a request with an unknown key and the header Expect arrives at edge-1
+    Then it is refused with 401 within 500 ms and its connection ends
+    And it is not asked for its body
+
   Scenario: Pipelined requests on one connection are checked one by one
     Given a platform with 1 plain replicas and 1 daemons
     And customers acme with keys "acme-1 acme-2" and zenith with key "zenith-1" and priority 3
--- a/features/steps/customers_steps.py
+++ b/features/steps/customers_steps.py
@@ -10,10 +10,13 @@
 from dataclasses import replace
 from typing import Any
 
+import msgspec
 from behave import given, then, when
 from behave.runner import Context
 from loguru import logger
 
+from greengagetack.batches.job import Job
+from greengagetack.batches.ledger import decode_job
 from greengagetack.batches.priority import ItemSortKey, item_sort_key
 from greengagetack.coordination.client import PeerClient
 from greengagetack.coordination.messages import decode, encode
@@ -164,6 +167,15 @@
     assert context.order == order.split(), context.order
 
 
+@then("a stored job without a customer can be read by every known key")
+def step_old_job(context: Context) -> None:
+    job = Job("j1", "r", HOST_NAME, "s", 0, 0.0, 0.0, 1, 1, 1, customer="acme")
+    value = msgspec.to_builtins(job)
+    del value["customer"]
+    older = decode_job(PlatformObject("jobs/j1", 1, "", value))
+    assert older is not None and may_access(older.customer, "zenith"), older
+
+
 @when("customers {tenants} are decoded")
 def step_decode(context: Context, tenants: str) -> None:
     context.logged = []
@@ -509,9 +521,28 @@
     "a request for {path} with an unknown key and an unfinished body arrives at {edge}"
 )
 def step_unfinished(context: Context, path: str, edge: str) -> None:
+    _send_unfinished(context, edge, path, "X-Api-Key: forged\r\n", "begin")
+
+
+@when("a request with an unknown key and the header Expect arrives at {edge}")
+def step_expect(context: Context, edge: str) -> None:
+    headers = "X-Api-Key: forged\r\nExpect: 100-continue\r\n"
+    _send_unfinished(context, edge, f"{LOOKUP_PREFIX}u1", headers, "")
+
+
+@then("it is not asked for its body")
+def step_not_asked(context: Context) -> None:
+    assert b"100 Continue" not in context.received, context.received
+    assert b"connection: close" in context.received, context.received
+
+
+def _send_unfinished(
+    context: Context, edge: str, path: str, headers: str, body: str
+) -> None:
+    """Send a request without its whole body and read until the connection ends."""
     head = (
         f"POST {path} HTTP/1.1\r\nHost: {HOST_NAME}\r\nX-Request-Id: u1\r\n"
-        "X-Api-Key: forged\r\nContent-Length: 1000000\r\n\r\nbegin"
+        f"{headers}Content-Length: 1000000\r\n\r\n{body}"
     )
     with _raw(context, edge) as client:
         client.sendall(head.encode())
