--- a/features/support/cut_network.py
+++ b/features/support/cut_network.py
@@ -186,6 +186,8 @@
 
     def __init__(self, daemons: int, replicas: int, kind: RequestKind) -> None:
         self.kind = kind
+        # The customer whose requests are sent.
+        self.customer: str | None = None
         self._cuts: dict[int, str] = {}
         # Request and replica of each run.
         self.runs: list[tuple[str, str]] = []
@@ -249,7 +251,8 @@
             1,
             MAX_ATTEMPTS,
         )
-        call = Call(request_id, b"POST", b"/" + request_id.encode(), (), b"body")
+        target = b"/" + request_id.encode()
+        call = Call(request_id, b"POST", target, (), b"body", customer=self.customer)
         sent_s = loop.time()
         is_served, may_have_run = False, True
         try:
--- a/features/support/duty_fleet.py
+++ b/features/support/duty_fleet.py
@@ -34,7 +34,8 @@
 
 DUTY = "usage"
 STEP_S = 0.1
-START_S = 1_700_000_000.0
+# No step is at the end of a window.
+START_S = 1_700_000_000.05
 SPACING_S = 3.0
 DISPATCHER_TAKEOVER_S = 1.5
 PING_STEPS = 10
@@ -366,15 +367,16 @@
         if running:
             self.dispatcher = running[-1]
 
+    def true_counts(self, window: int) -> dict[str, int]:
+        """Return each customer's requests of a window."""
+        return {customer: self.truth[window, customer] for customer in CUSTOMERS}
+
     def errors(self) -> dict[int, float]:
         """Return the largest relative error of a customer's count by window."""
-        errors: dict[int, float] = {}
-        for window, counts in self.judge.reports.items():
-            true_counts = {
-                customer: self.truth[window, customer] for customer in CUSTOMERS
-            }
-            errors[window] = max(
-                abs(counts.get(name, 0) - true) / max(1, true)
-                for name, true in true_counts.items()
+        return {
+            window: max(
+                abs(counts.get(customer, 0) - count) / max(1, count)
+                for customer, count in self.true_counts(window).items()
             )
-        return errors
+            for window, counts in self.judge.reports.items()
+        }
