--- a/features/support/cut_network.py
+++ b/features/support/cut_network.py
@@ -190,6 +190,8 @@
 
     def __init__(self, daemons: int, replicas: int, kind: RequestKind) -> None:
         self.kind = kind
+        # The customer whose requests are sent.
+        self.customer: str | None = None
         self._cuts: dict[int, str] = {}
         # Request and replica of each run.
         self.runs: list[tuple[str, str]] = []
