Let replicas keep their models when the fleet or the demand changes

Replicas were dealt out in ranges of a fixed order, so each new replica moved the borders of all models.

Change: replicas keep their models up to the model's number; a new dispatcher goes on with what the replicas have loaded; a model's demand follows its steps slowly.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -201,3 +201,15 @@
       | 9      | 2,3      | 2   | 2      | no     | 9      |
       | 9      | 2,3      | 2   | 2      | yes    | 2      |
       | 9      | 3        | 2   | 2      | yes    | 9      |
+
+  Scenario Outline: Replicas keep their models, as each change costs a load
+    When <count> engines serve models with demands <demands>
+    And then <later> engines serve models with demands <changed>
+    Then at most <moved> engines have changed their model
+
+    Examples:
+      | count | demands         | later | changed         | moved |
+      | 22    | a:4 b:4 c:4 d:4 | 45    | a:4 b:4 c:4 d:4 | 0     |
+      | 45    | a:4 b:4 c:4 d:4 | 22    | a:4 b:4 c:4 d:4 | 5     |
+      | 22    | a:4 b:4 c:4 d:4 | 22    | a:5 b:4 c:4 d:4 | 2     |
+      | 22    | a:4 b:4 c:4 d:4 | 21    | a:4 b:4 c:4 d:4 | 1     |
--- a/features/steps/platform_decisions_steps.py
+++ b/features/steps/platform_decisions_steps.py
@@ -250,6 +250,27 @@
     context.homes = assign_replicas((f"i-{number}" for number in range(count)), wanted)
 
 
+@when("then {count:d} engines serve models with demands {demands}")
+def step_later_homes(context: Context, count: int, demands: str) -> None:
+    context.former = {
+        name: model for model, names in context.homes.items() for name in names
+    }
+    wanted = {name: float(value) for name, value in _parse_counts(demands).items()}
+    names = (f"i-{number}" for number in range(count))
+    context.homes = assign_replicas(names, wanted, context.former)
+
+
+@then("at most {count:d} engines have changed their model")
+def step_changed_models(context: Context, count: int) -> None:
+    moved = [
+        name
+        for model, names in context.homes.items()
+        for name in names
+        if context.former.get(name, model) != model
+    ]
+    assert len(moved) <= count, moved
+
+
 @then("the models have {homes} engines, shared between models {shared}")
 def step_homes_are(context: Context, homes: str, shared: str) -> None:
     sizes = {model: len(replicas) for model, replicas in context.homes.items()}
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -54,6 +54,8 @@
 # every clock.
 TTL_MARGIN_S = 6.0
 MAX_DISPATCH_INTERVAL_S = 0.25
+# Weight of the newest step in a model's demand: each change of the shares costs loads.
+DEMAND_SMOOTHING = 0.2
 # Silence of all running items of a service that puts the path to it in doubt.
 PATH_SILENCE_S = 0.5
 # A run that was moved does not return to the same replica for this long.
@@ -332,7 +334,9 @@
         )
         run.rival_until_s = self._rival_until_s
         self._runs[job.job_id] = run
-        self.demand_tokens[job.model] = float(sum(item.tokens for item in items))
+        tokens = float(sum(item.tokens for item in items))
+        former = self.demand_tokens.get(job.model, tokens)
+        self.demand_tokens[job.model] = former + DEMAND_SMOOTHING * (tokens - former)
         logger.info(
             "dispatch: job opened",
             request_id=job.job_id,
--- a/greengagetack/weights/load_scheduler.py
+++ b/greengagetack/weights/load_scheduler.py
@@ -12,7 +12,7 @@
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.replicas.replica import Replica, ReplicaState
-from greengagetack.weights.assignment import assign_replicas
+from greengagetack.weights.assignment import assign_replicas, newest_models
 from greengagetack.weights.load_concurrency import LoadConcurrency
 from greengagetack.weights.load_selection import (
     LoadCandidate,
@@ -90,6 +90,8 @@
         self._work_of = work_of
         self._timing = LoadTiming()
         self._concurrency = LoadConcurrency()
+        # The model that each replica was last assigned to.
+        self._models: dict[str, str] = {}
         self._loading_ids = loading_ids
         self._on_loaded = on_loaded
         self._metrics = metrics
@@ -124,6 +126,7 @@
             await asyncio.wait(self._exchanges)
 
     def _clear_loads(self) -> None:
+        self._models = {}
         if self._loads:
             self._loads.clear()
             self._loading_ids.clear()
@@ -137,9 +140,25 @@
                     if state.is_serving:
                         states[state.replica.replica_id] = state
         demand = self._demand_tokens()
+        if not self._models:
+            # A new dispatcher goes on with the loads of the one before.
+            self._models = newest_models(
+                {
+                    replica_id: {name: state.version_of(name) for name in requested}
+                    for replica_id, state in states.items()
+                },
+                requested,
+            )
         assigned = assign_replicas(
-            states, {name: demand.get(name, 0.0) for name in requested}
+            states,
+            {name: demand.get(name, 0.0) for name in requested},
+            self._models,
         )
+        self._models = {
+            replica_id: model
+            for model, replica_ids in assigned.items()
+            for replica_id in replica_ids
+        }
         load_budget = self._concurrency.limit(len(states)) - len(self._loads)
         # The model with the largest version lag comes first.
         for model in sorted(
