Follow the store through zone relays, and start from the seeds' copies

Cause: each daemon listed and watched config/, servers/, members/ and dispatch/ in the store at its start, kept a watch of dispatch/ there, and kept three requests open at the dispatcher.

- A daemon that is not a seed asks the seeds for its first listings for at most 0.5 s, and the store after that.
Every daemon answers GET /peer/objects/PREFIX.
- A copy's age counts from the store's confirmation through all daemons that it was copied from, on CLOCK_BOOTTIME; an answer that was in flight during a freeze counts from when it was asked for.
Copies older than 1.5 s are not served (2.5 s since the last answer of the direct source before), so that daemons that follow each other in a circle notice it.
A waiting follower is told of a confirmation, so that ages do not add up over the hops.
- In zones with more than 8 listed daemons all follow the first of two candidates.
A source is tried once in a row of failures, however long the row takes, and is paused for 1 s, doubling to 8 s while it stays unreachable.
- dispatch/ is watched in the store by the dispatcher, the candidates and, before there is a dispatcher, the seeds.
The answers of the holder to pings confirm the others' copies; after 1.5 s without them and without another daemon's copy they ask the store.
A takeover lists the claim again, as its own watch may not be at the store.
- While followed daemons answer that they have no confirmed copy, one feed of a daemon tries the store each second.
Direct calls to a store that does not answer are paused for 1 s, doubling to 8 s, while peers answer; before, one in two waited for its whole limit.
- Pings carry the daemon's name, as the dispatcher removes members that it does not hear.
- Answers between daemons of more than 4 KB are compressed where packed=1 asks for it.

Tested: zone_relays.feature (55 scenarios, daemons' own classes in virtual time) passes; with an unbounded age of copies 4 of its scenarios fail, with unlimited calls to a failed store 1, without the rule for rows of failures 1.

--- a/greengagetack/coordination/claim.py
+++ b/greengagetack/coordination/claim.py
@@ -17,6 +17,7 @@
 from greengagetack.coordination.roster import Roster
 from greengagetack.errors import CodedError, PeerUnreachable
 from greengagetack.facts import FactCursor
+from greengagetack.freezes import boottime_s
 from greengagetack.objects.base import ObjectConflict, PlatformObject, WatchedStore
 from greengagetack.objects.feed import Feed
 from greengagetack.world import Address
@@ -150,7 +151,7 @@
         return time.monotonic() - self._last_contact_s
 
     def record_contact(self) -> None:
-        """Record a response that shows that the claim holder is alive."""
+        """Record a response that shows that the claim holder is alive and acting."""
         self._last_contact_s = time.monotonic()
 
     async def _check_holder(self, peers: PeerClient) -> None:
@@ -162,10 +163,13 @@
         if holder is not None and not is_former_incarnation:
             address = self.holder_address()
             assert address is not None
+            sent_s = boottime_s()
             try:
                 pong = await peers.ping(address, self._known_facts())
                 if pong.is_dispatcher and pong.node == holder.node:
                     self._last_contact_s = time.monotonic()
+                    # A holder that acts has not been replaced.
+                    self._feed.confirm(sent_s)
                     self._on_pong(pong)
                     return
             except (PeerUnreachable, msgspec.DecodeError) as error:
@@ -192,6 +196,8 @@
         claim = dataclasses.replace(self._local_member, former=self._former_control())
         try:
             await self._store.write(CLAIM_PATH, msgspec.to_builtins(claim), version)
+            # The copy may come from a daemon that does not see the new claim soon.
+            self._feed.refresh()
         except ObjectConflict:
             logger.info("claim: another daemon took the claim first")
             # The watch may have stalled and would report the new claim only when its
--- a/greengagetack/coordination/client.py
+++ b/greengagetack/coordination/client.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack
+from dataclasses import dataclass
 from typing import TypeVar
 from urllib.parse import quote
 
@@ -11,6 +12,7 @@
 
 from greengagetack.batches.job import Job, Segment
 from greengagetack.batches.progress import ProgressSnapshot
+from greengagetack.coordination.copies import decode_copy, is_from_dispatcher
 from greengagetack.coordination.messages import (
     CrashReports,
     HandOver,
@@ -36,6 +38,7 @@
     ExchangeError,
     IncompleteResponse,
     Request,
+    ResponseHead,
 )
 from greengagetack.http1.pool import Pool
 from greengagetack.objects.base import HistoryGone, WatchAnswer
@@ -43,7 +46,7 @@
 from greengagetack.replicas.permits import PermitRequest, RateLimitNotice
 from greengagetack.world import Address
 
-__all__ = ["PeerClient"]
+__all__ = ["Copy", "CopyRefused", "PeerClient"]
 
 CONNECT_TIMEOUT_S = 0.4
 CALL_TIMEOUT_S = 0.5
@@ -62,10 +65,24 @@
 OK = 200
 GONE = 410
 REFUSED_STATUSES = frozenset({429, 503})
+# The previous release answers 404 unless it is the dispatcher.
+COPY_REFUSED_STATUSES = frozenset({404, 503})
 
 T = TypeVar("T")
 
 
+class CopyRefused(PeerUnreachable):
+    """A daemon answered, but has no confirmed copy of a prefix."""
+
+
+@dataclass(frozen=True, slots=True)
+class Copy:
+    """An answer from a daemon's copy, and whether that daemon runs the jobs."""
+
+    answer: WatchAnswer
+    is_from_dispatcher: bool
+
+
 class PeerClient:
     """Calls the dispatcher and, for relays to the store, any other daemon.
 
@@ -99,6 +116,7 @@
     async def ping(self, address: Address, known: FactCursor) -> Pong:
         """Return a daemon's identity, whether it is the dispatcher, and new facts."""
         path = f"/peer/ping?epoch={quote(known.epoch)}&revision={known.revision}"
+        path += f"&node={quote(self.node)}"
         body = await self._call(address, "GET", path, b"", CALL_TIMEOUT_S)
         return _decode_response(body, Pong)
 
@@ -145,37 +163,49 @@
         except PeerUnreachable as error:
             logger.debug("peers: hint about job {} not sent: {}", job_id, error.reason)
 
-    async def list_objects(self, prefix: str) -> WatchAnswer:
-        """Return all objects of a prefix from the dispatcher's copy.
+    async def list_objects(self, address: Address, prefix: str) -> Copy:
+        """Return all objects of a prefix from a daemon's copy.
 
         Raises
         ------
+        CopyRefused
+            If the daemon's copy is not up to date.
         PeerUnreachable
-            If the dispatcher does not answer, or its copy is not up to date.
+            If the daemon does not answer.
         """
-        path = f"/peer/objects/{quote(prefix, safe='')}"
-        address = self._known_dispatcher()
-        body = await self._call(address, "GET", path, b"", CALL_TIMEOUT_S)
-        return _decode_response(body, WatchAnswer)
+        path = f"/peer/objects/{quote(prefix, safe='')}?packed=1"
+        return await self._fetch_copy(address, path, CALL_TIMEOUT_S)
 
     async def watch_objects(
-        self, prefix: str, after: int, timeout_s: float
-    ) -> WatchAnswer:
-        """Wait for changes in the dispatcher's copy of a prefix.
+        self, address: Address, prefix: str, after: int, timeout_s: float
+    ) -> Copy:
+        """Wait for changes in a daemon's copy of a prefix.
 
         Raises
         ------
         HistoryGone
-            If the dispatcher no longer has all changes after that revision.
+            If the daemon no longer has all changes after that revision.
+        CopyRefused
+            If the daemon's copy is not up to date.
         PeerUnreachable
-            If the dispatcher does not answer, or its copy is not up to date.
+            If the daemon does not answer.
         """
-        path = f"/peer/objects/{quote(prefix, safe='')}"
-        path += f"?after={after}&wait_s={timeout_s:.3f}&node={quote(self.node)}"
-        address = self._known_dispatcher()
-        limit_s = CALL_TIMEOUT_S + timeout_s
-        body = await self._call(address, "GET", path, b"", limit_s)
-        return _decode_response(body, WatchAnswer)
+        path = f"/peer/objects/{quote(prefix, safe='')}?packed=1"
+        path += f"&after={after}&wait_s={timeout_s:.3f}&node={quote(self.node)}"
+        return await self._fetch_copy(address, path, CALL_TIMEOUT_S + timeout_s)
+
+    async def _fetch_copy(self, address: Address, path: str, limit_s: float) -> Copy:
+        head, content = await self._exchange(address, "GET", path, b"", limit_s)
+        if head.status in COPY_REFUSED_STATUSES:
+            raise CopyRefused(f"{address} has no confirmed copy", RETRY_AFTER_S)
+        _require_ok(head, address, path)
+        try:
+            answer = decode_copy(head.headers, content)
+        except ValueError as error:
+            raise PeerUnreachable(
+                f"the copy of {address} cannot be decoded: {error}", RETRY_AFTER_S
+            ) from error
+        return Copy(answer, is_from_dispatcher(head.headers))
 
     async def fetch_progress(self, former: Address) -> list[ProgressSnapshot]:
         """Fetch the progress of the former claim holder, which then stops its runs."""
@@ -331,6 +361,13 @@
     async def _call(
         self, address: Address, method: str, path: str, body: bytes, limit_s: float
     ) -> bytes:
+        head, content = await self._exchange(address, method, path, body, limit_s)
+        _require_ok(head, address, path)
+        return content
+
+    async def _exchange(
+        self, address: Address, method: str, path: str, body: bytes, limit_s: float
+    ) -> tuple[ResponseHead, bytes]:
         request = Request(
             method.encode(), path.encode(), ((b"host", str(address).encode()),), body
         )
@@ -338,16 +375,18 @@
             async with asyncio.timeout(limit_s):
                 async with self._pool.connection(address) as connection:
                     head = await connection.send(request)
-                    content = await connection.read_all(MAX_RESPONSE_BYTES)
+                    return head, await connection.read_all(MAX_RESPONSE_BYTES)
         except (ExchangeError, TimeoutError) as error:
             raise PeerUnreachable(f"{address}: {error!r}", RETRY_AFTER_S) from error
-        if head.status == GONE:
-            raise HistoryGone(f"{address} no longer has the changes of {path}")
-        if head.status != OK:
-            raise PeerUnreachable(
-                f"{address} responded with status {head.status}", RETRY_AFTER_S
-            )
-        return content
+
+
+def _require_ok(head: ResponseHead, address: Address, path: str) -> None:
+    if head.status == GONE:
+        raise HistoryGone(f"{address} no longer has the changes of {path}")
+    if head.status != OK:
+        raise PeerUnreachable(
+            f"{address} responded with status {head.status}", RETRY_AFTER_S
+        )
 
 
 def _decode_response(body: bytes, kind: type[T]) -> T:
--- /dev/null
+++ b/greengagetack/coordination/remote_copy.py
@@ -0,0 +1,98 @@
+"""greengagetack.coordination.remote_copy: another daemon's copy as a feed's source."""
+
+import time
+from collections.abc import Awaitable, Callable
+
+from greengagetack.coordination.client import Copy, CopyRefused, PeerClient
+from greengagetack.errors import PeerUnreachable
+from greengagetack.objects.base import WatchAnswer
+from greengagetack.world import Address
+
+__all__ = ["RemoteCopy"]
+
+# Pause of a source after a failed call. It doubles while the daemon stays unreachable:
+# the member list names a dead daemon for up to two minutes.
+FAILURE_PAUSE_S = 1.0
+MAX_FAILURE_PAUSE_S = 8.0
+# Wait of the first watch after a failure, so that another failure costs little time.
+PROBE_WAIT_S = 0.1
+# A daemon that has refused a call within this time is alive.
+RECENT_REFUSAL_S = 2.0
+
+
+class RemoteCopy:
+    """Reads the copy that a daemon keeps, and remembers its failures.
+
+    A refused prefix is paused alone; an unreachable daemon is paused for all prefixes.
+
+    Parameters
+    ----------
+    on_dispatcher : callable
+        Called with the address when an answer shows that its daemon runs the jobs.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        peers: PeerClient,
+        on_dispatcher: Callable[[Address], None],
+    ) -> None:
+        self.address = address
+        self._peers = peers
+        self._on_dispatcher = on_dispatcher
+        self._failures = 0
+        self._paused_until_s = float("-inf")
+        self._refused_until_s: dict[str, float] = {}
+        self._last_refusal_s = float("-inf")
+        self._failed_prefixes: set[str] = set()
+
+    def has_failed(self, prefix: str) -> bool:
+        """Whether the last call of a prefix has failed."""
+        return prefix in self._failed_prefixes
+
+    def is_usable(self, prefix: str) -> bool:
+        """Whether no call of this prefix has failed just now."""
+        refused_until_s = self._refused_until_s.get(prefix, float("-inf"))
+        return time.monotonic() >= max(self._paused_until_s, refused_until_s)
+
+    @property
+    def is_alive_without_copy(self) -> bool:
+        """Whether the daemon has just answered that its copy is not confirmed."""
+        return time.monotonic() - self._last_refusal_s < RECENT_REFUSAL_S
+
+    async def list(self, prefix: str) -> WatchAnswer:
+        """Return all objects of the copy under a prefix."""
+        return await self._record(
+            prefix, self._peers.list_objects(self.address, prefix)
+        )
+
+    async def watch(self, prefix: str, after: int, timeout_s: float) -> WatchAnswer:
+        """Wait for changes of the copy under a prefix."""
+        wait_s = min(timeout_s, PROBE_WAIT_S) if self._failures else timeout_s
+        return await self._record(
+            prefix, self._peers.watch_objects(self.address, prefix, after, wait_s)
+        )
+
+    async def _record(self, prefix: str, call: Awaitable[Copy]) -> WatchAnswer:
+        try:
+            copy = await call
+        except CopyRefused:
+            self._failed_prefixes.add(prefix)
+            now_s = time.monotonic()
+            self._failures = 0
+            self._last_refusal_s = now_s
+            self._refused_until_s[prefix] = now_s + FAILURE_PAUSE_S
+            raise
+        except PeerUnreachable:
+            self._failed_prefixes.add(prefix)
+            pause_s = min(MAX_FAILURE_PAUSE_S, FAILURE_PAUSE_S * 2**self._failures)
+            # The feeds of a daemon fail together; that counts once.
+            if time.monotonic() >= self._paused_until_s:
+                self._failures += 1
+                self._paused_until_s = time.monotonic() + pause_s
+            raise
+        self._failures = 0
+        self._failed_prefixes.discard(prefix)
+        if copy.is_from_dispatcher:
+            self._on_dispatcher(self.address)
+        return copy.answer
--- a/greengagetack/coordination/roster.py
+++ b/greengagetack/coordination/roster.py
@@ -83,15 +83,25 @@
         self._dispatcher_since_s = float("inf")
         self._written_version = 0
         self._list_changed = asyncio.Event()
+        self._members: dict[str, Member] | None = None
         self._member_addresses: tuple[Address, ...] | None = None
         feed.subscribe(lambda changed, gone: self._on_list_change())
 
     def _on_list_change(self) -> None:
+        self._members = None
         self._member_addresses = None
         self._list_changed.set()
 
     def members(self) -> dict[str, Member]:
-        """Return the listed daemons by VM, without entries that cannot be decoded."""
+        """Return the listed daemons by VM, without entries that cannot be decoded.
+
+        The same dictionary is returned until the list changes.
+        """
+        if self._members is None:
+            self._members = self._decode_members()
+        return self._members
+
+    def _decode_members(self) -> dict[str, Member]:
         members: dict[str, Member] = {}
         for stored in self._feed.objects.values():
             try:
--- a/greengagetack/coordination/server.py
+++ b/greengagetack/coordination/server.py
@@ -9,6 +9,7 @@
 
 from greengagetack.batches.dispatcher import Dispatcher
 from greengagetack.batches.reading import JobReader
+from greengagetack.coordination.copies import CopyServer
 from greengagetack.coordination.messages import (
     CrashReports,
     HandOver,
@@ -29,7 +30,6 @@
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.stream_origins import StreamOrigins
 from greengagetack.gateway.suspects import ProbeRequest, Suspects
-from greengagetack.objects.feed import Feed
 from greengagetack.objects.transport import StoreResponse
 from greengagetack.replicas.permits import PermitRequest, Permits, RateLimitNotice
 
@@ -50,8 +50,8 @@
     stream_origins: StreamOrigins,
     suspects: Suspects,
     forwarder: Forwarder,
-    feeds: dict[str, Feed],
-    on_follower: Callable[[str], None],
+    copies: CopyServer,
+    on_ping: Callable[[str], None],
     call_store: Callable[[RelayCall], Awaitable[StoreResponse]],
 ) -> Starlette:
     """Return the HTTP application that serves a daemon's control address."""
@@ -59,6 +59,7 @@
     async def ping(request: Request) -> Response:
         query = request.query_params
         known = FactCursor(query.get("epoch", ""), int(query.get("revision", "0")))
+        on_ping(query.get("node", ""))
         return Response(encode(pong(known)))
 
     async def segments(request: Request) -> Response:
@@ -81,17 +82,6 @@
             return Response(status_code=NOT_FOUND)
         return Response(item.body)
 
-    async def objects(request: Request) -> Response:
-        feed = feeds.get(request.path_params["prefix"])
-        if feed is None or not dispatcher.is_active:
-            return Response(status_code=NOT_FOUND)
-        after = request.query_params.get("after")
-        if after is None:
-            return Response(encode(feed.snapshot()))
-        on_follower(request.query_params.get("node", ""))
-        wait_s = min(MAX_READ_WAIT_S, float(request.query_params["wait_s"]))
-        return Response(encode(await feed.wait_for_changes(int(after), wait_s)))
-
     async def receive_hint(request: Request) -> Response:
         hint = decode(await request.body(), type=JobHint)
         dispatcher.handle_hint(hint.job_id, hint.is_ended)
@@ -153,7 +143,7 @@
             Route("/peer/segments/{job_id}", segments),
             Route("/peer/jobs/{job_id}", known_job),
             Route("/peer/bodies/{job_id}/{item_id}", body),
-            Route("/peer/objects/{prefix:path}", objects),
+            Route("/peer/objects/{prefix:path}", copies.handle),
             Route("/peer/jobs", receive_hint, methods=["POST"]),
             Route("/peer/permits", permit, methods=["POST"]),
             Route("/peer/rate-limits", rate_limit, methods=["POST"]),
--- a/greengagetack/objects/base.py
+++ b/greengagetack/objects/base.py
@@ -60,12 +60,14 @@
 class WatchAnswer:
     """Objects changed or removed after a revision, and the revision to watch from.
 
-    `deleted` holds the paths of removed objects.
+    `deleted` holds the paths of removed objects. `age_s` is the time since the store
+    confirmed the copy from which a daemon answers; the store's own answers have none.
     """
 
     revision: int
     objects: tuple[PlatformObject, ...]
     deleted: tuple[str, ...] = ()
+    age_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagetack/objects/feed.py
+++ b/greengagetack/objects/feed.py
@@ -4,11 +4,13 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Protocol
 
 from loguru import logger
 
 from greengagetack.errors import CodedError, PlatformUnavailable
+from greengagetack.freezes import FreezeWatch, boottime_s
 from greengagetack.objects.base import HistoryGone, PlatformObject, WatchAnswer
 
 __all__ = ["Feed", "FeedListener", "FeedSource"]
@@ -18,8 +20,12 @@
 # refused calls are charged as well.
 MAX_RETRY_PAUSE_S = 1.0
 MAX_RECORDED_REMOVALS = 1_000
-# A copy without an answer from its source for this long is not served to other daemons.
-MAX_COPY_AGE_S = 2.5
+# A copy that the store has not confirmed for this long, directly or through the daemons
+# that it was copied from, is not served to other daemons.
+MAX_COPY_AGE_S = 1.5
+# A waiting follower is told of a confirmation after this long, so that the ages of
+# copies of copies do not add up, and its calls stay as rare as the confirmations.
+MIN_CONFIRMATION_WAIT_S = 0.4
 
 FeedListener = Callable[[tuple[PlatformObject, ...], tuple[str, ...]], None]
 
@@ -49,6 +55,9 @@
     pause_s : callable
         Returns the pause after a change, so that a series of changes takes a few
         watches instead of one each.
+    freezes : FreezeWatch or None
+        Tells whether an answer may have been waiting for this process, None if that
+        is not watched.
     """
 
     def __init__(
@@ -57,22 +66,29 @@
         prefix: str,
         wait_s: Callable[[], float],
         pause_s: Callable[[], float] = lambda: 0.0,
+        freezes: FreezeWatch | None = None,
     ) -> None:
         self._next_source = next_source
         self.prefix = prefix
         self._wait_s = wait_s
         self._pause_s = pause_s
+        self._freezes = freezes
         self._listeners: list[FeedListener] = []
         self.objects: dict[str, PlatformObject] = {}
         self.synced = asyncio.Event()
         self.last_answer_s = float("-inf")
         self.last_failure_s = float("-inf")
         self._recovered_s = float("-inf")
+        self._confirmed_s = float("-inf")
         self.revision = 0
+        self.change_count = 0
         self._first_revision = 0
         self._removals: deque[tuple[int, str]] = deque()
         self._changed = asyncio.Event()
+        # Set by a change, and also by a confirmation.
+        self._news = asyncio.Event()
         self._needs_list = True
+        self._is_refresh_due = False
         self._watch_task: asyncio.Task[WatchAnswer] | None = None
 
     @property
@@ -80,6 +96,16 @@
         """Whether the prefix has been listed at least once."""
         return self.synced.is_set()
 
+    @property
+    def is_refresh_due(self) -> bool:
+        """Whether the copy is known to be out of date and must come from the store."""
+        return self._is_refresh_due
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the store confirmed the copy, infinite before that."""
+        return boottime_s() - self._confirmed_s
+
     def subscribe(self, listener: FeedListener) -> None:
         """Call `listener` with the changed objects and removed paths of each change."""
         self._listeners.append(listener)
@@ -113,17 +139,28 @@
     async def _list_or_watch(self, source: FeedSource) -> None:
         if self._needs_list:
             self._needs_list = False
+            sent_s = boottime_s()
             try:
-                self._apply_listing(await source.list(self.prefix))
+                listing = await source.list(self.prefix)
+                self._apply_listing(listing)
             except CodedError:
                 self._needs_list = True
                 raise
+            self._is_refresh_due = False
+            self._record_confirmation(listing, sent_s, boottime_s())
             return
-        watch = source.watch(self.prefix, self.revision, self._wait_s())
+        wait_s = self._wait_s()
+        sent_s = boottime_s()
+        watch = source.watch(self.prefix, self.revision, wait_s)
         self._watch_task = asyncio.ensure_future(watch)
         try:
             update = await self._watch_task
             self._apply_changes(update)
+            answered_s = boottime_s()
+            if not update.objects and not update.deleted:
+                # Without a change, the answer was due when the wait ended.
+                answered_s = min(answered_s, sent_s + wait_s)
+            self._record_confirmation(update, sent_s, answered_s)
         except asyncio.CancelledError:
             task = asyncio.current_task()
             if task is None or task.cancelling():
@@ -135,9 +172,28 @@
         if (update.objects or update.deleted) and self._pause_s():
             await asyncio.sleep(self._pause_s())
 
+    def _record_confirmation(
+        self, answer: WatchAnswer, sent_s: float, answered_s: float
+    ) -> None:
+        if self._freezes is not None and self._freezes.was_frozen_since(sent_s):
+            answered_s = sent_s
+        self.confirm(answered_s - answer.age_s)
+
+    def confirm(self, confirmed_s: float) -> None:
+        """Record that the copy was up to date at a time of `boottime_s`."""
+        if confirmed_s <= self._confirmed_s:
+            return
+        self._confirmed_s = confirmed_s
+        self._announce()
+
+    def _announce(self) -> None:
+        self._news.set()
+        self._news = asyncio.Event()
+
     def refresh(self) -> None:
         """List the prefix again at once, as the copy is known to be out of date."""
         self._needs_list = True
+        self._is_refresh_due = True
         if self._watch_task is not None:
             self._watch_task.cancel()
 
@@ -192,12 +248,14 @@
         gone = tuple(path for path in deleted if self.objects.pop(path, None))
         if not changed and not gone:
             return
+        self.change_count += 1
         for path in gone:
             self._removals.append((self.revision, path))
         while len(self._removals) > MAX_RECORDED_REMOVALS:
             self._first_revision = self._removals.popleft()[0]
         self._changed.set()
         self._changed = asyncio.Event()
+        self._announce()
         for listener in self._listeners:
             listener(tuple(changed), gone)
 
@@ -212,11 +270,15 @@
             If the copy is not known to be up to date.
         """
         self._require_up_to_date()
-        return WatchAnswer(self.revision, tuple(self.objects.values()))
+        return WatchAnswer(
+            self.revision, tuple(self.objects.values()), age_s=self.age_s
+        )
 
     async def wait_for_changes(self, after: int, timeout_s: float) -> WatchAnswer:
         """Return the changes after a revision; wait up to `timeout_s` for one.
 
+        The wait also ends when the copy is confirmed again.
+
         Raises
         ------
         HistoryGone
@@ -232,11 +294,10 @@
         update = self._changes_since(after)
         if update.objects or update.deleted:
             return update
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._changed.wait()
-        except TimeoutError:
-            self._require_up_to_date()
+        earliest_s = min(MIN_CONFIRMATION_WAIT_S, timeout_s)
+        if not await _is_set_within(self._changed, earliest_s):
+            await _is_set_within(self._news, timeout_s - earliest_s)
+        self._require_up_to_date()
         return self._changes_since(after)
 
     def _changes_since(self, after: int) -> WatchAnswer:
@@ -246,11 +307,19 @@
             self.revision,
             tuple(objects),
             tuple(path for path in deleted if path not in self.objects),
+            self.age_s,
         )
 
     def _require_up_to_date(self) -> None:
-        age_s = time.monotonic() - self.last_answer_s
+        age_s = self.age_s
         if not self.is_synced or age_s > MAX_COPY_AGE_S:
             raise PlatformUnavailable(
-                f"the copy of {self.prefix} was last confirmed {age_s} s ago"
+                f"the copy of {self.prefix} was last confirmed {age_s:.1f} s ago"
             )
+
+
+async def _is_set_within(event: asyncio.Event, timeout_s: float) -> bool:
+    with suppress(TimeoutError):
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+    return event.is_set()
--- a/greengagetack/objects/transport.py
+++ b/greengagetack/objects/transport.py
@@ -29,8 +29,10 @@
 WATCH_MARGIN_S = 0.6
 RETRY_AFTER_S = 0.5
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-# Pause after a direct call failed, before the next one is tried.
+# After a direct call failed, peers are asked first for this long. The time doubles
+# while direct calls go on failing, because each one may take its whole limit.
 DIRECT_FAILURE_PAUSE_S = 1.0
+MAX_DIRECT_FAILURE_PAUSE_S = 8.0
 OK = 200
 CREATED = 201
 # Statuses with which the store refuses a call without carrying it out.
@@ -126,12 +128,13 @@
         self._direct_transport = direct_transport
         self._relay_call = relay_call
         self._metrics = metrics
-        self._last_direct_failure_s = float("-inf")
+        self._direct_failures = 0
+        self._direct_paused_until_s = float("-inf")
 
     @property
     def is_direct_failing(self) -> bool:
-        """Whether a direct call was refused or got no response just now."""
-        return time.monotonic() - self._last_direct_failure_s < DIRECT_FAILURE_PAUSE_S
+        """Whether direct calls have been refused or got no response lately."""
+        return time.monotonic() < self._direct_paused_until_s
 
     async def call(
         self, method: str, target: str, body: bytes, wait_s: float
@@ -145,23 +148,14 @@
         """
         if self.is_direct_failing:
             relayed = await self._call_through_peer(method, target, body, wait_s)
-            return relayed or await self._direct_transport.call(
-                method, target, body, wait_s
-            )
+            return relayed or await self._call_directly(method, target, body, wait_s)
         failure: PlatformUnavailable | None = None
         try:
-            response = await self._direct_transport.call(method, target, body, wait_s)
+            response = await self._call_directly(method, target, body, wait_s)
             if response.status not in REFUSED_STATUSES:
-                if self._last_direct_failure_s > 0:
-                    logger.info("store: reached directly again")
-                    self._last_direct_failure_s = float("-inf")
                 return response
         except PlatformUnavailable as error:
             failure = error
-        if self._last_direct_failure_s < 0:
-            reason = failure.reason if failure else f"status {response.status}"
-            logger.warning("store: not reached directly: {}", reason)
-        self._last_direct_failure_s = time.monotonic()
         relayed = await self._call_through_peer(method, target, body, wait_s)
         if relayed is not None:
             return relayed
@@ -169,6 +163,34 @@
             raise failure
         return response
 
+    async def _call_directly(
+        self, method: str, target: str, body: bytes, wait_s: float
+    ) -> StoreResponse:
+        try:
+            response = await self._direct_transport.call(method, target, body, wait_s)
+        except PlatformUnavailable as error:
+            self._record_direct_failure(error.reason)
+            raise
+        if response.status in REFUSED_STATUSES:
+            self._record_direct_failure(f"status {response.status}")
+            return response
+        if self._direct_failures:
+            logger.info("store: reached directly again")
+            self._direct_failures = 0
+            self._direct_paused_until_s = float("-inf")
+        return response
+
+    def _record_direct_failure(self, reason: str) -> None:
+        now_s = time.monotonic()
+        if not self._direct_failures:
+            logger.warning("store: not reached directly: {}", reason)
+        # Calls that fail together count once.
+        if now_s < self._direct_paused_until_s:
+            return
+        pause_s = DIRECT_FAILURE_PAUSE_S * 2**self._direct_failures
+        self._direct_paused_until_s = now_s + min(MAX_DIRECT_FAILURE_PAUSE_S, pause_s)
+        self._direct_failures += 1
+
     async def call_for_peer(
         self, method: str, target: str, body: bytes, wait_s: float
     ) -> StoreResponse:
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -15,6 +15,7 @@
 from greengagetack.batches.service import JobService
 from greengagetack.coordination.claim import DispatcherClaim
 from greengagetack.coordination.client import PeerClient
+from greengagetack.coordination.copies import CopyServer
 from greengagetack.coordination.fact_archive import FactArchive
 from greengagetack.coordination.lifecycle import DispatcherLifecycle
 from greengagetack.coordination.messages import Member, Pong
@@ -27,6 +28,7 @@
 from greengagetack.daemons.status import build_status_application
 from greengagetack.daemons.supervise import supervise
 from greengagetack.facts import FactCursor, FactTable
+from greengagetack.freezes import FREEZE_TICK_S, FreezeWatch
 from greengagetack.gateway.detours import Detours
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.routes import Configuration, Limits, Route, RouteTable
@@ -61,9 +63,6 @@
 
 MEMBERS_PREFIX = "members/"
 CLAIMS_PREFIX = "dispatch/"
-# The longest wait that the platform allows. The claim rarely changes; pings detect that
-# the claim holder is lost, and a write conflict shows that the claim has changed.
-CLAIM_WATCH_WAIT_S = 30.0
 JOB_WATCH_WAIT_S = 2.0
 REPLICA_CONNECT_TIMEOUT_S = 0.3
 # The platform takes a daemon out of rotation after two failed readiness checks, one
@@ -108,16 +107,21 @@
             self._direct_transport, self._relay_call, self._metrics
         )
         self._store = PlatformStore(self._transport, facts.value_limit_bytes)
+        self._freezes = FreezeWatch()
         self._config_feed = self._make_shared_feed(f"{wire.CONFIG_KIND}/")
         self._servers_feed = self._make_shared_feed(f"{wire.SERVERS_KIND}/")
         self._members_feed = Feed(
-            lambda: self._source_selector.next_source(),
+            lambda: self._source_selector.next_source(MEMBERS_PREFIX),
             MEMBERS_PREFIX,
-            lambda: self._source_selector.long_wait_s(),
-            lambda: self._source_selector.long_pause_s(),
+            lambda: self._source_selector.long_wait_s(MEMBERS_PREFIX),
+            lambda: self._source_selector.long_pause_s(MEMBERS_PREFIX),
+            self._freezes,
         )
         self._claims_feed = Feed(
-            lambda: self._store, CLAIMS_PREFIX, lambda: CLAIM_WATCH_WAIT_S
+            lambda: self._source_selector.next_claim_source(),
+            CLAIMS_PREFIX,
+            lambda: self._source_selector.claim_wait_s(),
+            freezes=self._freezes,
         )
         # Watched only by the daemon that runs the jobs.
         self._versions_feed = Feed(
@@ -204,7 +208,21 @@
             self._metrics,
             facts.result_retention_s,
         )
-        self._source_selector = SourceSelector(self._store, self._peers, self._claim)
+        self._source_selector = SourceSelector(
+            self._store,
+            self._peers,
+            self._claim,
+            self._claims_feed,
+            self._roster,
+            self._local_member,
+            facts.seeds,
+        )
+        self._shared_feeds = (
+            self._config_feed,
+            self._servers_feed,
+            self._members_feed,
+            self._claims_feed,
+        )
         self._reader = JobReader(self._ledger, self._dispatcher, self._peers)
         self._ingress = Ingress(
             lambda: self._route_table,
@@ -247,10 +265,11 @@
 
     def _make_shared_feed(self, prefix: str) -> Feed:
         return Feed(
-            lambda: self._source_selector.next_source(),
+            lambda: self._source_selector.next_source(prefix),
             prefix,
-            lambda: self._source_selector.wait_s(),
-            lambda: self._source_selector.pause_s(),
+            lambda: self._source_selector.wait_s(prefix),
+            lambda: self._source_selector.pause_s(prefix),
+            self._freezes,
         )
 
     async def _relay_call(
@@ -370,14 +389,11 @@
                     self._stream_origins,
                     self._suspects,
                     self._forwarder,
-                    {
-                        feed.prefix: feed
-                        for feed in (
-                            self._config_feed,
-                            self._servers_feed,
-                            self._members_feed,
-                        )
-                    },
+                    CopyServer(
+                        {feed.prefix: feed for feed in self._shared_feeds},
+                        lambda: self._dispatcher.is_active,
+                        self._roster.record_contact,
+                    ),
                     self._roster.record_contact,
                     lambda call: self._transport.call_for_peer(
                         call.method, call.target, call.body, call.wait_s
@@ -405,12 +421,7 @@
             incarnation=self._incarnation,
             zone=facts.availability_zone,
         )
-        for feed in (
-            self._config_feed,
-            self._servers_feed,
-            self._members_feed,
-            self._claims_feed,
-        ):
+        for feed in self._shared_feeds:
             self._start_part(feed.run, "feed")
         self._start_part(self._roster.run, "register")
         self._start_part(lambda: self._claim.run(self._peers), "claim")
@@ -426,6 +437,7 @@
         self._timer.subscribe(
             PUBLISH_INTERVAL_S, self._permits.publish_changes, "rate limits"
         )
+        self._timer.subscribe(FREEZE_TICK_S, self._freezes.tick, "freezes")
         self._timer.subscribe(PATH_INTERVAL_S, self._path_watch.tick, "paths")
         self._timer.subscribe(SUSPECTS_INTERVAL_S, self._suspects.tick, "suspects")
         self._timer.subscribe(
