Commit results that complete no group together for up to 1.0 s

Results wait up to 1.0 s instead of 0.4 s while none of them completes a group. Once one does, they are committed 0.4 s after the first of them finished, or at once if that has passed or nothing needed is left; so a complete group never waits longer than before. Items without a group, jobs that are nearly due or overdue keep their delays, and the longer delay does not reach into the time in which a job is nearly due.

Tested: batches.feature, 59 scenarios; 7 of the 11 new examples fail on the former code.

--- a/features/batches.feature
+++ b/features/batches.feature
@@ -76,6 +76,25 @@
       | 2      | 2       | no      | finished                  |
       | 2      | 1       | yes     | left to its run           |
 
+  Scenario Outline: Results that complete no group are committed together for longer
+    Given a run of a job with items in groups <groups>, due in <due> s
+    When its items finish at <finished>
+    Then its results are committed at <commits>
+
+    Examples:
+      | groups      | due | finished          | commits |
+      | a,a,a,b,b,b | 60  | 0@0.0             | 1.0     |
+      | a,a,a,b,b,b | 60  | 0@0.0 3@0.3       | 1.0     |
+      | a,a,a,b,b,b | 60  | 0@0.0 1@0.3 2@0.5 | 0.5     |
+      | a,a,a,b,b,b | 60  | 0@0.0 1@0.1 2@0.2 | 0.4     |
+      | a,a,a,b,b,b | 60  | 0@0.0 1@0.0 2@0.0 | 0.4     |
+      | a,a,a,b,b,b | 60  | 0@0.0 1@1.2       | 1.0,2.2 |
+      | a,a,a,b,b,b | 1.2 | 0@0.0             | 0.1     |
+      | a,a,a,b,b,b | 2.1 | 0@0.0             | 0.6     |
+      | a,a,b       | 60  | 2@0.0             | 0.4     |
+      | -,-,-       | 60  | 0@0.0             | 0.4     |
+      | a,a         | 60  | 0@0.0 1@0.2       | 0.2     |
+
   Scenario: An empty page is not served if the store cannot confirm it
     Given an open job "j1" of 4 items, 1 committed and 1 finished
     And the finished item is committed by the run, and the store never answers
--- a/features/steps/batches_steps.py
+++ b/features/steps/batches_steps.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import dataclasses
+import time
 
 from behave import given, then, when
 from behave.runner import Context
 
 from features.support.memory_objects import MemoryObjects
+from features.support.virtual_time import run_in_virtual_time
 from greengagetack.batches.job import Item, Job, Result, ResultState, Segment
 from greengagetack.batches.job_run import JobRun
 from greengagetack.batches.ledger import Ledger
@@ -24,6 +26,8 @@
 from greengagetack.world import Address
 
 GROUP_SIZE = 2
+OBSERVED_S = 3.0
+OBSERVATION_S = 0.01
 
 
 def _items(groups: str) -> tuple[Item, ...]:
@@ -138,6 +142,59 @@
     context.first_finished = listed
 
 
+@given("a run of a job with items in groups {groups}, due in {due:g} s")
+def step_run(context: Context, groups: str, due: float) -> None:
+    names = ["" if name == "-" else name for name in groups.split(",")]
+    items = tuple(
+        Item(f"i-{number}", "/", (), b"", 10, name) for number, name in enumerate(names)
+    )
+
+    def make_run() -> JobRun:
+        job = dataclasses.replace(
+            _job("j1", 0, len(items), "r"),
+            submitted_ms=int(time.time() * 1000),
+            due_after_ms=due * 1000,
+        )
+        return JobRun(
+            job,
+            items,
+            JobLog(),
+            Ledger(MemoryObjects()),
+            Metrics(),
+            lambda item, _: ItemProgress(item),
+            lambda: 1,
+        )
+
+    context.make_run = make_run
+
+
+@when("its items finish at {finished}")
+def step_finish(context: Context, finished: str) -> None:
+    async def run_job() -> list[float]:
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        run = context.make_run()
+        committing = asyncio.create_task(run.run())
+        for text in finished.split():
+            number, _, at_s = text.partition("@")
+            loop.call_at(began_s + float(at_s), run.add_result, _result(int(number)))
+        commits: list[float] = []
+        while loop.time() < began_s + OBSERVED_S:
+            await asyncio.sleep(OBSERVATION_S)
+            if run.log.next_segment > len(commits):
+                commits.append(round(loop.time() - began_s, 1))
+        committing.cancel()
+        return commits
+
+    context.commits = run_in_virtual_time(run_job())
+
+
+@then("its results are committed at {commits}")
+def step_commits(context: Context, commits: str) -> None:
+    expected = [float(text) for text in commits.split(",")]
+    assert context.commits == expected, context.commits
+
+
 @given("another daemon has committed {count:d} of the finished items")
 def step_committed_elsewhere(context: Context, count: int) -> None:
     if not count:
--- a/greengagetack/batches/job_run.py
+++ b/greengagetack/batches/job_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from collections.abc import Callable
 
 from loguru import logger
@@ -17,8 +18,10 @@
 __all__ = ["JobRun"]
 
 # Results that finish within this time are committed together. The delay is shorter
-# when the job is nearly due.
+# when the job is nearly due, and longer while none of the results completes a group, as
+# a trainer can use complete groups only and each commit is a charged call.
 COMMIT_DELAY_S = 0.4
+PARTIAL_COMMIT_DELAY_S = 1.0
 NEARLY_DUE_COMMIT_DELAY_S = 0.1
 NEARLY_DUE_S = 1.5
 COMMIT_RETRY_S = 0.2
@@ -65,6 +68,8 @@
         # Progress of the items in `_finished`; a successor needs it until the commit.
         self._uncommitted: dict[str, ItemProgress] = {}
         self._has_finished = asyncio.Event()
+        # Whether results that are not committed yet complete a group.
+        self._completes_group = False
         # Monotonic start of the oldest commit whose outcome is unknown.
         self._uncertain_since_s: float | None = None
         self._refresh_task: asyncio.Task[None] | None = None
@@ -73,6 +78,9 @@
         self.unfinished: dict[str, ItemProgress] = {}
         # Groups resubmitted from an earlier job; the trainer always waits for them.
         self.required_groups: set[str] = set()
+        self._open_in_group = Counter(
+            item.group for item in items if item.item_id not in log.committed_ids
+        )
         for item in items:
             if item.item_id in log.committed_ids:
                 continue
@@ -106,12 +114,22 @@
         """Queue a result for the next commit."""
         if result.item_id in self.log.committed_ids or result.item_id in self._finished:
             return
-        progress = self.unfinished.pop(result.item_id, None)
+        progress = self._close_item(result.item_id)
         if progress is not None:
             self._uncommitted[result.item_id] = progress
         self._finished[result.item_id] = result
         self._has_finished.set()
 
+    def _close_item(self, item_id: str) -> ItemProgress | None:
+        progress = self.unfinished.pop(item_id, None)
+        if progress is None:
+            return None
+        group = progress.item.group
+        self._open_in_group[group] -= 1
+        if not group or not self._open_in_group[group]:
+            self._completes_group = True
+        return progress
+
     def collect_finished(self) -> None:
         """Add the results of items that a run of another job completed meanwhile.
 
@@ -141,7 +159,7 @@
                 continue
             # Once all needed results are finished, commit without delay.
             if self._has_needed_items():
-                await asyncio.sleep(self._commit_delay_s())
+                await self._wait_for_more()
             await self._commit()
         logger.info(
             "batch: all items of the job committed",
@@ -163,10 +181,29 @@
                 return
             await self._commit()
 
+    async def _wait_for_more(self) -> None:
+        """Wait for results that are committed together with the finished ones."""
+        started_s = time.monotonic()
+        while True:
+            left_s = started_s + self._commit_delay_s() - time.monotonic()
+            if left_s <= 0 or (self._completes_group and not self._has_needed_items()):
+                return
+            self._has_finished.clear()
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._has_finished.wait()
+            except TimeoutError:
+                return
+
     def _commit_delay_s(self) -> float:
         due_in_s = self.due_ms / MS_PER_S - time.time()
-        is_nearly_due = 0 < due_in_s < NEARLY_DUE_S
-        return NEARLY_DUE_COMMIT_DELAY_S if is_nearly_due else COMMIT_DELAY_S
+        if 0 < due_in_s < NEARLY_DUE_S:
+            return NEARLY_DUE_COMMIT_DELAY_S
+        if self._completes_group or due_in_s <= 0:
+            return COMMIT_DELAY_S
+        # The longer delay does not reach into the time in which the job is nearly due.
+        rest_s = due_in_s - NEARLY_DUE_S
+        return max(COMMIT_DELAY_S, min(PARTIAL_COMMIT_DELAY_S, rest_s))
 
     def _has_needed_items(self) -> bool:
         needed = self.needed_groups()
@@ -207,7 +244,9 @@
         for result in segment.results:
             self._finished.pop(result.item_id, None)
             self._uncommitted.pop(result.item_id, None)
-            self.unfinished.pop(result.item_id, None)
+            self._close_item(result.item_id)
+        if not self._finished:
+            self._completes_group = False
 
     def may_be_behind(self) -> bool:
         """Whether the store may have results that the log does not have yet.
