--- a/greengagetack/coordination/duty_endpoints.py
+++ b/greengagetack/coordination/duty_endpoints.py
@@ -47,7 +47,7 @@
         """Record the offset of a clock that a ping tells."""
         offset_ms = query.get("offset_ms")
         if offset_ms is not None:
-            self._clock.record_offset(query.get("clock", ""), float(offset_ms))
+            self._clock.record_offset(query.get("node", ""), float(offset_ms))
 
     async def _heartbeat(self, request: Request) -> Response:
         heartbeat = decode(await request.body(), type=DutyHeartbeat)
--- a/greengagetack/coordination/ping_reports.py
+++ b/greengagetack/coordination/ping_reports.py
@@ -9,8 +9,6 @@
 
 __all__ = ["PingReports"]
 
-NODE = "node"
-
 
 @dataclass(frozen=True, slots=True)
 class _Report:
@@ -19,16 +17,9 @@
 
 
 class PingReports:
-    """Short texts that daemons send with their pings, by name.
-
-    Parameters
-    ----------
-    node : callable
-        Returns the name of this VM.
-    """
+    """Short texts that daemons send with their pings, by name."""
 
-    def __init__(self, node: Callable[[], str]) -> None:
-        self._node = node
+    def __init__(self) -> None:
         self._reports: dict[str, _Report] = {}
 
     def add(
@@ -47,14 +38,11 @@
 
     def query(self) -> str:
         """Return the fields of a ping's query, empty without a report."""
-        fields = [
+        return "".join(
             f"&{name}={quote(text, safe='')}"
             for name, report in self._reports.items()
             if (text := report.take())
-        ]
-        if not fields:
-            return ""
-        return f"&{NODE}={quote(self._node(), safe='')}" + "".join(fields)
+        )
 
     def handle(self, query: Mapping[str, str]) -> None:
         """Pass the fields of a ping on; unknown ones are ignored.
@@ -64,7 +52,7 @@
         ValueError
             If a text is not valid.
         """
-        node = query.get(NODE, "")
+        node = query.get("node", "")
         for name, report in self._reports.items():
             text = query.get(name, "")
             if node and text:
