--- a/greengagetack/coordination/duty_endpoints.py
+++ b/greengagetack/coordination/duty_endpoints.py
@@ -46,7 +46,7 @@
     def record_ping(self, query: Mapping[str, str]) -> None:
         """Record the offset of a clock that a ping tells."""
         offset_ms = query.get("offset_ms")
-        if offset_ms is not None:
+        if offset_ms is not None and query.get("node"):
             self._clock.record_offset(query.get("node", ""), float(offset_ms))
 
     async def _heartbeat(self, request: Request) -> Response:
