--- a/greengagetack/batches/pace.py
+++ b/greengagetack/batches/pace.py
@@ -26,8 +26,9 @@
 DEFAULT_EVENT_S = 0.05
 # A run leaves a replica whose time per event exceeds that of another by this factor.
 SLOW_RATIO = 1.8
-# A move costs a new connection and reprocessing the prompt, so it must save more.
-MIN_MOVE_GAIN_S = 0.4
+# A move costs a new connection and reading the prompt again. It has to save a part of
+# the step that its trainer would notice.
+MIN_MOVE_GAIN_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
