Eject replicas that fail part of their requests

A replica that fails half of its requests, or hangs now and then, kept its share: each success ended the suspension, and fast failures lowered its measured service time, which drew more requests to it.

Each daemon keeps the last 20 outcomes of each replica and ejects one whose failure rate is above 0.3 and three times the service's median, at most a third of a service. It reports that to the owner of the facts, which publishes replica-ejected (10 s, not saved in the store) once a second daemon has reported the same. Probes are one request at a time after 1, 2, 4 and 8 s; three passed ones readmit. Failures no longer count as service times. Outcomes come from callers' requests, reward calls and runs of items, also from runs moved off silent replicas.

--- a/features/support/cut_network.py
+++ b/features/support/cut_network.py
@@ -235,6 +235,7 @@
             Detours(_Peers(self, number), self.addresses[number], metrics),
             ResponseMemory(1_000_000),
             ZoneRouting(f"zone-{number % 2}", ZoneCost()),
+            lambda state, is_failure: None,
         )
 
     async def request(self, daemon: int, request_id: str) -> Outcome:
--- a/features/zone_shares.feature
+++ b/features/zone_shares.feature
@@ -79,7 +79,7 @@
     When each daemon has 2 requests in flight at service 1 in zone 1 for 5 s
     Then all daemons know that service 1 uses 67 % of zone 1, and of nothing else
     When each daemon has 2 requests in flight at every service and zone for 5 s
-    Then no more than 10 facts a second were published
+    Then no more than 4 facts a second were published
     When each daemon has 0 requests in flight at every service and zone for 5 s
     Then no daemon knows of a use
     And none of the facts is saved in the store
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -79,7 +79,11 @@
         result_retention_s: float,
         zone: str = "",
         zone_cost: ZoneCost = ZoneCost(),  # noqa: B008
+        record_outcome: Callable[[ReplicaState, bool], None] = lambda state, failed: (
+            None
+        ),
     ) -> None:
+        self._record_outcome = record_outcome
         self._result_retention_s = result_retention_s
         self._ledger = ledger
         self._checkpoints = checkpoints
@@ -479,6 +483,9 @@
         for move in placement_round.moves():
             _, progress, _ = self._running[move.item_id]
             self._avoid_replica(progress, move.replica_id)
+            state = self._fleet.get(move.replica_id)
+            if move.is_silent and state is not None:
+                self._record_outcome(state, True)
             self._metrics.add("moved_runs")
             task = self._item_tasks.get(move.item_id)
             if task is not None:
@@ -622,6 +629,8 @@
     ) -> None:
         """Update the item, its job and the replica after a run has ended."""
         job = run.job
+        if end in (RunEnd.COMPLETED, RunEnd.FAILED, RunEnd.BROKEN):
+            self._record_outcome(state, end is not RunEnd.COMPLETED)
         if end is RunEnd.COMPLETED:
             state.record_success()
             if not progress.has_allowed_versions(job.min_version, job.single_version):
--- a/greengagetack/batches/item_placement.py
+++ b/greengagetack/batches/item_placement.py
@@ -48,11 +48,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Move:
-    """A run that should continue at another replica."""
+    """A run that should continue at another replica, as its own is slow or silent."""
 
     item_id: str
     replica_id: str
     target_id: str
+    is_silent: bool
 
 
 class ItemPlacement:
@@ -117,17 +118,22 @@
         if silences_s:
             reliable_s = {**paces.reliable_s, **silences_s}
             paces = dataclasses.replace(paces, reliable_s=reliable_s)
-        return PlacementRound(self, entries, paces)
+        return PlacementRound(self, entries, paces, frozenset(silences_s))
 
 
 class PlacementRound:
     """One pass over waiting and running items, with paces that do not change in it."""
 
     def __init__(
-        self, placement: ItemPlacement, running: list[RunningEntry], paces: Paces
+        self,
+        placement: ItemPlacement,
+        running: list[RunningEntry],
+        paces: Paces,
+        silent_ids: frozenset[str],
     ) -> None:
         self._placement = placement
         self._running = running
+        self._silent_ids = silent_ids
         self.paces = paces
         self._now_s = time.monotonic()
         self._memory_use = MemoryUsage()
@@ -264,7 +270,8 @@
             target_id = self._move_target(job, progress, replica_id)
             if target_id is None:
                 continue
-            moves.append(Move(item_id, replica_id, target_id))
+            is_silent = replica_id in self._silent_ids
+            moves.append(Move(item_id, replica_id, target_id, is_silent))
             self._reserved[target_id] = self._reserved.get(target_id, 0) + 1
             logger.info(
                 "dispatch: run moved from a slow replica",
--- a/greengagetack/coordination/client.py
+++ b/greengagetack/coordination/client.py
@@ -40,6 +40,7 @@
 from greengagetack.http1.pool import Pool
 from greengagetack.objects.base import HistoryGone, WatchAnswer
 from greengagetack.objects.transport import StoreResponse
+from greengagetack.replicas.ejections import EjectionNotice
 from greengagetack.replicas.permits import PermitRequest, RateLimitNotice
 from greengagetack.world import Address
 
@@ -220,6 +221,18 @@
         body = encode(CrashReports(reports))
         await self._call(address, "POST", "/peer/crash-reports", body, CALL_TIMEOUT_S)
 
+    async def send_ejection(self, notice: EjectionNotice) -> None:
+        """Notify the dispatcher of a replica that this daemon ejects or readmits.
+
+        Raises
+        ------
+        PeerUnreachable
+            If the dispatcher is unknown or does not answer.
+        """
+        address = self._known_dispatcher()
+        body = encode(notice)
+        await self._call(address, "POST", "/peer/ejections", body, CALL_TIMEOUT_S)
+
     async def request_probe(self, request: ProbeRequest) -> Grant:
         """Ask the dispatcher whether a request under suspicion may run now.
 
--- a/greengagetack/coordination/server.py
+++ b/greengagetack/coordination/server.py
@@ -31,6 +31,7 @@
 from greengagetack.gateway.suspects import ProbeRequest, Suspects
 from greengagetack.objects.feed import Feed
 from greengagetack.objects.transport import StoreResponse
+from greengagetack.replicas.ejections import EjectionNotice, Ejections
 from greengagetack.replicas.permits import PermitRequest, Permits, RateLimitNotice
 
 __all__ = ["build_peer_application"]
@@ -54,6 +55,7 @@
     on_follower: Callable[[str], None],
     call_store: Callable[[RelayCall], Awaitable[StoreResponse]],
     on_load_report: Callable[[str, str], None],
+    ejections: Ejections,
 ) -> Starlette:
     """Return the HTTP application that serves a daemon's control address."""
 
@@ -113,6 +115,10 @@
         suspects.handle_reports(received.reports)
         return Response()
 
+    async def receive_ejection(request: Request) -> Response:
+        ejections.handle_notice(decode(await request.body(), type=EjectionNotice))
+        return Response()
+
     async def probe(request: Request) -> Response:
         wanted = decode(await request.body(), type=ProbeRequest)
         return Response(encode(suspects.handle_probe_request(wanted)))
@@ -161,6 +167,7 @@
             Route("/peer/permits", permit, methods=["POST"]),
             Route("/peer/rate-limits", rate_limit, methods=["POST"]),
             Route("/peer/crash-reports", crash_reports, methods=["POST"]),
+            Route("/peer/ejections", receive_ejection, methods=["POST"]),
             Route("/peer/paths/{service}", has_path),
             Route("/peer/attempts", attempts, methods=["POST"]),
             Route("/peer/probes", probe, methods=["POST"]),
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -1,8 +1,9 @@
 """greengagetack.gateway.forward: sends requests to replicas, retries and hedges."""
 
+import asyncio
 import random
 import time
-from collections.abc import AsyncIterator, Collection
+from collections.abc import AsyncIterator, Callable, Collection
 from dataclasses import replace
 
 from loguru import logger
@@ -45,6 +46,10 @@
 # usual time of a request, and at least so long.
 SILENCE_FACTOR = 3.0
 MIN_SILENCE_S = 0.15
+# A replica that has not answered after this multiple of its usual time, and at least so
+# long, hangs.
+HANG_FACTOR = 5.0
+MIN_HANG_S = 0.5
 # Replicas that a request of another daemon is offered to before it is refused.
 MAX_RELAYED_OFFERS = 2
 MS_PER_S = 1_000
@@ -67,6 +72,7 @@
         detours: Detours,
         memory: ResponseMemory,
         zones: ZoneRouting,
+        record_outcome: Callable[[ReplicaState, bool], None],
     ) -> None:
         self._fleet = fleet
         self._pool = pool
@@ -78,6 +84,7 @@
         self.detours = detours
         self._memory = memory
         self._zones = zones
+        self._record_outcome = record_outcome
         self._rng = random.Random()
 
     async def forward(self, call: Call, route: Route, deadline_s: float) -> Reply:
@@ -200,6 +207,13 @@
             finally:
                 if not is_handed_over:
                     await pool_context.__aexit__(None, None, None)
+        except asyncio.CancelledError:
+            # Another attempt was faster, or the caller has left.
+            waited_s = time.monotonic() - started_s
+            hang_s = max(MIN_HANG_S, HANG_FACTOR * (state.service_time_s or 0.0))
+            if is_sent and waited_s > hang_s:
+                self._record_outcome(state, True)
+            raise
         except ExchangeError as error:
             pause_s = state.record_failure()
             logger.info(
@@ -214,6 +228,7 @@
                 self.paths.suspect(replica.service)
                 return Attempt(AttemptResult.NOT_SENT, None, str(error))
             self.suspects.record_break(call, state)
+            self._record_outcome(state, True)
             return Attempt(AttemptResult.UNKNOWN, None, str(error))
         finally:
             if not is_handed_over:
@@ -226,11 +241,15 @@
             return Attempt(AttemptResult.NOT_RUN, None, reason)
         if not self._dialect.is_genuine(head):
             state.record_failure()
+            self._record_outcome(state, True)
             reason = (
                 f"the response of replica {replica.replica_id} lacks its seal header"
             )
             return Attempt(AttemptResult.UNKNOWN, None, reason)
-        state.record_success(time.monotonic() - started_s)
+        is_failure = head.status >= SERVER_FAILURE
+        # A replica that fails fast is not a fast one.
+        state.record_success(None if is_failure else time.monotonic() - started_s)
+        self._record_outcome(state, is_failure)
         if head.status < SERVER_FAILURE:
             self.suspects.record_answer(call, replica.service)
         return Attempt(AttemptResult.ANSWERED, Reply(head, body), "")
@@ -296,9 +315,11 @@
                 )
                 yield part
             state.record_success()
+            self._record_outcome(state, False)
             self.suspects.record_answer(call, state.replica.service)
         except ExchangeError:
             self.suspects.record_break(call, state)
+            self._record_outcome(state, True)
             raise
         finally:
             state.in_flight -= 1
--- a/greengagetack/gateway/zone_load.py
+++ b/greengagetack/gateway/zone_load.py
@@ -18,6 +18,8 @@
 __all__ = ["TICK_S", "ZoneLoad", "ZoneLoads", "report_interval_s"]
 
 TICK_S = 0.5
+# Less use of a service and zone is not reported.
+MIN_REPORTED = 0.1
 # One report of a daemon names this many places of use at most, the largest ones.
 MAX_REPORTED = 24
 # The owner reads at most this many reports a second.
@@ -27,8 +29,13 @@
 MIN_KEPT_SHARE = 0.45
 SHARE_STEP = 0.05
 # Bounds the bytes that each daemon gets, whatever the number of zones and services.
-MAX_PUBLISHED_PER_TICK = 5
+MAX_PUBLISHED_PER_TICK = 2
 LIFETIME_S = 10.0
+# Use from which a sum is published before others, just below the bound for callers of
+# other zones.
+URGENT_SHARE = 0.65
+# The places of all replicas are counted again after this time.
+SLOTS_AGE_S = 5.0
 RENEWAL_S = 4.0
 # Weight of the newest sum in the average.
 SMOOTHING_FACTOR = 0.5
@@ -89,6 +96,8 @@
         self._shares: dict[ServiceZone, float] = {}
         self._published: dict[ServiceZone, tuple[float, float]] = {}
         self._renewal = 0
+        self._slots: dict[ServiceZone, int] = {}
+        self._slots_counted_s = float("-inf")
 
     def used_share(self, service: str, zone: str) -> float:
         """Return the share of used places, 0 while it is low or not known."""
@@ -111,7 +120,8 @@
         for sample in samples:
             for key, count in sample.items():
                 sums[key] += count / len(samples)
-        ranked = sorted(sums.items(), key=lambda entry: -entry[1])
+        used = [entry for entry in sums.items() if entry[1] >= MIN_REPORTED]
+        ranked = sorted(used, key=lambda entry: -entry[1])
         return dict(ranked[:MAX_REPORTED])
 
     def take_report(self) -> str:
@@ -121,7 +131,9 @@
             return ""
         self._reported_s = now_s
         averages = self._take_averages()
-        return ";".join(f"{s},{z},{count:.1f}" for (s, z), count in averages.items())
+        texts = [f"{s},{z},{count:.1f}" for (s, z), count in averages.items()]
+        # A report of no use is not empty: it ends the one before.
+        return ";".join(texts) or ";"
 
     # -- sums of the owner
 
@@ -159,17 +171,26 @@
                 continue
             for key, count in report.in_flight.items():
                 in_flight[key] += count
-        slots: dict[ServiceZone, int] = defaultdict(int)
-        for state in self._fleet.all_replicas():
-            if state.is_serving:
-                replica = state.replica
-                slots[replica.service, replica.availability_zone] += replica.slots
+        slots = self._counted_slots(now_s)
         for key, count in slots.items():
             known = self._shares.get(key, 0.0)
             share = in_flight[key] / max(1, count)
             self._shares[key] = known + SMOOTHING_FACTOR * (share - known)
         return {key: self._shares[key] for key in slots}
 
+    def _counted_slots(self, now_s: float) -> dict[ServiceZone, int]:
+        """Return the places of each service and zone, as counted lately."""
+        if now_s - self._slots_counted_s < SLOTS_AGE_S:
+            return self._slots
+        self._slots_counted_s = now_s
+        slots: dict[ServiceZone, int] = defaultdict(int)
+        for state in self._fleet.all_replicas():
+            if state.is_serving:
+                replica = state.replica
+                slots[replica.service, replica.availability_zone] += replica.slots
+        self._slots = dict(slots)
+        return self._slots
+
     def _publish(self, shares: dict[ServiceZone, float]) -> None:
         now_s = self._clock()
         changes: list[tuple[float, ServiceZone, float]] = []
@@ -182,7 +203,8 @@
                 continue
             is_due = now_s - published_s > RENEWAL_S
             if is_due or abs(share - known) >= SHARE_STEP:
-                changes.append((abs(share - known), key, share))
+                urgency = abs(share - known) + (share > URGENT_SHARE)
+                changes.append((urgency, key, share))
         changes.sort(reverse=True)
         for _, key, share in changes[:MAX_PUBLISHED_PER_TICK]:
             self._renewal += 1
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -50,6 +50,7 @@
 from greengagetack.platform.replica import PlatformDialect, PlatformOrderSender
 from greengagetack.platform.settings import VmFacts
 from greengagetack.platform.store import PlatformStore
+from greengagetack.replicas.ejections import Ejections
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.replicas.paths import ReplicaPaths
 from greengagetack.replicas.permits import Permits
@@ -161,6 +162,14 @@
             lambda: len(self._roster.member_addresses()),
         )
         self._peers.take_load_report = self._zone_loads.take_report
+        self._ejections = Ejections(
+            facts.node,
+            self._fleet,
+            self._peers,
+            self._fact_table,
+            self._metrics,
+            lambda: len(self._roster.member_addresses()),
+        )
         self._stream_origins = StreamOrigins(self._peers, facts.control)
         self._permits = Permits(
             self._fleet,
@@ -202,6 +211,7 @@
                 self._zone_loads.used_share,
                 self._metrics,
             ),
+            self._ejections.record,
         )
         self._dispatcher = Dispatcher(
             self._ledger,
@@ -219,6 +229,7 @@
             facts.result_retention_s,
             facts.availability_zone,
             facts.zone_cost,
+            self._ejections.record,
         )
         self._source_selector = SourceSelector(self._store, self._peers, self._claim)
         self._reader = JobReader(self._ledger, self._dispatcher, self._peers)
@@ -399,6 +410,7 @@
                         call.method, call.target, call.body, call.wait_s
                     ),
                     self._zone_loads.handle_report,
+                    self._ejections,
                 ),
                 date_header=False,
             )
--- a/greengagetack/replicas/replica.py
+++ b/greengagetack/replicas/replica.py
@@ -18,6 +18,9 @@
 STALE_SMOOTHING_FACTOR = 0.7
 STALE_S = 2.0
 
+# Time after which a probe of an ejected replica has no outcome, as it was refused.
+PROBE_TIMEOUT_S = 3.0
+
 # Identifier and start of a replica: it may start again under its identifier.
 Incarnation = tuple[str, int]
 
@@ -77,6 +80,10 @@
     consecutive_failures: int = 0
     suspended_until_s: float = float("-inf")
     busy_until_s: float = float("-inf")
+    # An ejected replica gets no requests before this time, then one at a time.
+    ejected_until_s: float = float("-inf")
+    is_ejected: bool = False
+    is_probed: bool = False
     is_gone: bool = False
     service_time_s: float | None = None
     # Time of the newest sample of the service time.
@@ -135,6 +142,9 @@
     def record_send(self) -> None:
         """Count a request that is about to be sent to the replica."""
         self.in_flight += 1
+        if self.is_ejected and self.ejected_until_s < float("inf"):
+            self.is_probed = True
+            self.ejected_until_s = time.monotonic() + PROBE_TIMEOUT_S
         if self.rate_limit_per_s is not None:
             self.sent_under_limit += 1
 
@@ -171,8 +181,25 @@
             or self.replica.is_draining
             or now_s < self.suspended_until_s
             or now_s < self.busy_until_s
+            or now_s < self.ejected_until_s
         )
 
+    def eject(self) -> None:
+        """Send no requests until `end_ejection` is called."""
+        self.is_ejected = True
+        self.ejected_until_s = float("inf")
+
+    def begin_probation(self, pause_s: float) -> None:
+        """Send no requests for a pause, then one until its outcome is known."""
+        self.is_ejected = True
+        self.is_probed = False
+        self.ejected_until_s = time.monotonic() + pause_s
+
+    def end_ejection(self) -> None:
+        """Send requests as before an ejection."""
+        self.is_ejected = self.is_probed = False
+        self.ejected_until_s = float("-inf")
+
     def record_success(self, duration_s: float | None = None) -> None:
         """Clear the suspension; average in the duration, if it is known."""
         self.consecutive_failures = 0
