--- a/greengagetack/gateway/zone_routing.py
+++ b/greengagetack/gateway/zone_routing.py
@@ -158,6 +158,8 @@
         changes = known.shares.observe(now_s, self.zone, views, self.cost_s(service))
         for change in changes:
             self._report(service, change)
+        if known.shares.decided_s == now_s:
+            self._set_metrics(service, known.shares)
 
     def _report(self, service: str, change: ShareChange) -> None:
         logger.info(
@@ -173,15 +175,17 @@
             other_used=round(change.other.used_share, 2),
             age_ms=int(max(change.own.age_s, change.other.age_s) * MS_PER_S),
         )
+
+    def _set_metrics(self, service: str, shares: ZoneShares) -> None:
         if self._metrics is None:
             return
-        zones = ((self.zone, change.own), (change.zone, change.other))
-        for zone, view in zones:
-            if view.wait_s is not None:
-                self._metrics.set(
-                    "zone_wait_s", view.wait_s, service=service, zone=zone
-                )
-        self._metrics.set("zone_share", change.share, service=service, zone=change.zone)
+        for zone, wait_s in shares.waits_s.items():
+            labels = {"service": service, "zone": zone}
+            if wait_s is not None:
+                self._metrics.set("zone_wait_s", wait_s, **labels)
+            if zone != self.zone:
+                share = shares.shares.get(zone, 0.0)
+                self._metrics.set("zone_share", share, **labels)
 
 
 def _to_ms(wait_s: float | None) -> float | None:
--- a/greengagetack/gateway/zone_shares.py
+++ b/greengagetack/gateway/zone_shares.py
@@ -150,22 +150,22 @@
         self.shares: dict[str, float] = {}
         self.waits_s: dict[str, float | None] = {}
         self._samples: dict[str, list[ZoneView]] = {}
-        self._decided_s = float("-inf")
+        self.decided_s = float("-inf")
 
     def observe(
         self, now_s: float, zone: str, views: Mapping[str, ZoneView], cost_s: float
     ) -> list[ShareChange]:
         """Add a view of all zones; return the changes if a decision is due."""
-        if now_s - self._decided_s > MAX_IDLE_S:
+        if now_s - self.decided_s > MAX_IDLE_S:
             self.shares = {}
             self.waits_s = {}
             self._samples = {}
-            self._decided_s = now_s
+            self.decided_s = now_s
         for name, view in views.items():
             self._samples.setdefault(name, []).append(view)
-        if now_s - self._decided_s < DECISION_INTERVAL_S:
+        if now_s - self.decided_s < DECISION_INTERVAL_S:
             return []
-        self._decided_s = now_s
+        self.decided_s = now_s
         means = {
             name: _mean_view(self._samples[name])
             for name in views
