--- a/greengagetack/coordination/client.py
+++ b/greengagetack/coordination/client.py
@@ -46,6 +46,7 @@
 from greengagetack.http1.pool import Pool
 from greengagetack.objects.base import HistoryGone, WatchAnswer
 from greengagetack.objects.transport import StoreResponse
+from greengagetack.replicas.ejections import EjectionNotice
 from greengagetack.replicas.permits import PermitRequest, RateLimitNotice
 from greengagetack.scaling.need import DemandReport
 from greengagetack.world import Address
@@ -263,6 +264,18 @@
         body = encode(CrashReports(reports))
         await self._call(address, "POST", "/peer/crash-reports", body, CALL_TIMEOUT_S)
 
+    async def send_ejection(self, notice: EjectionNotice) -> None:
+        """Notify the dispatcher of a replica that this daemon ejects or readmits.
+
+        Raises
+        ------
+        PeerUnreachable
+            If the dispatcher is unknown or does not answer.
+        """
+        address = self._known_dispatcher()
+        body = encode(notice)
+        await self._call(address, "POST", "/peer/ejections", body, CALL_TIMEOUT_S)
+
     async def request_probe(self, request: ProbeRequest) -> Grant:
         """Ask the dispatcher whether a request under suspicion may run now.
 
--- a/greengagetack/coordination/server.py
+++ b/greengagetack/coordination/server.py
@@ -33,6 +33,7 @@
 from greengagetack.gateway.stream_origins import StreamOrigins
 from greengagetack.gateway.suspects import ProbeRequest, Suspects
 from greengagetack.objects.transport import StoreResponse
+from greengagetack.replicas.ejections import EjectionNotice, Ejections
 from greengagetack.replicas.permits import PermitRequest, Permits, RateLimitNotice
 
 __all__ = ["build_peer_application"]
@@ -56,6 +57,7 @@
     on_ping: Callable[[str], None],
     call_store: Callable[[RelayCall], Awaitable[StoreResponse]],
     ping_reports: PingReports,
+    ejections: Ejections,
     duties: DutyEndpoints | None = None,
 ) -> Starlette:
     """Return the HTTP application that serves a daemon's control address."""
@@ -107,6 +109,10 @@
         suspects.handle_reports(received.reports)
         return Response()
 
+    async def receive_ejection(request: Request) -> Response:
+        ejections.handle_notice(decode(await request.body(), type=EjectionNotice))
+        return Response()
+
     async def probe(request: Request) -> Response:
         wanted = decode(await request.body(), type=ProbeRequest)
         return Response(encode(suspects.handle_probe_request(wanted)))
@@ -155,6 +161,7 @@
             Route("/peer/permits", permit, methods=["POST"]),
             Route("/peer/rate-limits", rate_limit, methods=["POST"]),
             Route("/peer/crash-reports", crash_reports, methods=["POST"]),
+            Route("/peer/ejections", receive_ejection, methods=["POST"]),
             Route("/peer/paths/{service}", has_path),
             Route("/peer/attempts", attempts, methods=["POST"]),
             Route("/peer/probes", probe, methods=["POST"]),
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -56,6 +56,7 @@
 from greengagetack.platform.replica import PlatformDialect, PlatformOrderSender
 from greengagetack.platform.settings import VmFacts
 from greengagetack.platform.store import PlatformStore
+from greengagetack.replicas.ejections import Ejections
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.replicas.paths import ReplicaPaths
 from greengagetack.replicas.permits import Permits
@@ -171,6 +172,14 @@
         self._peers.ping_reports.add(
             "load", self._zone_loads.take_report, self._zone_loads.handle_report
         )
+        self._ejections = Ejections(
+            facts.node,
+            self._fleet,
+            self._peers,
+            self._fact_table,
+            self._metrics,
+            lambda: len(self._roster.member_addresses()),
+        )
         self._stream_origins = StreamOrigins(self._peers, facts.control)
         self._duties = make_duty_parts(
             facts,
@@ -222,6 +231,7 @@
                 self._zone_loads.used_share,
                 self._metrics,
             ),
+            self._ejections.record,
         )
         if self._duties is not None:
             forwarder.usage = self._duties.counter
@@ -242,6 +252,7 @@
             facts.result_retention_s,
             facts.availability_zone,
             facts.zone_cost,
+            self._ejections.record,
         )
         if self._duties is not None and self._duties.orders_replicas:
             self._duties.add_scaling(
@@ -461,6 +472,7 @@
                         call.method, call.target, call.body, call.wait_s
                     ),
                     self._peers.ping_reports,
+                    self._ejections,
                     None if self._duties is None else self._duties.endpoints,
                 ),
                 date_header=False,
