--- a/features/steps/usage_steps.py
+++ b/features/steps/usage_steps.py
@@ -162,8 +162,19 @@
         "the dispatcher is killed": lambda _: fleet.dispatcher,
         "a daemon that collects is killed": _collector,
     }
+    if event == "a daemon that collects is killed":
+        # Just when the others have sent it their totals of a window.
+        while not 0.4 < fleet.now_s % fleet.window_s < 0.55:
+            await fleet.run(0.1)
     if event in targets:
         targets[event](context).is_running = False
+    elif event == "the holder takes the place of the killed dispatcher":
+        # Late in a window, which only the holder has the failed daemon's totals of.
+        while not 4.5 < fleet.now_s % fleet.window_s < 4.7:
+            await fleet.run(0.1)
+        fleet.dispatcher.is_running = False
+        await fleet.run(1.0)
+        fleet.dispatcher = context.holder
     elif event == "the holder is stopped":
         await _stop(fleet, context.holder)
     elif event == "the holder is frozen for 8 s":
--- a/features/usage.feature
+++ b/features/usage.feature
@@ -13,6 +13,7 @@
       | settled                                       | nothing       | nothing  |
       | sent 4, refused 4, sent 6, settled            | window 1      | nothing  |
       | sent 4, refused 4, sent 6                     | nothing       | window 1 |
+      | sent 4, sent 6                                | nothing       | window 0 |
       | sent 4, sent 6, settled                       | window 0      | nothing  |
       | sent 4, sent 6, refused 4                     | nothing       | window 1 |
       | sent 4, sent 6, refused 6, settled, settled   | window 0      | nothing  |
@@ -46,7 +47,7 @@
       | 9     | one clock that is ahead by 30 s      | nothing happens                    | 0     | 0    |
       | 9     | a dispatcher that is behind by 2 s   | nothing happens                    | 0     | 0    |
       | 150   | equal clocks                         | nothing happens                    | 0     | 0    |
-      | 150   | equal clocks                         | a daemon that collects is killed   | 2     | 0    |
+      | 150   | equal clocks                         | a daemon that collects is killed   | 0.6   | 0    |
       | 9     | equal clocks                         | the holder is stopped              | 0     | 0    |
       | 9     | equal clocks                         | the API is down for 4 s            | 0     | 0    |
       | 9     | equal clocks                         | 3 answers of the API are lost      | 0     | 0    |
@@ -61,6 +62,7 @@
       | 9     | equal clocks | a daemon is killed         | 5     | 0    |
       | 9     | equal clocks | the holder is killed       | 5     | 0    |
       | 9     | equal clocks | the dispatcher is killed   | 5     | 0    |
+      | 9     | equal clocks | the holder takes the place of the killed dispatcher | 5 | 0 |
 
   Scenario Outline: The holder decides what to store and to report
     Given windows of 5 s, of which <stored> are stored and <answered> are answered
