--- a/features/steps/customer_requests_steps.py
+++ b/features/steps/customer_requests_steps.py
@@ -14,6 +14,7 @@
 from greengagetack.gateway.detours import RelayedRequest
 from greengagetack.gateway.retry import AttemptResult
 from greengagetack.world import Address
+from standins.identities import judge_identities, leaked_keys
 from standins.platform_cluster import (
     CHAT_PREFIX,
     HOST_NAME,
@@ -100,9 +101,9 @@
 
 @then("replicas saw {customer} with urgency {urgency}")
 def step_saw(context: Context, customer: str, urgency: str) -> None:
-    count, wrong = _cluster(context).judge_identities(
-        "q1", _optional(customer), _optional(urgency)
-    )
+    received = _cluster(context).received_identities()
+    expected = "" if customer == "nothing" else _optional(customer)
+    count, wrong = judge_identities(received, "q1", expected, _optional(urgency))
     assert not wrong, wrong
     assert (count == 0) == (customer == "nothing"), count
 
@@ -114,9 +115,8 @@
 def step_judged(
     context: Context, least: int, prefix: str, customer: str, urgency: str
 ) -> None:
-    count, wrong = _cluster(context).judge_identities(
-        prefix, customer, _optional(urgency)
-    )
+    received = _cluster(context).received_identities()
+    count, wrong = judge_identities(received, prefix, customer, _optional(urgency))
     assert not wrong, wrong
     assert count >= least, count
 
@@ -124,7 +124,7 @@
 @then("no key reached a replica")
 def step_no_key(context: Context) -> None:
     cluster = _cluster(context)
-    assert cluster.leaked_keys(KEYS) == []
+    assert leaked_keys(cluster.received_identities(), KEYS) == []
     for edge in cluster.edges:
         logged = [
             line
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -8,7 +8,7 @@
 import os
 import socket
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
 from functools import partial
@@ -18,6 +18,7 @@
 import uvicorn
 
 from greengagetack.world import Address
+from standins.identities import ReceivedIdentity
 from standins.kv_store import KvStore
 from standins.loops import BackgroundLoop
 from standins.processes import Process, ProcessGroup
@@ -443,46 +444,9 @@
         path = f"/lots/{job_id}?after={after}"
         return self.call(edge, "GET", path, headers={"X-Wait-Ms": "500"})
 
-    def judge_identities(
-        self, prefix: str, customer: str, urgency: str
-    ) -> tuple[int, list[str]]:
-        """Compare the senders that replicas were told with the expected ones.
-
-        Parameters
-        ----------
-        prefix : str
-            Start of the identifiers of the requests that are judged.
-        customer, urgency : str
-            The expected name and priority, empty for no header.
-
-        Returns
-        -------
-        tuple
-            The number of judged requests and a description of each wrong one.
-        """
-        names = (customer,) if customer else ()
-        urgencies = (urgency,) if urgency else ()
-        judged = [
-            (replica, received)
-            for replica, standin in self.replicas.items()
-            for received in standin.identities
-            if received.request_id.startswith(prefix)
-        ]
-        wrong = [
-            f"{replica}: {received}"
-            for replica, received in judged
-            if (received.customers, received.urgencies) != (names, urgencies)
-        ]
-        return len(judged), wrong
-
-    def leaked_keys(self, keys: Iterable[str]) -> list[str]:
-        """Describe each request that reached a replica with a key in any place."""
-        return [
-            f"{name}: {received}"
-            for name, replica in self.replicas.items()
-            for received in replica.identities
-            if received.keys or any(key in received.text for key in keys)
-        ]
+    def received_identities(self) -> dict[str, list[ReceivedIdentity]]:
+        """Return what each replica's requests said of their senders."""
+        return {name: replica.identities for name, replica in self.replicas.items()}
 
     def all_results(self, edge: str, job_id: str) -> list[dict[str, Any]]:
         """Read all results that a daemon lists so far."""
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -12,9 +12,10 @@
 from starlette.responses import Response, StreamingResponse
 from starlette.routing import Route
 
+from standins.identities import ReceivedIdentity, received_identity
 from standins.server import drop_connection
 
-__all__ = ["ReceivedIdentity", "Replica", "ReplicaFault", "output_of", "seal_of"]
+__all__ = ["Replica", "ReplicaFault", "output_of", "seal_of"]
 
 MODEL = "m0"
 LOAD_S = 0.2
@@ -77,21 +78,6 @@
     reset_paths: set[str] = field(default_factory=set)
 
 
-@dataclass(frozen=True)
-class ReceivedIdentity:
-    """What a request that reached the replica says of its sender.
-
-    Each field has one entry for each header of its name; `text` is everything that was
-    received, in which a key must not appear anywhere.
-    """
-
-    request_id: str
-    keys: tuple[str, ...]
-    customers: tuple[str, ...]
-    urgencies: tuple[str, ...]
-    text: str
-
-
 class Replica:
     """Answers requests, streams items and accepts orders.
 
@@ -184,7 +170,7 @@
     async def _handle_request(self, request: Request) -> Response:
         request_id = request.headers.get("x-request-id", "")
         body = await request.body()
-        self.identities.append(_received_identity(request, request_id, body))
+        self.identities.append(received_identity(request, request_id, body))
         seal = {"x-request-id": request_id, "x-response-seal": seal_of(request_id)}
         if self.fault.leaving:
             seal["server-leaving"] = "1"
@@ -267,18 +253,5 @@
                 self.interrupted_ids.append(request_id)
 
 
-def _received_identity(
-    request: Request, request_id: str, body: bytes
-) -> ReceivedIdentity:
-    headers = request.headers
-    return ReceivedIdentity(
-        request_id,
-        tuple(headers.getlist("x-api-key")),
-        tuple(headers.getlist("x-tenant")),
-        tuple(headers.getlist("x-urgency-class")),
-        f"{request.url} {headers.items()} {body!r}",
-    )
-
-
 def _json(value: Any, status: int = 200) -> Response:
     return Response(json.dumps(value), status, media_type="application/json")
