Repeat a silent call to the store through other daemons

Peers asked for a relay one after the other could each be cut off as well.

Change: a direct call without an answer for 0.4 s is repeated through a peer, the next peer is asked 0.3 s after the one before, and the first answer counts. Writes are conditional and name their change, so a repeated one does no harm (the read back of lost answers relies on the same).

--- a/greengagetack/coordination/client.py
+++ b/greengagetack/coordination/client.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
+from functools import partial
 from typing import TypeVar
 from urllib.parse import quote, urlencode
 
@@ -50,6 +51,7 @@
 from greengagetack.replicas.ejections import EjectionNotice
 from greengagetack.replicas.permits import PermitRequest, RateLimitNotice
 from greengagetack.scaling.need import DemandReport
+from greengagetack.staggered import first_result
 from greengagetack.world import Address
 
 __all__ = ["Copy", "CopyRefused", "PeerClient"]
@@ -65,6 +67,8 @@
 # Time allowed for the response to a waiting read, in addition to its wait.
 READ_MARGIN_S = 0.3
 RELAY_TIMEOUT_S = 1.2
+# A daemon that answers later may have lost the store itself; the next one is asked.
+RELAY_STAGGER_S = 0.3
 MAX_RELAY_CANDIDATES = 4
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 RETRY_AFTER_S = 0.5
@@ -424,23 +428,35 @@
             If none of the daemons tried can reach the store.
         """
         call = encode(RelayCall(method, target, body, wait_s))
-        for address in self._relay_candidates():
-            try:
-                response = await self._call(
-                    address, "POST", "/peer/store", call, RELAY_TIMEOUT_S + wait_s
-                )
-            except PeerUnreachable:
-                continue
-            relayed = _decode_response(response, StoreResponse)
-            if relayed.status in REFUSED_STATUSES:
-                continue
-            self._preferred_relay = address
+        attempts = [
+            partial(self._relay_through, address, call, wait_s)
+            for address in self._relay_candidates()
+        ]
+        relayed = await first_result(attempts, wait_s + RELAY_STAGGER_S)
+        if relayed is not None:
             return relayed
         self._preferred_relay = None
         raise PlatformUnavailable(
             "no daemon tried as a relay reaches the store", RETRY_AFTER_S
         )
 
+    async def _relay_through(
+        self, address: Address, call: bytes, wait_s: float
+    ) -> StoreResponse | None:
+        """Call the store through one daemon; return None if it does not reach it."""
+        try:
+            response = await self._call(
+                address, "POST", "/peer/store", call, RELAY_TIMEOUT_S + wait_s
+            )
+            relayed = _decode_response(response, StoreResponse)
+        except PeerUnreachable as error:
+            logger.debug("peers: {} relayed no call: {}", address, error.reason)
+            return None
+        if relayed.status in REFUSED_STATUSES:
+            return None
+        self._preferred_relay = address
+        return relayed
+
     def _relay_candidates(self) -> list[Address]:
         others = self._other_addresses()
         sampled = self._rng.sample(others, min(MAX_RELAY_CANDIDATES, len(others)))
--- a/greengagetack/objects/transport.py
+++ b/greengagetack/objects/transport.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Protocol
 
 from loguru import logger
@@ -12,6 +13,7 @@
 from greengagetack.http1.message import ExchangeError, Request, ResponseHead
 from greengagetack.http1.pool import Pool
 from greengagetack.observability.metrics import Metrics
+from greengagetack.staggered import first_result
 from greengagetack.world import Address
 
 __all__ = [
@@ -32,6 +34,10 @@
 # After a direct call failed, peers are asked first for this long. The time doubles
 # while direct calls go on failing, because each one may take its whole limit.
 DIRECT_FAILURE_PAUSE_S = 1.0
+# A direct call without a response for this long is repeated through a peer: a store
+# that is cut off from this VM alone does not answer at all. Calls may be repeated, as
+# writes are conditional and name their change.
+HEDGE_DELAY_S = 0.4
 MAX_DIRECT_FAILURE_PAUSE_S = 8.0
 OK = 200
 CREATED = 201
@@ -105,6 +111,19 @@
     return OK if head.status == CREATED else head.status
 
 
+@dataclass(slots=True)
+class _DirectOutcome:
+    """How a direct call ended, if it did."""
+
+    response: StoreResponse | None = None
+    failure: PlatformUnavailable | None = None
+
+    @property
+    def is_pending(self) -> bool:
+        """Whether the call was given up for the answer through a peer."""
+        return self.response is None and self.failure is None
+
+
 class RelayedTransport:
     """Calls the store directly, or through a peer while direct calls fail.
 
@@ -149,19 +168,38 @@
         if self.is_direct_failing:
             relayed = await self._call_through_peer(method, target, body, wait_s)
             return relayed or await self._call_directly(method, target, body, wait_s)
-        failure: PlatformUnavailable | None = None
+        outcome = _DirectOutcome()
+        served = await first_result(
+            (
+                partial(self._try_directly, method, target, body, wait_s, outcome),
+                partial(self._call_through_peer, method, target, body, wait_s),
+            ),
+            wait_s + HEDGE_DELAY_S,
+        )
+        if served is not None:
+            if outcome.is_pending:
+                self._record_direct_failure("no response as soon as through a peer")
+            return served
+        if outcome.response is not None:
+            return outcome.response
+        raise outcome.failure or PlatformUnavailable("the store was not called")
+
+    async def _try_directly(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        wait_s: float,
+        outcome: "_DirectOutcome",
+    ) -> StoreResponse | None:
+        """Call directly; return None if the store did not answer or refused."""
         try:
             response = await self._call_directly(method, target, body, wait_s)
-            if response.status not in REFUSED_STATUSES:
-                return response
         except PlatformUnavailable as error:
-            failure = error
-        relayed = await self._call_through_peer(method, target, body, wait_s)
-        if relayed is not None:
-            return relayed
-        if failure is not None:
-            raise failure
-        return response
+            outcome.failure = error
+            return None
+        outcome.response = response
+        return None if response.status in REFUSED_STATUSES else response
 
     async def _call_directly(
         self, method: str, target: str, body: bytes, wait_s: float
