Commit the result that ends a trainer's step at once

Cause: one more group always counted as needed, also once the trainer had its number of complete groups, so the result that it waited for was committed up to 0.4 s later.

--- a/features/batches.feature
+++ b/features/batches.feature
@@ -95,6 +95,19 @@
       | -,-,-       | 60  | 0@0.0             | 0.4     |
       | a,a         | 60  | 0@0.0 1@0.2       | 0.2     |
 
+  Scenario Outline: The result that a trainer's step ends with is committed at once
+    Given a run of a job with items in groups <groups>, due in 60 s
+    And its trainer waits for <wanted> groups, among them <required>
+    When its items finish at <finished>
+    Then its results are committed at <commits>
+
+    Examples:
+      | groups      | wanted | required | finished          | commits |
+      | a,a,b,b,c,c | 1      | none     | 0@0.0 1@0.2       | 0.2     |
+      | a,a,b,b,c,c | 2      | none     | 0@0.0 1@0.2       | 0.4     |
+      | a,a,b,b,c,c | 1      | b        | 0@0.0 1@0.2       | 0.4     |
+      | a,a,b,b,c,c | 1      | b        | 0@0.0 2@0.1 3@0.2 | 0.2     |
+
   Scenario: An empty page is not served if the store cannot confirm it
     Given an open job "j1" of 4 items, 1 committed and 1 finished
     And the finished item is committed by the run, and the store never answers
--- a/features/steps/batches_steps.py
+++ b/features/steps/batches_steps.py
@@ -168,6 +168,19 @@
     context.make_run = make_run
 
 
+@given("its trainer waits for {wanted:d} groups, among them {required}")
+def step_wanted(context: Context, wanted: int, required: str) -> None:
+    make_run = context.make_run
+
+    def make_wanted_run() -> JobRun:
+        run = make_run()
+        run.job = dataclasses.replace(run.job, wanted_groups=wanted)
+        run.required_groups = set() if required == "none" else {required}
+        return run
+
+    context.make_run = make_wanted_run
+
+
 @when("its items finish at {finished}")
 def step_finish(context: Context, finished: str) -> None:
     async def run_job() -> list[float]:
--- a/greengagetack/batches/job_run.py
+++ b/greengagetack/batches/job_run.py
@@ -91,6 +91,7 @@
             if progress.is_finished:
                 self.add_result(progress.result())
         self.items = {item.item_id: item for item in items}
+        self._groups = {item.group for item in items}
 
     @property
     def due_ms(self) -> float:
@@ -104,7 +105,7 @@
             item = progress.item
             events_left = progress.events_left(self._tokens_per_event())
             events_by_group.setdefault(item.group, []).append(events_left)
-        complete = {item.group for item in self.items.values()} - set(events_by_group)
+        complete = self._groups - set(events_by_group)
         groups = [
             WaitingGroup(group, group in self.required_groups, tuple(events))
             for group, events in events_by_group.items()
@@ -208,8 +209,13 @@
         return max(COMMIT_DELAY_S, min(PARTIAL_COMMIT_DELAY_S, rest_s))
 
     def _has_needed_items(self) -> bool:
-        needed = self.needed_groups()
-        return any(p.item.group in needed for p in self.unfinished.values())
+        """Whether the trainer still waits for items that are not finished."""
+        open_groups = {p.item.group for p in self.unfinished.values()}
+        target = self.job.wanted_groups
+        complete = len(self._groups - open_groups)
+        if not target or complete < target:
+            return bool(open_groups)
+        return bool(open_groups & self.required_groups)
 
     async def _commit(self) -> None:
         results = self._ledger.segment_results(list(self._finished.values()))
