--- a/features/steps/start_waits_steps.py
+++ b/features/steps/start_waits_steps.py
@@ -5,7 +5,11 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from greengagetack.batches.start_waits import StartDemand, StartWaits
+from greengagetack.batches.start_waits import (
+    MIN_DURATIONS,
+    StartDemand,
+    StartWaits,
+)
 from greengagetack.scaling.need import ServiceDemand, load_replicas, needed_replicas
 
 SERVICE = "llm"
@@ -16,10 +20,20 @@
 def step_durations(context: Context, durations: str) -> None:
     context.now_s = 100.0
     context.waits = StartWaits(lambda: context.now_s)
-    for text in durations.split():
+    for text in durations.split() * MIN_DURATIONS:
         context.waits.record_duration(SERVICE, float(text))
 
 
+@given(
+    "{count:d} items of a service ran for 1 s, and open items may run for {most:g} s"
+)
+def step_few_durations(context: Context, count: int, most: float) -> None:
+    step_durations(context, "")
+    context.longest_s = most
+    for _ in range(count):
+        context.waits.record_duration(SERVICE, 1.0)
+
+
 @given("a step is due {due_s:g} s after its submission")
 def step_due(context: Context, due_s: float) -> None:
     context.due_s = due_s
@@ -39,7 +53,8 @@
 
 @then("the late starters have waited {wait_s:g} s of the allowed {allowed_s:g} s")
 def step_demand(context: Context, wait_s: float, allowed_s: float) -> None:
-    demand = context.waits.demand_of(SERVICE, context.due_s)
+    longest_s = getattr(context, "longest_s", 0.0)
+    demand = context.waits.demand_of(SERVICE, context.due_s, longest_s)
     assert abs(demand.wait_s - wait_s) < 1e-6, demand
     assert abs(demand.allowed_wait_s - allowed_s) < 1e-6, demand
 
--- a/greengagetack/batches/start_waits.py
+++ b/greengagetack/batches/start_waits.py
@@ -18,6 +18,7 @@
 # A trainer's last two steps are within this time.
 WINDOW_S = 10.0
 MAX_SAMPLES = 1_000
+MIN_DURATIONS = 300
 WAIT_QUANTILE = 0.9
 LONG_RUN_QUANTILE = 0.98
 # Time for committing and reading the last results of a step.
@@ -82,18 +83,28 @@
             for old in [s for s in seconds if s < second - WINDOW_S]:
                 del seconds[old]
 
-    def demand_of(self, service: str, due_after_s: float) -> StartDemand:
-        """Return the demand of a service whose steps are due after a time."""
+    def demand_of(
+        self, service: str, due_after_s: float, longest_s: float
+    ) -> StartDemand:
+        """Return the demand of a service whose steps are due after a time.
+
+        Parameters
+        ----------
+        longest_s : float
+            Time that an open item may run by its token limit. It counts until enough
+            items have ended: of the first ones, short items end first.
+        """
         durations_s = sorted(self._durations_s.get(service, ()))
-        if not durations_s:
-            return StartDemand()
         now_s = self._clock()
         waits_s = sorted(
             wait_s
             for started_s, wait_s in self._waits.get(service, ())
             if started_s > now_s - WINDOW_S
         )
-        long_run_s = _quantile(durations_s, LONG_RUN_QUANTILE)
+        if len(durations_s) >= MIN_DURATIONS:
+            long_run_s = _quantile(durations_s, LONG_RUN_QUANTILE)
+        else:
+            long_run_s = longest_s
         slack_s = due_after_s - long_run_s - COMPLETION_S
         peaks = [
             max(
--- a/greengagetack/scaling/demand.py
+++ b/greengagetack/scaling/demand.py
@@ -150,7 +150,9 @@
             per_replica,
             rate,
             busy_slots,
-            self._dispatcher.start_waits.demand_of(service, due_after_s),
+            self._dispatcher.start_waits.demand_of(
+                service, due_after_s, _longest_run_s(runs, per_event, event_s or 0.0)
+            ),
         )
 
 
@@ -187,6 +189,19 @@
     return StepDemand(float(sum(events) * per_event), len(events), due_in_s)
 
 
+def _longest_run_s(runs: list[JobRun], per_event: int, event_s: float) -> float:
+    """Return how long an open item runs that makes all tokens that it may make."""
+    most_events = max(
+        (
+            (progress.item.tokens - progress.item.prompt_tokens) // per_event
+            for run in runs
+            for progress in run.unfinished.values()
+        ),
+        default=0,
+    )
+    return most_events * event_s
+
+
 def _items_per_replica(
     states: list[ReplicaState], runs: list[JobRun], memory: int, per_event: int
 ) -> float:
