Keep copies confirmed while the store is slow

Cause: a relay asked the dispatcher anew just before the dispatcher's copy was confirmed, and learned of it one wait later; the dispatcher's own copy was up to a wait and two of the store's delays old. In a fleet of 70 in virtual time, relays' copies were up to 1.22 s old; with a store that takes 0.3 s for each answer up to 1.95 s (13 calls a second refused as too old), with 0.5 s up to 2.35 s (184 refused, 24 store calls a second instead of 5).

A follower states the age of its copy and is answered once the other one was confirmed 0.4 s later than that; the dispatcher shortens its watches by the store's delay.

The fakes: a cut store connection no longer carries out calls, and the names of processes, which order takeovers, are the same in each run.

Tested: zone_relays.feature, 60 scenarios.

--- a/features/steps/zone_relays_steps.py
+++ b/features/steps/zone_relays_steps.py
@@ -210,6 +210,8 @@
             await asyncio.sleep(1.0)
         if before.endswith("cut off"):
             fleet.network.cut.add(seed)
+            fleet.network.storeless.add(seed)
+            fleet.network.is_store_silent = True
         await play.start_all()
         if before.endswith("down"):
             fleet.kill(seed)
@@ -425,6 +427,28 @@
     assert sum(concerned.values()) <= calls, concerned
 
 
+@when("the store takes {delay:g} s for each answer, for {duration:g} s so far")
+def step_slow(context: Context, delay: float, duration: float) -> None:
+    async def slow_down(play: Play) -> None:
+        play.fleet.network.store_s = delay
+        await asyncio.sleep(duration)
+        play.fleet.network.refusals = 0
+        play.mark()
+
+    context.plan.append(slow_down)
+
+
+@then(
+    "within 5 s no daemon refuses a copy, and the store is called at most "
+    "{calls:d} times"
+)
+def step_slow_calls(context: Context, calls: int) -> None:
+    play = _play(context)
+    assert not play.fleet.network.refusals, play.fleet.network.refusals
+    made = play.calls(HORIZON_S)
+    assert made.total() <= calls, made
+
+
 @when("the store is down for 10 s, and a configuration is written after it")
 def step_outage(context: Context) -> None:
     async def lose(play: Play) -> None:
--- a/features/support/copy_fleet.py
+++ b/features/support/copy_fleet.py
@@ -5,8 +5,9 @@
 """
 
 import asyncio
-import uuid
+import itertools
 from collections import Counter
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -91,6 +92,10 @@
     deaf: set[str] = field(default_factory=set)
     storeless: set[str] = field(default_factory=set)
     is_store_silent: bool = False
+    # Time of each answer of the store, beside the wait of a watch.
+    store_s: float = STORE_S
+    refusals: int = 0
+    incarnations: Iterator[int] = field(default_factory=itertools.count)
     frozen: set[str] = field(default_factory=set)
     thawed: asyncio.Event = field(default_factory=asyncio.Event)
     # Calls to the store: time, method and kind.
@@ -130,8 +135,10 @@
 
     async def _run(self, operation: "_Operation", wait_s: float) -> StoreResponse:
         network, store = self._network, self._network.store
-        await asyncio.sleep(STORE_S)
-        if self._node in network.storeless and not network.is_store_silent:
+        await asyncio.sleep(network.store_s)
+        if self._node in network.storeless:
+            if network.is_store_silent:
+                await asyncio.Event().wait()
             return StoreResponse(UNAVAILABLE, b"")
         answer: Any = None
         try:
@@ -265,8 +272,10 @@
     def __init__(
         self, network: Network, node: str, zone: str, cores: float, seeds: list[str]
     ) -> None:
+        # The takeover order depends on it, so it is the same in each run.
+        incarnation = f"{node}/{next(network.incarnations)}"
         self.member = Member(
-            node, uuid.uuid4().hex, f"{node}:{FIRST_PORT}", zone, cores=cores
+            node, incarnation, f"{node}:{FIRST_PORT}", zone, cores=cores
         )
         self.ended = asyncio.Event()
         self.freezes = FreezeWatch()
@@ -384,6 +393,7 @@
             }
             response = await self._copies.handle(Request(scope))
         except CodedError as error:
+            self._network.refusals += 1
             return ResponseHead(error.http_status, ()), b""
         headers = tuple(response.raw_headers)
         if prefix == "config/" and response.status_code == OK:
--- a/features/zone_relays.feature
+++ b/features/zone_relays.feature
@@ -115,6 +115,18 @@
       | 9       | the dispatcher is killed               | 1.3   | 30    |
       | 9       | the dispatcher is cut off              | 1.8   | 30    |
 
+  Scenario Outline: Copies stay confirmed, at no more calls, while the store is slow
+    Given 70 daemons in 3 zones, of which 3 are seeds
+    And all have run for 4 s
+    When the store takes <delay> s for each answer, for 3 s so far
+    Then within 5 s no daemon refuses a copy, and the store is called at most 40 times
+
+    Examples:
+      | delay |
+      | 0.02  |
+      | 0.3   |
+      | 0.5   |
+
   Scenario: A store that is down is not called by each daemon at each attempt
     Given 70 daemons in 3 zones, of which 3 are seeds
     And all have run for 4 s
--- a/greengagetack/coordination/client.py
+++ b/greengagetack/coordination/client.py
@@ -62,6 +62,7 @@
 MAX_RELAY_CANDIDATES = 4
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 RETRY_AFTER_S = 0.5
+MS_PER_S = 1_000
 OK = 200
 GONE = 410
 REFUSED_STATUSES = frozenset({429, 503})
@@ -177,9 +178,16 @@
         return await self._fetch_copy(address, path, CALL_TIMEOUT_S)
 
     async def watch_objects(
-        self, address: Address, prefix: str, after: int, timeout_s: float
+        self,
+        address: Address,
+        prefix: str,
+        after: int,
+        timeout_s: float,
+        known_age_s: float | None = None,
     ) -> Copy:
-        """Wait for changes in a daemon's copy of a prefix.
+        """Wait for changes in a daemon's copy of a prefix, or for its confirmation.
+
+        `known_age_s` is the age of the last answer of that daemon, if there was one.
 
         Raises
         ------
@@ -192,6 +200,8 @@
         """
         path = f"/peer/objects/{quote(prefix, safe='')}?packed=1"
         path += f"&after={after}&wait_s={timeout_s:.3f}&node={quote(self.node)}"
+        if known_age_s is not None:
+            path += f"&age_ms={int(known_age_s * MS_PER_S)}"
         return await self._fetch_copy(address, path, CALL_TIMEOUT_S + timeout_s)
 
     async def _fetch_copy(self, address: Address, path: str, limit_s: float) -> Copy:
--- a/greengagetack/coordination/copies.py
+++ b/greengagetack/coordination/copies.py
@@ -87,7 +87,9 @@
         else:
             self._on_follower(query.get("node", ""))
             wait_s = min(MAX_READ_WAIT_S, float(query["wait_s"]))
-            answer = await feed.wait_for_changes(int(after), wait_s)
+            age_ms = query.get("age_ms")
+            known_age_s = None if age_ms is None else int(age_ms) / MS_PER_S
+            answer = await feed.wait_for_changes(int(after), wait_s, known_age_s)
         accepts_packed = query.get("packed") == YES
         key = (prefix, after, feed.revision, feed.change_count, accepts_packed)
         encoded = self._encode(key, answer, accepts_packed)
--- a/greengagetack/coordination/remote_copy.py
+++ b/greengagetack/coordination/remote_copy.py
@@ -5,6 +5,7 @@
 
 from greengagetack.coordination.client import Copy, CopyRefused, PeerClient
 from greengagetack.errors import PeerUnreachable
+from greengagetack.freezes import boottime_s
 from greengagetack.objects.base import WatchAnswer
 from greengagetack.world import Address
 
@@ -45,6 +46,7 @@
         self._refused_until_s: dict[str, float] = {}
         self._last_refusal_s = float("-inf")
         self._failed_prefixes: set[str] = set()
+        self._confirmed_s: dict[str, float] = {}
 
     def has_failed(self, prefix: str) -> bool:
         """Whether the last call of a prefix has failed."""
@@ -69,9 +71,10 @@
     async def watch(self, prefix: str, after: int, timeout_s: float) -> WatchAnswer:
         """Wait for changes of the copy under a prefix."""
         wait_s = min(timeout_s, PROBE_WAIT_S) if self._failures else timeout_s
-        return await self._record(
-            prefix, self._peers.watch_objects(self.address, prefix, after, wait_s)
-        )
+        confirmed_s = self._confirmed_s.get(prefix)
+        age_s = None if confirmed_s is None else boottime_s() - confirmed_s
+        call = self._peers.watch_objects(self.address, prefix, after, wait_s, age_s)
+        return await self._record(prefix, call)
 
     async def _record(self, prefix: str, call: Awaitable[Copy]) -> WatchAnswer:
         try:
@@ -93,6 +96,7 @@
             raise
         self._failures = 0
         self._failed_prefixes.discard(prefix)
+        self._confirmed_s[prefix] = boottime_s() - copy.answer.age_s
         if copy.is_from_dispatcher:
             self._on_dispatcher(self.address)
         return copy.answer
--- a/greengagetack/coordination/source.py
+++ b/greengagetack/coordination/source.py
@@ -17,6 +17,7 @@
 from greengagetack.coordination.roster import Roster
 from greengagetack.coordination.start_source import StartSource
 from greengagetack.coordination.store_gate import ClaimPause, NoSource, StoreGate
+from greengagetack.coordination.timed_store import TimedStore
 from greengagetack.coordination.zone_relay import zone_candidates
 from greengagetack.objects.feed import MAX_COPY_AGE_S, Feed, FeedSource
 from greengagetack.world import Address
@@ -26,6 +27,9 @@
 # Limits how long a stalled watch goes unnoticed: a new configuration must be in force
 # within 2 s, and a copy is served for 1.5 s after its confirmation.
 SERVING_WATCH_WAIT_S = 0.8
+# A slow store is watched in shorter turns, which are as frequent, to keep to this age.
+SERVED_AGE_S = 1.1
+MIN_SERVING_WATCH_WAIT_S = 0.2
 FOLLOWER_WATCH_WAIT_S = 1.0
 # Shorter, so that a relay is up to date again when its followers notice that the
 # dispatcher and the other relay are lost.
@@ -69,7 +73,7 @@
         local_member: Member,
         seeds: tuple[Address, ...],
     ) -> None:
-        self._store = store
+        self._store = TimedStore(store)
         self._gate = StoreGate(store)
         self._nobody = NoSource()
         self._claim_pause = ClaimPause()
@@ -249,7 +253,9 @@
         if isinstance(chosen, StoreGate):
             return chosen.wait_s(FOLLOWER_WATCH_WAIT_S)
         if chosen is self._store and self._is_serving():
-            return SERVING_WATCH_WAIT_S
+            # Before the next answer, a copy is as old as the wait and two delays.
+            wait_s = SERVED_AGE_S - 2 * self._store.delay_s
+            return min(SERVING_WATCH_WAIT_S, max(MIN_SERVING_WATCH_WAIT_S, wait_s))
         return RELAY_WATCH_WAIT_S if self._is_candidate() else FOLLOWER_WATCH_WAIT_S
 
     def long_wait_s(self, prefix: str) -> float:
--- a/greengagetack/objects/feed.py
+++ b/greengagetack/objects/feed.py
@@ -23,9 +23,9 @@
 # A copy that the store has not confirmed for this long, directly or through the daemons
 # that it was copied from, is not served to other daemons.
 MAX_COPY_AGE_S = 1.5
-# A waiting follower is told of a confirmation after this long, so that the ages of
-# copies of copies do not add up, and its calls stay as rare as the confirmations.
-MIN_CONFIRMATION_WAIT_S = 0.4
+# A waiting follower is told of a confirmation that is newer than its own by this much,
+# so that the ages of copies of copies do not add up to the waits on the way.
+MIN_CONFIRMATION_STEP_S = 0.4
 
 FeedListener = Callable[[tuple[PlatformObject, ...], tuple[str, ...]], None]
 
@@ -84,8 +84,7 @@
         self.change_count = 0
         self._first_revision = 0
         self._removals: deque[tuple[int, str]] = deque()
-        self._changed = asyncio.Event()
-        # Set by a change, and also by a confirmation.
+        # Set by a change and by a confirmation.
         self._news = asyncio.Event()
         self._needs_list = True
         self._is_refresh_due = False
@@ -253,8 +252,6 @@
             self._removals.append((self.revision, path))
         while len(self._removals) > MAX_RECORDED_REMOVALS:
             self._first_revision = self._removals.popleft()[0]
-        self._changed.set()
-        self._changed = asyncio.Event()
         self._announce()
         for listener in self._listeners:
             listener(tuple(changed), gone)
@@ -274,10 +271,13 @@
             self.revision, tuple(self.objects.values()), age_s=self.age_s
         )
 
-    async def wait_for_changes(self, after: int, timeout_s: float) -> WatchAnswer:
+    async def wait_for_changes(
+        self, after: int, timeout_s: float, known_age_s: float | None = None
+    ) -> WatchAnswer:
         """Return the changes after a revision; wait up to `timeout_s` for one.
 
-        The wait also ends when the copy is confirmed again.
+        The wait also ends when the copy has been confirmed later than that of the
+        follower, which is `known_age_s` old, or than now if that is not known.
 
         Raises
         ------
@@ -291,15 +291,22 @@
             raise HistoryGone(
                 f"changes of {self.prefix} after revision {after} are no longer kept"
             )
-        update = self._changes_since(after)
-        if update.objects or update.deleted:
-            return update
-        earliest_s = min(MIN_CONFIRMATION_WAIT_S, timeout_s)
-        if not await _is_set_within(self._changed, earliest_s):
-            await _is_set_within(self._news, timeout_s - earliest_s)
+        known_s = self._confirmed_s
+        if known_age_s is not None:
+            known_s = boottime_s() - known_age_s
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while not self._has_news(after, known_s):
+                    await self._news.wait()
         self._require_up_to_date()
         return self._changes_since(after)
 
+    def _has_news(self, after: int, known_s: float) -> bool:
+        if self._confirmed_s >= known_s + MIN_CONFIRMATION_STEP_S:
+            return True
+        update = self._changes_since(after)
+        return bool(update.objects or update.deleted)
+
     def _changes_since(self, after: int) -> WatchAnswer:
         objects = [item for item in self.objects.values() if item.version > after]
         deleted = [path for revision, path in self._removals if revision > after]
@@ -316,10 +323,3 @@
             raise PlatformUnavailable(
                 f"the copy of {self.prefix} was last confirmed {age_s:.1f} s ago"
             )
-
-
-async def _is_set_within(event: asyncio.Event, timeout_s: float) -> bool:
-    with suppress(TimeoutError):
-        async with asyncio.timeout(timeout_s):
-            await event.wait()
-    return event.is_set()
