--- a/greengagetack/accounting/reporter.py
+++ b/greengagetack/accounting/reporter.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, Protocol
 
@@ -123,6 +124,7 @@
         self._version = 0
         self._fence = 0
         self._answered: set[int] = set()
+        self._tries: Counter[int] = Counter()
         self._dropped: set[int] = set()
         # Windows that this daemon has stored, until their counts are settled.
         self._unsettled: set[int] = set()
@@ -153,7 +155,7 @@
             await self._store_windows(plan.store)
             plan = self._plan()
         if plan.send and time.monotonic() >= self._call_due_s:
-            await self._send(plan.send[0])
+            await self._send(self._next_window(plan.send))
         self._check_late()
 
     def _plan(self) -> ReportPlan:
@@ -247,7 +249,18 @@
 
     # -- the API
 
+    def _next_window(self, windows: tuple[int, ...]) -> int:
+        """Return the window to report next: in time, and tried least."""
+        now_s = self._counter.now_s()
+
+        def sort_key(window: int) -> tuple[bool, int]:
+            is_late = self._timings.age_s(window, now_s) > self._timings.due_s
+            return is_late, self._tries[window]
+
+        return min(windows, key=sort_key)
+
     async def _send(self, window: int) -> None:
+        self._tries[window] += 1
         counts = self._stored()[window].counts
         end = await self._seat.call(
             lambda terms: self._api.report_usage(window, counts, terms)
@@ -294,6 +307,8 @@
         oldest = self._counter.current_window() - REMEMBERED_WINDOWS
         self._dropped = {one for one in self._dropped if one > oldest}
         self._answered = {one for one in self._answered if one > oldest}
+        for window in [one for one in self._tries if one <= oldest]:
+            del self._tries[window]
 
     def _log_late(self, window: int, reported: dict[str, int]) -> None:
         counts = self._table.counts(window)
