Report to the owner of the facts when a daemon becomes idle

An idle daemon's report of places in use was empty, and empty reports are not sent, so the owner counted the one before it for three intervals.

Tested: features/zone_shares.feature, 25 passed; the new scenario failed before.

--- a/features/steps/zone_shares_steps.py
+++ b/features/steps/zone_shares_steps.py
@@ -171,6 +171,14 @@
     _run_loads(context, 5.0)
 
 
+@when("each daemon has no request in flight for 3 s")
+def step_use_none(context: Context) -> None:
+    for fleet in context.fleets:
+        for state in fleet.all_replicas():
+            state.in_flight = 0
+    _run_loads(context, 3.0)
+
+
 @when("each daemon has {count:d} requests in flight at every service and zone for 5 s")
 def step_use_all(context: Context, count: int) -> None:
     for fleet in context.fleets:
--- a/features/zone_shares.feature
+++ b/features/zone_shares.feature
@@ -78,6 +78,13 @@
     Given 20 daemons with replicas of 10 services in 3 zones, 60 places each
     When each daemon has 2 requests in flight at service 1 in zone 1 for 5 s
     Then all daemons know that service 1 uses 67 % of zone 1, and of nothing else
+
+  # Guards against reports of use that outlast it, as idle daemons have nothing to report.
+  Scenario: Use ends soon after the daemons have become idle
+    Given 20 daemons with replicas of 10 services in 3 zones, 60 places each
+    When each daemon has 6 requests in flight at service 1 in zone 1 for 5 s
+    And each daemon has no request in flight for 3 s
+    Then no daemon knows of a use
     When each daemon has 2 requests in flight at every service and zone for 5 s
     Then no more than 10 facts a second were published
     When each daemon has 0 requests in flight at every service and zone for 5 s
--- a/greengagetack/gateway/zone_load.py
+++ b/greengagetack/gateway/zone_load.py
@@ -33,6 +33,10 @@
 # Weight of the newest sum in the average.
 SMOOTHING_FACTOR = 0.5
 
+# Report of a daemon that has become idle. An empty text is not sent, and the owner
+# would count the report before it for three intervals.
+NO_USE = ";"
+
 ServiceZone = tuple[str, str]
 
 
@@ -85,6 +89,7 @@
         self._clock = clock
         self._samples: list[dict[ServiceZone, int]] = []
         self._reported_s = float("-inf")
+        self._has_use = False
         self._reports: dict[str, _Report] = {}
         self._shares: dict[ServiceZone, float] = {}
         self._published: dict[ServiceZone, tuple[float, float]] = {}
@@ -121,6 +126,9 @@
             return ""
         self._reported_s = now_s
         averages = self._take_averages()
+        had_use, self._has_use = self._has_use, bool(averages)
+        if had_use and not averages:
+            return NO_USE
         return ";".join(f"{s},{z},{count:.1f}" for (s, z), count in averages.items())
 
     # -- sums of the owner
