Refuse by the fleet's queue, spread callers' return and limit customers' shares

Cause: a refused caller was told a constant 0.25 s, whatever the backlog, so that bursts came back as bursts; requests that could not be in time were sent; and a customer with 20 times the requests of others got 20 times their places.

Change: gateway.backlog estimates wait, completion rate and backlog from the published use of places, measured times and own refusals; it is the only place that decides on Retry-After. A request that cannot be in time is refused at once, but no more of them than replicas refuse anyway, since the view is some seconds old. gateway.shares computes max-min fair shares; daemons report counts by customer for congested services with their pings, the owner of the facts publishes who is above the fair share, and daemons refuse the surplus with 429. Newcomers yield to requests that were refused before. A daemon whose newest request found a place at once refuses nobody by share.

--- a/features/steps/rate_limits_steps.py
+++ b/features/steps/rate_limits_steps.py
@@ -10,7 +10,7 @@
 from features.support.limited_fleet import LimitedFleet, most_in_window
 from greengagetack.coordination.client import PeerClient
 from greengagetack.facts import FactTable
-from greengagetack.gateway.choice import suggested_retry_s
+from greengagetack.gateway.backlog import suggested_retry_s
 from greengagetack.observability.metrics import Metrics
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.replicas.permits import Permits, RateLimit
--- a/greengagetack/gateway/choice.py
+++ b/greengagetack/gateway/choice.py
@@ -1,21 +1,16 @@
 """greengagetack.gateway.choice: selects the replica for a caller's request."""
 
 import random
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Sequence
 
 from greengagetack.gateway.zone_routing import ZoneRouting, expected_wait_s
 from greengagetack.replicas.replica import ReplicaState
 
-__all__ = ["choose_replica", "suggested_retry_s"]
+__all__ = ["choose_replica"]
 
 # Random increase of the expected wait, so that daemons with equal candidates choose
 # different ones.
 MAX_JITTER_RATIO = 0.1
-# Delay after which a refused caller should come back.
-RETRY_S = 0.25
-MIN_RETRY_S = 0.05
-# Spreads the return of callers that wait for the same permits.
-MAX_RETRY_SPREAD_RATIO = 0.5
 
 
 def choose_replica(
@@ -71,18 +66,3 @@
 
 def _is_full(state: ReplicaState) -> bool:
     return state.in_flight >= max(1, state.replica.slots)
-
-
-def suggested_retry_s(
-    states: Iterable[ReplicaState], now_s: float, rng: random.Random
-) -> float:
-    """Return when a refused caller should come back, in seconds.
-
-    While all replicas are at their rate limits, this is when the first permit is due:
-    an earlier return would be refused again, a later one would leave the permit unused.
-    """
-    due_s = [max(0.0, state.rate_limited_until_s - now_s) for state in states]
-    if not due_s or min(due_s) == 0.0:
-        return RETRY_S
-    spread = 1 + MAX_RETRY_SPREAD_RATIO * rng.random()
-    return max(MIN_RETRY_S, min(due_s) * spread)
--- a/greengagetack/gateway/customers.py
+++ b/greengagetack/gateway/customers.py
@@ -7,7 +7,13 @@
 
 from loguru import logger
 
-__all__ = ["Customer", "CustomerDirectory", "key_fingerprint", "may_access"]
+__all__ = [
+    "DEFAULT_RANK",
+    "Customer",
+    "CustomerDirectory",
+    "key_fingerprint",
+    "may_access",
+]
 
 # Rank of customers without a priority; replicas assume the same without a header.
 DEFAULT_RANK = 5
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from greengagetack.accounting.windows import UsageCounter
+from greengagetack.errors import EndpointRefused, NoEndpoint, Overloaded
 from greengagetack.gateway.attempt import Attempt, AttemptTerms, Reply
 from greengagetack.gateway.call import (
     Call,
@@ -15,7 +16,9 @@
     ReplicaDialect,
     record_announcements,
 )
-from greengagetack.gateway.choice import choose_replica, suggested_retry_s
+from greengagetack.gateway.choice import choose_replica
+from greengagetack.gateway.congestion import Congestion
+from greengagetack.gateway.customer_shares import CustomerShares
 from greengagetack.gateway.detours import Detours, RelayedRequest
 from greengagetack.gateway.request_run import RequestRun
 from greengagetack.gateway.retry import (
@@ -80,29 +83,39 @@
         self._memory = memory
         self._zones = zones
         self._rng = random.Random()
+        self.congestion = Congestion(fleet, zones.used_share)
         # Called with the service of each caller's request.
         self.on_arrival: Callable[[str], None] = lambda service: None
         # Counts callers' requests by customer, if this deployment reports them.
         self.usage: UsageCounter | None = None
+        # Keeps customers to their shares of congested services, if there are customers.
+        self.shares: CustomerShares | None = None
 
     async def forward(self, call: Call, route: Route, deadline_s: float) -> Reply:
         """Forward a request and return the response of a replica.
 
         Raises
         ------
-        NoEndpoint, EndpointRefused
+        NoEndpoint, EndpointRefused, Overloaded
             If no replica has run the request, and none will.
         RequestCrashesReplicas
             If replicas crashed under the request; none will run it now.
         EndpointFailed, DeadlineExceeded
             If the request may have run.
         """
-        self.on_arrival(route.service_for(call.routing_id))
+        service = route.service_for(call.routing_id)
+        self.on_arrival(service)
         run = RequestRun(self, call, route, deadline_s)
-        await self.suspects.admit(call, route.service_for(call.routing_id))
+        await self.suspects.admit(call, service)
         try:
             await run.find_software()
-            return await run.execute()
+            run.admission.check()
+            reply = await run.execute()
+            run.admission.record_outcome(True)
+            return reply
+        except (NoEndpoint, EndpointRefused, Overloaded):
+            run.admission.record_outcome(False)
+            raise
         finally:
             run.cancel()
             run.settle_usage()
@@ -146,11 +159,6 @@
         now_s = time.monotonic()
         return choose_replica(service, states, tried, self._zones, now_s, self._rng)
 
-    def retry_after_s(self, service: str) -> float:
-        """Return when a caller whose request was refused should come back."""
-        states = self._fleet.serving_replicas(service)
-        return suggested_retry_s(states, time.monotonic(), self._rng)
-
     async def attempt_with_permit(
         self,
         call: Call,
--- a/greengagetack/gateway/request_run.py
+++ b/greengagetack/gateway/request_run.py
@@ -16,6 +16,7 @@
 )
 from greengagetack.gateway.attempt import Attempt, AttemptTerms, Reply
 from greengagetack.gateway.call import Call
+from greengagetack.gateway.request_admission import RequestAdmission
 from greengagetack.gateway.retry import (
     AttemptResult,
     NextStep,
@@ -60,6 +61,9 @@
         self._has_detoured = False
         self._is_streaming = route.kind is RequestKind.STREAM
         self._usage = self._make_usage()
+        self.admission = RequestAdmission(
+            forwarder.congestion, forwarder.shares, call, route, deadline_s
+        )
         self._run_count = 0
         self._may_have_run = False
         self._pending: set[asyncio.Task[Attempt]] = set()
@@ -94,7 +98,7 @@
             raise NoEndpoint(
                 f"the software version that began stream {self._call.resumes} is "
                 f"unknown, and {len(versions)} versions served lately",
-                self._forwarder.retry_after_s(self._service),
+                self.admission.retry_after_s(),
             )
 
     async def execute(self) -> Reply:
@@ -107,7 +111,7 @@
         if not self._start_attempt():
             raise NoEndpoint(
                 self._forwarder.unusable_reason(self._service, self._software),
-                self._forwarder.retry_after_s(self._service),
+                self.admission.retry_after_s(),
             )
         started_s = time.monotonic()
         has_hedged = False
@@ -190,7 +194,9 @@
         if self._pending:
             return None
         if step is NextStep.REFUSE:
-            retry_s = self._forwarder.retry_after_s(self._service)
+            if attempt.result is AttemptResult.NOT_RUN:
+                self.admission.record_full()
+            retry_s = self.admission.retry_after_s()
             raise EndpointRefused(attempt.reason, retry_s)
         raise EndpointFailed(attempt.reason)
 
--- a/greengagetack/gateway/zone_routing.py
+++ b/greengagetack/gateway/zone_routing.py
@@ -85,6 +85,10 @@
         """Return what it costs to send a request of a service to another zone."""
         return self._cost.seconds(self._service(service).size_bytes)
 
+    def used_share(self, service: str, zone: str) -> float:
+        """Return the share of used places, 0 while it is low or not known."""
+        return self._used_share(service, zone)
+
     def has_places(self, service: str, zone: str) -> bool:
         """Whether a zone's own callers leave places for those of other zones."""
         return self._used_share(service, zone) <= MAX_USED_SHARE
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -29,6 +29,8 @@
 from greengagetack.daemons.status import build_status_application
 from greengagetack.daemons.supervise import supervise
 from greengagetack.facts import FactCursor, FactTable
+from greengagetack.gateway.customer_shares import TICK_S as SHARES_TICK_S
+from greengagetack.gateway.customer_shares import CustomerShares
 from greengagetack.gateway.customers import CustomerDirectory
 from greengagetack.gateway.detours import Detours
 from greengagetack.gateway.forward import Forwarder
@@ -219,6 +221,17 @@
                 self._metrics,
             ),
         )
+        forwarder.shares = self._customer_shares = CustomerShares(
+            facts.node,
+            self._fact_table,
+            self._customers,
+            forwarder.congestion,
+            lambda: len(self._roster.member_addresses()),
+            self._metrics,
+        )
+        self._peers.ping_reports.add(
+            "shares", forwarder.shares.take_report, forwarder.shares.handle_report
+        )
         if self._duties is not None:
             forwarder.usage = self._duties.counter
         self._dispatcher = Dispatcher(
@@ -494,6 +507,7 @@
         )
         self._timer.subscribe(PATH_INTERVAL_S, self._path_watch.tick, "paths")
         self._timer.subscribe(TICK_S, self._zone_loads.tick, "zone loads")
+        self._timer.subscribe(SHARES_TICK_S, self._customer_shares.tick, "shares")
         self._timer.subscribe(SUSPECTS_INTERVAL_S, self._suspects.tick, "suspects")
         self._timer.subscribe(
             ARCHIVE_INTERVAL_S, self._fact_archive.synchronize, "facts"
