Keep the progress of all long items in the checkpoint

Change: further objects take what does not fit, up to four; an item stays in its object, and one that fits nowhere no longer ends the list. Deployments whose long items fit one object write one.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -189,6 +189,20 @@
       | a:40 b:30    | 100   | none  |
       | a:1 b:11     | 1000  | none  |
 
+  Scenario Outline: Long items of many jobs are spread over the parts of a checkpoint
+    Given items were last written to parts <former>
+    When items with events <events> of 10 bytes are divided into 3 parts of <limit> bytes
+    Then the parts contain <parts>
+
+    Examples:
+      | former  | events              | limit | parts     |
+      | none    | a:40 b:30 c:20      | 1000  | abc       |
+      | none    | a:40 b:30 c:20      | 500   | a bc      |
+      | none    | a:40 b:30 c:20      | 600   | ac b      |
+      | b:2     | a:40 b:30 c:20      | 1000  | ac - b    |
+      | none    | a:90 b:40 c:30 d:20 | 500   | b cd      |
+      | none    | a:40 b:40 c:40 d:40 | 500   | a b c     |
+
   Scenario Outline: Another daemon's progress is continued if the job allows its versions
     When progress of <events> events of versions <versions> is offered to an item with <own> events, minimum version <oldest>, single version <single>
     Then the item continues from <result> events
--- a/features/steps/platform_decisions_steps.py
+++ b/features/steps/platform_decisions_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from greengagetack.batches.checkpoint import select_snapshots
+from greengagetack.batches.checkpoint import select_parts, select_snapshots
 from greengagetack.batches.events import EventParser
 from greengagetack.batches.job import Item, Job
 from greengagetack.batches.ledger import Ledger, is_expired
@@ -319,6 +319,31 @@
     context.kept = select_snapshots(progresses, limit)
 
 
+@given("items were last written to parts {former}")
+def step_former_parts(context: Context, former: str) -> None:
+    context.former_parts = {} if former == "none" else _parse_counts(former)
+
+
+@when(
+    "items with events {events} of 10 bytes are divided into {count:d} parts of "
+    "{limit:d} bytes"
+)
+def step_divide(context: Context, events: str, count: int, limit: int) -> None:
+    progresses = [
+        ItemProgress(Item(name, "/", (), b"", 0, "g"), ["x" * 10] * number)
+        for name, number in _parse_counts(events).items()
+    ]
+    context.parts = select_parts(progresses, limit, count, context.former_parts)
+
+
+@then("the parts contain {parts}")
+def step_parts(context: Context, parts: str) -> None:
+    found = ["".join(s.item_id for s in part) or "-" for part in context.parts]
+    expected = parts.split()
+    assert found[: len(expected)] == expected, found
+    assert set(found[len(expected) :]) <= {"-"}, found
+
+
 @then("the checkpoint contains {kept}")
 def step_checkpoint_holds(context: Context, kept: str) -> None:
     found = _joined_or_none([snapshot.item_id for snapshot in context.kept])
--- a/greengagetack/batches/checkpoint.py
+++ b/greengagetack/batches/checkpoint.py
@@ -1,6 +1,7 @@
 """greengagetack.batches.checkpoint: stores the progress of long items."""
 
-from collections.abc import Iterable
+import asyncio
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 import msgspec
@@ -11,25 +12,41 @@
 from greengagetack.errors import CodedError
 from greengagetack.objects.base import ObjectConflict
 
-__all__ = ["CHECKPOINT_PATH", "Checkpoints", "select_snapshots"]
+__all__ = ["CHECKPOINT_PATHS", "Checkpoints", "select_parts", "select_snapshots"]
 
-CHECKPOINT_PATH = "job-progress/main"
+# A further object is used once the ones before it are full.
+CHECKPOINT_PATHS = (
+    "job-progress/main",
+    "job-progress/part-2",
+    "job-progress/part-3",
+    "job-progress/part-4",
+)
 # Regenerating fewer events than this costs less than writing them.
 MIN_CHECKPOINT_EVENTS = 12
-# Share of the store's size limit that the object may use.
+# Share of the store's size limit that an object may use.
 MAX_SIZE_RATIO = 0.6
 WRITE_TIMEOUT_S = 0.4
 
 
-def select_snapshots(
-    progresses: Iterable[ItemProgress], limit_bytes: int
-) -> list[ProgressSnapshot]:
-    """Return the progress to write within a size limit, longest items first.
+def select_parts(
+    progresses: Iterable[ItemProgress],
+    limit_bytes: int,
+    part_count: int,
+    former: Mapping[str, int],
+) -> list[list[ProgressSnapshot]]:
+    """Return the progress to write in each part within a size limit.
 
     This covers the simultaneous loss of all daemons: the few items that run many times
     longer than the rest determine when a job completes, and would otherwise restart
     from the beginning. Outputs that wait for their score are complete already, and
-    counts of failures limit how often an item may run.
+    counts of failures limit how often an item may run. The longest items come first.
+
+    Parameters
+    ----------
+    limit_bytes : int
+        Size limit of each part.
+    former : mapping of str to int
+        Part that each item was written to; it stays there while it fits.
     """
     worth_writing = [
         progress
@@ -40,28 +57,39 @@
         or progress.reward_failures
     ]
     worth_writing.sort(key=lambda progress: -len(progress.outputs))
-    selected: list[ProgressSnapshot] = []
-    size_bytes = 0
+    selected: list[list[ProgressSnapshot]] = [[] for _ in range(part_count)]
+    free_bytes = [limit_bytes] * part_count
     for progress in worth_writing:
-        size_bytes += sum(len(output) for output in progress.outputs)
-        if size_bytes > limit_bytes:
-            break
-        selected.append(progress.snapshot())
+        size_bytes = sum(len(output) for output in progress.outputs)
+        first = former.get(progress.item.item_id, 0)
+        for part in (first, *range(part_count)):
+            if size_bytes <= free_bytes[part]:
+                free_bytes[part] -= size_bytes
+                selected[part].append(progress.snapshot())
+                break
     return selected
 
 
-class Checkpoints:
-    """Reads and writes the checkpoint; a lost or late write only repeats work."""
+def select_snapshots(
+    progresses: Iterable[ItemProgress], limit_bytes: int
+) -> list[ProgressSnapshot]:
+    """Return the progress to write if there is one part."""
+    return select_parts(progresses, limit_bytes, 1, {})[0]
 
-    def __init__(self, store: LedgerStore) -> None:
+
+class _Part:
+    """One object of the checkpoint."""
+
+    def __init__(self, store: LedgerStore, path: str) -> None:
         self._store = store
+        self._path = path
         self._version = 0
         self._last_saved: list[tuple[str, int, int, int]] = []
 
     async def load(self) -> list[ProgressSnapshot]:
-        """Return the last checkpoint, an empty list if it cannot be read."""
+        """Return what was last written, an empty list if it cannot be read."""
         try:
-            stored = await self._store.read(CHECKPOINT_PATH)
+            stored = await self._store.read(self._path)
         except CodedError as error:
             logger.warning("checkpoint: not read: {}", error.reason)
             return []
@@ -74,10 +102,8 @@
             logger.warning("checkpoint: not decoded: {}", error)
             return []
 
-    async def save(self, progresses: Iterable[ItemProgress]) -> None:
-        """Write the progress of long items if it changed since the last write."""
-        limit_bytes = int(self._store.value_limit_bytes * MAX_SIZE_RATIO)
-        snapshots = select_snapshots(progresses, limit_bytes)
+    async def save(self, snapshots: list[ProgressSnapshot]) -> None:
+        """Write the snapshots if they differ from those of the last write."""
         state = [
             (
                 snapshot.item_id,
@@ -92,7 +118,7 @@
         value: Any = msgspec.to_builtins(snapshots)
         try:
             self._version = await self._store.write(
-                CHECKPOINT_PATH, value, self._version, WRITE_TIMEOUT_S
+                self._path, value, self._version, WRITE_TIMEOUT_S
             )
             self._last_saved = state
         except ObjectConflict:
@@ -101,3 +127,34 @@
             await self.load()
         except CodedError as error:
             logger.debug("checkpoint: not written: {}", error.reason)
+
+
+class Checkpoints:
+    """Reads and writes the checkpoint; a lost or late write only repeats work."""
+
+    def __init__(self, store: LedgerStore) -> None:
+        self._limit_bytes = int(store.value_limit_bytes * MAX_SIZE_RATIO)
+        self._parts = [_Part(store, path) for path in CHECKPOINT_PATHS]
+        self._part_of: dict[str, int] = {}
+
+    async def load(self) -> list[ProgressSnapshot]:
+        """Return the last checkpoint, without the parts that cannot be read."""
+        loaded = await asyncio.gather(*(part.load() for part in self._parts))
+        return [snapshot for snapshots in loaded for snapshot in snapshots]
+
+    async def save(self, progresses: Iterable[ItemProgress]) -> None:
+        """Write the progress of long items if it changed since the last write."""
+        selected = select_parts(
+            progresses, self._limit_bytes, len(self._parts), self._part_of
+        )
+        self._part_of = {
+            snapshot.item_id: number
+            for number, snapshots in enumerate(selected)
+            for snapshot in snapshots
+        }
+        await asyncio.gather(
+            *(
+                part.save(snapshots)
+                for part, snapshots in zip(self._parts, selected, strict=True)
+            )
+        )
