Read what never changes from older copies of the store

Change: segments, and items of jobs older than 10 s, are read with serializable=1, which is charged a tenth and may be seconds old; only the store itself tells that a segment does not exist, and that is asked only if the results are not all of the job's.

Tests: the bound on reads in features/batches.feature now holds for both kinds of reads; new examples count the charged ones with copies that are 0 to 3 writes behind.

--- a/features/batches.feature
+++ b/features/batches.feature
@@ -108,6 +108,20 @@
       | a,a,b,b,c,c | 1      | b        | 0@0.0 1@0.2       | 0.4     |
       | a,a,b,b,c,c | 1      | b        | 0@0.0 2@0.1 3@0.2 | 0.2     |
 
+  Scenario Outline: The results of a job cost few charged reads
+    Given a store with 9 segments of 2 results, the last <new> newer than its copies
+    When the segments of the job of <total> results are read from number <first> on
+    Then <found> segments are found, with <charged> charged reads
+
+    Examples:
+      | new | total | first | found | charged |
+      | 0   | 18    | 0     | 9     | 0       |
+      | 0   | 40    | 0     | 9     | 1       |
+      | 1   | 40    | 0     | 9     | 2       |
+      | 1   | 18    | 0     | 9     | 1       |
+      | 3   | 40    | 6     | 3     | 4       |
+      | 0   | 18    | 9     | 0     | 1       |
+
   Scenario: An empty page is not served if the store cannot confirm it
     Given an open job "j1" of 4 items, 1 committed and 1 finished
     And the finished item is committed by the run, and the store never answers
--- a/features/steps/batches_steps.py
+++ b/features/steps/batches_steps.py
@@ -102,6 +102,7 @@
 @when('the segments of "j1" are read from number {first:d}')
 def step_read_segments(context: Context, first: int) -> None:
     context.store.reads.clear()
+    context.store.immutable_reads.clear()
     context.segments = asyncio.run(context.ledger.segments("j1", first))
 
 
@@ -112,6 +113,7 @@
     expected = [] if found == "none" else list(range(int(first), int(last) + 1))
     assert numbers == expected, numbers
     assert len(context.store.reads) <= reads, context.store.reads
+    assert len(context.store.immutable_reads) <= reads, context.store.immutable_reads
 
 
 def _result(number: int) -> Result:
@@ -530,3 +532,36 @@
     }[state]
     is_open = "i-2" in context.run.unfinished
     assert (is_open, context.progress.is_complete) == expected
+
+
+@given(
+    "a store with {count:d} segments of 2 results, the last {new:d} newer than its "
+    "copies"
+)
+def step_segments(context: Context, count: int, new: int) -> None:
+    context.objects = MemoryObjects()
+    ledger = Ledger(context.objects)
+
+    async def commit_all() -> None:
+        for number in range(count):
+            results = (_result(2 * number), _result(2 * number + 1))
+            await ledger.commit("j1", Segment(number, 2 * number, results))
+
+    asyncio.run(commit_all())
+    context.objects.lag = new
+
+
+@when("the segments of the job of {total:d} results are read from number {first:d} on")
+def step_read_segments(context: Context, total: int, first: int) -> None:
+    context.objects.reads.clear()
+    ledger = Ledger(context.objects)
+    context.segments = asyncio.run(ledger.segments("j1", first, total))
+    assert [s.number for s in context.segments] == list(
+        range(first, first + len(context.segments))
+    )
+
+
+@then("{found:d} segments are found, with {charged:d} charged reads")
+def step_charged(context: Context, found: int, charged: int) -> None:
+    assert len(context.segments) == found, context.segments
+    assert len(context.objects.reads) == charged, context.objects.reads
--- a/features/steps/platform_decisions_steps.py
+++ b/features/steps/platform_decisions_steps.py
@@ -388,6 +388,9 @@
             path, 1, "", {"number": number, "start": 0, "results": []}
         )
 
+    async def read_immutable(self, path: str) -> PlatformObject | None:
+        return await self.read(path)
+
     async def delete(self, path: str) -> None:
         self.paths.remove(path)
 
--- a/features/support/memory_objects.py
+++ b/features/support/memory_objects.py
@@ -21,6 +21,8 @@
     def __init__(self) -> None:
         self.objects: dict[str, PlatformObject] = {}
         self.reads: list[str] = []
+        self.immutable_reads: list[str] = []
+        self.lag = 0
         self.is_away = False
         self.is_silent_after_writes = False
         self.refusals_left = 0
@@ -43,6 +45,14 @@
         self.reads.append(path)
         return self.objects.get(path)
 
+    async def read_immutable(self, path: str) -> PlatformObject | None:
+        """Return an object that was written before the last `lag` writes."""
+        self._check()
+        self.immutable_reads.append(path)
+        stored = self.objects.get(path)
+        is_new = stored is not None and stored.version > self._revision - self.lag
+        return None if is_new else stored
+
     async def write(
         self, path: str, value: Any, expected_version: int, limit_s: float = 2.0
     ) -> int:
--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -318,7 +318,7 @@
         log = JobLog()
         while True:
             try:
-                for segment in await self._ledger.segments(job.job_id, 0):
+                for segment in await self._ledger.segments(job.job_id, 0, job.total):
                     log.append_segment(segment)
                 items = await self._ledger.items(job)
                 break
--- a/greengagetack/batches/ledger.py
+++ b/greengagetack/batches/ledger.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+import time
 from typing import Any, Protocol
 
 import msgspec
@@ -30,6 +31,8 @@
 MS_PER_S = 1_000
 # Maximum difference between the clocks of two VMs.
 CLOCK_MARGIN_S = 120.0
+# Copies of the store are some seconds behind; younger objects are rarely in them.
+STALE_READ_S = 10.0
 
 
 class LedgerStore(Protocol):
@@ -40,6 +43,12 @@
     async def read(self, path: str) -> PlatformObject | None:
         """Return an object, None if it does not exist."""
 
+    async def read_immutable(self, path: str) -> PlatformObject | None:
+        """Return an object that never changes, None if it may not exist yet.
+
+        This costs less than `read`, as the answer may be some seconds old.
+        """
+
     async def write(
         self, path: str, value: Any, expected_version: int, limit_s: float = 2.0
     ) -> int:
@@ -74,6 +83,11 @@
     return f"{RESULTS_PREFIX}{job_id}.{number:06d}"
 
 
+def _result_count(segments: list[Segment]) -> int:
+    """Return the number of a job's results up to the last of its segments."""
+    return segments[-1].start + len(segments[-1].results) if segments else 0
+
+
 class Ledger:
     """Accepts jobs, commits their results, ends and deletes them."""
 
@@ -143,12 +157,22 @@
         """
         items: list[Item] = []
         for number in range(job.item_parts):
-            stored = await self._store.read(f"{ITEMS_PREFIX}{job.job_id}.{number:03d}")
+            path = f"{ITEMS_PREFIX}{job.job_id}.{number:03d}"
+            stored = await self._read_known(path, job)
             if stored is None:
                 raise NotFound(f"part {number} of the items of {job.job_id} is missing")
             items += msgspec.convert(stored.value, list[Item])
         return tuple(items)
 
+    async def _read_known(self, path: str, job: Job) -> PlatformObject | None:
+        """Read an immutable object of a job, in an older copy if the job is not new."""
+        age_s = time.time() - job.submitted_ms / MS_PER_S
+        if age_s > STALE_READ_S:
+            stored = await self._store.read_immutable(path)
+            if stored is not None:
+                return stored
+        return await self._store.read(path)
+
     async def end(self, job_id: str) -> bool:
         """Mark a job as ended; return False if it does not exist."""
         path = f"{JOBS_PREFIX}{job_id}"
@@ -189,26 +213,45 @@
             return msgspec.convert(stored.value, Segment)
         return segment
 
-    async def segments(self, job_id: str, first: int) -> list[Segment]:
+    async def segments(self, job_id: str, first: int, total: int = 0) -> list[Segment]:
         """Return the committed segments of a job from number `first` on.
 
-        Segments are read by path, in batches that double in size, until one does not
-        exist. Listing the prefix would also return the segments of other jobs, a
-        megabyte per request.
+        Segments are read by path, in batches that double in size, until the results are
+        `total` or one does not exist. Listing the prefix would also return the segments
+        of other jobs, a megabyte per request.
         """
         found: list[Segment] = []
         count = 1
         while True:
-            start = first + len(found)
-            reads = [
-                self._store.read(_segment_path(job_id, number))
-                for number in range(start, start + count)
-            ]
-            for stored in await asyncio.gather(*reads):
-                if stored is None:
-                    return found
-                found.append(msgspec.convert(stored.value, Segment))
-            count = min(MAX_CONCURRENT_READS, 2 * count)
+            batch = await self._read_segments(job_id, first + len(found), count)
+            found += batch
+            if total and _result_count(found) == total:
+                return found
+            if len(batch) == count:
+                count = min(MAX_CONCURRENT_READS, 2 * count)
+                continue
+            # Only the store itself tells that a segment does not exist.
+            path = _segment_path(job_id, first + len(found))
+            stored = await self._store.read(path)
+            if stored is None:
+                return found
+            found.append(msgspec.convert(stored.value, Segment))
+            count = 1
+
+    async def _read_segments(
+        self, job_id: str, first: int, count: int
+    ) -> list[Segment]:
+        """Return segments that older copies of the store have, without a gap."""
+        reads = [
+            self._store.read_immutable(_segment_path(job_id, number))
+            for number in range(first, first + count)
+        ]
+        found: list[Segment] = []
+        for stored in await asyncio.gather(*reads):
+            if stored is None:
+                break
+            found.append(msgspec.convert(stored.value, Segment))
+        return found
 
     def segment_results(self, results: list[Result]) -> list[Result]:
         """Return the first results, as many as fit into one segment, at least one."""
--- a/greengagetack/batches/reading.py
+++ b/greengagetack/batches/reading.py
@@ -172,7 +172,7 @@
                 known=len(log.results),
                 reason=error.reason,
             )
-            segments = await self._ledger.segments(job.job_id, first)
+            segments = await self._ledger.segments(job.job_id, first, job.total)
         for segment in segments:
             log.append_segment(segment)
 
--- a/greengagetack/platform/store.py
+++ b/greengagetack/platform/store.py
@@ -88,8 +88,24 @@
         PlatformUnavailable
             If the store does not respond or refuses the call temporarily.
         """
+        return await self._read(path, "")
+
+    async def read_immutable(self, path: str) -> PlatformObject | None:
+        """Return an object that never changes; None if it may not exist yet.
+
+        A copy of the store that is some seconds old may answer, for a tenth of the
+        charge.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If the store does not respond or refuses the call temporarily.
+        """
+        return await self._read(path, "?serializable=1")
+
+    async def _read(self, path: str, query: str) -> PlatformObject | None:
         response = await self._transport.call(
-            "GET", f"/objects/{quote(path)}", b"", 0.0
+            "GET", f"/objects/{quote(path)}{query}", b"", 0.0
         )
         if response.status == NOT_FOUND:
             return None
