Answer watches of the previous release only at the dispatcher

Cause: a daemon of the previous release takes each answer to its watch as a sign that the claim holder acts. Since every daemon answers, a holder that was replaced by a process that does not act yet would have kept it from taking the claim over.

A watch without packed=1, which this release always sends, gets 404 unless this daemon runs the jobs, as before. Listings are answered by every daemon.

Tested: zone_relays.feature, 64 scenarios; one of the new examples fails without the change.

--- a/features/steps/zone_relays_steps.py
+++ b/features/steps/zone_relays_steps.py
@@ -483,17 +483,36 @@
 
 @when("another daemon of {release} lists it")
 def step_list(context: Context, release: str) -> None:
+    _ask_for_copy(context, release, b"", True)
+
+
+@when("another daemon of {release} watches it, where {place}")
+def step_watch(context: Context, release: str, place: str) -> None:
+    query = b"&after=1&wait_s=0.01&node=n"
+    _ask_for_copy(context, release, query, place == "the dispatcher runs")
+
+
+@then("the answer has status {status:d}")
+def step_status(context: Context, status: int) -> None:
+    assert context.response.status_code == status, context.response.status_code
+
+
+def _ask_for_copy(
+    context: Context, release: str, query: bytes, is_dispatcher: bool
+) -> None:
+    packed = b"packed=1" if release == "this release" else b""
+
     async def run() -> Any:
         await context.store.write("config/main", context.value, 0)
         feed = Feed(lambda: context.store, "config/", lambda: 1.0)
         following = asyncio.create_task(feed.run())
         await feed.synced.wait()
-        server = CopyServer({"config/": feed}, lambda: True, lambda node: None)
+        server = CopyServer({"config/": feed}, lambda: is_dispatcher, lambda node: None)
         scope = {
             "type": "http",
             "headers": [],
             "path_params": {"prefix": "config/"},
-            "query_string": b"packed=1" if release == "this release" else b"",
+            "query_string": packed + query,
         }
         response = await server.handle(Request(scope))
         following.cancel()
--- a/features/zone_relays.feature
+++ b/features/zone_relays.feature
@@ -144,3 +144,15 @@
       | 100000 | this release         | compressed |
       | 100    | this release         | plain      |
       | 100000 | the previous release | plain      |
+
+  Scenario Outline: A daemon of the previous release takes an answer for a dispatcher's
+    Given a copy of 100 bytes at a daemon
+    When another daemon of <release> watches it, where <place>
+    Then the answer has status <status>
+
+    Examples:
+      | release              | place                     | status |
+      | this release         | the dispatcher runs       | 200    |
+      | this release         | the dispatcher is another | 200    |
+      | the previous release | the dispatcher runs       | 200    |
+      | the previous release | the dispatcher is another | 404    |
--- a/greengagetack/coordination/copies.py
+++ b/greengagetack/coordination/copies.py
@@ -82,6 +82,10 @@
             return Response(status_code=NOT_FOUND)
         query = request.query_params
         after = query.get("after")
+        accepts_packed = query.get("packed") == YES
+        if after is not None and not accepts_packed and not self._is_dispatcher():
+            # The previous release takes an answer as a sign of an acting dispatcher.
+            return Response(status_code=NOT_FOUND)
         if after is None:
             answer = feed.snapshot()
         else:
@@ -90,7 +94,6 @@
             age_ms = query.get("age_ms")
             known_age_s = None if age_ms is None else int(age_ms) / MS_PER_S
             answer = await feed.wait_for_changes(int(after), wait_s, known_age_s)
-        accepts_packed = query.get("packed") == YES
         key = (prefix, after, feed.revision, feed.change_count, accepts_packed)
         encoded = self._encode(key, answer, accepts_packed)
         headers = {
