Explain where a request or item would go now

Operators had to infer from logs and metrics where a request would go and why a replica gets none. GET /where at the operators' port answers that from the daemon's present state, and greengagetack where prints it. The decisions read the shares of zones and the permits through views that change nothing.

--- a/greengagetack/batches/dispatcher.py
+++ b/greengagetack/batches/dispatcher.py
@@ -414,6 +414,17 @@
         """Return the open jobs and the measured paces of replicas."""
         return list(self._runs.values()), self._placement.paces()
 
+    def start_reading(self, service: str) -> PlacementRound:
+        """Return a view of a service's replicas and runs that changes nothing."""
+        entries = ((run.job, item, name) for run, item, name in self._running.values())
+        return self._placement.start_reading(
+            entry for entry in entries if entry[0].service == service
+        )
+
+    def tokens_per_event_of(self, service: str) -> int:
+        """Return the number of tokens per event in a service's streams."""
+        return self._engine_properties.tokens_per_event_of(service)
+
     # -- sending items
 
     def wake(self) -> None:
--- a/greengagetack/batches/item_placement.py
+++ b/greengagetack/batches/item_placement.py
@@ -4,6 +4,7 @@
 what they need from the listed replicas and the running items.
 """
 
+import copy
 import dataclasses
 import time
 from collections.abc import Iterable
@@ -119,6 +120,12 @@
         per_event = self.engine_properties.tokens_per_event_of(job.service)
         return progress.events_left(per_event)
 
+    def start_reading(self, running: Iterable[RunningEntry]) -> "PlacementRound":
+        """Return a view that takes no permit and does not check for silent runs."""
+        twin = copy.copy(self)
+        twin.permits = self.permits.reading_copy()
+        return PlacementRound(twin, list(running), self._paces.current(), frozenset())
+
     def start_round(self, running: Iterable[RunningEntry]) -> "PlacementRound":
         """Return the view of replicas and runs for one pass over the items."""
         entries = list(running)
@@ -184,16 +191,22 @@
         """Return the replica for an item, not `leaving`, None if there is none."""
         if self._placement.paths.is_lost(job.service):
             return None
-        candidates = [
+        candidates = self.candidates(job, progress, leaving)
+        if not candidates:
+            return None
+        chosen = choose_candidate(candidates, self.work(job, progress))
+        return None if chosen is None else self._placement.fleet.get(chosen.replica_id)
+
+    def candidates(
+        self, job: Job, progress: ItemProgress, leaving: str = ""
+    ) -> list[Candidate]:
+        """Return the replicas that an item may go to, full memories included."""
+        return [
             self._candidate(job, progress, state)
             for state in self._open_states(job.service)
             if state.replica.replica_id != leaving
             and self._is_allowed(job, progress, state)
         ]
-        if not candidates:
-            return None
-        chosen = choose_candidate(candidates, self._work(job, progress))
-        return None if chosen is None else self._placement.fleet.get(chosen.replica_id)
 
     def _is_allowed(
         self, job: Job, progress: ItemProgress, state: ReplicaState
@@ -230,7 +243,8 @@
             self._placement.is_other_zone(replica),
         )
 
-    def _work(self, job: Job, progress: ItemProgress) -> ItemWork:
+    def work(self, job: Job, progress: ItemProgress) -> ItemWork:
+        """Return what is left to do for an item."""
         per_event = self._placement.engine_properties.tokens_per_event_of(job.service)
         events_left = progress.events_left(per_event)
         made = len(progress.outputs)
--- a/greengagetack/cli/api.py
+++ b/greengagetack/cli/api.py
@@ -54,12 +54,17 @@
     server : str
         Base URL of any daemon.
     token : str
-        Bearer token of an operator or a team.
+        Bearer token of an operator or a team, empty for an address that needs none.
+    timeout_s : float
+        Longest wait for an answer.
     """
 
-    def __init__(self, server: str, token: str) -> None:
+    def __init__(
+        self, server: str, token: str, timeout_s: float = CALL_TIMEOUT_S
+    ) -> None:
         self._server = server.rstrip("/")
         self._token = token
+        self._timeout_s = timeout_s
 
     def call(
         self,
@@ -83,15 +88,17 @@
     async def _call(
         self, method: str, path: str, value: Any, headers: dict[str, str]
     ) -> ApiAnswer:
-        fields = {"Authorization": f"Bearer {self._token}", **headers}
+        fields = dict(headers)
+        if self._token:
+            fields["Authorization"] = f"Bearer {self._token}"
         data = None
         if value is not None:
             data = json.dumps(value).encode()
             fields["Content-Type"] = "application/json"
         timeouts = Timeouts(
-            sock_connect=CONNECT_TIMEOUT_S,
-            sock_read=CALL_TIMEOUT_S,
-            request_timeout=CALL_TIMEOUT_S,
+            sock_connect=min(CONNECT_TIMEOUT_S, self._timeout_s),
+            sock_read=self._timeout_s,
+            request_timeout=self._timeout_s,
         )
         async with aiosonic.HTTPClient() as client:
             try:
--- a/greengagetack/cli/exits.py
+++ b/greengagetack/cli/exits.py
@@ -12,7 +12,14 @@
 from greengagetack.documents import InvalidDocument
 from greengagetack.errors import CodedError
 
-__all__ = ["CommandFailed", "ExitCode", "Fault", "fault_from_error", "handle_errors"]
+__all__ = [
+    "CommandFailed",
+    "ExitCode",
+    "Fault",
+    "WhereExitCode",
+    "fault_from_error",
+    "handle_errors",
+]
 
 
 class ExitCode(enum.IntEnum):
@@ -31,6 +38,14 @@
     FAILED = 10
 
 
+class WhereExitCode(enum.IntEnum):
+    """Exit codes of ``greengagetack where``, which answers a question of its own."""
+
+    NO_CANDIDATE = 3
+    NO_ROUTE = 4
+    NO_ANSWER = 5
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
     """An error as printed by the command line; `lines` holds its details."""
@@ -38,7 +53,7 @@
     code: str
     reason: str
     remedy: str
-    exit_code: ExitCode
+    exit_code: ExitCode | WhereExitCode
     lines: tuple[str, ...] = ()
     request_id: str = ""
     retry_after_s: float | None = None
--- a/greengagetack/facts.py
+++ b/greengagetack/facts.py
@@ -144,6 +144,13 @@
         entry = self._entries.get((_TOPICS[value_type], key))
         return None if entry is None else entry.value
 
+    def remaining_s(self, value_type: type, key: str) -> float | None:
+        """Return how long a fact still lasts, None if it is not known."""
+        entry = self._entries.get((_TOPICS[value_type], key))
+        if entry is None or entry.value is None:
+            return None
+        return entry.expires_s - time.monotonic()
+
     def publish(self, key: str, value: Any, lifetime_s: float) -> None:
         """Add a fact or merge it into the known one; it ends after `lifetime_s`."""
         known = self.get(type(value), key)
--- a/greengagetack/gateway/choice.py
+++ b/greengagetack/gateway/choice.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Collection, Iterable, Sequence
 
-from greengagetack.gateway.zone_routing import ZoneRouting, expected_wait_s
+from greengagetack.gateway.zone_routing import ZoneChoice, expected_wait_s
 from greengagetack.replicas.replica import ReplicaState
 
 __all__ = ["choose_replica", "suggested_retry_s"]
@@ -22,7 +22,7 @@
     service: str,
     states: Sequence[ReplicaState],
     tried: Collection[str],
-    routing: ZoneRouting,
+    routing: ZoneChoice,
     now_s: float,
     rng: random.Random,
 ) -> ReplicaState | None:
--- a/greengagetack/gateway/customers.py
+++ b/greengagetack/gateway/customers.py
@@ -63,6 +63,10 @@
     def __bool__(self) -> bool:
         return bool(self._priorities)
 
+    def has_name(self, name: str) -> bool:
+        """Whether there is a customer of a name."""
+        return name in self._priorities
+
     def find(self, key: str) -> Customer | None:
         """Return the customer with a key, None if no customer has it."""
         return self._by_key.get(key)
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -28,7 +28,7 @@
     StreamOrigins,
 )
 from greengagetack.gateway.suspects import Suspects
-from greengagetack.gateway.zone_routing import ZoneRouting
+from greengagetack.gateway.zone_routing import ZoneReading, ZoneRouting
 from greengagetack.http1.connection import Connection
 from greengagetack.http1.memory import ResponseMemory
 from greengagetack.http1.message import ExchangeError
@@ -131,6 +131,10 @@
             reason += f"; the stream was begun by software {software}"
         return reason
 
+    def zone_reading(self) -> ZoneReading:
+        """Return a view of the zones' shares that changes none."""
+        return self._zones.reading()
+
     def recent_software(self, service: str) -> set[str]:
         """Return the software versions that may have begun a stream still read."""
         return self._fleet.recent_software(service, RETENTION_S)
--- a/greengagetack/gateway/zone_routing.py
+++ b/greengagetack/gateway/zone_routing.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from loguru import logger
 
@@ -15,7 +16,13 @@
 from greengagetack.replicas.replica import ReplicaState
 from greengagetack.replicas.zone_cost import ZoneCost
 
-__all__ = ["DEFAULT_SERVICE_TIME_S", "ZoneRouting", "expected_wait_s"]
+__all__ = [
+    "DEFAULT_SERVICE_TIME_S",
+    "ZoneChoice",
+    "ZoneReading",
+    "ZoneRouting",
+    "expected_wait_s",
+]
 
 # Assumed service time of a replica without any measured one.
 DEFAULT_SERVICE_TIME_S = 0.04
@@ -41,6 +48,30 @@
     return (service_time_s or DEFAULT_SERVICE_TIME_S) * (1 + in_use)
 
 
+class ZoneChoice(Protocol):
+    """Decides for a request which zone it goes to."""
+
+    @property
+    def zone(self) -> str:
+        """Availability zone of this VM."""
+
+    def cost_s(self, service: str) -> float:
+        """Return what it costs to send a request of a service to another zone."""
+
+    def has_places(self, service: str, zone: str) -> bool:
+        """Whether a zone's own callers leave places for those of other zones."""
+
+    def pick(
+        self,
+        service: str,
+        states: Iterable[ReplicaState],
+        zones: Collection[str],
+        now_s: float,
+        draw: float,
+    ) -> str:
+        """Return the zone for a request, one of `zones`, the own one if in doubt."""
+
+
 @dataclass(slots=True)
 class _Service:
     shares: ZoneShares = field(default_factory=ZoneShares)
@@ -81,9 +112,19 @@
             known = self._services[name] = _Service()
         return known
 
+    def reading(self) -> "ZoneReading":
+        """Return a view that decides by the present shares and changes nothing."""
+        return ZoneReading(self)
+
+    def known_shares(self, service: str, now_s: float) -> dict[str, float]:
+        """Return the shares in force, without taking a view of the replicas."""
+        known = self._services.get(service)
+        return {} if known is None else known.shares.in_force(now_s)
+
     def cost_s(self, service: str) -> float:
         """Return what it costs to send a request of a service to another zone."""
-        return self._cost.seconds(self._service(service).size_bytes)
+        known = self._services.get(service)
+        return self._cost.seconds(0.0 if known is None else known.size_bytes)
 
     def has_places(self, service: str, zone: str) -> bool:
         """Whether a zone's own callers leave places for those of other zones."""
@@ -188,5 +229,43 @@
                 self._metrics.set("zone_share", share, **labels)
 
 
+class ZoneReading:
+    """Reads the shares of a `ZoneRouting`: no view is taken, no share moves."""
+
+    def __init__(self, routing: ZoneRouting) -> None:
+        self._routing = routing
+        self.zone = routing.zone
+
+    def cost_s(self, service: str) -> float:
+        """Return what it costs to send a request of a service to another zone."""
+        return self._routing.cost_s(service)
+
+    def has_places(self, service: str, zone: str) -> bool:
+        """Whether a zone's own callers leave places for those of other zones."""
+        return self._routing.has_places(service, zone)
+
+    def share_of(self, service: str, zone: str, now_s: float) -> float:
+        """Return the share of this daemon's requests that goes to a zone."""
+        shares = self._routing.known_shares(service, now_s)
+        if zone != self.zone:
+            return shares.get(zone, 0.0)
+        return max(0.0, 1.0 - sum(shares.values()))
+
+    def pick(
+        self,
+        service: str,
+        states: Iterable[ReplicaState],
+        zones: Collection[str],
+        now_s: float,
+        draw: float,
+    ) -> str:
+        """Return the zone that most requests go to, whatever `draw` is."""
+        shares = self._routing.known_shares(service, now_s)
+        others = {name: shares.get(name, 0.0) for name in zones if name != self.zone}
+        likeliest = max(others, key=lambda name: others[name], default=self.zone)
+        own = 1.0 - sum(others.values())
+        return likeliest if others.get(likeliest, 0.0) > own else self.zone
+
+
 def _to_ms(wait_s: float | None) -> float | None:
     return None if wait_s is None else round(wait_s * MS_PER_S, 1)
--- a/greengagetack/gateway/zone_shares.py
+++ b/greengagetack/gateway/zone_shares.py
@@ -152,6 +152,11 @@
         self._samples: dict[str, list[ZoneView]] = {}
         self.decided_s = float("-inf")
 
+    def in_force(self, now_s: float) -> dict[str, float]:
+        """Return the shares that the next request finds."""
+        is_idle = now_s - self.decided_s > MAX_IDLE_S
+        return {} if is_idle else dict(self.shares)
+
     def observe(
         self, now_s: float, zone: str, views: Mapping[str, ZoneView], cost_s: float
     ) -> list[ShareChange]:
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -56,6 +56,7 @@
 from greengagetack.platform.replica import PlatformDialect, PlatformOrderSender
 from greengagetack.platform.settings import VmFacts
 from greengagetack.platform.store import PlatformStore
+from greengagetack.platform.where import WhereAnswers
 from greengagetack.replicas.ejections import Ejections
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.replicas.paths import ReplicaPaths
@@ -292,6 +293,17 @@
             self._reader,
             self._metrics,
         )
+        self._where = WhereAnswers(
+            facts.node,
+            lambda: self._route_table,
+            self._fleet,
+            forwarder,
+            self._ejections,
+            self._permits,
+            self._dispatcher,
+            self._claim,
+            self._shared_feeds,
+        )
         self._lease = DutyLease(
             facts.node, self._store, ORDER_LEASE_PATH, facts.order_spacing_s
         )
@@ -479,7 +491,11 @@
             )
         )
         status = HttpServer(
-            bounded_config(build_status_application(self.is_ready, self._metrics))
+            bounded_config(
+                build_status_application(
+                    self.is_ready, self._metrics, self._where.answer
+                )
+            )
         )
         sockets = [listening_socket(facts.ready)]
         metrics = Address(facts.ip, facts.metrics_port)
--- a/greengagetack/replicas/ejections.py
+++ b/greengagetack/replicas/ejections.py
@@ -202,6 +202,12 @@
                 reason=error.reason,
             )
 
+    def fact_age_s(self, state: ReplicaState) -> float | None:
+        """Return the age of the fact that ejects a replica, None without a fact."""
+        key = _fact_key(state.replica.incarnation)
+        remaining_s = self._facts.remaining_s(ReplicaEjected, key)
+        return None if remaining_s is None else round(LIFETIME_S - remaining_s, 3)
+
     # -- decisions of the owner
 
     def handle_notice(self, notice: EjectionNotice) -> None:
--- a/greengagetack/replicas/permits.py
+++ b/greengagetack/replicas/permits.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import copy
 import time
 from dataclasses import dataclass
 from typing import Protocol
@@ -163,6 +164,17 @@
         reserved = RESERVED_FOR_CALLERS if is_reward else 0.0
         return self._refilled_bucket(state).level >= 1.0 + reserved
 
+    @property
+    def is_owner(self) -> bool:
+        """Whether this daemon grants the permits."""
+        return self._facts.is_owner
+
+    def reading_copy(self) -> "Permits":
+        """Return a copy to call `has_permit` of, which grants and refills nothing."""
+        twin = copy.copy(self)
+        twin._buckets = {key: copy.copy(one) for key, one in self._buckets.items()}
+        return twin
+
     def take(self, state: ReplicaState) -> None:
         """Take a permit that `has_permit` has found."""
         if state.rate_limit_per_s is not None:
