--- a/features/docs.feature
+++ b/features/docs.feature
@@ -25,6 +25,7 @@
       | settings.md             |
       | teams.md                |
       | following-a-request.md  |
+      | where.md                |
 
   Scenario Outline: Terms of the users' platform appear only in its adapter
     Then no module outside the adapter contains <word>
--- a/features/support/raw_http.py
+++ b/features/support/raw_http.py
@@ -36,9 +36,12 @@
     """Serves an ASGI application in its own thread."""
 
     def __init__(
-        self, app: Any, bounds: Callable[[], HttpBounds] | None = None
+        self,
+        app: Any,
+        bounds: Callable[[], HttpBounds] | None = None,
+        address: Address | None = None,
     ) -> None:
-        self._listener = listening_socket(Address("127.0.0.1", 0))
+        self._listener = listening_socket(address or Address("127.0.0.1", 0))
         self.address = Address(*self._listener.getsockname())
         config = bounded_config(app, bounds) if bounds else bounded_config(app)
         self._server = uvicorn.Server(config)
--- a/greengagetack/batches/where.py
+++ b/greengagetack/batches/where.py
@@ -1,22 +1,27 @@
 """greengagetack.batches.where: explains where the dispatcher would place an item."""
 
 import heapq
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 
 from greengagetack.batches.engine_properties import DEFAULT_SLOTS
 from greengagetack.batches.item_placement import PlacementRound
 from greengagetack.batches.job import Item, Job
-from greengagetack.batches.placement import Candidate, ItemWork, expected_end_s
+from greengagetack.batches.placement import (
+    Candidate,
+    ItemWork,
+    choose_candidate,
+    expected_end_s,
+)
 from greengagetack.batches.progress import ItemProgress
 from greengagetack.gateway.where import (
     MAX_LISTED,
     CandidateRow,
-    Excluded,
+    Exclusions,
     Placement,
     Reason,
     ServiceView,
-    find_exclusion,
-    listed_exclusions,
+    find_reason,
+    last_resort_ids,
 )
 from greengagetack.replicas.replica import ReplicaState
 
@@ -33,38 +38,31 @@
     return ItemProgress(Item("", "", (), b"", tokens, "", output_hint=tokens))
 
 
-def _exclusions(
+def _exclude(
+    exclusions: Exclusions,
     view: ServiceView,
+    state: ReplicaState,
     job: Job,
-    loading_ids: Collection[str],
-    is_full: Callable[[ReplicaState], bool],
-) -> tuple[list[ReplicaState], list[Excluded]]:
-    """Return the replicas that the rules let an item go to, and the others."""
-    serving_ids = {state.replica.replica_id for state in view.serving}
-    allowed: list[ReplicaState] = []
-    excluded: list[Excluded] = []
-    for state in view.listed:
-        found = find_exclusion(view, state, serving_ids)
-        replica = state.replica
-        name, zone = replica.replica_id, replica.availability_zone
-        version = state.version_of(job.model)
-        if found is not None:
-            excluded.append(found)
-        elif version < job.min_version:
-            detail = f"version {version}, the job needs {job.min_version}"
-            excluded.append(Excluded(name, zone, Reason.OLD_WEIGHTS, detail))
-        elif name in loading_ids:
-            excluded.append(Excluded(name, zone, Reason.LOADING, "it loads weights"))
-        elif is_full(state):
-            detail = f"{state.in_flight} of {replica.slots or DEFAULT_SLOTS} places"
-            excluded.append(Excluded(name, zone, Reason.FULL, detail))
-        else:
-            allowed.append(state)
-    return allowed, excluded
-
-
-def _is_full(state: ReplicaState) -> bool:
-    return state.in_flight >= (state.replica.slots or DEFAULT_SLOTS)
+    last_resorts: Collection[str],
+    loading_ids: Collection[str] = (),
+) -> bool:
+    """Count a replica that gets no item by a rule; return whether there is one."""
+    version = state.version_of(job.model)
+    reason = find_reason(view, state, last_resorts)
+    if reason is not None:
+        exclusions.add(state, reason)
+    elif version < job.min_version:
+        detail = f"version {version}, the job needs {job.min_version}"
+        exclusions.add(state, Reason.OLD_WEIGHTS, detail)
+    elif state.replica.replica_id in loading_ids:
+        exclusions.add(state, Reason.LOADING, "it loads weights")
+    else:
+        return False
+    return True
+
+
+def _slots(state: ReplicaState) -> int:
+    return state.replica.slots or DEFAULT_SLOTS
 
 
 def view_items(view: ServiceView, job: Job, zone: str) -> Placement:
@@ -73,8 +71,13 @@
     Replicas may be full of the dispatcher's runs, and only the dispatcher knows their
     times per event, so none is chosen.
     """
-    allowed, excluded = _exclusions(view, job, (), lambda state: False)
-    # Sorted to list the nearest ones first.
+    exclusions = Exclusions(view)
+    last_resorts = last_resort_ids(view)
+    allowed = [
+        state
+        for state in view.listed
+        if not _exclude(exclusions, view, state, job, last_resorts)
+    ]
     nearest = heapq.nsmallest(
         MAX_LISTED, allowed, key=lambda state: state.replica.availability_zone != zone
     )
@@ -86,15 +89,21 @@
             None,
             None,
             state.in_flight,
-            state.replica.slots or DEFAULT_SLOTS,
+            _slots(state),
             0.0,
             version=state.version_of(job.model),
             needs_permit=state.rate_limit_per_s is not None,
         )
         for state in nearest
     )
-    listed, counts = listed_exclusions(excluded)
-    return Placement(None, False, rows, len(allowed), listed, counts)
+    return Placement(
+        None,
+        False,
+        rows,
+        len(allowed),
+        tuple(exclusions.listed),
+        exclusions.counts(),
+    )
 
 
 def explain_item(
@@ -105,51 +114,54 @@
     loading_ids: Collection[str],
 ) -> Placement:
     """Return where the dispatcher would place an item now."""
-    allowed, excluded = _exclusions(view, job, loading_ids, _is_full)
-    states = {state.replica.replica_id: state for state in allowed}
     work = reading.work(job, progress)
-    usable: list[Candidate] = []
-    for candidate in reading.candidates(job, progress):
-        state = states.get(candidate.replica_id)
-        if state is None:
-            continue
+    candidates = [] if view.is_path_lost else reading.candidates(job, progress)
+    usable: list[tuple[float, int, Candidate]] = []
+    short_of_memory: dict[str, Candidate] = {}
+    for number, candidate in enumerate(candidates):
         if candidate.free_tokens < work.soon_tokens and candidate.in_flight:
-            replica = state.replica
-            detail = f"{candidate.free_tokens} tokens free of {work.soon_tokens}"
-            excluded.append(
-                Excluded(
-                    replica.replica_id,
-                    replica.availability_zone,
-                    Reason.NO_MEMORY,
-                    detail,
-                )
-            )
+            short_of_memory[candidate.replica_id] = candidate
             continue
-        usable.append(candidate)
-    nearest = heapq.nsmallest(
-        MAX_LISTED, usable, key=lambda one: expected_end_s(one, work)
-    )
-    rows = tuple(_row(states[one.replica_id], one, work, job) for one in nearest)
-    chosen = reading.choose(job, progress) if usable else None
-    listed, counts = listed_exclusions(excluded)
+        usable.append((expected_end_s(candidate, work), number, candidate))
+    usable_ids = {candidate.replica_id for _, _, candidate in usable}
+    exclusions = Exclusions(view)
+    states: dict[str, ReplicaState] = {}
+    last_resorts = last_resort_ids(view)
+    for state in view.listed:
+        name = state.replica.replica_id
+        if name in usable_ids:
+            states[name] = state
+        elif name in short_of_memory:
+            free_tokens = short_of_memory[name].free_tokens
+            detail = f"{free_tokens} tokens free, the item needs {work.soon_tokens}"
+            exclusions.add(state, Reason.NO_MEMORY, detail)
+        elif not _exclude(exclusions, view, state, job, last_resorts, loading_ids):
+            detail = f"{state.in_flight} of {_slots(state)} places"
+            exclusions.add(state, Reason.FULL, detail)
+    nearest = heapq.nsmallest(MAX_LISTED, usable)
+    # The first ends are among the nearest, so that the choice is that of all.
+    chosen = choose_candidate((entry[2] for entry in nearest), work)
     return Placement(
-        None if chosen is None else chosen.replica.replica_id,
+        None if chosen is None else chosen.replica_id,
         False,
-        rows,
+        tuple(
+            _row(states[candidate.replica_id], candidate, end_s, work, job)
+            for end_s, _, candidate in nearest
+        ),
         len(usable),
-        listed,
-        counts,
+        tuple(exclusions.listed),
+        exclusions.counts(),
     )
 
 
 def _row(
-    state: ReplicaState, candidate: Candidate, work: ItemWork, job: Job
+    state: ReplicaState, candidate: Candidate, end_s: float, work: ItemWork, job: Job
 ) -> CandidateRow:
     way_s = work.other_zone_s if candidate.is_other_zone else 0.0
     return CandidateRow(
         candidate.replica_id,
         state.replica.availability_zone,
-        round(expected_end_s(candidate, work) * MS_PER_S, 2),
+        round(end_s * MS_PER_S, 2),
         round(candidate.pace_s * MS_PER_S, 2),
         None,
         candidate.in_flight,
--- a/greengagetack/gateway/where.py
+++ b/greengagetack/gateway/where.py
@@ -9,7 +9,7 @@
 import heapq
 import random
 from collections import Counter, deque
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, replace
 
 from greengagetack.errors import Overloaded
@@ -21,13 +21,14 @@
     "MAX_LISTED",
     "CandidateRow",
     "Excluded",
+    "Exclusions",
     "Placement",
     "Rate",
     "Reason",
     "ServiceView",
     "explain_request",
-    "find_exclusion",
-    "listed_exclusions",
+    "find_reason",
+    "last_resort_ids",
 ]
 
 # Bounds the answer: a service may have thousands of replicas.
@@ -38,6 +39,10 @@
 MS_PER_S = 1_000
 
 
+# Expected wait with the cost of the way, number in the list, wait, and replica.
+Entry = tuple[float, int, float, ReplicaState]
+
+
 class Reason(enum.StrEnum):
     """Why a replica gets no request now."""
 
@@ -151,10 +156,12 @@
         Overloaded
             If `MAX_PER_S` have been given within the last second.
         """
-        if len(self._given_s) == MAX_PER_S and now_s - self._given_s[0] < PERIOD_S:
-            wait_s = self._given_s[0] + PERIOD_S - now_s
+        is_full = len(self._given_s) == MAX_PER_S
+        free_s = self._given_s[0] + PERIOD_S if is_full else now_s
+        if now_s < free_s:
             raise Overloaded(
-                f"a daemon explains at most {MAX_PER_S} requests a second", wait_s
+                f"a daemon explains at most {MAX_PER_S} requests a second",
+                free_s - now_s,
             )
         self._given_s.append(now_s)
 
@@ -166,106 +173,142 @@
         return 0.0
 
 
-def find_exclusion(
-    view: ServiceView, state: ReplicaState, serving_ids: Collection[str]
-) -> Excluded | None:
-    """Return why a replica gets no request now, None if it may get one."""
-    now_s, replica = view.now_s, state.replica
+def last_resort_ids(view: ServiceView) -> set[str]:
+    """Return the leaving replicas that get requests, as no other one is listed."""
+    return {
+        state.replica.replica_id
+        for state in view.serving
+        if state.leaving_since_s is not None
+    }
 
-    def excluded(
-        reason: Reason, detail: str = "", until_s: float | None = None
-    ) -> Excluded:
-        ends_in_s = None if until_s is None else round(until_s - now_s, 3)
-        return Excluded(
-            replica.replica_id, replica.availability_zone, reason, detail, ends_in_s
-        )
 
+def find_reason(
+    view: ServiceView, state: ReplicaState, last_resorts: Collection[str]
+) -> Reason | None:
+    """Return why a replica gets no request now, None if it may get one."""
+    now_s = view.now_s
     if state.is_gone:
-        return excluded(Reason.GONE)
-    if replica.is_draining:
-        return excluded(Reason.DRAINING)
-    if state.leaving_since_s is not None and replica.replica_id not in serving_ids:
-        age_s = round(now_s - state.leaving_since_s, 3)
-        return replace(excluded(Reason.LEAVING, "by its own response"), age_s=age_s)
-    if view.is_path_lost:
-        return excluded(Reason.PATH_LOST, "this daemon reaches no replica")
-    limit_per_s = state.rate_limit_per_s
-    if now_s < state.rate_limited_until_s or (
-        limit_per_s is not None and view.lacks_permit(state)
+        return Reason.GONE
+    if state.replica.is_draining:
+        return Reason.DRAINING
+    if state.leaving_since_s is not None and (
+        state.replica.replica_id not in last_resorts
     ):
-        detail = f"no permit left of {limit_per_s or 0.0:g} a second"
-        until_s = max(now_s, state.rate_limited_until_s)
-        is_known = until_s > now_s
-        found = excluded(Reason.RATE_LIMITED, detail, until_s if is_known else None)
-        return replace(found, age_s=round(now_s - state.rate_limit_since_s, 3))
+        return Reason.LEAVING
+    if view.is_path_lost:
+        return Reason.PATH_LOST
+    if now_s < state.rate_limited_until_s:
+        return Reason.RATE_LIMITED
     if now_s < state.ejected_until_s:
-        return _ejection(view, state, excluded(Reason.EJECTED))
+        return Reason.EJECTED
     if now_s < state.suspended_until_s:
-        detail = f"after {state.consecutive_failures} failures"
-        return excluded(Reason.SUSPENDED, detail, state.suspended_until_s)
+        return Reason.SUSPENDED
     if now_s < state.busy_until_s:
-        return excluded(Reason.BUSY, "it refused a request", state.busy_until_s)
+        return Reason.BUSY
+    if state.rate_limit_per_s is not None and view.lacks_permit(state):
+        return Reason.RATE_LIMITED
     return None
 
 
+def describe(view: ServiceView, state: ReplicaState, reason: Reason) -> Excluded:
+    """Return a reason found by `find_reason` with its details."""
+    replica, now_s = state.replica, view.now_s
+    found = Excluded(replica.replica_id, replica.availability_zone, reason)
+    match reason:
+        case Reason.LEAVING:
+            since_s = state.leaving_since_s
+            age_s = None if since_s is None else round(now_s - since_s, 3)
+            return replace(found, detail="by its own response", age_s=age_s)
+        case Reason.PATH_LOST:
+            return replace(found, detail="this daemon reaches no replica")
+        case Reason.RATE_LIMITED:
+            return replace(
+                found,
+                detail=f"no permit left of {state.rate_limit_per_s or 0.0:g} a second",
+                ends_in_s=_left_s(state.rate_limited_until_s, now_s),
+                age_s=round(now_s - state.rate_limit_since_s, 3),
+            )
+        case Reason.EJECTED:
+            return _ejection(view, state, found)
+        case Reason.SUSPENDED:
+            return replace(
+                found,
+                detail=f"after {state.consecutive_failures} failures",
+                ends_in_s=_left_s(state.suspended_until_s, now_s),
+            )
+        case Reason.BUSY:
+            return replace(
+                found,
+                detail="it refused a request",
+                ends_in_s=_left_s(state.busy_until_s, now_s),
+            )
+    return found
+
+
+def _left_s(until_s: float, now_s: float) -> float | None:
+    return round(until_s - now_s, 3) if now_s < until_s < float("inf") else None
+
+
 def _ejection(view: ServiceView, state: ReplicaState, found: Excluded) -> Excluded:
     age_s = view.ejection_age_s(state)
     if state.ejected_until_s == float("inf"):
         return replace(found, detail="by a fact of other daemons", age_s=age_s)
     detail = "a probe runs" if state.is_probed else "by this daemon's evidence"
-    ends_in_s = round(state.ejected_until_s - view.now_s, 3)
+    ends_in_s = _left_s(state.ejected_until_s, view.now_s)
     return replace(found, detail=detail, ends_in_s=ends_in_s, age_s=age_s)
 
 
-def listed_exclusions(
-    excluded: Iterable[Excluded],
-) -> tuple[tuple[Excluded, ...], dict[str, int]]:
-    """Return the first exclusions and the counts of all by reason."""
-    found = list(excluded)
-    counts = Counter(one.reason.value for one in found)
-    return tuple(found[:MAX_LISTED]), dict(sorted(counts.items()))
+class Exclusions:
+    """Counts excluded replicas by reason, and describes the first ones."""
+
+    def __init__(self, view: ServiceView) -> None:
+        self._view = view
+        self.listed: list[Excluded] = []
+        self._counts: Counter[str] = Counter()
+
+    def add(self, state: ReplicaState, reason: Reason, detail: str = "") -> None:
+        """Count a replica."""
+        self._counts[reason.value] += 1
+        if len(self.listed) < MAX_LISTED:
+            found = describe(self._view, state, reason)
+            self.listed.append(replace(found, detail=detail) if detail else found)
+
+    def counts(self) -> dict[str, int]:
+        """Return the number of excluded replicas by reason."""
+        return dict(sorted(self._counts.items()))
 
 
 def explain_request(view: ServiceView, zones: ZoneReading) -> Placement:
     """Return where a request to a service would go now."""
-    serving_ids = {state.replica.replica_id for state in view.serving}
-    usable: list[tuple[float, int, ReplicaState]] = []
-    excluded: list[Excluded] = []
+    last_resorts = last_resort_ids(view)
+    way_s = zones.cost_s(view.service)
+    usable: list[Entry] = []
+    exclusions = Exclusions(view)
     for number, state in enumerate(view.listed):
-        exclusion = find_exclusion(view, state, serving_ids)
-        if exclusion is not None:
-            excluded.append(exclusion)
+        reason = find_reason(view, state, last_resorts)
+        if reason is not None:
+            exclusions.add(state, reason)
             continue
-        usable.append((expected_wait_s(state, state.service_time_s), number, state))
-    way_s = zones.cost_s(view.service)
-
-    def total_s(entry: tuple[float, int, ReplicaState]) -> tuple[float, int]:
-        is_own = entry[2].replica.availability_zone == zones.zone
-        return entry[0] + (0.0 if is_own else way_s), entry[1]
-
+        wait_s = expected_wait_s(state, state.service_time_s)
+        is_own = state.replica.availability_zone == zones.zone
+        usable.append((wait_s if is_own else wait_s + way_s, number, wait_s, state))
     chosen = _choose(view, zones, usable)
-    nearest = heapq.nsmallest(MAX_LISTED, usable, key=total_s)
-    if chosen is not None and usable:
-        # The chosen one is listed, also if shares prefer a zone with longer waits.
-        is_listed = any(state is chosen for _, _, state in nearest)
-        if not is_listed:
-            nearest[-1] = next(entry for entry in usable if entry[2] is chosen)
-    rows = tuple(_row(view, zones, state, way_s) for _, _, state in nearest)
-    listed, counts = listed_exclusions(excluded)
+    nearest = [entry[3] for entry in heapq.nsmallest(MAX_LISTED, usable)]
+    if chosen is not None and usable and chosen not in nearest:
+        # Shares may prefer a zone with longer waits.
+        nearest[-1] = chosen
     return Placement(
         None if chosen is None else chosen.replica.replica_id,
         chosen is not None and not usable,
-        rows,
+        tuple(_row(view, zones, state, way_s) for state in nearest),
         len(usable),
-        listed,
-        counts,
+        tuple(exclusions.listed),
+        exclusions.counts(),
     )
 
 
 def _choose(
-    view: ServiceView,
-    zones: ZoneReading,
-    usable: Sequence[tuple[float, int, ReplicaState]],
+    view: ServiceView, zones: ZoneReading, usable: Sequence[Entry]
 ) -> ReplicaState | None:
     """Return the chosen replica; the best of each zone decide, so only they are given.
 
@@ -273,13 +316,13 @@
     """
     if view.is_path_lost:
         return None
-    best: dict[str, tuple[float, int, ReplicaState]] = {}
-    for entry in usable:
-        zone = entry[2].replica.availability_zone
+    best: dict[str, tuple[float, ReplicaState]] = {}
+    for _, _, wait_s, state in usable:
+        zone = state.replica.availability_zone
         known = best.get(zone)
-        if known is None or entry[0] < known[0]:
-            best[zone] = entry
-    states = [state for _, _, state in best.values()] or view.serving
+        if known is None or wait_s < known[0]:
+            best[zone] = (wait_s, state)
+    states = [state for _, state in best.values()] or view.serving
     return choose_replica(view.service, states, (), zones, view.now_s, _NoJitter())
 
 
--- a/greengagetack/platform/where.py
+++ b/greengagetack/platform/where.py
@@ -24,7 +24,7 @@
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.replicas.permits import Permits
 
-__all__ = ["Answer", "Question", "WhereAnswers", "parse_question"]
+__all__ = ["Answer", "Question", "WhereAnswers", "make_job", "parse_question"]
 
 MAX_VALUE_CHARS = 1_024
 MAX_VERSION = 1 << 53
@@ -227,7 +227,7 @@
         zones = self._forwarder.zone_reading()
         if not route.kind.is_batch:
             return explain_request(view, zones)
-        job = _make_job(route, service, question)
+        job = make_job(route, service, question)
         if not self._dispatcher.is_active:
             return view_items(view, job, zones.zone)
         item = make_item(self._dispatcher.tokens_per_event_of(service))
@@ -272,7 +272,8 @@
     return max(route.services, key=lambda entry: entry[1])[0]
 
 
-def _make_job(route: Route, service: str, question: Question) -> Job:
+def make_job(route: Route, service: str, question: Question) -> Job:
+    """Return a job of a route to which the assumed item belongs."""
     return Job(
         "",
         route.name,
