--- a/features/steps/where_steps.py
+++ b/features/steps/where_steps.py
@@ -36,7 +36,6 @@
 UNUSED_ADDRESS = "127.0.0.1:1"
 DRAWS = [(number + 0.5) / 100 for number in range(100)]
 # The fastest of some runs, so that other work on the machine does not count.
-TIMED_RUNS = 7
 
 
 @given("a daemon that explains requests")
