Put back bounds that had been fitted to measured figures

Three checks of this series allowed what had been measured: 1 % on the mean end of items whose step says "not later", 10 instead of 5 times a share at 1,700 daemons, and 100 refusals from 3 to 6 s after a load has ended. The bounds are those of the stated aims again: not later; the same at every size; nobody refused by share after 4 s.

--- a/features/customer_shares.feature
+++ b/features/customer_shares.feature
@@ -59,8 +59,8 @@
       | 9       | 3    | 5    |
       | 70      | 1.5  | 5    |
       | 70      | 3    | 5    |
-      | 1700    | 1.5  | 10   |
-      | 1700    | 3    | 10   |
+      | 1700    | 1.5  | 5    |
+      | 1700    | 3    | 5    |
 
   # Guards against shares that outlast the congestion.
   Scenario: No refusal by share when the load is gone
@@ -68,7 +68,7 @@
     And one customer sends 20 times as much as any other
     When 3 times the capacity is asked for during 10 s and half of it for 10 s
     Then some are refused by share
-    And at most 100 are refused from 3 to 6 s after that, and nobody later
+    And nobody is refused by share later than 4 s after that
 
   # Guards against a change for deployments without customers.
   Scenario: Without customers nobody is refused by share
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -209,11 +209,11 @@
     assert any(is_by_share for _, _, is_by_share in context.load.refusals)
 
 
-@then("at most {most:d} are refused from 3 to 6 s after that, and nobody later")
-def step_none_later(context: Context, most: int) -> None:
-    late_s = [at_s for at_s, _, _ in context.load.refusals if at_s > 13]
-    assert len(late_s) <= most, len(late_s)
-    assert all(at_s < 16 for at_s in late_s), late_s[-1]
+@then("nobody is refused by share later than {limit_s:d} s after that")
+def step_none_later(context: Context, limit_s: int) -> None:
+    end_s = 10 + limit_s
+    late_s = [at_s for at_s, _, _ in context.load.refusals if at_s > end_s]
+    assert not late_s, (len(late_s), late_s[-1])
 
 
 @then("nobody is refused by share and no daemon knows of shares")
--- a/features/steps/item_placement_steps.py
+++ b/features/steps/item_placement_steps.py
@@ -11,8 +11,6 @@
 
 SPEEDS = [0.55, 1.2, 0.7, 1.0, 0.85, 1.1]
 SEEDS = (1, 2, 3, 4)
-# While all slots are taken, the means of both choices differ by less than the seeds do.
-TOLERANCE = 1.01
 ITEM_BYTES = 8_000
 CHECK_S = 0.1
 
@@ -32,7 +30,7 @@
 @then("their mean and their last end are not later than with the choice by load")
 def step_not_later(context: Context) -> None:
     for new_s, former_s in zip(context.ends["end"], context.ends["load"], strict=True):
-        assert new_s <= former_s * TOLERANCE, context.ends
+        assert new_s <= former_s, context.ends
 
 
 @when(
