--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""review: cases of an independent review, each with a script."""
--- /dev/null
+++ b/review/support/__init__.py
@@ -0,0 +1,1 @@
+"""review.support: what the scripts of the review share."""
