--- a/review/support/clients.py
+++ b/review/support/clients.py
@@ -3,7 +3,6 @@
 import http.client
 import threading
 import time
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from review.support.cluster import ReviewCluster
@@ -24,6 +23,8 @@
     status: int = 0
     answered_s: float = 0.0
     reason: str = ""
+    has_seal: bool = False
+    body: bytes = b""
 
 
 class SteadyClient:
@@ -36,12 +37,14 @@
         prefix: str,
         per_s: float,
         deadline_ms: int,
+        headers: dict[str, str] | None = None,
     ) -> None:
         self._cluster = cluster
         self._daemon = daemon
         self._prefix = prefix
         self._pause_s = 1.0 / per_s
         self._deadline_ms = deadline_ms
+        self._headers = headers or {}
         self._is_stopped = threading.Event()
         self._threads: list[threading.Thread] = []
         self.sent: list[SentRequest] = []
@@ -77,25 +80,17 @@
             "Host": HOST_NAME,
             "X-Request-Id": sent.request_id,
             "X-Deadline-Ms": str(self._deadline_ms),
+            **self._headers,
         }
         path = f"{self._prefix}{sent.request_id}"
         try:
             connection.request("POST", path, b"body", headers)
             response = connection.getresponse()
-            response.read()
+            sent.has_seal = response.getheader("X-Response-Seal") is not None
+            sent.body = response.read()
             sent.status = response.status
         except (OSError, http.client.HTTPException) as error:
             sent.reason = repr(error)
         finally:
             connection.close()
         sent.answered_s = time.monotonic()
-
-
-def wait_until(check: Callable[[], bool], limit_s: float) -> bool:
-    """Wait until a check succeeds; return whether it did in time."""
-    until_s = time.monotonic() + limit_s
-    while time.monotonic() < until_s:
-        if check():
-            return True
-        time.sleep(0.02)
-    return check()
