--- a/review/support/cluster.py
+++ b/review/support/cluster.py
@@ -192,6 +192,7 @@
 enforce_fencing = false
 lease_ms = 3000
 thaw_ms = 300
+{self._cloud_settings()}
 [provider]
 address = "{store}"
 form = "objects"
