--- a/review/3/case.py
+++ b/review/3/case.py
@@ -27,7 +27,7 @@
 )
 WORK_S = 0.0375
 DEADLINE_MS = 800
-REQUESTS_PER_S = 8.0
+REQUESTS_PER_S = 5.0
 # The dispatcher is frozen for as long as the pages' longest freeze.
 FREEZE_S = 4.0
 # The replica's entry is removed this long after the freeze begins.
@@ -69,6 +69,11 @@
     cluster.run_on_loop(lambda: cluster.store.remove("servers", victim))
     removed_s = time.monotonic()
     cluster.note(f"the store has removed the entry of {victim}")
+    # The replica is replaced by another one.
+    successor = f"{victim}-new"
+    cluster.entry_fields[successor] = cluster.entry_fields[victim]
+    cluster.add_replica(successor, PLAIN_SERVICE, slots=6, event_s=WORK_S)
+    cluster.note(f"{successor} has registered")
     time.sleep(max(0.0, removed_s + DRAIN_S + LINGER_S - time.monotonic()))
     cluster.stop_replica(victim)
     cluster.note(f"{victim} exits")
--- a/review/build.sh
+++ b/review/build.sh
@@ -6,4 +6,4 @@
 cd "$root"
 python3 -m compileall -q standins review
 PYTHONPATH="$root:$root/target/deps" python3 -c \
-	"import review.support.main, review.support.clients, review.support.streams"
+	"import review.support.main, review.support.clients, review.support.trainer"
