Tell outages of the store from the loss of a daemon

Cause: a feed counted each failed call as an outage of its source, and the fleet took that for an outage of the store, after which missing entries are kept for 2.2 s. The source of most daemons is another daemon. Ruled out: that the removal was noticed too late; the followers' logs say "expired during a store outage, removal is delayed".

StoreOutages counts failed calls to the store only, unless somebody got an answer of the store meanwhile, and passes the age of its return on with the copies. Refusals by rate, listings of stale daemons and the own process's freezes are no outage.

--- a/features/steps/zone_relays_steps.py
+++ b/features/steps/zone_relays_steps.py
@@ -2,17 +2,23 @@
 
 import asyncio
 import random
-from collections import Counter
-from dataclasses import dataclass, field
 from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
 from starlette.requests import Request
 
-from features.support.copy_fleet import CopyFleet, FleetDaemon
+from features.support.fleet_play import (
+    HORIZON_S,
+    NEW_VERSION,
+    STALE_VERSION,
+    START_SPREAD_S,
+    Play,
+    now_s,
+    play_of,
+    victims_of,
+)
 from features.support.memory_objects import MemoryObjects
-from features.support.virtual_time import run_in_virtual_time
 from greengagetack.coordination.copies import CopyServer, decode_copy
 from greengagetack.coordination.messages import Member, decode
 from greengagetack.coordination.zone_relay import zone_candidates
@@ -21,15 +27,12 @@
 
 ZONES = "abcdefghijklmnopqr"
 LIMIT_S = 3.0
-START_SPREAD_S = 0.3
-HORIZON_S = 5.0
-OBSERVATION_S = 0.02
 BEFORE_CHANGE_S = 1.0
 LISTINGS = 200
 LISTING_PAUSE_S = 0.005
 OUTAGE_S = 10.0
 MAX_AGE_S = 1.5
-STALE_VERSION, OLD_VERSION, MIDDLE_VERSION, NEW_VERSION = 1, 2, 3, 4
+MIDDLE_VERSION = 3
 
 # -- the choice alone
 
@@ -114,89 +117,6 @@
     context.play = None
 
 
-def _play(context: Context) -> "Play":
-    """Run all collected steps and then the fleet for a while, once a scenario."""
-    if context.play is not None:
-        return context.play
-
-    async def run() -> Play:
-        fleet = CopyFleet(context.sizes, context.seeds)
-        play = Play(fleet)
-        await fleet.configure(STALE_VERSION)
-        await fleet.configure(OLD_VERSION)
-        for step in context.plan:
-            await step(play)
-        await play.watch_fleet()
-        return play
-
-    context.play = run_in_virtual_time(run())
-    return context.play
-
-
-def _now_s() -> float:
-    return asyncio.get_running_loop().time()
-
-
-@dataclass
-class Play:
-    """What is known of a run of a fleet; times are those of its loop."""
-
-    fleet: CopyFleet
-    # The time from which the limits of the scenario count.
-    began_s: float = 0.0
-    former: str = ""
-    subject: str = ""
-    newest: int = OLD_VERSION
-    # The claim's holder and the daemons that know it, by the time of the observation.
-    claims: list[tuple[float, str, set[str]]] = field(default_factory=list)
-
-    def mark(self) -> None:
-        """Let the limits of the scenario count from now."""
-        self.began_s = _now_s()
-        self.newest = self.fleet.newest_version()
-
-    async def start_all(self) -> None:
-        """Start all daemons."""
-        self.mark()
-        self.fleet.start_all()
-        await asyncio.sleep(START_SPREAD_S)
-
-    async def watch_fleet(self) -> None:
-        """Let the fleet run on and record the claim."""
-        while _now_s() < self.began_s + HORIZON_S:
-            holder = self.fleet.dispatcher()
-            knowing = {
-                node
-                for node, daemon in self.fleet.daemons.items()
-                if daemon.claim.holder is not None
-                and daemon.claim.holder.node == holder
-            }
-            self.claims.append((_now_s(), holder, knowing))
-            await asyncio.sleep(OBSERVATION_S)
-
-    def running(self) -> dict[str, FleetDaemon]:
-        """Return the daemons that run and reach others."""
-        network = self.fleet.network
-        unreached = network.cut | network.frozen | network.deaf
-        daemons = self.fleet.daemons.items()
-        return {node: daemon for node, daemon in daemons if node not in unreached}
-
-    def late(self, limit_s: float) -> list[str]:
-        """Return the daemons that did not have the newest configuration in time."""
-        until_s = self.began_s + limit_s
-        return [
-            node
-            for node, daemon in self.running().items()
-            if daemon.applied_before(until_s) != self.newest
-        ]
-
-    def calls(self, until_s: float) -> Counter[tuple[str, str]]:
-        """Return the calls to the store by method and kind."""
-        first_s, last_s = self.began_s, self.began_s + until_s
-        made = self.fleet.network.store_calls
-        return Counter(call for at_s, call in made if first_s <= at_s <= last_s)
-
-
 @when("all start within 0.3 s, {before}")
 def step_start(context: Context, before: str) -> None:
     async def start(play: Play) -> None:
@@ -221,7 +141,7 @@
 
 @then("all have the configuration within {limit:g} s")
 def step_ready(context: Context, limit: float) -> None:
-    late = _play(context).late(limit)
+    late = play_of(context).late(limit)
     assert not late, late
 
 
@@ -229,7 +149,7 @@
     "within 4 s the store is called at most {calls:d} times beside one entry for each"
 )
 def step_calls(context: Context, calls: int) -> None:
-    made = _play(context).calls(4.0)
+    made = play_of(context).calls(4.0)
     entries = made.pop(("write", "members"))
     assert entries <= sum(context.sizes) * 1.1, entries
     assert made.total() <= calls, made
@@ -272,14 +192,14 @@
 
 @then("it has the newest configuration within {limit:g} s")
 def step_newest(context: Context, limit: float) -> None:
-    play = _play(context)
+    play = play_of(context)
     assert play.subject not in play.late(limit), play.late(limit)
 
 
 @then("it has never applied an older one")
 @then("no daemon has ever applied an older one")
 def step_order(context: Context) -> None:
-    for node, daemon in _play(context).fleet.daemons.items():
+    for node, daemon in play_of(context).fleet.daemons.items():
         applied = [version for _, version in daemon.applied]
         assert applied == sorted(set(applied)), (node, applied)
         assert STALE_VERSION not in applied, node
@@ -296,32 +216,13 @@
     context.plan.append(run)
 
 
-def _victims(fleet: CopyFleet, text: str) -> list[str]:
-    """Return the daemons that a failure is about."""
-    relays = fleet.relays()
-    found: list[str] = []
-    if "dispatcher" in text:
-        found.append(fleet.dispatcher())
-    if "both relays" in text:
-        found += relays["b"]
-    elif "a relay" in text:
-        found.append(relays["b"][0])
-    if "all relays" in text:
-        found += [node for pair in relays.values() for node in pair]
-    if "a half of the daemons" in text:
-        found += sorted(fleet.daemons)[::2]
-    if "all daemons" in text:
-        found += list(fleet.daemons)
-    return found
-
-
 @when("this fails: {failure}")
 def step_failure(context: Context, failure: str) -> None:
     async def fail(play: Play) -> None:
         fleet, network = play.fleet, play.fleet.network
         play.former = fleet.dispatcher()
         play.mark()
-        victims = _victims(fleet, failure)
+        victims = victims_of(fleet, failure)
         network.is_store_silent = "silence" in failure or "the store" not in failure
         for node in victims:
             if "killed" in failure:
@@ -351,7 +252,7 @@
 
 @then("all daemons that run and reach another have it within 3 s")
 def step_in_force(context: Context) -> None:
-    play = _play(context)
+    play = play_of(context)
     late = play.late(LIMIT_S)
     assert not late, (len(late), late[:9], play.fleet.dispatcher(), play.fleet.relays())
 
@@ -365,13 +266,13 @@
 ) -> None:
     async def freeze(play: Play) -> None:
         fleet, network = play.fleet, play.fleet.network
-        play.subject = _victims(fleet, subject)[0]
+        play.subject = victims_of(fleet, subject)[0]
         fleet.freeze(play.subject)
         # The answers that wait for the VM have the first of the two.
         await fleet.configure(MIDDLE_VERSION)
         await asyncio.sleep(BEFORE_CHANGE_S)
         await fleet.configure(NEW_VERSION)
-        context.written_s = _now_s()
+        context.written_s = now_s()
         await asyncio.sleep(duration - BEFORE_CHANGE_S)
         network.answers.clear()
         if state == "gets no answers":
@@ -389,7 +290,7 @@
 
 @then("it answers no other daemon as if an older copy were confirmed")
 def step_no_old_copy(context: Context) -> None:
-    play = _play(context)
+    play = play_of(context)
     for answer in play.fleet.network.answers:
         assert answer.age_s <= MAX_AGE_S, answer
         is_old = answer.version < NEW_VERSION
@@ -399,20 +300,20 @@
 
 @then("all others have the configuration within 3 s of its return")
 def step_after_thaw(context: Context) -> None:
-    late = _play(context).late(LIMIT_S)
+    late = play_of(context).late(LIMIT_S)
     assert not late, late
 
 
 @then("another daemon holds the claim within {limit:g} s")
 def step_taken_over(context: Context, limit: float) -> None:
-    play = _play(context)
+    play = play_of(context)
     taken_s = min(at_s for at_s, holder, _ in play.claims if holder != play.former)
     assert taken_s - play.began_s <= limit, taken_s - play.began_s
 
 
 @then("all daemons that run know its holder within {limit:g} s")
 def step_know_holder(context: Context, limit: float) -> None:
-    play = _play(context)
+    play = play_of(context)
     until_s = play.began_s + limit
     holder, knowing = [(h, k) for at_s, h, k in play.claims if at_s <= until_s][-1]
     assert holder != play.former
@@ -422,7 +323,7 @@
 
 @then("in the 4 s after the failure at most {calls:d} calls concern the claim")
 def step_claim_calls(context: Context, calls: int) -> None:
-    made = _play(context).calls(4.0)
+    made = play_of(context).calls(4.0)
     concerned = {call: count for call, count in made.items() if call[1] == "dispatch"}
     assert sum(concerned.values()) <= calls, concerned
 
@@ -443,7 +344,7 @@
     "{calls:d} times"
 )
 def step_slow_calls(context: Context, calls: int) -> None:
-    play = _play(context)
+    play = play_of(context)
     assert not play.fleet.network.refusals, play.fleet.network.refusals
     made = play.calls(HORIZON_S)
     assert made.total() <= calls, made
@@ -454,7 +355,7 @@
     async def lose(play: Play) -> None:
         network = play.fleet.network
         network.storeless.update(play.fleet.daemons)
-        began_s = _now_s()
+        began_s = now_s()
         await asyncio.sleep(OUTAGE_S)
         context.outage_calls = [
             at_s for at_s, _ in network.store_calls if at_s > began_s
@@ -468,7 +369,7 @@
 
 @then("the store was called at most {calls:d} times in the outage")
 def step_outage_calls(context: Context, calls: int) -> None:
-    _play(context)
+    play_of(context)
     assert len(context.outage_calls) <= calls, len(context.outage_calls)
 
 
--- a/features/support/copy_fleet.py
+++ b/features/support/copy_fleet.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+import time
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -26,10 +27,18 @@
 from greengagetack.facts import FactCursor
 from greengagetack.freezes import FREEZE_TICK_S, FreezeWatch
 from greengagetack.http1.message import ResponseHead
-from greengagetack.objects.base import ObjectConflict, PlatformObject, WatchAnswer
+from greengagetack.objects.base import (
+    ObjectConflict,
+    PlatformObject,
+    StoreRateLimited,
+    WatchAnswer,
+)
 from greengagetack.objects.feed import Feed
+from greengagetack.objects.outages import StoreOutages
 from greengagetack.objects.transport import RelayedTransport, StoreResponse
 from greengagetack.observability.metrics import Metrics
+from greengagetack.replicas.fleet import Fleet
+from greengagetack.replicas.replica import Replica
 from greengagetack.world import Address
 
 __all__ = ["CONFIG_PATH", "CopyFleet", "FleetDaemon"]
@@ -44,6 +53,7 @@
 STORE_WATCH_MARGIN_S = 0.6
 OK = 200
 CONFLICT = 409
+TOO_MANY_REQUESTS = 429
 UNAVAILABLE = 503
 FIRST_PORT = 7_000
 
@@ -92,6 +102,8 @@
     deaf: set[str] = field(default_factory=set)
     storeless: set[str] = field(default_factory=set)
     is_store_silent: bool = False
+    # The store refuses all calls by rate until this time.
+    rate_limited_until_s: float = 0.0
     # Time of each answer of the store, beside the wait of a watch.
     store_s: float = STORE_S
     refusals: int = 0
@@ -140,6 +152,8 @@
             if network.is_store_silent:
                 await asyncio.Event().wait()
             return StoreResponse(UNAVAILABLE, b"")
+        if asyncio.get_running_loop().time() < network.rate_limited_until_s:
+            return StoreResponse(TOO_MANY_REQUESTS, b"")
         answer: Any = None
         try:
             if operation.name == "write":
@@ -204,6 +218,8 @@
         response = await self._transport.call("CALL", target, b"", wait_s)
         if response.status == CONFLICT:
             raise ObjectConflict(f"{operation.path} has another version")
+        if response.status == TOO_MANY_REQUESTS:
+            raise StoreRateLimited("the store is called too often", 0.1)
         if response.status != OK:
             raise PlatformUnavailable("the store does not answer this VM", 0.1)
         return response.body
@@ -279,6 +295,7 @@
         )
         self.ended = asyncio.Event()
         self.freezes = FreezeWatch()
+        self._outages = StoreOutages(self.freezes)
         # Versions of the configuration with the times at which they came into force.
         self.applied: list[tuple[float, int]] = []
         self._network = network
@@ -295,6 +312,7 @@
                 lambda prefix=prefix: self._wait_s(prefix),  # type: ignore[misc]
                 lambda prefix=prefix: self._pause_s(prefix),  # type: ignore[misc]
                 self.freezes,
+                self._outages,
             )
             for prefix in PREFIXES
         }
@@ -332,6 +350,11 @@
             self.feeds, lambda: self.claim.is_acting, self._roster.record_contact
         )
         self.feeds["config/"].subscribe(self._on_config)
+        self.fleet = Fleet(lambda: time.monotonic() - self._outages.since_return_s)
+        self.feeds["servers/"].subscribe(self._on_servers)
+        # Replicas that this daemon no longer uses, with the times of their removal.
+        self.removed: list[tuple[float, str]] = []
+        self.fleet.subscribe_removals(self._on_removal)
         self._tasks: list[asyncio.Task[None]] = []
 
     def _wait_s(self, prefix: str) -> float:
@@ -353,6 +376,16 @@
         now_s = asyncio.get_running_loop().time()
         self.applied += [(now_s, item.value["version"]) for item in changed]
 
+    def _on_servers(
+        self, changed: tuple[PlatformObject, ...], gone: tuple[str, ...]
+    ) -> None:
+        replicas = [_replica(stored) for stored in changed]
+        self.fleet.update(replicas, [path.partition("/")[2] for path in gone])
+
+    def _on_removal(self, replica: Replica) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.removed.append((now_s, replica.replica_id))
+
     def start(self) -> None:
         """Run the daemon's tasks."""
         parts = [feed.run() for feed in self.feeds.values()]
@@ -421,6 +454,11 @@
         return versions[-1] if versions else 0
 
 
+def _replica(stored: PlatformObject) -> Replica:
+    name = stored.path.partition("/")[2]
+    return Replica(name, "service", Address(name, FIRST_PORT), "a", 1, False)
+
+
 class CopyFleet:
     """Daemons in zones before one store."""
 
@@ -448,6 +486,14 @@
             CONFIG_PATH, value, known.version if known else 0
         )
 
+    async def register_replica(self, name: str) -> None:
+        """Write a replica's entry as the replica does."""
+        await self.network.store.write(f"servers/{name}", {}, 0)
+
+    async def remove_replica(self, name: str) -> None:
+        """Remove a replica's entry."""
+        await self.network.store.delete(f"servers/{name}")
+
     async def list_config_at(self, node: str) -> None:
         """List the configuration at a daemon, as a starting one does."""
         daemon = self.daemons[node]
--- a/greengagetack/coordination/copies.py
+++ b/greengagetack/coordination/copies.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 import zlib
 from collections.abc import Callable
 
@@ -29,6 +30,7 @@
 # the largest prefix are enough.
 MAX_CACHED_BYTES = 4 * 1024 * 1024
 AGE_HEADER = "x-copy-age-ms"
+STORE_RETURN_HEADER = "x-copy-store-return-age-ms"
 DISPATCHER_HEADER = "x-copy-dispatcher"
 PACKED_HEADER = "x-copy-packed"
 YES = "1"
@@ -100,6 +102,8 @@
             AGE_HEADER: str(int(answer.age_s * MS_PER_S)),
             DISPATCHER_HEADER: YES if self._is_dispatcher() else NO,
         }
+        if math.isfinite(answer.since_return_s):
+            headers[STORE_RETURN_HEADER] = str(int(answer.since_return_s * MS_PER_S))
         if encoded.is_packed:
             headers[PACKED_HEADER] = YES
         return Response(encoded.body, headers=headers)
@@ -110,7 +114,9 @@
         known = self._encoded.get(key)
         if known is not None:
             return known
-        body = encode(dataclasses.replace(answer, age_s=0.0))
+        # The headers have the times.
+        fixed = WatchAnswer(answer.revision, answer.objects, answer.deleted)
+        body = encode(fixed)
         is_packed = accepts_packed and len(body) > MIN_PACKED_BYTES
         if is_packed:
             body = zlib.compress(body, PACKING_LEVEL)
@@ -138,8 +144,11 @@
     if header(headers, PACKED_HEADER.encode()) == YES.encode():
         body = _unpack(body)
     answer = decode(body, type=WatchAnswer)
-    age_ms = int(header(headers, AGE_HEADER.encode()) or b"0")
-    return dataclasses.replace(answer, age_s=age_ms / MS_PER_S)
+    age_ms = float(header(headers, AGE_HEADER.encode()) or b"0")
+    return_age_ms = float(header(headers, STORE_RETURN_HEADER.encode()) or b"inf")
+    return dataclasses.replace(
+        answer, age_s=age_ms / MS_PER_S, since_return_s=return_age_ms / MS_PER_S
+    )
 
 
 def is_from_dispatcher(headers: Headers) -> bool:
--- a/greengagetack/objects/base.py
+++ b/greengagetack/objects/base.py
@@ -3,7 +3,12 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from greengagetack.errors import CodedError, Outcome, register_error
+from greengagetack.errors import (
+    CodedError,
+    Outcome,
+    PlatformUnavailable,
+    register_error,
+)
 from greengagetack.world import VmState
 
 __all__ = [
@@ -12,6 +17,7 @@
     "ObjectConflict",
     "ObjectStore",
     "PlatformObject",
+    "StoreRateLimited",
     "WatchAnswer",
     "WatchedStore",
     "WriteUnknown",
@@ -46,6 +52,10 @@
     remedy = "List the objects again and watch from the listing's revision."
 
 
+class StoreRateLimited(PlatformUnavailable):
+    """The store refused a call because too many are made; it serves others."""
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformObject:
     """An object; `version` grows with each write, `change_id` names the last one."""
@@ -62,12 +72,15 @@
 
     `deleted` holds the paths of removed objects. `age_s` is the time since the store
     confirmed the copy from which a daemon answers; the store's own answers have none.
+    `since_return_s` is the time since the end of the store's last outage, infinite if
+    that daemon knows of none.
     """
 
     revision: int
     objects: tuple[PlatformObject, ...]
     deleted: tuple[str, ...] = ()
     age_s: float = 0.0
+    since_return_s: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagetack/objects/feed.py
+++ b/greengagetack/objects/feed.py
@@ -9,9 +9,10 @@
 
 from loguru import logger
 
-from greengagetack.errors import CodedError, PlatformUnavailable
+from greengagetack.errors import CodedError, PeerUnreachable, PlatformUnavailable
 from greengagetack.freezes import FreezeWatch, boottime_s
 from greengagetack.objects.base import HistoryGone, PlatformObject, WatchAnswer
+from greengagetack.objects.outages import StoreOutages
 
 __all__ = ["Feed", "FeedListener", "FeedSource"]
 
@@ -58,6 +59,8 @@
     freezes : FreezeWatch or None
         Tells whether an answer may have been waiting for this process, None if that
         is not watched.
+    outages : StoreOutages or None
+        Learns which calls the store has answered, None if that does not matter here.
     """
 
     def __init__(
@@ -67,18 +70,20 @@
         wait_s: Callable[[], float],
         pause_s: Callable[[], float] = lambda: 0.0,
         freezes: FreezeWatch | None = None,
+        outages: StoreOutages | None = None,
     ) -> None:
         self._next_source = next_source
         self.prefix = prefix
         self._wait_s = wait_s
         self._pause_s = pause_s
         self._freezes = freezes
+        self._outages = outages
         self._listeners: list[FeedListener] = []
         self.objects: dict[str, PlatformObject] = {}
         self.synced = asyncio.Event()
         self.last_answer_s = float("-inf")
         self.last_failure_s = float("-inf")
-        self._recovered_s = float("-inf")
+        self._sent_s = float("-inf")
         self._confirmed_s = float("-inf")
         self.revision = 0
         self.change_count = 0
@@ -124,8 +129,7 @@
                 await asyncio.sleep(retry_pause_s)
                 retry_pause_s = min(MAX_RETRY_PAUSE_S, retry_pause_s * 2)
                 continue
-            if self._is_failing():
-                self._recovered_s = time.monotonic()
+            if self.last_failure_s > self.last_answer_s > float("-inf"):
                 logger.info(
                     "feed: recovered",
                     prefix=self.prefix,
@@ -138,28 +142,30 @@
     async def _list_or_watch(self, source: FeedSource) -> None:
         if self._needs_list:
             self._needs_list = False
-            sent_s = boottime_s()
+            self._sent_s = boottime_s()
             try:
                 listing = await source.list(self.prefix)
+                confirmed_s = self._record_contact(listing, boottime_s())
                 self._apply_listing(listing)
             except CodedError:
                 self._needs_list = True
                 raise
             self._is_refresh_due = False
-            self._record_confirmation(listing, sent_s, boottime_s())
+            self.confirm(confirmed_s)
             return
         wait_s = self._wait_s()
-        sent_s = boottime_s()
+        self._sent_s = boottime_s()
         watch = source.watch(self.prefix, self.revision, wait_s)
         self._watch_task = asyncio.ensure_future(watch)
         try:
             update = await self._watch_task
-            self._apply_changes(update)
             answered_s = boottime_s()
             if not update.objects and not update.deleted:
                 # Without a change, the answer was due when the wait ended.
-                answered_s = min(answered_s, sent_s + wait_s)
-            self._record_confirmation(update, sent_s, answered_s)
+                answered_s = min(answered_s, self._sent_s + wait_s)
+            confirmed_s = self._record_contact(update, answered_s)
+            self._apply_changes(update)
+            self.confirm(confirmed_s)
         except asyncio.CancelledError:
             task = asyncio.current_task()
             if task is None or task.cancelling():
@@ -171,12 +177,15 @@
         if (update.objects or update.deleted) and self._pause_s():
             await asyncio.sleep(self._pause_s())
 
-    def _record_confirmation(
-        self, answer: WatchAnswer, sent_s: float, answered_s: float
-    ) -> None:
-        if self._freezes is not None and self._freezes.was_frozen_since(sent_s):
-            answered_s = sent_s
-        self.confirm(answered_s - answer.age_s)
+    def _record_contact(self, answer: WatchAnswer, answered_s: float) -> float:
+        """Return when the store confirmed an answer, and record what it shows."""
+        if self._freezes is not None and self._freezes.was_frozen_since(self._sent_s):
+            answered_s = self._sent_s
+        confirmed_s = answered_s - answer.age_s
+        if self._outages is not None:
+            self._outages.learn_return(answer.since_return_s)
+            self._outages.record_answer(confirmed_s)
+        return confirmed_s
 
     def confirm(self, confirmed_s: float) -> None:
         """Record that the copy was up to date at a time of `boottime_s`."""
@@ -196,17 +205,6 @@
         if self._watch_task is not None:
             self._watch_task.cancel()
 
-    def _is_failing(self) -> bool:
-        return self.last_failure_s > self.last_answer_s > float("-inf")
-
-    def recovered_s(self) -> float:
-        """Return the monotonic time of the last return of the source.
-
-        This is now while the first answer after a failure is being applied, and minus
-        infinity if the source has never failed.
-        """
-        return time.monotonic() if self._is_failing() else self._recovered_s
-
     def _record_failure(self, error: CodedError) -> None:
         if self.last_failure_s <= self.last_answer_s:
             logger.warning(
@@ -216,10 +214,13 @@
                 reason=error.reason,
             )
         self.last_failure_s = time.monotonic()
+        if self._outages is not None:
+            self._outages.record_failure(error, self._sent_s)
 
     def _apply_listing(self, update: WatchAnswer) -> None:
         if update.revision < self.revision:
-            raise PlatformUnavailable(
+            # Only a daemon's copy can be older than what has been seen.
+            raise PeerUnreachable(
                 f"the listing of {self.prefix} is older than the local copy"
             )
         listed = {item.path for item in update.objects}
@@ -268,9 +269,16 @@
         """
         self._require_up_to_date()
         return WatchAnswer(
-            self.revision, tuple(self.objects.values()), age_s=self.age_s
+            self.revision,
+            tuple(self.objects.values()),
+            age_s=self.age_s,
+            since_return_s=self._since_return_s,
         )
 
+    @property
+    def _since_return_s(self) -> float:
+        return float("inf") if self._outages is None else self._outages.since_return_s
+
     async def wait_for_changes(
         self, after: int, timeout_s: float, known_age_s: float | None = None
     ) -> WatchAnswer:
@@ -315,6 +323,7 @@
             tuple(objects),
             tuple(path for path in deleted if path not in self.objects),
             self.age_s,
+            self._since_return_s,
         )
 
     def _require_up_to_date(self) -> None:
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -45,6 +45,7 @@
 from greengagetack.http1.pool import Pool
 from greengagetack.objects.base import PlatformObject
 from greengagetack.objects.feed import Feed
+from greengagetack.objects.outages import StoreOutages
 from greengagetack.objects.transport import (
     DirectTransport,
     RelayedTransport,
@@ -118,6 +119,7 @@
         )
         self._store = PlatformStore(self._transport, facts.value_limit_bytes)
         self._freezes = FreezeWatch()
+        self._outages = StoreOutages(self._freezes)
         self._config_feed = self._make_shared_feed(f"{wire.CONFIG_KIND}/")
         self._servers_feed = self._make_shared_feed(f"{wire.SERVERS_KIND}/")
         self._members_feed = Feed(
@@ -126,6 +128,7 @@
             lambda: self._source_selector.long_wait_s(MEMBERS_PREFIX),
             lambda: self._source_selector.long_pause_s(MEMBERS_PREFIX),
             self._freezes,
+            self._outages,
         )
         self._claims_feed = Feed(
             lambda: self._source_selector.next_claim_source(),
@@ -140,7 +143,9 @@
         self._jobs_feed = Feed(
             lambda: self._store, JOBS_PREFIX, lambda: JOB_WATCH_WAIT_S
         )
-        self._fleet = Fleet(lambda: self._servers_feed.recovered_s(), facts.drain_s)
+        self._fleet = Fleet(
+            lambda: time.monotonic() - self._outages.since_return_s, facts.drain_s
+        )
         self._roster = Roster(
             self._local_member,
             self._store,
@@ -359,6 +364,7 @@
             lambda: self._source_selector.wait_s(prefix),
             lambda: self._source_selector.pause_s(prefix),
             self._freezes,
+            self._outages,
         )
 
     async def _relay_call(
--- a/greengagetack/platform/store.py
+++ b/greengagetack/platform/store.py
@@ -14,6 +14,7 @@
     HistoryGone,
     ObjectConflict,
     PlatformObject,
+    StoreRateLimited,
     WatchAnswer,
     WriteUnknown,
 )
@@ -36,6 +37,7 @@
 NOT_FOUND = 404
 CONFLICT = 409
 GONE = 410
+TOO_MANY_REQUESTS = 429
 
 
 class _Metadata(msgspec.Struct, frozen=True):
@@ -274,7 +276,9 @@
     response: StoreResponse, path: str, expected_type: Any, status: int = OK
 ) -> Any:
     if response.status != status:
-        raise PlatformUnavailable(
+        is_limited = response.status == TOO_MANY_REQUESTS
+        error_type = StoreRateLimited if is_limited else PlatformUnavailable
+        raise error_type(
             f"{path}: the store responded with status {response.status}", RETRY_AFTER_S
         )
     try:
--- a/greengagetack/replicas/fleet.py
+++ b/greengagetack/replicas/fleet.py
@@ -151,7 +151,9 @@
             self._remove(replica_id, state)
             return
         logger.info(
-            "replicas: {} expired during a store outage, removal is delayed", replica_id
+            "replicas: {} expired during a store outage, removal is delayed",
+            replica_id,
+            delay_ms=int(delay_s * 1000),
         )
         self._expired_ids.add(replica_id)
         loop = asyncio.get_running_loop()
