Remember in the store which software versions served lately

Cause: a take-up of unknown origin is refused if several versions served in the last 120 s, but origins and versions that had left were in daemons' memories alone.

The owner of the facts publishes the versions, the archive of the facts keeps them, and a daemon that knows of one version only reads the archive before it lets a stream of unknown origin go on. Without an answer of the store it refuses, as not run.

--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -74,6 +74,26 @@
       | edge-1 | the replicas of v1 leave    | edge-2 | 1       |
       | edge-1 | the replicas of v1 leave    | edge-1 | 1       |
 
+  Scenario Outline: A caller that takes streams up after all daemons were killed
+    Given a platform with 4 engines and 2 daemons
+    And the engines send an event every 50 ms
+    And replicas engine-3,engine-4 run software <software>
+    And the daemons have had time to list each other
+    When 2 events of 12 chat streams are read at edge-1
+    And <before>
+    And all daemons are killed, <meanwhile>, and they start again
+    And the streams are taken up at edge-2
+    Then at least <resumed> of them go on to their ends, the others are refused at once
+    And no stream was continued by another software version
+
+    Examples:
+      | software | before                            | meanwhile                       | resumed |
+      | v2       | nothing is lost                   | nothing is lost                 | 0       |
+      | v2       | the entries of v1 are removed     | nothing is lost                 | 0       |
+      | v2       | nothing is lost                   | the entries of v1 are removed   | 0       |
+      | v2       | the entries of v1 are removed     | all daemons are killed again    | 0       |
+      | v1       | nothing is lost                   | nothing is lost                 | 12      |
+
   Scenario Outline: Software versions that may have begun a stream
     Given a fleet whose replicas run software v1
     When these changes follow: <changes>
--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
+from functools import partial
 from typing import Any
 from unittest.mock import patch
 
@@ -182,6 +183,29 @@
     time.sleep(SPREAD_S)
 
 
+@when("the entries of {software} are removed")
+def step_removed(context: Context, software: str) -> None:
+    cluster = context.cluster
+    for name, replica in cluster.replicas.items():
+        if replica.software == software:
+            cluster.run_on_loop(partial(cluster.store.remove, "servers", name))
+    time.sleep(SPREAD_S)
+
+
+@when("all daemons are killed, {meanwhile}, and they start again")
+def step_kill_all(context: Context, meanwhile: str) -> None:
+    cluster = context.cluster
+    for process in cluster.edges.values():
+        process.kill()
+    if meanwhile == "all daemons are killed again":
+        cluster.start_edges(len(cluster.edges))
+        for process in cluster.edges.values():
+            process.kill()
+    elif meanwhile != "nothing is lost":
+        context.execute_steps(f"When {meanwhile}")
+    cluster.start_edges(len(cluster.edges))
+
+
 @when("the streams are taken up at {edge}")
 def step_take_up(context: Context, edge: str) -> None:
     def take_up(request_id: str) -> tuple[int, list[str], float]:
--- a/features/support/cut_network.py
+++ b/features/support/cut_network.py
@@ -9,6 +9,8 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
+from features.support.memory_objects import MemoryObjects
+from greengagetack.coordination.fact_archive import FactArchive
 from greengagetack.errors import CodedError, PeerUnreachable
 from greengagetack.facts import FactTable
 from greengagetack.gateway.attempt import Reply
@@ -17,6 +19,7 @@
 from greengagetack.gateway.detours import Detours, RelayedAnswer, RelayedRequest
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.routes import RequestKind, Route
+from greengagetack.gateway.software_history import SoftwareHistory
 from greengagetack.gateway.stream_origins import StreamOrigins
 from greengagetack.gateway.suspects import Suspects
 from greengagetack.gateway.zone_routing import ZoneRouting
@@ -240,6 +243,7 @@
             PlatformDialect(),
             Permits(fleet, owner, facts, metrics),  # type: ignore[arg-type]
             StreamOrigins(owner, self.addresses[number]),  # type: ignore[arg-type]
+            SoftwareHistory(fleet, facts, FactArchive(MemoryObjects(), facts)),
             Suspects(fleet, pool, paths, owner, facts, metrics),  # type: ignore[arg-type]
             paths,
             Detours(_Peers(self, number), self.addresses[number], metrics),
--- a/greengagetack/coordination/fact_archive.py
+++ b/greengagetack/coordination/fact_archive.py
@@ -1,13 +1,13 @@
 """greengagetack.coordination.fact_archive: keeps facts when all daemons are lost."""
 
 import time
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 import msgspec
 from loguru import logger
 
 from greengagetack.errors import CodedError
-from greengagetack.facts import Fact, FactTable
+from greengagetack.facts import FACT_TYPES, Fact, FactTable, decode_fact
 from greengagetack.objects.base import ObjectConflict, PlatformObject
 
 __all__ = ["ARCHIVE_PATH", "ArchiveStore", "FactArchive"]
@@ -15,6 +15,8 @@
 ARCHIVE_PATH = "facts/main"
 WRITE_TIMEOUT_S = 0.4
 
+T = TypeVar("T")
+
 
 class _SavedFact(msgspec.Struct, frozen=True):
     topic: str
@@ -64,23 +66,30 @@
         except CodedError as error:
             logger.info("facts: not synchronized: {}", error.reason)
 
+    async def saved(self, value_type: type[T]) -> tuple[T, ...]:
+        """Return the saved facts of one type, at any daemon.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If the store does not answer.
+        """
+        stored = await self._store.read(ARCHIVE_PATH)
+        found: list[T] = []
+        for fact in _unexpired(stored):
+            if FACT_TYPES.get(fact.topic) is not value_type:
+                continue
+            try:
+                found.append(decode_fact(fact))
+            except msgspec.ValidationError as error:
+                logger.warning("facts: saved {} is invalid: {}", fact.key, error)
+        return tuple(found)
+
     async def _load(self) -> None:
         stored = await self._store.read(ARCHIVE_PATH)
         self._is_loaded = True
         self._version = 0 if stored is None else stored.version
-        if stored is None:
-            return
-        try:
-            saved = msgspec.convert(stored.value, list[_SavedFact])
-        except msgspec.ValidationError as error:
-            logger.warning("facts: the archive cannot be decoded: {}", error)
-            return
-        now_s = time.time()
-        facts = tuple(
-            Fact(fact.topic, fact.key, fact.value, fact.expires_s - now_s)
-            for fact in saved
-            if fact.expires_s > now_s
-        )
+        facts = _unexpired(stored)
         self._table.restore(facts)
         self._saved = _identities(facts)
         logger.info("facts: loaded from the archive", facts=len(facts))
@@ -103,5 +112,22 @@
         self._saved = identities
 
 
+def _unexpired(stored: PlatformObject | None) -> tuple[Fact, ...]:
+    """Return the facts of an archive that still hold, none without an archive."""
+    if stored is None:
+        return ()
+    try:
+        saved = msgspec.convert(stored.value, list[_SavedFact])
+    except msgspec.ValidationError as error:
+        logger.warning("facts: the archive cannot be decoded: {}", error)
+        return ()
+    now_s = time.time()
+    return tuple(
+        Fact(fact.topic, fact.key, fact.value, fact.expires_s - now_s)
+        for fact in saved
+        if fact.expires_s > now_s
+    )
+
+
 def _identities(facts: tuple[Fact, ...]) -> set[tuple[str, str, str]]:
     return {(fact.topic, fact.key, repr(fact.value)) for fact in facts}
--- a/greengagetack/facts.py
+++ b/greengagetack/facts.py
@@ -20,6 +20,7 @@
     "FactCursor",
     "FactTable",
     "FactUpdate",
+    "decode_fact",
     "fact_type",
 ]
 
@@ -144,6 +145,15 @@
         entry = self._entries.get((_TOPICS[value_type], key))
         return None if entry is None else entry.value
 
+    def values(self, value_type: type[T]) -> tuple[T, ...]:
+        """Return all known facts of one type."""
+        topic = _TOPICS[value_type]
+        return tuple(
+            entry.value
+            for (found, _), entry in self._entries.items()
+            if found == topic and entry.value is not None
+        )
+
     def remaining_s(self, value_type: type, key: str) -> float | None:
         """Return how long a fact still lasts, None if it is not known."""
         entry = self._entries.get((_TOPICS[value_type], key))
@@ -244,7 +254,7 @@
 
     def _learn(self, fact: Fact, revision: int) -> None:
         try:
-            value = _decode(fact)
+            value = decode_fact(fact)
         except msgspec.ValidationError as error:
             logger.warning("facts: {} {} is invalid: {}", fact.topic, fact.key, error)
             return
@@ -258,7 +268,7 @@
             if known is not None and known.value is None:
                 continue
             try:
-                value = _decode(fact)
+                value = decode_fact(fact)
             except msgspec.ValidationError as error:
                 logger.warning(
                     "facts: saved {} {} is invalid: {}", fact.topic, fact.key, error
@@ -297,7 +307,7 @@
                 listener(key, None)
 
 
-def _decode(fact: Fact) -> Any:
+def decode_fact(fact: Fact) -> Any:
     """Return the value of a received fact, None for a retracted one.
 
     Raises
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -26,10 +26,8 @@
     AttemptResult,
 )
 from greengagetack.gateway.routes import Route
-from greengagetack.gateway.stream_origins import (
-    RETENTION_S,
-    StreamOrigins,
-)
+from greengagetack.gateway.software_history import SoftwareHistory
+from greengagetack.gateway.stream_origins import StreamOrigins
 from greengagetack.gateway.suspects import Suspects
 from greengagetack.gateway.zone_routing import ZoneReading, ZoneRouting
 from greengagetack.http1.connection import Connection
@@ -71,6 +69,7 @@
         dialect: ReplicaDialect,
         permits: Permits,
         origins: StreamOrigins,
+        software_history: SoftwareHistory,
         suspects: Suspects,
         paths: ReplicaPaths,
         detours: Detours,
@@ -83,6 +82,7 @@
         self._dialect = dialect
         self._permits = permits
         self.origins = origins
+        self.software_history = software_history
         self.suspects = suspects
         self.paths = paths
         self.detours = detours
@@ -148,10 +148,6 @@
         """Return a view of the zones' shares that changes none."""
         return self._zones.reading()
 
-    def recent_software(self, service: str) -> set[str]:
-        """Return the software versions that may have begun a stream still read."""
-        return self._fleet.recent_software(service, RETENTION_S)
-
     def serving_replicas(
         self, service: str, software: str | None
     ) -> list[ReplicaState]:
--- a/greengagetack/gateway/request_run.py
+++ b/greengagetack/gateway/request_run.py
@@ -13,6 +13,7 @@
     EndpointFailed,
     EndpointRefused,
     NoEndpoint,
+    PlatformUnavailable,
 )
 from greengagetack.gateway.attempt import Attempt, AttemptTerms, Reply
 from greengagetack.gateway.call import Call
@@ -86,20 +87,28 @@
         Raises
         ------
         NoEndpoint
-            If that is not known, and replicas of several versions served lately.
+            If that is not known, and several versions served lately or may have.
         """
         if not self._call.resumes or self._route.kind is not RequestKind.STREAM:
             return
         self._software = await self._forwarder.origins.find(self._call.resumes)
         if self._software is not None:
             return
-        versions = self._forwarder.recent_software(self._service)
+        try:
+            versions = await self._forwarder.software_history.recent(self._service)
+        except PlatformUnavailable as error:
+            raise NoEndpoint(
+                f"the software version that began stream {self._call.resumes} is "
+                f"unknown, and so is which versions served lately: {error.reason}",
+                self.admission.retry_after_s(),
+            ) from error
         if len(versions) > 1:
             raise NoEndpoint(
                 f"the software version that began stream {self._call.resumes} is "
                 f"unknown, and {len(versions)} versions served lately",
                 self.admission.retry_after_s(),
             )
+        self._software = next(iter(versions), None)
 
     async def execute(self) -> Reply:
         """Try replicas until one responds or no retry is allowed."""
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -37,6 +37,7 @@
 from greengagetack.gateway.detours import Detours
 from greengagetack.gateway.forward import Forwarder
 from greengagetack.gateway.routes import Configuration, Limits, Route, RouteTable
+from greengagetack.gateway.software_history import SoftwareHistory
 from greengagetack.gateway.stream_origins import StreamOrigins
 from greengagetack.gateway.suspects import Suspects
 from greengagetack.gateway.zone_load import TICK_S, ZoneLoads
@@ -189,6 +190,9 @@
             lambda: len(self._roster.member_addresses()),
         )
         self._stream_origins = StreamOrigins(self._peers, facts.control)
+        self._software_history = SoftwareHistory(
+            self._fleet, self._fact_table, self._fact_archive
+        )
         self._duties = make_duty_parts(
             facts,
             self._local_member,
@@ -229,6 +233,7 @@
             dialect,
             self._permits,
             self._stream_origins,
+            self._software_history,
             self._suspects,
             self._paths,
             Detours(self._peers, facts.control, self._metrics),
@@ -550,6 +555,9 @@
         self._timer.subscribe(
             PUBLISH_INTERVAL_S, self._permits.publish_changes, "rate limits"
         )
+        self._timer.subscribe(
+            PUBLISH_INTERVAL_S, self._software_history.publish_changes, "software"
+        )
         self._timer.subscribe(FREEZE_TICK_S, self._freezes.tick, "freezes")
         self._timer.subscribe(PATH_INTERVAL_S, self._path_watch.tick, "paths")
         self._timer.subscribe(TICK_S, self._zone_loads.tick, "zone loads")
