Pass on only the events that are due in a caller's stream

Cause: an answer by way of another daemon was taken for a stream whatever its status, and a stream's bytes were passed on without asking whether they are events, or those that are due. Over its own links a daemon gave the stream up at the first error.

EventBlocks checks lines, identifiers and their order; other bytes end that replica's part of the stream, which is resumed after its last event. Only a sealed 200 is a stream. An error to a resume counts as a run, and the next replica is tried while the route allows another. A stream without a length or an event is incomplete, also an item's.

--- a/features/support/cut_network.py
+++ b/features/support/cut_network.py
@@ -5,9 +5,10 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from typing import Any
 
 from features.support.memory_objects import MemoryObjects
 from greengagetack.coordination.fact_archive import FactArchive
@@ -41,7 +42,7 @@
 from greengagetack.replicas.zone_cost import ZoneCost
 from greengagetack.world import Address
 
-__all__ = ["CutNetwork", "Outcome"]
+__all__ = ["SERVICE", "CutNetwork", "Outcome"]
 
 SERVICE = "fieldbook"
 CONNECT_S = 0.001
@@ -76,6 +77,8 @@
 class _Connection:
     """An established connection of a daemon to a replica."""
 
+    ends_at_close = False
+
     def __init__(self, network: "CutNetwork", daemon: int, replica: str) -> None:
         self._network = network
         self._daemon = daemon
@@ -157,7 +160,11 @@
 
 
 class _NoOwner:
-    """Stands for the owner of the facts, which is out of reach."""
+    """Stands for the owner of the facts and the other daemons, all out of reach."""
+
+    def member_addresses(self) -> tuple[Address, ...]:
+        """Return no daemons."""
+        return ()
 
     async def send_crash_reports(self, reports: tuple[CrashReport, ...]) -> None:
         """Fail."""
@@ -191,7 +198,13 @@
 class CutNetwork:
     """Daemons in two availability zones before the replicas of one service."""
 
-    def __init__(self, daemons: int, replicas: int, kind: RequestKind) -> None:
+    def __init__(
+        self,
+        daemons: int,
+        replicas: int,
+        kind: RequestKind,
+        addresses: Sequence[Address] | None = None,
+    ) -> None:
         self.kind = kind
         # The customer whose requests are sent.
         self.customer: str | None = None
@@ -206,9 +219,11 @@
         self.urgency: int | None = None
         # When daemons asked another one to send a request.
         self.detoured_s: list[float] = []
+        if addresses is None:
+            addresses = [Address("10.0.0.1", port) for port in range(1, replicas + 1)]
         self._replicas = [
-            Replica(f"r{port}", SERVICE, Address("10.0.0.1", port), "zone-0", 8, False)
-            for port in range(1, replicas + 1)
+            Replica(f"r{address.port}", SERVICE, address, "zone-0", 8, False)
+            for address in addresses
         ]
         self.addresses = tuple(Address("10.1.0.1", port) for port in range(daemons))
         self.forwarders = [self._build(number) for number in range(daemons)]
@@ -229,17 +244,21 @@
         """Return how many requests were sent by way of another daemon."""
         return sum(at_s >= from_s for at_s in self.detoured_s)
 
+    def _make_pool(self, number: int) -> Any:
+        """Return a daemon's connections to the replicas."""
+        return _Pool(self, number)
+
     def _build(self, number: int) -> Forwarder:
         fleet = Fleet(lambda: float("-inf"))
         fleet.update(self._replicas, [])
-        pool = _Pool(self, number)
+        pool = self._make_pool(number)
         facts = FactTable(f"daemon-{number}", lambda: False)
         metrics = Metrics()
         owner = _NoOwner()
         paths = ReplicaPaths(fleet, pool)
         return Forwarder(
             fleet,
-            pool,  # type: ignore[arg-type]
+            pool,
             PlatformDialect(),
             Permits(fleet, owner, facts, metrics),  # type: ignore[arg-type]
             StreamOrigins(owner, self.addresses[number]),  # type: ignore[arg-type]
--- a/greengagetack/batches/item_run.py
+++ b/greengagetack/batches/item_run.py
@@ -148,6 +148,8 @@
         if not part:
             if parser.has_partial_event:
                 return RunEnd.BROKEN, "the stream ended in the middle of an event"
+            if connection.ends_at_close and not last_event_s:
+                return RunEnd.BROKEN, "a stream without a length had no event"
             progress.is_complete = True
             return RunEnd.COMPLETED, ""
         for event in parser.feed(part):
--- a/greengagetack/gateway/call.py
+++ b/greengagetack/gateway/call.py
@@ -25,7 +25,8 @@
     """A request as the caller sent it; header names are lower case.
 
     `resumes` is the identifier of the request that began the stream, if this one takes
-    a stream up after a later event, else an empty string. `is_deferred` tells that the
+    a stream up, and `after_event` that of the last event received; both are empty for
+    a new stream. `is_deferred` tells that the
     request belongs to an item that was accepted earlier and is owed.
 
     `customer` is the name that replicas get: empty on a public route, None if the
@@ -42,6 +43,7 @@
     is_deferred: bool = False
     customer: str | None = None
     urgency: int | None = None
+    after_event: str = ""
 
     @property
     def routing_id(self) -> str:
--- a/greengagetack/gateway/detours.py
+++ b/greengagetack/gateway/detours.py
@@ -27,6 +27,7 @@
 # A daemon that could not send a request on is not asked again for this long.
 PEER_PAUSE_S = 1.0
 MS_PER_S = 1_000
+OK = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,7 +157,12 @@
         )
         try:
             answer, parts = await self._peers.send_relayed(address, request)
-            is_stream = terms.is_streaming and answer.result is AttemptResult.ANSWERED
+            # The body of an error is no part of a stream.
+            is_stream = (
+                terms.is_streaming
+                and answer.result is AttemptResult.ANSWERED
+                and answer.status == OK
+            )
             body = b"" if is_stream else b"".join([part async for part in parts])
         except CodedError as error:
             self._pause(service, address, error.reason)
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -32,7 +32,7 @@
 from greengagetack.gateway.zone_routing import ZoneReading, ZoneRouting
 from greengagetack.http1.connection import Connection
 from greengagetack.http1.memory import ResponseMemory
-from greengagetack.http1.message import ExchangeError
+from greengagetack.http1.message import ExchangeError, IncompleteResponse
 from greengagetack.http1.pool import Pool
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.replicas.paths import ReplicaPaths
@@ -209,13 +209,15 @@
                 if execution is not ExecutionStatus.OTHER_REPLICA:
                     record_announcements(state, self._dialect, head)
                 is_stream = terms.is_streaming and head.status == OK
-                if execution is ExecutionStatus.RAN and is_stream:
+                is_genuine = self._dialect.is_genuine(head)
+                if execution is ExecutionStatus.RAN and is_stream and is_genuine:
                     is_handed_over = True
                     parts = self._stream(call, connection, pool_context, state)
                     reply = Reply(head, b"", parts)
                     software = replica.software_version
                     return Attempt(AttemptResult.ANSWERED, reply, "", software)
-                body = await self._memory.read_all(connection)
+                # A stream that is no replica's answer need not end.
+                body = b"" if is_stream else await self._memory.read_all(connection)
                 size_bytes = len(call.body) + len(body)
                 self._zones.record_size(
                     replica.service, replica.availability_zone, size_bytes
@@ -257,7 +259,7 @@
                 terms.usage.record_refused(sent_s)
             reason = f"replica {replica.replica_id} refused with status {head.status}"
             return Attempt(AttemptResult.NOT_RUN, None, reason)
-        if not self._dialect.is_genuine(head):
+        if not is_genuine:
             state.record_failure()
             self._record_outcome(state, True)
             reason = (
@@ -328,12 +330,16 @@
         state: ReplicaState,
     ) -> AsyncIterator[bytes]:
         replica = state.replica
+        received_bytes = 0
         try:
             while part := await connection.read():
+                received_bytes += len(part)
                 self._zones.record_size(
                     replica.service, replica.availability_zone, len(part), False
                 )
                 yield part
+            if connection.ends_at_close and not received_bytes:
+                raise IncompleteResponse("a stream without a length had no event")
             state.record_success()
             self._record_outcome(state, False)
             self.suspects.record_answer(call, state.replica.service)
--- a/greengagetack/gateway/request_run.py
+++ b/greengagetack/gateway/request_run.py
@@ -231,7 +231,8 @@
     async def _resume(self, after_event: str) -> AsyncIterator[bytes] | None:
         """Resume the stream after an event, preferably at a replica not yet tried.
 
-        Without a replica of the software that began it, the stream ends at once.
+        Without a replica of the software that began it, the stream ends at once. A
+        replica that answers with an error has run the request like any other.
         """
         while time.monotonic() < self._deadline_s:
             if not self._forwarder.serving_replicas(self._service, self._software):
@@ -249,13 +250,20 @@
                     attempt = await pending
             except TimeoutError:
                 return None
-            if attempt.result is AttemptResult.ANSWERED:
+            if attempt.result is not AttemptResult.ANSWERED:
+                continue
+            assert attempt.reply is not None
+            if attempt.reply.parts is not None:
                 logger.info(
                     "forward: stream goes on",
                     request_id=self._call.request_id,
                     software=attempt.software,
                 )
-                return attempt.reply.parts if attempt.reply else None
+                return attempt.reply.parts
+            self._run_count += 1
+            self._log(f"stream not resumed, status {attempt.reply.head.status}")
+            if self._run_count >= self._route.max_attempts:
+                return None
         return None
 
     def _is_path_lost(self) -> bool:
--- a/greengagetack/gateway/stream.py
+++ b/greengagetack/gateway/stream.py
@@ -1,6 +1,7 @@
 """greengagetack.gateway.stream: splits streams into events and resumes broken ones."""
 
 import asyncio
+import re
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 
@@ -18,22 +19,44 @@
 MAX_STALL_S = 30.0
 MAX_RESUMPTIONS = 4
 MAX_EVENT_BYTES = 4 * 1024 * 1024
+MAX_LOGGED_BYTES = 80
+EVENT_END = b"\n\n"
+# A comment, or a field with its value. An error's text or head has other lines.
+FIELD_LINE = re.compile(rb":|[a-z][a-z0-9-]*(?::|$)")
 
 # Resumes the stream after the given event; None if no replica accepted it.
 ResumeStream = Callable[[str], Awaitable[AsyncIterator[bytes] | None]]
 
 
 class EventBlocks:
-    """Splits a stream into complete events and records the last event identifier.
+    """Splits a stream into complete events and checks that they follow each other.
 
     `event_lines` counts the lines that belong to events, unlike blank lines and
-    comments.
+    comments. `error` describes the first bytes that are no event of this stream, empty
+    without any; nothing is returned from there on.
+
+    Parameters
+    ----------
+    last_event_id : str
+        Identifier of the event that the stream follows, empty at its beginning.
+    needs_ids : bool
+        Whether each event must have an identifier.
+    has_gaps : bool
+        Whether the identifiers of the stream so far have had gaps. Where they have
+        not, a resumed stream must go on with the next number.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, last_event_id: str = "", needs_ids: bool = False, has_gaps: bool = False
+    ) -> None:
         self._pending = b""
-        self.last_event_id = ""
+        self._needs_ids = needs_ids
+        self.has_gaps = has_gaps
+        # Whether the next event must have the next number.
+        self._is_successor_due = bool(last_event_id) and not has_gaps
+        self.last_event_id = last_event_id
         self.event_lines = 0
+        self.error = ""
 
     @property
     def has_partial_event(self) -> bool:
@@ -48,20 +71,49 @@
         IncompleteResponse
             If an event is larger than ``MAX_EVENT_BYTES``.
         """
-        data = self._pending + part
-        end = data.rfind(b"\n\n") + 2
-        if end < 2:
-            if len(data) > MAX_EVENT_BYTES:
-                raise IncompleteResponse("an event is larger than the size limit")
-            self._pending = data
+        if self.error:
             return b""
-        complete, self._pending = data[:end], data[end:]
-        for line in complete.split(b"\n"):
-            if line.startswith((b"id:", b"data:")):
-                self.event_lines += 1
+        *blocks, self._pending = (self._pending + part).split(EVENT_END)
+        if len(self._pending) > MAX_EVENT_BYTES:
+            raise IncompleteResponse("an event is larger than the size limit")
+        valid: list[bytes] = []
+        for block in blocks:
+            self._add(block)
+            if self.error:
+                break
+            valid.append(block + EVENT_END)
+        return b"".join(valid)
+
+    def _add(self, block: bytes) -> None:
+        """Record one event, or why it is none."""
+        event_id: bytes | None = None
+        lines = [line for line in block.split(b"\n") if line]
+        for line in lines:
+            if FIELD_LINE.match(line) is None:
+                self.error = f"{line[:MAX_LOGGED_BYTES]!r} is no line of an event"
+                return
             if line.startswith(b"id:"):
-                self.last_event_id = line[3:].strip().decode()
-        return complete
+                event_id = line[3:].strip()
+        fields = [line for line in lines if not line.startswith(b":")]
+        if event_id is not None:
+            self._check_order(event_id.decode(errors="replace"))
+        elif fields and self._needs_ids:
+            self.error = f"{fields[0][:MAX_LOGGED_BYTES]!r} has no event identifier"
+        if not self.error:
+            self.event_lines += sum(
+                line.startswith((b"id:", b"data:")) for line in fields
+            )
+
+    def _check_order(self, event_id: str) -> None:
+        former = self.last_event_id
+        if former.isdecimal() and event_id.isdecimal():
+            step = int(event_id) - int(former)
+            if step < 1 or (step > 1 and self._is_successor_due):
+                self.error = f"event {event_id} does not follow event {former}"
+                return
+            self.has_gaps = self.has_gaps or step > 1
+        self._is_successor_due = False
+        self.last_event_id = event_id
 
 
 async def resumable_stream(
@@ -84,7 +136,7 @@
     IncompleteResponse
         If the stream ends early and cannot be resumed.
     """
-    blocks = EventBlocks()
+    blocks = EventBlocks(call.after_event, resume is not None)
     parts = first_parts
     stall_s = MAX_SILENCE_S if resume else MAX_STALL_S
     for _ in range(MAX_RESUMPTIONS + 1):
@@ -104,11 +156,13 @@
                     on_first_event = None
                 if complete:
                     yield complete
+                if blocks.error:
+                    break
                 if blocks.event_lines > former_lines:
                     progress_s = time.monotonic()
-            if not blocks.has_partial_event:
+            if not (blocks.has_partial_event or blocks.error):
                 return
-            reason = "it ended within an event"
+            reason = blocks.error or "it ended within an event"
         except (ExchangeError, TimeoutError) as error:
             reason = repr(error)
         finally:
@@ -126,9 +180,7 @@
             raise IncompleteResponse(
                 f"the stream broke and no replica resumed it: {reason}"
             )
-        after_event = blocks.last_event_id
-        blocks = EventBlocks()
-        blocks.last_event_id = after_event
+        blocks = EventBlocks(blocks.last_event_id, True, blocks.has_gaps)
         parts = resumed
     raise IncompleteResponse("the stream broke more often than it may be resumed")
 
--- a/greengagetack/http1/connection.py
+++ b/greengagetack/http1/connection.py
@@ -59,6 +59,12 @@
 
     Bytes outside an exchange, a response with the identifier of another request, or
     an abandoned exchange exclude the connection from reuse.
+
+    Attributes
+    ----------
+    ends_at_close : bool
+        Whether the response has neither a length nor chunks, so that its body ends
+        with the connection.
     """
 
     def __init__(self, id_header: bytes) -> None:
@@ -84,7 +90,7 @@
         self._expected_id: bytes | None = None
         self._is_skipping = False
         self._bytes_without_progress = 0
-        self._ends_at_eof = False
+        self.ends_at_close = False
         self._has_no_body = False
         self._state_changed = asyncio.Event()
 
@@ -120,7 +126,7 @@
 
     def eof_received(self) -> None:
         """Complete a response that has neither a length nor chunks."""
-        if self._ends_at_eof and self._head is not None:
+        if self.ends_at_close and self._head is not None:
             self._is_complete = True
             self._state_changed.set()
         self.is_reusable = False
@@ -172,8 +178,8 @@
         has_length = header(headers, b"content-length") is not None
         is_chunked = b"chunked" in (header(headers, b"transfer-encoding") or b"")
         assert self._head is not None
-        self._ends_at_eof = not has_length and not is_chunked
-        if self._ends_at_eof or not self._parser.should_keep_alive():
+        self.ends_at_close = not has_length and not is_chunked
+        if self.ends_at_close or not self._parser.should_keep_alive():
             self.is_reusable = False
         for part in (header(headers, b"keep-alive") or b"").split(b","):
             name, _, value = part.strip().partition(b"=")
--- a/greengagetack/platform/ingress.py
+++ b/greengagetack/platform/ingress.py
@@ -195,6 +195,7 @@
             _resumed_request(headers, request_id),
             customer=caller.customer,
             urgency=caller.urgency,
+            after_event=_header_value(headers, wire.LAST_EVENT_ID),
         )
         deadline_ms = _parse_number(
             _header_value(headers, wire.DEADLINE), DEFAULT_DEADLINE_MS
