Take no response that stops inside its head for a whole one

Cause: aiosonic takes a line without a colon for the end of a head, also the empty or half line that a closing connection leaves. On the users' platform it cannot happen: the parser has no head before its last line.

A line without its end is a lost connection now, in the one place that makes the clients.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -76,3 +76,10 @@
       | stream                            | no length                  | closed |
       | item's run                        | chunks                     | closed |
       | item's run                        | no length                  | closed |
+      | request of the brief's interface  | a length                   | closed |
+      | request of the brief's interface  | a length                   | reset  |
+      | request of the brief's interface  | chunks                     | closed |
+      | request of the brief's interface  | an empty body              | closed |
+      | call to the platform's object API | a length                   | closed |
+      | call to the platform's object API | chunks                     | closed |
+      | call to the platform's object API | an empty body              | closed |
--- a/features/steps/broken_answers_steps.py
+++ b/features/steps/broken_answers_steps.py
@@ -17,13 +17,16 @@
 from greengagetack.batches.item_run import RunEnd, run_item
 from greengagetack.batches.job import Item
 from greengagetack.batches.progress import ItemProgress
+from greengagetack.engines.http import EndpointHttp
 from greengagetack.errors import CodedError
 from greengagetack.gateway.call import Call
 from greengagetack.gateway.routes import RequestKind, Route
 from greengagetack.http1.message import IncompleteResponse
 from greengagetack.http1.pool import Pool
+from greengagetack.objects.client import PlatformClient
 from greengagetack.platform.replica import PlatformDialect
 from greengagetack.replicas.replica import Replica, ReplicaState
+from greengagetack.world import Endpoint, EndpointKind
 
 TIMEOUT_S = 4.0
 EVENT_COUNT = 6
@@ -222,10 +225,36 @@
     return end is RunEnd.COMPLETED or progress.is_complete
 
 
+async def _request_endpoint(replicas: ScriptedReplicas) -> bool:
+    url = f"http://{replicas.addresses[0]}"
+    endpoint = Endpoint("e", EndpointKind.SERVICE, "name", "plain", url, "zone")
+    http = EndpointHttp(endpoint)
+    try:
+        await http.request("GET", "/", TIMEOUT_S, never_resend=True)
+    except CodedError:
+        return False
+    finally:
+        await http.close()
+    return True
+
+
+async def _read_object(replicas: ScriptedReplicas) -> bool:
+    client = PlatformClient(f"http://{replicas.addresses[0]}")
+    try:
+        await client.read("cells/c")
+    except CodedError:
+        return False
+    finally:
+        await client.close()
+    return True
+
+
 EXCHANGES: dict[str, Exchange] = {
     "plain call": _call_kind(RequestKind.NON_IDEMPOTENT),
     "stream": _call_kind(RequestKind.STREAM),
     "item's run": _run_item,
+    "request of the brief's interface": _request_endpoint,
+    "call to the platform's object API": _read_object,
 }
 
 
--- a/greengagetack/httpclient.py
+++ b/greengagetack/httpclient.py
@@ -5,6 +5,7 @@
 from aiosonic import HTTPClient
 from aiosonic.connection import Connection
 from aiosonic.connectors import TCPConnector
+from aiosonic.exceptions import ConnectionDisconnected
 from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
 
@@ -14,13 +15,22 @@
 MAX_IDLE_MS = 10_000
 
 
-class _ClosingConnection(Connection):
-    """A connection that is not reused after an incomplete exchange.
+class _StrictConnection(Connection):
+    """A connection that takes no incomplete exchange for a whole one.
 
     aiosonic returns a connection to the pool even if its exchange was cancelled;
-    the next request would then read the response to the previous one.
+    the next request would then read the response to the previous one. It also takes
+    a connection that closes within a response's head for the end of that head.
     """
 
+    async def readline(self) -> bytes:
+        """Return a line with its end; the connection must not close before that."""
+        line = await super().readline()
+        if not line.endswith(b"\n"):
+            self.keep = False
+            raise ConnectionDisconnected
+        return line
+
     async def __aexit__(
         self,
         exc_type: type[BaseException] | None,
@@ -57,6 +67,6 @@
     connector = TCPConnector(
         pool_configs={":default": pool},
         timeouts=timeouts,
-        connection_cls=_ClosingConnection,
+        connection_cls=_StrictConnection,
     )
     return HTTPClient(connector)
