End a stream's part at an error event of an OpenAI-compatible engine

A completion could end as a whole one with 7 of 20 tokens: engines with this API report a failure in mid-stream as an event with an error, and may send [DONE] after it.

Cause: the event was read as one without tokens and passed over. It now fails that connection, and the stream is resumed at its offset like after a broken one.

--- a/features/engines.feature
+++ b/features/engines.feature
@@ -8,13 +8,15 @@
     And the engine has run 1 request
 
     Examples:
-      | fault       | token |
-      | is silent   | 0     |
-      | is silent   | 7     |
-      | breaks      | 0     |
-      | breaks      | 7     |
-      | breaks      | 19    |
-      | swaps       | 9     |
+      | fault            | token |
+      | is silent        | 0     |
+      | is silent        | 7     |
+      | breaks           | 0     |
+      | breaks           | 7     |
+      | breaks           | 19    |
+      | reports an error | 0     |
+      | reports an error | 7     |
+      | swaps            | 9     |
 
   Scenario Outline: Replayed tokens are compared with the received ones
     When tokens are received as <received> and then <replayed>
--- a/features/steps/engines_steps.py
+++ b/features/steps/engines_steps.py
@@ -35,7 +35,12 @@
 
 @given("the engine's next stream {fault} at token {token:d}")
 def step_stream_fault(context: Context, fault: str, token: int) -> None:
-    attributes = {"is silent": "silent_at", "breaks": "break_at", "swaps": "swap_at"}
+    attributes = {
+        "is silent": "silent_at",
+        "breaks": "break_at",
+        "reports an error": "error_at",
+        "swaps": "swap_at",
+    }
     setattr(context.engine, attributes[fault], token)
 
 
--- a/features/support/fake_engine.py
+++ b/features/support/fake_engine.py
@@ -57,6 +57,7 @@
         self.silent_at: int | None = None
         self.break_at: int | None = None
         self.swap_at: int | None = None
+        self.error_at: int | None = None
         self.refuse = False
         self.leaving = False
         self.salt = ""
@@ -244,6 +245,12 @@
         if self.silent_at == index:
             self.silent_at = None
             await asyncio.sleep(3600)
+        if self.error_at == index:
+            self.error_at = None
+            error = {"error": {"code": "engine_failed", "message": "out of memory"}}
+            await self._send(writer, json.dumps(error))
+            await self._send(writer, "[DONE]")
+            return True
         return False
 
     def _event(self, run: FakeRun, index: int) -> str:
--- a/greengagetack/engines/openai.py
+++ b/greengagetack/engines/openai.py
@@ -35,6 +35,7 @@
 ORDER_TIMEOUT_S = 60.0
 DEFAULT_RETRY_S = 1.0
 CACHE_BLOCK_TOKENS = 16
+MAX_LOGGED_CHARS = 200
 LEAVING_CODE = "leaving"
 END_OF_STREAM = b"[DONE]"
 
@@ -53,6 +54,8 @@
     offset_tokens: int = 0
     token_count: int = 0
     weight_version: int = 0
+    # What the engine says of a failure in mid-stream, which [DONE] may follow.
+    error: Any = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,6 +156,11 @@
                         yield Finish(reason or "stop")
                         return
                     event = self._decode(data, _Event)
+                    if event.error is not None:
+                        raise EndpointFailed(
+                            f"{self.endpoint.endpoint_id} reported an error in a "
+                            f"stream: {str(event.error)[:MAX_LOGGED_CHARS]}"
+                        )
                     choice = event.choices[0] if event.choices else _Choice()
                     reason = choice.finish_reason or reason
                     if not event.token_count:
