Let all readers of a job at a daemon share one log

Cause: an exchange is shared by the job's name, and fills the log with which it began. If the cache had evicted that one, a reader that joined got its own, empty log back.

The cache finds a log as long as somebody uses it, so there is never a second one.

--- a/features/batches.feature
+++ b/features/batches.feature
@@ -192,3 +192,22 @@
   Scenario: The number of prompts recorded per replica is bounded
     When items of 5000 groups have been sent to a replica
     Then the prompt of the first group is no longer recorded and that of the last is
+
+  # A log that is filled by another reader's exchange must be the one that is returned.
+  Scenario Outline: A reader finds what was read before, whatever the cache has evicted
+    Given a daemon that <role>, with room for one log, has read 3 results of open job "j1"
+    When a reader waits there for the next result, and the logs of 2 other jobs are read
+    And <reader> reads "j1" from position 0
+    Then it gets 3 results within 100 ms
+    And the reader that waits gets the next result once it is committed
+
+    Examples:
+      | role                  | reader         |
+      | follows a dispatcher  | another reader |
+      | is the dispatcher     | another reader |
+      | is the dispatcher     | another daemon |
+
+  Scenario: The logs that many readers use stay within the cache and one for each reader
+    Given 12 ended jobs, of which a daemon's cache holds 2
+    When 13 clients read one of them each, over and over, at that daemon
+    Then each read gets all results, and 4 logs are held at most while 2 are being read
--- a/greengagetack/batches/log.py
+++ b/greengagetack/batches/log.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import OrderedDict
+from weakref import WeakValueDictionary
 
 from greengagetack.batches.job import Result, Segment
 
@@ -44,6 +45,9 @@
 class LogCache:
     """LRU cache of job logs with a size limit; it always keeps at least one log.
 
+    A log that somebody still uses is found again after its eviction, so that there is
+    never a second one of the same job.
+
     Parameters
     ----------
     limit_bytes : int
@@ -53,16 +57,19 @@
     def __init__(self, limit_bytes: int) -> None:
         self._limit_bytes = limit_bytes
         self._logs: OrderedDict[str, JobLog] = OrderedDict()
+        self._used: WeakValueDictionary[str, JobLog] = WeakValueDictionary()
 
     def get(self, job_id: str) -> JobLog | None:
-        """Return a job's log, None if it is not cached."""
+        """Return a job's log, None if it is neither cached nor used by anybody."""
         log = self._logs.get(job_id)
-        if log is not None:
-            self._logs.move_to_end(job_id)
+        if log is None:
+            return self._used.get(job_id)
+        self._logs.move_to_end(job_id)
         return log
 
     def put(self, job_id: str, log: JobLog) -> None:
         """Add a log and evict others by the current total size of all logs."""
+        self._used[job_id] = log
         self._logs[job_id] = log
         self._logs.move_to_end(job_id)
         size_bytes = sum(cached.size_bytes for cached in self._logs.values())
@@ -70,5 +77,6 @@
             size_bytes -= self._logs.popitem(last=False)[1].size_bytes
 
     def clear(self) -> None:
-        """Remove all logs."""
+        """Remove all logs, also those that are still used."""
         self._logs.clear()
+        self._used.clear()
