Keep a score only for the reward request that it belongs to

It names the request now, and the score is taken over only for the same one; so it is in progress, hand-overs and checkpoints. An answer to a call that the item no longer asks for is dropped.

--- a/features/rewards.feature
+++ b/features/rewards.feature
@@ -138,6 +138,22 @@
       | 3      | scored   | comes again with the same reward request | no     | yes      |
       | 3      | scored   | comes again with another reward request  | yes    | no       |
 
+  # A score that is taken over for another request reaches the trainer as its own.
+  Scenario Outline: A score outlives a takeover with the request that it belongs to
+    Given an item with a reward request and 3 events, scored
+    When its checkpoint, written by <release>, is read where it comes again with <request>
+    Then the item has 3 events, awaits its score: <awaits>, is finished: <finished>
+
+    Examples:
+      | release              | request                              | awaits | finished |
+      | this release         | the same reward request              | no     | yes      |
+      | this release         | another identifier                   | yes    | no       |
+      | this release         | the same identifier and another body | yes    | no       |
+      | this release         | the same identifier at another path  | yes    | no       |
+      | this release         | no reward request                    | no     | yes      |
+      | the previous release | the same reward request              | yes    | no       |
+      | the previous release | another identifier                   | yes    | no       |
+
   Scenario Outline: Failures are counted on after a takeover, for the same job
     Given an item that failed <runs> runs and <rewards> reward calls in job j1
     When its checkpoint is read by a daemon that opens job <job>
--- a/features/steps/rewards_steps.py
+++ b/features/steps/rewards_steps.py
@@ -1,5 +1,7 @@
 """features.steps.rewards_steps: reward calls, their limits and their load."""
 
+import dataclasses
+
 from behave import given, then, when
 from behave.runner import Context
 
@@ -25,6 +27,7 @@
 from standins.replica import seal_of
 
 UNLIMITED_BYTES = 1 << 30
+SCORE = "seal"
 REWARD = RewardRequest("r", "host", "/score/r", b"")
 OTHER_REWARD = RewardRequest("r2", "host", "/score/r2", b"")
 
@@ -214,7 +217,7 @@
     context.progress = _progress(REWARD, events)
     context.progress.start_job(context.progress.item, "job-1")
     context.progress.is_complete = state in ("complete", "scored")
-    context.progress.score = "seal" if state == "scored" else ""
+    context.progress.score = SCORE if state == "scored" else ""
 
 
 @when("the item {change}")
@@ -238,6 +241,41 @@
     assert context.progress.is_finished == (finished == "yes")
 
 
+@when(
+    "its checkpoint, written by {release}, is read where it comes again with {request}"
+)
+def step_read_again(context: Context, release: str, request: str) -> None:
+    snapshot = context.progress.snapshot()
+    if release == "the previous release":
+        snapshot = dataclasses.replace(snapshot, scored_by="")
+    reward = {
+        "the same reward request": REWARD,
+        "another identifier": dataclasses.replace(REWARD, request_id="another"),
+        "the same identifier and another body": dataclasses.replace(
+            REWARD, body=b"another"
+        ),
+        "the same identifier at another path": dataclasses.replace(
+            REWARD, path="/another"
+        ),
+        "no reward request": None,
+    }[request]
+    context.progress = _progress(reward, 0)
+    context.progress.start_job(context.progress.item, "job-2")
+    context.progress.continue_from(snapshot, _job("job-2"))
+
+
+@then(
+    "the item has {events:d} events, awaits its score: {awaits}, is finished: "
+    "{finished}"
+)
+def step_scored_item(context: Context, events: int, awaits: str, finished: str) -> None:
+    assert len(context.progress.outputs) == events
+    step_item_state(context, awaits, finished)
+    has_score = awaits == "no" and context.progress.item.reward is not None
+    expected = SCORE if has_score else ""
+    assert context.progress.score == expected, context.progress.score
+
+
 @given("an item that failed {runs:d} runs and {rewards:d} reward calls in job {job}")
 def step_failures(context: Context, runs: int, rewards: int, job: str) -> None:
     context.progress = _progress(REWARD, 0)
@@ -286,5 +324,5 @@
         (1,),
         events,
         state in ("complete", "scored"),
-        "seal" if state == "scored" else "",
+        SCORE if state == "scored" else "",
     )
--- a/greengagetack/batches/job.py
+++ b/greengagetack/batches/job.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 import msgspec
+import xxhash
 
 __all__ = ["Item", "Job", "Result", "ResultState", "RewardRequest", "Segment"]
 
@@ -24,6 +25,13 @@
     path: str
     body: bytes
 
+    @property
+    def identity(self) -> str:
+        """A text that differs between any two requests."""
+        fields = (self.host.encode(), self.path.encode(), self.body)
+        digest = xxhash.xxh3_128_hexdigest(msgspec.msgpack.encode(fields))
+        return f"{self.request_id}/{digest}"
+
 
 @dataclass(frozen=True, slots=True)
 class Item:
--- a/greengagetack/batches/progress.py
+++ b/greengagetack/batches/progress.py
@@ -21,7 +21,8 @@
     """Progress of an item as transferred to another daemon or stored.
 
     The failure counts belong to the job `job_id`; `software` is the version of the
-    software that wrote the outputs.
+    software that wrote the outputs. `score` belongs to the reward request that
+    `scored_by` identifies; snapshots of the previous release do not name it.
     """
 
     item_id: str
@@ -34,6 +35,7 @@
     server_failures: int = 0
     reward_failures: int = 0
     software: str = ""
+    scored_by: str = ""
 
     def is_further_than(self, other: "ProgressSnapshot") -> bool:
         """Whether less work is left than with another snapshot of the same item."""
@@ -199,8 +201,13 @@
             self.server_failures,
             self.reward_failures,
             self.software,
+            self._reward_identity if self.score else "",
         )
 
+    @property
+    def _reward_identity(self) -> str:
+        return "" if self.item.reward is None else self.item.reward.identity
+
     def continue_from(self, snapshot: ProgressSnapshot, job: Job) -> None:
         """Continue from another daemon's progress if it is further ahead."""
         if snapshot.job_id == job.job_id:
@@ -217,7 +224,8 @@
         self.versions = list(snapshot.versions)
         self.last_event_id = snapshot.last_event_id
         self.is_complete = snapshot.is_complete
-        self.score = snapshot.score
+        is_own_score = snapshot.scored_by == self._reward_identity != ""
+        self.score = snapshot.score if is_own_score else ""
         self.software = snapshot.software
         self.output_chars = sum(len(output) for output in self.outputs)
 
--- a/greengagetack/batches/rewards.py
+++ b/greengagetack/batches/rewards.py
@@ -239,8 +239,9 @@
         finally:
             elapsed_s = time.monotonic() - started_s
             self._record(run, progress, reward, state, end, attempt, elapsed_s)
-        # The output may have been discarded meanwhile; the score belongs to that one.
-        if progress.generation == generation:
+        # The output may have been discarded meanwhile, or the item may have come again
+        # with another request; the score belongs to that output and this request.
+        if progress.generation == generation and progress.item.reward == reward:
             self._apply(run, progress, route, state, end, attempt)
 
     def _record(
