--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -149,6 +149,8 @@
         self.store = KvStore()
         self.replicas: dict[str, Replica] = {}
         self.edges: dict[str, Process] = {}
+        # Module that starts a daemon, and its first arguments.
+        self.launcher: tuple[str, ...] = (MODULE,)
         self._addresses: dict[str, dict[str, str]] = {}
         self._server_tasks: dict[str, asyncio.Task[None]] = {}
         self._servers: dict[str, StandInServer] = {}
@@ -338,7 +340,7 @@
         path = self.group.folder / f"{name}.toml"
         path.write_text(self._settings(name, ip))
         process = self.group.launch(
-            name, MODULE, "--settings", path, "--metrics-port", "0"
+            name, *self.launcher, "--settings", path, "--metrics-port", "0"
         )
         self.edges[name] = process
         return process
