Close the clients of the demonstration before its loop ends

make demo ended well, but printed 84 lines of tracebacks: "Event loop is closed".

Cause: the clients of the caller and the operator were never closed, so that their connections were left to the garbage collector. The readiness checks of the soak and of the capacity runs did the same.

--- a/bench/capacity/data_path.py
+++ b/bench/capacity/data_path.py
@@ -99,11 +99,14 @@
 
 async def _wait_ready(deployment: SingleDaemonDeployment) -> None:
     operator = OperatorClient(deployment)
-    async with asyncio.timeout(READY_TIMEOUT_S):
-        while True:
-            if await operator.ready_daemons() == 1:
-                return
-            await asyncio.sleep(0.1)
+    try:
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while True:
+                if await operator.ready_daemons() == 1:
+                    return
+                await asyncio.sleep(0.1)
+    finally:
+        await operator.close()
 
 
 def _start(group: ProcessGroup, endpoints: int = 1) -> SingleDaemonDeployment:
--- a/bench/clients.py
+++ b/bench/clients.py
@@ -82,6 +82,10 @@
         self._turn = itertools.count()
         self._http = aiosonic.HTTPClient()
 
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._http.aclose()
+
     def _entry(self) -> str:
         entries = self._deployment.entries()
         return entries[next(self._turn) % len(entries)]
@@ -153,6 +157,10 @@
         self._headers = deployment.operator_headers()
         self._http = aiosonic.HTTPClient()
 
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._http.aclose()
+
     async def send(
         self,
         path: str,
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -189,7 +189,8 @@
     await _wait_until_ready(operator, len(deployment.daemons))
     client = RolloutClient(deployment.entries(), deployment.teams[TEAM].token)
     trainer = Trainer(client)
-    callers = Callers(CallerClient(deployment, TEAM))
+    caller_client = CallerClient(deployment, TEAM)
+    callers = Callers(caller_client)
     stop = asyncio.Event()
     progress.report(f"a trainer posts {GROUPS} groups of {SAMPLES_PER_GROUP} samples")
     caller_task = asyncio.create_task(callers.run(stop))
@@ -207,7 +208,8 @@
     progress.report("all groups of the step have been delivered")
     stop.set()
     await caller_task
-    await client.close()
+    for used in (client, caller_client, operator):
+        await used.close()
     return _summarise(deployment, trainer, callers, killed_vm_id, in_force)
 
 
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -164,11 +164,14 @@
 
     async def _wait_until_ready(self) -> None:
         operator = OperatorClient(self._deployment)
-        async with asyncio.timeout(READY_TIMEOUT_S):
-            while True:
-                if await operator.ready_daemons() == len(self._deployment.daemons):
-                    return
-                await asyncio.sleep(0.1)
+        try:
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                while True:
+                    if await operator.ready_daemons() == len(self._deployment.daemons):
+                        return
+                    await asyncio.sleep(0.1)
+        finally:
+            await operator.close()
 
     async def _publish_versions(self, fleet: Fleet) -> None:
         """Publish a new weight version periodically until the load ends."""
--- a/features/run.py
+++ b/features/run.py
@@ -25,6 +25,7 @@
     {
         "cell_processes.feature",
         "customers.feature",
+        "demo.feature",
         "platform_calls.feature",
         "platform_jobs.feature",
         "promises.feature",
