Count a hedge of a hedge as a run of its sample in the audit

The audit of the soak and of the promises said now and then "versions wrong: sample ... names (1,), engines used []", though all engines had kept their logs.

Cause: if the first attempt of a sample fails beside its hedge, and that one is slow, it is hedged again, under an identifier with two suffixes. The audit removed one of them, so that the run belonged to no sample. The product's part was right: the identifier is unique and the versions are those of the run. The check is as strict as before: it compares the same samples with the same logs, and now says which runs of the sample it has found.

The identifiers are made and taken apart in one module. features/hedging.feature shows that such a request is sent; the clean log of features/audit.feature has one, for which the audit found exactly the old message before. Which engine gets a sample's request is logged before its first byte.

--- a/bench/audit.py
+++ b/bench/audit.py
@@ -11,14 +11,13 @@
     PlannedStop,
     SoakLog,
 )
-from greengagetack.rollouts.runner import HEDGE_SUFFIX
+from greengagetack.rollouts.request_ids import sample_of
 from standins.tokens import answer_text
 
 __all__ = ["CHECKS", "Audit", "Breach", "audit", "check"]
 
 LEAVING_BOUND_S = 3.0
 STOP_TOLERANCE_S = 0.5
-ATTEMPT_SEPARATOR = "~"
 
 Check = Callable[[SoakLog], Iterator[str]]
 CHECKS: dict[str, Check] = {}
@@ -197,21 +196,26 @@
         if sample.versions and sample.endpoint_id in log.lost_engine_logs:
             continue
         used = sorted({run.versions for run in found})
-        yield f"sample {sample.identity} lists {sample.versions}, engines used {used}"
-
-
-def _identity(run: EngineRun) -> str:
-    """Return the sample that a run generated.
-
-    The suffixes of repeated attempts and hedges are removed.
-    """
-    return run.request_id.partition(ATTEMPT_SEPARATOR)[0].removesuffix(HEDGE_SUFFIX)
+        yield (
+            f"sample {sample.identity} lists {sample.versions} of "
+            f"{sample.endpoint_id}, engines used {used}; its runs: "
+            f"{_described_runs(log, sample.identity)}"
+        )
+
+
+def _described_runs(log: SoakLog, identity: str) -> list[str]:
+    """Describe what the engines ran under any identifier of a sample."""
+    return [
+        f"{run.request_id} at {run.endpoint_id}: {run.versions}"
+        for run in log.engine_runs
+        if sample_of(run.request_id) == identity
+    ]
 
 
 def _runs_by_sample(runs: list[EngineRun]) -> dict[tuple[str, str], list[EngineRun]]:
     found: defaultdict[tuple[str, str], list[EngineRun]] = defaultdict(list)
     for run in runs:
-        found[run.endpoint_id, _identity(run)].append(run)
+        found[run.endpoint_id, sample_of(run.request_id)].append(run)
     return found
 
 
--- a/features/hedging.feature
+++ b/features/hedging.feature
@@ -44,3 +44,9 @@
     Given a step of 60 groups of 1 samples and endpoints with 4 slots each
     When the step runs
     Then hedging wasted at most 2 percent of its tokens plus 1 sample
+
+  Scenario: A hedge that is left alone and slow is hedged again
+    Given a step of 6 groups of 1 samples, and endpoints of which one fails and one hangs
+    When the step runs
+    Then each sample is finished once and at most 0 tokens are wasted
+    And all requests of a sample name it, among them a hedge of a hedge
--- a/features/steps/hedging_steps.py
+++ b/features/steps/hedging_steps.py
@@ -8,9 +8,11 @@
 from behave.runner import Context
 
 from features.support.memory_shards import MemoryShards
+from greengagetack.errors import EndpointFailed
 from greengagetack.keeper.messages import Chunk, Complete, Completed, EndpointLoad
 from greengagetack.rollouts.hedging import HedgeLimits, SampleLatencies, may_hedge
 from greengagetack.rollouts.records import StepRecords
+from greengagetack.rollouts.request_ids import hedge_id, sample_of
 from greengagetack.rollouts.runner import StepRunner
 from greengagetack.rollouts.spec import FinishedSample, GroupSpec, StepSpec
 from greengagetack.rollouts.state import StepState
@@ -78,6 +80,31 @@
                 yield item
 
 
+class FailingEndpoints(TwoEndpoints):
+    """Lets one sample's first attempt fail at e1 and its hedge hang at e2."""
+
+    FAILS_AFTER_S = 1.0
+
+    def __init__(self) -> None:
+        super().__init__(None)
+        self.request_ids: list[tuple[str, str]] = []
+
+    async def complete(
+        self, request: Complete, exclude: frozenset[str] = frozenset()
+    ) -> AsyncGenerator[Chunk | Completed, None]:
+        """Fail late at e1, hang at e2, else yield one token at a time."""
+        self.request_ids.append((request.prompt, request.request_id))
+        if request.prompt == SLOW_PROMPT and not exclude:
+            self._endpoint_ids[request.request_id] = "e1"
+            await asyncio.sleep(self.FAILS_AFTER_S)
+            raise EndpointFailed("the engine has crashed")
+        if request.prompt == SLOW_PROMPT and "e1" in exclude:
+            self._endpoint_ids[request.request_id] = "e2"
+            await asyncio.Event().wait()
+        async for item in super().complete(request, exclude):
+            yield item
+
+
 @given(
     "samples usually take {first_token_s:g} s to the first token and "
     "{per_token_s:g} s per token"
@@ -156,6 +183,26 @@
     context.spec = make_step(groups)
 
 
+@given(
+    "a step of {groups:d} groups of 1 samples, and endpoints of which one fails and "
+    "one hangs"
+)
+def step_failing(context: Context, groups: int) -> None:
+    context.endpoints = FailingEndpoints()
+    context.spec = make_step(groups)
+
+
+@then("all requests of a sample name it, among them a hedge of a hedge")
+def step_named(context: Context) -> None:
+    sent = context.endpoints.request_ids
+    samples = {sample_of(request_id) for _, request_id in sent}
+    assert len(samples) == len(context.spec.groups), samples
+    slow_ids = [request_id for prompt, request_id in sent if prompt == SLOW_PROMPT]
+    first_id = slow_ids[0]
+    assert slow_ids == [first_id, hedge_id(first_id), hedge_id(hedge_id(first_id))]
+    assert {sample_of(request_id) for request_id in slow_ids} == {first_id}
+
+
 async def _no_scores(
     spec: StepSpec, samples: tuple[FinishedSample, ...]
 ) -> dict[int, float]:
--- a/features/support/audit.py
+++ b/features/support/audit.py
@@ -53,12 +53,14 @@
 def clean_log() -> SoakLog:
     """Return a log without a breach."""
     return SoakLog(
-        requested=["t/j/1/0/0", "t/j/1/0/1"],
-        delivered=[_sample(0, (4, 5)), _sample(1, (5,))],
+        requested=["t/j/1/0/0", "t/j/1/0/1", "t/j/1/0/2"],
+        delivered=[_sample(0, (4, 5)), _sample(1, (5,)), _sample(2, (5,))],
         engine_runs=[
             EngineRun("e1", "t/j/1/0/0", (4, 5), 6, 1.0),
             EngineRun("e1", "t/j/1/0/1~1", (5,), 6, 2.0),
             EngineRun("e2", "t/j/1/0/1", (3,), 6, 1.5),
+            # The first attempt failed beside its hedge, which was slow and hedged.
+            EngineRun("e1", "t/j/1/0/2/hedge/hedge", (5,), 6, 3.5),
         ],
         service_runs=[ServiceRun("b1", "r1", "k1"), ServiceRun("b1", "r4", "")],
         attempts=[
--- a/greengagetack/keeper/generation.py
+++ b/greengagetack/keeper/generation.py
@@ -9,6 +9,7 @@
 from greengagetack.keeper.messages import Chunk, Complete, Work
 from greengagetack.observability.logs import REQUEST_ID
 from greengagetack.observability.traces import current_traceparent
+from greengagetack.rollouts.request_ids import engine_request_id
 
 __all__ = ["Generation"]
 
@@ -62,10 +63,7 @@
     @property
     def engine_request_id(self) -> str:
         """The identifier of the request and its attempt at the engine."""
-        request = self.request
-        if not request.attempt:
-            return request.request_id
-        return f"{request.request_id}~{request.attempt}"
+        return engine_request_id(self.request.request_id, self.request.attempt)
 
     @property
     def end_tokens(self) -> int:
--- a/greengagetack/rollouts/completions.py
+++ b/greengagetack/rollouts/completions.py
@@ -6,6 +6,8 @@
 from dataclasses import replace
 from typing import Any
 
+from loguru import logger
+
 from greengagetack.daemons.role import Services
 from greengagetack.errors import CodedError
 from greengagetack.keeper.messages import (
@@ -61,6 +63,12 @@
 
         def record_route(routed: RoutedEndpoint) -> None:
             self._routed[request_id] = routed
+            logger.info(
+                "rollout: {} is generated at {} by way of {}",
+                request_id,
+                routed.endpoint.endpoint_id,
+                routed.keeper_vm_id,
+            )
 
         relay = self._services.routing.relay
         answers = relay.complete(
--- a/greengagetack/rollouts/runner.py
+++ b/greengagetack/rollouts/runner.py
@@ -11,12 +11,13 @@
 from greengagetack.rollouts.attempt import Completions, SampleAttempt
 from greengagetack.rollouts.hedging import HedgeLimits, SampleLatencies, may_hedge
 from greengagetack.rollouts.records import StepRecords
+from greengagetack.rollouts.request_ids import hedge_id
 from greengagetack.rollouts.spec import FinishedSample, SampleId, StepSpec, step_key
 from greengagetack.rollouts.state import StepState
 from greengagetack.rollouts.window import DispatchWindow
 from greengagetack.timer import Timer
 
-__all__ = ["HEDGE_SUFFIX", "Scoring", "StepRunner"]
+__all__ = ["Scoring", "StepRunner"]
 
 DEFAULT_RETRY_S = 0.5
 MAX_RETRY_S = 5.0
@@ -24,7 +25,6 @@
 LAST_SAMPLE_PRIORITY = 10
 SEED_FACTOR = 1_000_003
 SEED_PER_GROUP = 1_000
-HEDGE_SUFFIX = "/hedge"
 STALE_CODE = "stale_version"
 
 Scoring = Callable[[StepSpec, tuple[FinishedSample, ...]], Awaitable[dict[int, float]]]
@@ -192,7 +192,7 @@
         logger.info("rollout: hedging a slow sample at {}", endpoint_id)
         request = replace(
             slow.request,
-            request_id=f"{slow.request.request_id}{HEDGE_SUFFIX}",
+            request_id=hedge_id(slow.request.request_id),
             time_left_s=max(0.0, self._time_left_s()),
             endpoint_id="",
         )
