Load the stand-ins' libraries before their first request

The servers of the stand-ins load it when they start. features/standins.feature, "A stand-in has loaded its libraries before its first request", failed before.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -185,3 +185,9 @@
     Given the engine stand-in
     When the stand-in is terminated with a stream open
     Then its exit code is 0
+
+  # Loading takes the processor for so long that no other request is answered meanwhile.
+  Scenario: A stand-in has loaded its libraries before its first request
+    Given a platform without daemons
+    When a plain replica answers its first request
+    Then the request has loaded no library
--- a/standins/server.py
+++ b/standins/server.py
@@ -4,9 +4,11 @@
 import contextlib
 import json
 import signal
+import socket
 from collections.abc import Iterator
 from typing import Any
 
+import anyio
 import msgspec
 import uvicorn
 from starlette.requests import Request
@@ -30,6 +32,11 @@
 class StandInServer(uvicorn.Server):
     """Uvicorn's server without its signal handlers, so that SIGTERM exits 0."""
 
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Load what would otherwise be loaded while the first request waits."""
+        anyio.get_cancelled_exc_class()
+        await super().startup(sockets)
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Leave the signals to the handlers that `serve` installs."""
