Let a request that waits less than it works show that there are places

With half of the capacity asked for, callers were still refused up to 4.7 s after the end of a congestion ("No refusal by share when the load is gone": 8 refusals after 4 s).

Cause: a daemon ignores the shares once a request has found a place almost at once, which meant less than 1.5 times the time in a place. At half load requests take up to 1.7 times that: work varies by a fifth, and some wait for a moment. The published use is about 4 s late then. Twice the time in a place still is far from a full queue (5 times it here).

--- a/greengagetack/gateway/congestion.py
+++ b/greengagetack/gateway/congestion.py
@@ -29,7 +29,7 @@
 # A served request tells for this time that there are places, if it took less than this
 # multiple of the time in a place.
 LATEST_LIFETIME_S = 3.0
-QUICK_FACTOR = 1.5
+QUICK_FACTOR = 2.0
 # Slow, as the published use and the measured times differ in age at each change.
 WORK_SMOOTHING = 0.02
 # A request with less than this share of its route's usual time has come back after a
