Count only gaps of several heartbeats as outages of the store

A daemon whose connections were reset at a bad moment could take the gap between its answers for an outage, if it was longer than 1 s, and tell its followers. Not seen; read.

Entries expire after three missed heartbeats, so a gap of less than one and a half makes none expire. The interval comes from the platform's settings. A table of the decision alone joins features/store_outages.feature. A stream that may not be resumed takes no notice of an event identifier in its request.

--- a/features/steps/store_outages_steps.py
+++ b/features/steps/store_outages_steps.py
@@ -1,11 +1,17 @@
 """features.steps.store_outages_steps: which losses delay the removal of replicas."""
 
 import asyncio
+from unittest.mock import patch
 
 from behave import given, then, when
 from behave.runner import Context
 
 from features.support.fleet_play import Play, now_s, play_of, victims_of
+from greengagetack.errors import PeerUnreachable, PlatformUnavailable
+from greengagetack.freezes import FreezeWatch
+from greengagetack.objects import outages
+from greengagetack.objects.base import StoreRateLimited
+from greengagetack.objects.outages import StoreOutages
 
 OUTAGE_S = 6.0
 # Entries expire after three missed heartbeats.
@@ -119,3 +125,51 @@
         )
     ]
     assert not keeping, keeping
+
+
+# -- the decision alone
+
+
+class _FrozenOnce(FreezeWatch):
+    """Says of the calls sent at one time that a freeze broke them off."""
+
+    frozen_s = float("nan")
+
+    def was_frozen_since(self, since_s: float) -> bool:
+        return since_s == self.frozen_s
+
+
+@given("heartbeats each {interval:g} s")
+def step_heartbeats(context: Context, interval: float) -> None:
+    context.freezes = _FrozenOnce()
+    context.outages = StoreOutages(interval, context.freezes)
+
+
+@when("these follow: {events}")
+def step_events(context: Context, events: str) -> None:
+    failures = {
+        "store": PlatformUnavailable("no answer"),
+        "frozen": PlatformUnavailable("no answer"),
+        "daemon": PeerUnreachable("no answer"),
+        "rate": StoreRateLimited("too many calls"),
+    }
+    for event in events.split(", "):
+        subject, *words = event.split()
+        context.at_s = float(words[-1])
+        with patch.object(outages, "boottime_s", lambda: context.at_s):
+            if subject == "answer":
+                context.outages.record_answer(context.at_s)
+            elif subject == "told":
+                context.outages.learn_return(context.at_s - float(words[1]))
+            else:
+                if subject == "frozen":
+                    context.freezes.frozen_s = context.at_s
+                context.outages.record_failure(failures[subject], context.at_s)
+
+
+@then("the store is known to have returned at {returned}")
+def step_returned(context: Context, returned: str) -> None:
+    with patch.object(outages, "boottime_s", lambda: context.at_s):
+        returned_s = context.at_s - context.outages.since_return_s
+    expected_s = float("-inf") if returned == "never" else float(returned)
+    assert returned_s == expected_s, returned_s
--- a/features/store_outages.feature
+++ b/features/store_outages.feature
@@ -76,3 +76,22 @@
       | 70      | the dispatcher and a relay are killed    |
       | 70      | the dispatcher and all relays are killed |
       | 70      | both relays of a zone are frozen         |
+
+  Scenario Outline: Which gaps between answers of the store are outages
+    Given heartbeats each 1.2 s
+    When these follow: <events>
+    Then the store is known to have returned at <returned>
+
+    Examples:
+      | events                                                      | returned |
+      | answer 0, answer 5                                          | never    |
+      | answer 0, store fails 1, answer 5                           | 5        |
+      | answer 0, store fails 1, answer 1.5                         | never    |
+      | answer 0, daemon fails 1, answer 5                          | never    |
+      | answer 0, rate refusal 1, answer 5                          | never    |
+      | answer 0, frozen fails 1, answer 5                          | never    |
+      | answer 0, told of 4.5 at 5, answer 5                        | 4.5      |
+      | answer 0, store fails 1, told of 4.5 at 5, answer 5         | 4.5      |
+      | answer 3.5, told of 4.5 at 5, answer 5                      | never    |
+      | answer 0, store fails 1, answer 5, store fails 6, answer 6.5 | 5       |
+      | store fails 1, answer 2                                     | 2        |
--- a/features/support/copy_fleet.py
+++ b/features/support/copy_fleet.py
@@ -48,6 +48,8 @@
 CLAIMS_PREFIX = "dispatch/"
 HOP_S = 0.001
 STORE_S = 0.02
+# Of the replicas, as on the users' platform.
+HEARTBEAT_S = 1.2
 CONNECT_TIMEOUT_S = 0.4
 STORE_TIMEOUT_S = 1.0
 STORE_WATCH_MARGIN_S = 0.6
@@ -295,7 +297,7 @@
         )
         self.ended = asyncio.Event()
         self.freezes = FreezeWatch()
-        self._outages = StoreOutages(self.freezes)
+        self._outages = StoreOutages(HEARTBEAT_S, self.freezes)
         # Versions of the configuration with the times at which they came into force.
         self.applied: list[tuple[float, int]] = []
         self._network = network
--- a/greengagetack/gateway/stream.py
+++ b/greengagetack/gateway/stream.py
@@ -136,7 +136,8 @@
     IncompleteResponse
         If the stream ends early and cannot be resumed.
     """
-    blocks = EventBlocks(call.after_event, resume is not None)
+    after_event = "" if resume is None else call.after_event
+    blocks = EventBlocks(after_event, needs_ids=resume is not None)
     parts = first_parts
     stall_s = MAX_SILENCE_S if resume else MAX_STALL_S
     for _ in range(MAX_RESUMPTIONS + 1):
@@ -180,7 +181,9 @@
             raise IncompleteResponse(
                 f"the stream broke and no replica resumed it: {reason}"
             )
-        blocks = EventBlocks(blocks.last_event_id, True, blocks.has_gaps)
+        blocks = EventBlocks(
+            blocks.last_event_id, needs_ids=True, has_gaps=blocks.has_gaps
+        )
         parts = resumed
     raise IncompleteResponse("the stream broke more often than it may be resumed")
 
--- a/greengagetack/objects/outages.py
+++ b/greengagetack/objects/outages.py
@@ -13,9 +13,9 @@
 
 __all__ = ["StoreOutages"]
 
-# Entries of the store expire after several missed heartbeats, so that none expires in
-# a shorter gap between two answers.
-MIN_OUTAGE_S = 1.0
+# Entries of the store expire after three missed heartbeats, so that none expires in a
+# gap between two answers that is shorter than this many.
+MIN_MISSED_HEARTBEATS = 1.5
 
 
 class StoreOutages:
@@ -25,12 +25,15 @@
 
     Parameters
     ----------
+    heartbeat_s : float
+        Time between two heartbeats of those whose entries expire.
     freezes : FreezeWatch or None
         Tells whether a call failed because this process did not run, None if that is
         not watched.
     """
 
-    def __init__(self, freezes: FreezeWatch | None = None) -> None:
+    def __init__(self, heartbeat_s: float, freezes: FreezeWatch | None = None) -> None:
+        self._min_outage_s = MIN_MISSED_HEARTBEATS * heartbeat_s
         self._freezes = freezes
         # Latest time at which the store is known to have answered a daemon.
         self._answered_s = float("-inf")
@@ -73,7 +76,7 @@
 
     def _record_return(self, returned_s: float) -> None:
         away_s = returned_s - self._answered_s
-        if away_s < MIN_OUTAGE_S:
+        if away_s < self._min_outage_s:
             return
         self._returned_s = max(self._returned_s, returned_s)
         logger.info(
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -120,7 +120,7 @@
         )
         self._store = PlatformStore(self._transport, facts.value_limit_bytes)
         self._freezes = FreezeWatch()
-        self._outages = StoreOutages(self._freezes)
+        self._outages = StoreOutages(facts.heartbeat_s, self._freezes)
         self._config_feed = self._make_shared_feed(f"{wire.CONFIG_KIND}/")
         self._servers_feed = self._make_shared_feed(f"{wire.SERVERS_KIND}/")
         self._members_feed = Feed(
--- a/greengagetack/platform/settings.py
+++ b/greengagetack/platform/settings.py
@@ -91,6 +91,8 @@
     ip: str
     provider: _Provider
     seeds: tuple[str, ...] = ()
+    # Time between two heartbeats of a replica.
+    heartbeat_ms: float = 1_200.0
     listen: _Listen = _Listen()
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
@@ -127,6 +129,7 @@
     result_retention_s: float
     cores: float
     memory_mb: float
+    heartbeat_s: float = 1.2
     window_s: float = 5.0
     usage_late_s: float = 10.0
     usage_tolerance: float = 0.05
@@ -183,6 +186,7 @@
             result_retention_s=file.bounds.status_s,
             cores=round(file.limits.cpu_share * file.limits.cores, 2),
             memory_mb=file.limits.memory_mb,
+            heartbeat_s=file.heartbeat_ms / 1000,
             window_s=file.bounds.window_s,
             usage_late_s=file.bounds.usage_late_s,
             usage_tolerance=file.bounds.usage_tolerance,
