--- a/features/steps/where_steps.py
+++ b/features/steps/where_steps.py
@@ -23,10 +23,10 @@
 from greengagetack.batches.where import make_item
 from greengagetack.cli.main import main
 from greengagetack.daemons.status import build_status_application
+from greengagetack.daemons.where import Question, make_job
 from greengagetack.gateway.choice import choose_replica
 from greengagetack.gateway.where import MAX_LISTED, MAX_PER_S, Rate
 from greengagetack.gateway.zone_routing import ZoneReading
-from greengagetack.platform.where import Question, make_job
 from greengagetack.replicas.replica import ReplicaState
 from greengagetack.world import Address
 from standins.platform_cluster import HOST_NAME, PlatformCluster, wait_for
--- a/features/support/where_world.py
+++ b/features/support/where_world.py
@@ -8,13 +8,13 @@
 from greengagetack.batches.engine_properties import EngineProperties
 from greengagetack.batches.item_placement import ItemPlacement, PlacementRound
 from greengagetack.coordination.messages import Member
+from greengagetack.daemons.where import WhereAnswers
 from greengagetack.errors import CodedError
 from greengagetack.facts import FactTable
 from greengagetack.gateway.customers import Customer
 from greengagetack.gateway.routes import Configuration, RequestKind, Route, RouteTable
 from greengagetack.gateway.zone_routing import ZoneRouting
 from greengagetack.observability.metrics import Metrics
-from greengagetack.platform.where import WhereAnswers
 from greengagetack.replicas.ejections import LIFETIME_S, Ejections, ReplicaEjected
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.replicas.paths import ReplicaPaths
--- a/greengagetack/platform/where.py
+++ b/greengagetack/daemons/where.py
@@ -1,4 +1,4 @@
-"""greengagetack.platform.where: answers ``GET /where`` at the operators' port."""
+"""greengagetack.daemons.where: answers ``GET /where`` at the operators' port."""
 
 import re
 import time
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -29,6 +29,7 @@
 from greengagetack.daemons.protocol import HttpBounds, bounded_config
 from greengagetack.daemons.status import build_status_application
 from greengagetack.daemons.supervise import supervise
+from greengagetack.daemons.where import WhereAnswers
 from greengagetack.facts import FactCursor, FactTable
 from greengagetack.freezes import FREEZE_TICK_S, FreezeWatch
 from greengagetack.gateway.customer_shares import TICK_S as SHARES_TICK_S
@@ -60,7 +61,6 @@
 from greengagetack.platform.replica import PlatformDialect, PlatformOrderSender
 from greengagetack.platform.settings import VmFacts
 from greengagetack.platform.store import PlatformStore
-from greengagetack.platform.where import WhereAnswers
 from greengagetack.replicas.ejections import Ejections
 from greengagetack.replicas.fleet import Fleet
 from greengagetack.replicas.paths import ReplicaPaths
