--- /dev/null
+++ b/features/steps/config_bounds_steps.py
@@ -0,0 +1,179 @@
+"""features.steps.config_bounds_steps: the time from a change to its effect."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from behave import then, when
+from behave.runner import Context
+
+from features.support.copy_fleet import CopyFleet, FleetDaemon
+from features.support.fleet_play import OLD_VERSION, Play, fail, now_s
+from features.support.virtual_time import run_in_virtual_time
+
+# The moments of a failure cover a turn of the watches, those of a change the time that a
+# daemon needs to notice it.
+FAILURE_MOMENTS_S = (4.0, 4.25, 4.5, 4.75)
+CHANGE_DELAYS_S = (0.0, 1.0)
+OBSERVATION_S = 6.0
+CHANGE_INTERVAL_S = 0.3
+SILENCE_S = 1.0
+NEVER_S = float("inf")
+
+
+class Change:
+    """A configuration that was written, and when."""
+
+    def __init__(self, version: int, written_s: float) -> None:
+        self.version = version
+        self.written_s = written_s
+
+
+async def _started(context: Context, ready_s: float) -> Play:
+    play = Play(CopyFleet(context.sizes, context.seeds))
+    await play.fleet.configure(OLD_VERSION)
+    await play.start_all()
+    await asyncio.sleep(play.began_s + ready_s - now_s())
+    return play
+
+
+async def _write(play: Play, version: int) -> Change:
+    written_s = now_s()
+    await play.fleet.configure(version)
+    return Change(version, written_s)
+
+
+async def _write_series(play: Play, duration_s: float) -> list[Change]:
+    """Write configurations at a steady rate."""
+    changes: list[Change] = []
+    until_s = now_s() + duration_s
+    while now_s() < until_s:
+        changes.append(await _write(play, OLD_VERSION + 1 + len(changes)))
+        await asyncio.sleep(CHANGE_INTERVAL_S)
+    return changes
+
+
+def _in_touch(play: Play) -> dict[str, FleetDaemon]:
+    storeless = play.fleet.network.storeless
+    running = play.running().items()
+    return {node: daemon for node, daemon in running if node not in storeless}
+
+
+def _effect_s(daemon: FleetDaemon, version: int) -> float:
+    """Return when a version or a newer one was in force."""
+    return next((at_s for at_s, has in daemon.applied if has >= version), NEVER_S)
+
+
+def _late(play: Play, changes: list[Change], limit_s: float) -> list[tuple[str, float]]:
+    """Return the daemons that were late, with the longest time of each."""
+    longest = {
+        node: max(_effect_s(daemon, each.version) - each.written_s for each in changes)
+        for node, daemon in _in_touch(play).items()
+    }
+    return [(node, time_s) for node, time_s in longest.items() if time_s > limit_s]
+
+
+@when("this fails at any moment before a change: {failure}")
+def step_fail(context: Context, failure: str) -> None:
+    async def run(moment_s: float, delay_s: float) -> tuple[Play, list[Change]]:
+        play = await _started(context, moment_s)
+        fail(play.fleet, failure)
+        await asyncio.sleep(delay_s)
+        change = await _write(play, OLD_VERSION + 1)
+        await asyncio.sleep(OBSERVATION_S)
+        return play, [change]
+
+    context.plays = [
+        run_in_virtual_time(run(moment_s, delay_s))
+        for moment_s in FAILURE_MOMENTS_S
+        for delay_s in CHANGE_DELAYS_S
+    ]
+
+
+@when(
+    "a relay, the other one and the dispatcher of its zone's daemons freeze, "
+    "each {gap:g} s later"
+)
+def step_one_after_another(context: Context, gap: float) -> None:
+    async def freeze(play: Play) -> None:
+        for node in (*play.fleet.relays()["b"], play.fleet.dispatcher()):
+            play.fleet.freeze(node)
+            await asyncio.sleep(gap)
+
+    context.plays = _plays_with_changes(context, freeze)
+
+
+@when("the store's watches hear nothing for 1 s, and its history is gone then")
+def step_drop_history(context: Context) -> None:
+    async def drop(play: Play) -> None:
+        store = play.fleet.network.store
+        store.silent_until_s = now_s() + SILENCE_S
+        await asyncio.sleep(SILENCE_S)
+        store.drop_history()
+
+    context.plays = _plays_with_changes(context, drop)
+
+
+def _plays_with_changes(
+    context: Context, disrupt: Callable[[Play], Awaitable[None]]
+) -> list[tuple[Play, list[Change]]]:
+    """Play a disruption at several moments while configurations are written."""
+
+    async def run(moment_s: float) -> tuple[Play, list[Change]]:
+        play = await _started(context, moment_s)
+        disruption = asyncio.ensure_future(disrupt(play))
+        changes = await _write_series(play, OBSERVATION_S)
+        await disruption
+        await asyncio.sleep(OBSERVATION_S)
+        return play, changes
+
+    return [run_in_virtual_time(run(moment_s)) for moment_s in FAILURE_MOMENTS_S]
+
+
+@then("all daemons in touch have the change within {limit:g} s")
+@then("all daemons in touch have each change of this time within {limit:g} s")
+def step_in_force(context: Context, limit: float) -> None:
+    late = [found for play in context.plays if (found := _late(*play, limit))]
+    assert not late, (len(late), max(late, key=len)[:5])
+
+
+@when(
+    "a daemon {state} for {duration:g} s, and all its sources are frozen from its "
+    "return on"
+)
+def step_return(context: Context, state: str, duration: float) -> None:
+    async def run(moment_s: float) -> None:
+        play = await _started(context, moment_s)
+        fleet, network = play.fleet, play.fleet.network
+        sources = {*fleet.relays()["b"], fleet.dispatcher()}
+        names = sorted(node for node, zone in fleet.zones.items() if zone == "b")
+        subject = next(node for node in names if node not in sources | {*fleet.seeds})
+        if state == "is frozen":
+            fleet.freeze(subject)
+        if state == "is cut off":
+            network.cut.add(subject)
+        if state == "gets no answer":
+            network.deaf.add(subject)
+        if state != "is frozen":
+            network.storeless.add(subject)
+            network.is_store_silent = True
+        changes = await _write_series(play, duration)
+        for victims in (network.cut, network.deaf, network.storeless):
+            victims.discard(subject)
+        fleet.thaw(subject)
+        for node in {*fleet.relays()["b"], fleet.dispatcher()}:
+            fleet.freeze(node)
+        returned_s = now_s()
+        await asyncio.sleep(OBSERVATION_S)
+        newest = changes[-1].version
+        context.return_times_s.append(
+            _effect_s(fleet.daemons[subject], newest) - returned_s
+        )
+
+    context.return_times_s = []
+    for moment_s in FAILURE_MOMENTS_S:
+        run_in_virtual_time(run(moment_s))
+
+
+@then("it has the changes of this time within {limit:g} s of its return")
+def step_returned(context: Context, limit: float) -> None:
+    assert max(context.return_times_s) <= limit, context.return_times_s
--- a/features/steps/zone_relays_steps.py
+++ b/features/steps/zone_relays_steps.py
@@ -14,6 +14,7 @@
     STALE_VERSION,
     START_SPREAD_S,
     Play,
+    fail,
     now_s,
     play_of,
     victims_of,
@@ -218,26 +219,12 @@
 
 @when("this fails: {failure}")
 def step_failure(context: Context, failure: str) -> None:
-    async def fail(play: Play) -> None:
-        fleet, network = play.fleet, play.fleet.network
-        play.former = fleet.dispatcher()
+    async def begin(play: Play) -> None:
+        play.former = play.fleet.dispatcher()
         play.mark()
-        victims = victims_of(fleet, failure)
-        network.is_store_silent = "silence" in failure or "the store" not in failure
-        for node in victims:
-            if "killed" in failure:
-                fleet.kill(node)
-            if "frozen" in failure:
-                fleet.freeze(node)
-        if "cut off" in failure:
-            network.cut.update(victims)
-        if "cut off" in failure or "the store" in failure:
-            network.storeless.update(victims)
-        if "no answers" in failure:
-            network.deaf.update(victims)
-            network.storeless.update(victims)
-
-    context.plan.append(fail)
+        fail(play.fleet, failure)
+
+    context.plan.append(begin)
 
 
 @when("a configuration is written {later:g} s later")
--- a/features/support/copy_fleet.py
+++ b/features/support/copy_fleet.py
@@ -28,6 +28,7 @@
 from greengagetack.freezes import FREEZE_TICK_S, FreezeWatch
 from greengagetack.http1.message import ResponseHead
 from greengagetack.objects.base import (
+    HistoryGone,
     ObjectConflict,
     PlatformObject,
     StoreRateLimited,
@@ -51,20 +52,38 @@
 # Of the replicas, as on the users' platform.
 HEARTBEAT_S = 1.2
 CONNECT_TIMEOUT_S = 0.4
+# Daemons keep a connection for this long after a call.
+IDLE_CONNECTION_S = 4.0
 STORE_TIMEOUT_S = 1.0
 STORE_WATCH_MARGIN_S = 0.6
 OK = 200
 CONFLICT = 409
+GONE = 410
 TOO_MANY_REQUESTS = 429
 UNAVAILABLE = 503
 FIRST_PORT = 7_000
 
 
 class FleetStore(MemoryObjects):
-    """Objects whose watches end only for changes of their own prefix."""
+    """Objects whose watches end only for changes of their own prefix.
+
+    Until `silent_until_s`, watches hear of no change.
+    """
+
+    silent_until_s = 0.0
+    _first_revision = 0
+
+    def drop_history(self) -> None:
+        """Forget which changes led to the present objects."""
+        self._first_revision = self._revision
 
     async def watch(self, prefix: str, after: int, timeout_s: float) -> WatchAnswer:
         """Wait for changes under a prefix."""
+        if after < self._first_revision:
+            raise HistoryGone(f"changes after {after} are gone")
+        if asyncio.get_running_loop().time() < self.silent_until_s:
+            await asyncio.sleep(timeout_s)
+            return WatchAnswer(after, ())
         answer = self._changes_after(prefix, after)
         until_s = asyncio.get_running_loop().time() + timeout_s
         while not answer.objects and not answer.deleted:
@@ -75,6 +94,9 @@
                     await changed.wait()
             except TimeoutError:
                 return self._changes_after(prefix, after)
+            if asyncio.get_running_loop().time() < self.silent_until_s:
+                await asyncio.sleep(max(0.0, left_s))
+                return WatchAnswer(after, ())
             answer = self._changes_after(prefix, after)
         return answer
 
@@ -117,6 +139,13 @@
     peer_calls: Counter[str] = field(default_factory=Counter)
     # Copies of the configuration that were answered.
     answers: list[ServedCopy] = field(default_factory=list)
+    # When a daemon last had an answer of another one.
+    connections: dict[tuple[str, str], float] = field(default_factory=dict)
+
+    def is_connected(self, node: str, other: str) -> bool:
+        """Whether a call takes a connection of an earlier one, which may be dead."""
+        used_s = self.connections.get((node, other), float("-inf"))
+        return asyncio.get_running_loop().time() - used_s < IDLE_CONNECTION_S
 
     async def wait_until_thawed(self, node: str) -> None:
         """Wait while a daemon is frozen."""
@@ -170,6 +199,8 @@
                 answer = await store.watch(operation.path, operation.number, wait_s)
         except ObjectConflict:
             return StoreResponse(CONFLICT, b"")
+        except HistoryGone:
+            return StoreResponse(GONE, b"")
         if self._node in network.storeless:
             await asyncio.Event().wait()
         await network.wait_until_thawed(self._node)
@@ -220,6 +251,8 @@
         response = await self._transport.call("CALL", target, b"", wait_s)
         if response.status == CONFLICT:
             raise ObjectConflict(f"{operation.path} has another version")
+        if response.status == GONE:
+            raise HistoryGone(f"changes of {operation.path} are gone")
         if response.status == TOO_MANY_REQUESTS:
             raise StoreRateLimited("the store is called too often", 0.1)
         if response.status != OK:
@@ -249,7 +282,9 @@
         ends = {address.host, self._local_node}
         is_cut = ends & network.cut and len(ends) == 2
         if is_cut or self._local_node in network.deaf:
-            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            is_connected = network.is_connected(self._local_node, address.host)
+            network.connections.pop((self._local_node, address.host), None)
+            await asyncio.sleep(limit_s if is_connected else CONNECT_TIMEOUT_S)
             raise PeerUnreachable(f"{address}: no connection", 0.1)
         answer = asyncio.ensure_future(self._answer(server, ends, path, body))
         ended = asyncio.ensure_future(server.ended.wait())
@@ -261,6 +296,8 @@
             )
             await network.wait_until_thawed(self._local_node)
             if answer.done():
+                now_s = asyncio.get_running_loop().time()
+                network.connections[self._local_node, address.host] = now_s
                 return answer.result()
             reason = "connection reset" if ended in done else "no answer in time"
             raise PeerUnreachable(f"{address}: {reason}", 0.1)
--- a/features/support/fleet_play.py
+++ b/features/support/fleet_play.py
@@ -19,6 +19,7 @@
     "STALE_VERSION",
     "START_SPREAD_S",
     "Play",
+    "fail",
     "now_s",
     "play_of",
     "victims_of",
@@ -120,14 +121,35 @@
     found: list[str] = []
     if "dispatcher" in text:
         found.append(fleet.dispatcher())
+    if "relays and dispatcher" in text:
+        found += [fleet.dispatcher(), *relays["b"]]
     if "both relays" in text:
         found += relays["b"]
     elif "a relay" in text:
         found.append(relays["b"][0])
     if "all relays" in text:
         found += [node for pair in relays.values() for node in pair]
-    if "a half of the daemons" in text:
+    if "half of the daemons" in text:
         found += sorted(fleet.daemons)[::2]
     if "all daemons" in text:
         found += list(fleet.daemons)
     return found
+
+
+def fail(fleet: CopyFleet, failure: str) -> None:
+    """Let a failure begin."""
+    network = fleet.network
+    victims = victims_of(fleet, failure)
+    network.is_store_silent = "silence" in failure or "the store" not in failure
+    for node in victims:
+        if "killed" in failure:
+            fleet.kill(node)
+        if "frozen" in failure:
+            fleet.freeze(node)
+    if "cut off" in failure:
+        network.cut.update(victims)
+    if "cut off" in failure or "the store" in failure:
+        network.storeless.update(victims)
+    if "no answers" in failure:
+        network.deaf.update(victims)
+        network.storeless.update(victims)
