Log which source of a copy did not answer, after how long

Each failed call to a daemon's copy now names the daemon, the time that it took and the age of its last answer; a change to the store is logged, and a configuration with the age that the copy had before it.

--- a/features/steps/config_bounds_steps.py
+++ b/features/steps/config_bounds_steps.py
@@ -10,8 +10,8 @@
 from features.support.fleet_play import OLD_VERSION, Play, fail, now_s
 from features.support.virtual_time import run_in_virtual_time
 
-# The moments of a failure cover a turn of the watches, those of a change the time that a
-# daemon needs to notice it.
+# The moments of a failure cover a turn of the watches, those of a change the time that
+# a daemon needs to notice it.
 FAILURE_MOMENTS_S = (4.0, 4.25, 4.5, 4.75)
 CHANGE_DELAYS_S = (0.0, 1.0)
 OBSERVATION_S = 6.0
--- a/greengagetack/coordination/remote_copy.py
+++ b/greengagetack/coordination/remote_copy.py
@@ -3,6 +3,8 @@
 import time
 from collections.abc import Awaitable, Callable
 
+from loguru import logger
+
 from greengagetack.coordination.client import Copy, CopyRefused, PeerClient
 from greengagetack.errors import PeerUnreachable
 from greengagetack.freezes import boottime_s
@@ -19,6 +21,7 @@
 PROBE_WAIT_S = 0.1
 # A daemon that has refused a call within this time is alive.
 RECENT_REFUSAL_S = 2.0
+MS_PER_S = 1_000
 
 
 class RemoteCopy:
@@ -77,16 +80,19 @@
         return await self._record(prefix, call)
 
     async def _record(self, prefix: str, call: Awaitable[Copy]) -> WatchAnswer:
+        sent_s = boottime_s()
         try:
             copy = await call
-        except CopyRefused:
+        except CopyRefused as error:
+            self._log_failure(prefix, sent_s, error)
             self._failed_prefixes.add(prefix)
             now_s = time.monotonic()
             self._failures = 0
             self._last_refusal_s = now_s
             self._refused_until_s[prefix] = now_s + FAILURE_PAUSE_S
             raise
-        except PeerUnreachable:
+        except PeerUnreachable as error:
+            self._log_failure(prefix, sent_s, error)
             self._failed_prefixes.add(prefix)
             pause_s = min(MAX_FAILURE_PAUSE_S, FAILURE_PAUSE_S * 2**self._failures)
             # The feeds of a daemon fail together; that counts once.
@@ -100,3 +106,20 @@
         if copy.is_from_dispatcher:
             self._on_dispatcher(self.address)
         return copy.answer
+
+    def _log_failure(self, prefix: str, sent_s: float, error: PeerUnreachable) -> None:
+        logger.info(
+            "copy: no answer from a daemon",
+            prefix=prefix,
+            source=str(self.address),
+            took_ms=int((boottime_s() - sent_s) * MS_PER_S),
+            confirmed_age_ms=self._confirmed_age_ms(prefix),
+            reason=error.reason,
+        )
+
+    def _confirmed_age_ms(self, prefix: str) -> int | None:
+        """Return the age of the daemon's last copy, None if it never gave one."""
+        confirmed_s = self._confirmed_s.get(prefix)
+        if confirmed_s is None:
+            return None
+        return int((boottime_s() - confirmed_s) * MS_PER_S)
--- a/greengagetack/coordination/source.py
+++ b/greengagetack/coordination/source.py
@@ -9,6 +9,7 @@
 from collections import defaultdict
 
 import xxhash
+from loguru import logger
 
 from greengagetack.coordination.claim import DispatcherClaim
 from greengagetack.coordination.client import PeerClient
@@ -109,6 +110,8 @@
         is_new = self._chosen.get(prefix) is not chosen
         self._is_first_store_call[prefix] = is_new and chosen is self._store
         self._chosen[prefix] = chosen
+        if chosen is self._store and is_new:
+            logger.info("feed: follows the store", prefix=prefix)
         return chosen
 
     def _record_last_call(self, prefix: str) -> None:
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -1,6 +1,7 @@
 """greengagetack.platform.daemon: the daemon that serves the platform's clients."""
 
 import asyncio
+import math
 import time
 import uuid
 from collections.abc import Awaitable, Callable
@@ -414,6 +415,7 @@
                 "config: new version in force",
                 version=configuration.version,
                 revision=stored.version,
+                copy_age_ms=_age_ms(self._config_feed),
                 routes=len(configuration.routes),
                 customers=len(configuration.customers),
             )
@@ -609,3 +611,8 @@
     def reload(self) -> None:
         """Handle SIGHUP; no field that the daemon uses may change while it runs."""
         logger.info("daemon: SIGHUP received; the settings are not reloaded")
+
+
+def _age_ms(feed: Feed) -> int | None:
+    """Return the age of a copy before a change, None before its first confirmation."""
+    return None if math.isinf(feed.age_s) else int(feed.age_s * MS_PER_S)
