Ask the store beside a silent daemon once a copy is overdue

Cause: a follower asked the first relay, the second, the dispatcher and the store one after another, and a frozen VM takes a whole watch of 1.5 s each. The class: each wait is bounded, their sum is not.

A copy now has one time for all its sources: once it is 1.5 s old (1.35 s at a relay), the store is read beside the daemon that is being asked, and the first answer counts. The gate still limits the calls to a store that is away. An answer says how long its call had waited, so that one of the store's own is not dated from the call to the daemon; the end of an outage is dated from the latest possible time.

--- a/features/support/copy_fleet.py
+++ b/features/support/copy_fleet.py
@@ -381,6 +381,7 @@
             self._peers,
             self.claim,
             self.feeds[CLAIMS_PREFIX],
+            tuple(self.feeds[prefix] for prefix in PREFIXES),
             self._roster,
             self.member,
             addresses,
--- a/greengagetack/coordination/remote_copy.py
+++ b/greengagetack/coordination/remote_copy.py
@@ -65,6 +65,10 @@
         """Whether the daemon has just answered that its copy is not confirmed."""
         return time.monotonic() - self._last_refusal_s < RECENT_REFUSAL_S
 
+    def record_overdue(self, prefix: str) -> None:
+        """Record that the store has answered before this daemon."""
+        self._record_silence(prefix)
+
     async def list(self, prefix: str) -> WatchAnswer:
         """Return all objects of the copy under a prefix."""
         return await self._record(
@@ -83,8 +87,7 @@
         sent_s = boottime_s()
         try:
             copy = await call
-        except CopyRefused as error:
-            self._log_failure(prefix, sent_s, error)
+        except CopyRefused:
             self._failed_prefixes.add(prefix)
             now_s = time.monotonic()
             self._failures = 0
@@ -92,13 +95,8 @@
             self._refused_until_s[prefix] = now_s + FAILURE_PAUSE_S
             raise
         except PeerUnreachable as error:
-            self._log_failure(prefix, sent_s, error)
-            self._failed_prefixes.add(prefix)
-            pause_s = min(MAX_FAILURE_PAUSE_S, FAILURE_PAUSE_S * 2**self._failures)
-            # The feeds of a daemon fail together; that counts once.
-            if time.monotonic() >= self._paused_until_s:
-                self._failures += 1
-                self._paused_until_s = time.monotonic() + pause_s
+            self._log_silence(prefix, sent_s, error)
+            self._record_silence(prefix)
             raise
         self._failures = 0
         self._failed_prefixes.discard(prefix)
@@ -107,7 +105,7 @@
             self._on_dispatcher(self.address)
         return copy.answer
 
-    def _log_failure(self, prefix: str, sent_s: float, error: PeerUnreachable) -> None:
+    def _log_silence(self, prefix: str, sent_s: float, error: PeerUnreachable) -> None:
         logger.info(
             "copy: no answer from a daemon",
             prefix=prefix,
@@ -123,3 +121,11 @@
         if confirmed_s is None:
             return None
         return int((boottime_s() - confirmed_s) * MS_PER_S)
+
+    def _record_silence(self, prefix: str) -> None:
+        self._failed_prefixes.add(prefix)
+        pause_s = min(MAX_FAILURE_PAUSE_S, FAILURE_PAUSE_S * 2**self._failures)
+        # The feeds of a daemon fail together; that counts once.
+        if time.monotonic() >= self._paused_until_s:
+            self._failures += 1
+            self._paused_until_s = time.monotonic() + pause_s
--- a/greengagetack/coordination/source.py
+++ b/greengagetack/coordination/source.py
@@ -11,6 +11,7 @@
 import xxhash
 from loguru import logger
 
+from greengagetack.coordination.backed_copy import BackedCopy
 from greengagetack.coordination.claim import DispatcherClaim
 from greengagetack.coordination.client import PeerClient
 from greengagetack.coordination.messages import Member
@@ -35,6 +36,10 @@
 # Shorter, so that a relay is up to date again when its followers notice that the
 # dispatcher and the other relay are lost.
 RELAY_WATCH_WAIT_S = 0.6
+# Age from which a feed reads the store beside its source. Relays turn to it first, so
+# that their followers are answered before they are overdue themselves.
+RELAY_OVERDUE_S = 1.35
+FOLLOWER_OVERDUE_S = MAX_COPY_AGE_S
 # A daemon that turns to the store detects early that it is silent, while the daemons
 # that it has followed may be up to date again.
 FIRST_STORE_WATCH_WAIT_S = 0.1
@@ -62,6 +67,8 @@
     ----------
     claims_feed : Feed
         Copy of the dispatcher's claim, the only feed that relays watch in the store.
+    feeds : tuple of Feed
+        The other feeds.
     """
 
     def __init__(
@@ -70,6 +77,7 @@
         peers: PeerClient,
         claim: DispatcherClaim,
         claims_feed: Feed,
+        feeds: tuple[Feed, ...],
         roster: Roster,
         local_member: Member,
         seeds: tuple[Address, ...],
@@ -81,6 +89,7 @@
         self._peers = peers
         self._claim = claim
         self._claims_feed = claims_feed
+        self._feeds = {feed.prefix: feed for feed in feeds}
         self._roster = roster
         self._local_member = local_member
         self._local_address = Address.parse(local_member.control)
@@ -120,13 +129,19 @@
         Each is tried once before the store, however long the attempts take together.
         """
         last = self._chosen.get(prefix)
+        if isinstance(last, BackedCopy):
+            last = last.copy
         if isinstance(last, RemoteCopy) and last.has_failed(prefix):
             self._failed[prefix].add(last.address)
         else:
             self._failed[prefix].clear()
 
     def _choose(self, prefix: str) -> FeedSource:
-        return self._choose_daemon(prefix) or self._choose_store()
+        chosen = self._choose_daemon(prefix) or self._choose_store()
+        if isinstance(chosen, RemoteCopy):
+            limit_s = RELAY_OVERDUE_S if self._is_candidate() else FOLLOWER_OVERDUE_S
+            return BackedCopy(chosen, self._gate, self._feeds[prefix], limit_s)
+        return chosen
 
     def _choose_daemon(self, prefix: str) -> FeedSource | None:
         """Return the first daemon to be asked for its copy, None if there is none."""
--- a/greengagetack/objects/base.py
+++ b/greengagetack/objects/base.py
@@ -73,7 +73,8 @@
     `deleted` holds the paths of removed objects. `age_s` is the time since the store
     confirmed the copy from which a daemon answers; the store's own answers have none.
     `since_return_s` is the time since the end of the store's last outage, infinite if
-    that daemon knows of none.
+    that daemon knows of none. `waited_s` is the time from the call to its answer,
+    without the time that the answer was on its way; infinite if that is not known.
     """
 
     revision: int
@@ -81,6 +82,7 @@
     deleted: tuple[str, ...] = ()
     age_s: float = 0.0
     since_return_s: float = float("inf")
+    waited_s: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagetack/objects/feed.py
+++ b/greengagetack/objects/feed.py
@@ -1,6 +1,7 @@
 """greengagetack.objects.feed: a local copy of the objects under one prefix."""
 
 import asyncio
+import math
 import time
 from collections import deque
 from collections.abc import Callable
@@ -125,7 +126,8 @@
                 self._needs_list = True
                 continue
             except CodedError as error:
-                self._record_failure(error)
+                self._log_failure(error)
+                self.record_source_failure(error)
                 await asyncio.sleep(retry_pause_s)
                 retry_pause_s = min(MAX_RETRY_PAUSE_S, retry_pause_s * 2)
                 continue
@@ -145,7 +147,8 @@
             self._sent_s = boottime_s()
             try:
                 listing = await source.list(self.prefix)
-                confirmed_s = self._record_contact(listing, boottime_s())
+                answer_due_s = self._sent_s + listing.waited_s
+                confirmed_s = self._record_contact(listing, answer_due_s)
                 self._apply_listing(listing)
             except CodedError:
                 self._needs_list = True
@@ -159,11 +162,12 @@
         self._watch_task = asyncio.ensure_future(watch)
         try:
             update = await self._watch_task
-            answered_s = boottime_s()
-            if not update.objects and not update.deleted:
+            is_change = bool(update.objects or update.deleted)
+            answer_due_s = self._sent_s + update.waited_s
+            if not is_change and math.isinf(update.waited_s):
                 # Without a change, the answer was due when the wait ended.
-                answered_s = min(answered_s, self._sent_s + wait_s)
-            confirmed_s = self._record_contact(update, answered_s)
+                answer_due_s = self._sent_s + wait_s
+            confirmed_s = self._record_contact(update, answer_due_s)
             self._apply_changes(update)
             self.confirm(confirmed_s)
         except asyncio.CancelledError:
@@ -174,17 +178,18 @@
         finally:
             self._watch_task.cancel()
             self._watch_task = None
-        if (update.objects or update.deleted) and self._pause_s():
+        if is_change and self._pause_s():
             await asyncio.sleep(self._pause_s())
 
-    def _record_contact(self, answer: WatchAnswer, answered_s: float) -> float:
+    def _record_contact(self, answer: WatchAnswer, answer_due_s: float) -> float:
         """Return when the store confirmed an answer, and record what it shows."""
+        answered_s = boottime_s()
         if self._freezes is not None and self._freezes.was_frozen_since(self._sent_s):
             answered_s = self._sent_s
-        confirmed_s = answered_s - answer.age_s
+        confirmed_s = min(answered_s, answer_due_s) - answer.age_s
         if self._outages is not None:
             self._outages.learn_return(answer.since_return_s)
-            self._outages.record_answer(confirmed_s)
+            self._outages.record_answer(confirmed_s, answered_s - answer.age_s)
         return confirmed_s
 
     def confirm(self, confirmed_s: float) -> None:
@@ -205,7 +210,7 @@
         if self._watch_task is not None:
             self._watch_task.cancel()
 
-    def _record_failure(self, error: CodedError) -> None:
+    def _log_failure(self, error: CodedError) -> None:
         if self.last_failure_s <= self.last_answer_s:
             logger.warning(
                 "feed: update failed",
@@ -214,6 +219,9 @@
                 reason=error.reason,
             )
         self.last_failure_s = time.monotonic()
+
+    def record_source_failure(self, error: CodedError) -> None:
+        """Record that a call to one of the sources has failed."""
         if self._outages is not None:
             self._outages.record_failure(error, self._sent_s)
 
--- a/greengagetack/objects/outages.py
+++ b/greengagetack/objects/outages.py
@@ -59,23 +59,28 @@
             return
         self._failed_s = boottime_s()
 
-    def record_answer(self, answered_s: float) -> None:
-        """Record that the store answered this or another daemon at a time."""
+    def record_answer(self, answered_s: float, latest_s: float | None = None) -> None:
+        """Record that the store answered this or another daemon at a time.
+
+        A call that is repeated may be answered later than `answered_s`, but not later
+        than `latest_s`: an outage ended by then.
+        """
         if answered_s <= self._answered_s:
             return
         if self._failed_s > self._answered_s:
-            self._record_return(answered_s)
+            returned_s = answered_s if latest_s is None else latest_s
+            self._record_return(answered_s, returned_s)
         self._answered_s = answered_s
 
     def learn_return(self, since_return_s: float) -> None:
         """Learn from another daemon how long ago the store returned."""
         returned_s = boottime_s() - since_return_s
         if returned_s > self._answered_s:
-            self._record_return(returned_s)
+            self._record_return(returned_s, returned_s)
             self._answered_s = returned_s
 
-    def _record_return(self, returned_s: float) -> None:
-        away_s = returned_s - self._answered_s
+    def _record_return(self, answered_s: float, returned_s: float) -> None:
+        away_s = answered_s - self._answered_s
         if away_s < self._min_outage_s:
             return
         self._returned_s = max(self._returned_s, returned_s)
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -299,6 +299,7 @@
             self._peers,
             self._claim,
             self._claims_feed,
+            (self._config_feed, self._servers_feed, self._members_feed),
             self._roster,
             self._local_member,
             facts.seeds,
