Pass over an entry of the replicas' that cannot be read, sent on or connected to

One odd entry of another writer kept all daemons from the list. Nested 100,000 deep, it raised RecursionError, which nobody caught: the reader ended and was restarted again and again. An integer beyond 64 bits was read, but could not be encoded for other daemons, whose copies then failed with status 500. A port beyond 65,535 raised OverflowError at the first connection. Found on the way: NaN and half a surrogate pair made the whole listing invalid, and an identifier with a line feed went into a header.

Each value of the store is now decoded by itself, bounded in depth, and has to be encodable; a page that cannot be decoded is repaired first. Fields of entries have bounds, addresses are IPv4 with a port. Other decoders of foreign documents (jobs, reports, scores, engines' answers) turn RecursionError into their coded errors.

--- a/greengagetack/engines/openai.py
+++ b/greengagetack/engines/openai.py
@@ -99,7 +99,7 @@
 def _error_detail(answer: HttpAnswer) -> _ErrorDetail:
     try:
         return msgspec.json.decode(answer.body, type=_ErrorBody).error
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return _ErrorDetail()
 
 
@@ -122,7 +122,7 @@
     def _decode(self, data: bytes, answer_type: type[AnswerT]) -> AnswerT:
         try:
             return msgspec.json.decode(data, type=answer_type)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise EndpointFailed(
                 f"{self.endpoint.endpoint_id} sent a malformed answer: {error}"
             ) from error
--- a/greengagetack/objects/client.py
+++ b/greengagetack/objects/client.py
@@ -247,7 +247,7 @@
     """Decode the body of a response; an invalid body counts as a lost response."""
     try:
         return msgspec.json.decode(response.body, type=response_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise _ResponseLost(f"the response cannot be decoded: {error}") from error
 
 
--- a/greengagetack/platform/batch_api.py
+++ b/greengagetack/platform/batch_api.py
@@ -63,7 +63,7 @@
     """
     try:
         submission = msgspec.json.decode(body, type=_Submission)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise InvalidRequest(f"the job cannot be decoded: {error}") from error
     items = tuple(_decode_item(item) for item in submission.items)
     if not items:
--- a/greengagetack/platform/documents.py
+++ b/greengagetack/platform/documents.py
@@ -1,6 +1,8 @@
 """greengagetack.platform.documents: decodes the objects that other systems write."""
 
 from collections.abc import Iterable
+from ipaddress import IPv4Address
+from typing import Annotated
 
 import msgspec
 from loguru import logger
@@ -32,10 +34,18 @@
     "rollout": RequestKind.ROLLOUT,
 }
 LOWEST_PRIORITY = 9
+# Larger values are no properties of a replica.
+MAX_SLOTS = 1_000_000
+MAX_TIME_LEFT_MS = 86_400_000
+MAX_COUNT = 2**53
 READY = "ready"
 DRAINING = "draining"
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+_TimeLeftMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_TIME_LEFT_MS)]
+
+
 class _Split(msgspec.Struct, frozen=True):
     service: str
     weight: float
@@ -111,7 +121,7 @@
 
 class _Model(msgspec.Struct, frozen=True):
     name: str
-    version: int
+    version: _Count
 
 
 class _Server(msgspec.Struct, frozen=True):
@@ -121,19 +131,19 @@
     state: str
     # Version of the replica's software.
     version: str = ""
-    slots: int = 0
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)] = 0
     models: tuple[_Model, ...] = ()
     # Unix time of the replica's start, in milliseconds.
-    born: int = 0
-    cold_left_ms: float = 0.0
+    born: _Count = 0
+    cold_left_ms: _TimeLeftMs = 0.0
     # A replica of the spot kind may be reclaimed; `leaves_ms` is then what is left.
     spot: bool = False
-    leaves_ms: float | None = None
+    leaves_ms: _TimeLeftMs | None = None
 
 
 class _NamedVersion(msgspec.Struct, frozen=True):
     model: str
-    version: int
+    version: _Count
 
 
 def decode_configuration(stored: PlatformObject) -> Configuration | None:
@@ -224,21 +234,23 @@
 
 def decode_replica(stored: PlatformObject) -> Replica | None:
     """Return the replica that an entry describes, None if it cannot be used."""
+    replica_id = stored.path.partition("/")[2]
     try:
         decoded = msgspec.convert(stored.value, _Server)
-        address = Address.parse(decoded.address)
-    except (msgspec.ValidationError, ValueError) as error:
+        address = _decode_address(decoded.address)
+    except ValueError as error:
         logger.warning("replicas: skipping invalid entry {}: {}", stored.path, error)
         return None
-    if decoded.state not in (READY, DRAINING) or not address.host:
+    is_sendable = replica_id.isascii() and replica_id.isprintable()
+    if decoded.state not in (READY, DRAINING) or not is_sendable:
         logger.warning(
-            "replicas: skipping {}: no host or unusable state {}",
+            "replicas: skipping {!r}: unusable identifier or state {!r}",
             stored.path,
             decoded.state,
         )
         return None
     return Replica(
-        replica_id=stored.path.partition("/")[2],
+        replica_id=replica_id,
         service=decoded.service,
         address=address,
         availability_zone=decoded.zone,
@@ -253,6 +265,20 @@
     )
 
 
+def _decode_address(text: str) -> Address:
+    """Return a replica's address.
+
+    Raises
+    ------
+    ValueError
+        If it is not an IPv4 address with a port from 1 on.
+    """
+    address = Address.parse(text)
+    if not address.port:
+        raise ValueError("a replica has no port")
+    return Address(str(IPv4Address(address.host)), address.port)
+
+
 def decode_named_versions(objects: Iterable[PlatformObject]) -> dict[str, int]:
     """Return the weight version that a trainer has named for each model."""
     named: dict[str, int] = {}
--- a/greengagetack/platform/replica.py
+++ b/greengagetack/platform/replica.py
@@ -208,7 +208,12 @@
             if head.status != 200:
                 return None
             report = msgspec.json.decode(body, type=_Report)
-        except (ExchangeError, TimeoutError, msgspec.MsgspecError) as error:
+        except (
+            ExchangeError,
+            TimeoutError,
+            msgspec.MsgspecError,
+            RecursionError,
+        ) as error:
             logger.info(
                 "weights: no valid report from replica",
                 replica=replica.replica_id,
--- a/greengagetack/platform/store.py
+++ b/greengagetack/platform/store.py
@@ -18,6 +18,7 @@
     WatchAnswer,
     WriteUnknown,
 )
+from greengagetack.objects.json_repair import is_too_deep, repair_json
 from greengagetack.objects.transport import REFUSED_STATUSES, StoreResponse, Transport
 from greengagetack.platform.wire import (
     CONFIG_KIND,
@@ -282,23 +283,41 @@
             f"{path}: the store responded with status {response.status}", RETRY_AFTER_S
         )
     try:
-        return msgspec.json.decode(response.body, type=expected_type)
-    except msgspec.MsgspecError as error:
+        return _decode_body(response.body, path, expected_type)
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise PlatformUnavailable(
             f"{path}: the response cannot be decoded: {error}", RETRY_AFTER_S
         ) from error
 
 
+def _decode_body(body: bytes, path: str, expected_type: Any) -> Any:
+    try:
+        return msgspec.json.decode(body, type=expected_type)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        logger.warning("store: {} has values that cannot be decoded: {}", path, error)
+        return msgspec.json.decode(repair_json(body), type=expected_type)
+
+
 def _to_object(kind: str, stored: _Object) -> PlatformObject:
     path, version = f"{kind}/{stored.metadata.name}", stored.metadata.revision
     try:
-        if kind in FOREIGN_KINDS:
-            value = msgspec.json.decode(stored.spec)
-            return PlatformObject(path, version, "", value)
-        decoded = msgspec.json.decode(stored.spec, type=_Stored)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return _decode_object(kind, path, version, stored.spec)
+    except (ValueError, OverflowError, RecursionError) as error:
         logger.warning(
             "store: ignoring the value of {}, which cannot be decoded: {}", path, error
         )
         return PlatformObject(path, version, "", None)
+
+
+def _decode_object(
+    kind: str, path: str, version: int, spec: msgspec.Raw
+) -> PlatformObject:
+    if is_too_deep(bytes(spec)):
+        raise ValueError("it is nested too deeply")
+    if kind in FOREIGN_KINDS:
+        value = msgspec.json.decode(spec)
+        # Other daemons get a copy in this format, which has no larger integers.
+        msgspec.msgpack.encode(value)
+        return PlatformObject(path, version, "", value)
+    decoded = msgspec.json.decode(spec, type=_Stored)
     return PlatformObject(path, version, decoded.change_id, decoded.value)
--- a/greengagetack/rollouts/scoring.py
+++ b/greengagetack/rollouts/scoring.py
@@ -89,7 +89,7 @@
     try:
         decoded = msgspec.json.decode(answer.body, type=_Scores)
         scores = {int(entry.sample_id): entry.score for entry in decoded.scores}
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise EndpointFailed(
             f"invalid answer from the scorer: {error}", FAILURE_RETRY_S
         ) from error
--- a/greengagetack/world.py
+++ b/greengagetack/world.py
@@ -16,6 +16,9 @@
 ]
 
 
+MAX_PORT = 65_535
+
+
 class VmState(enum.StrEnum):
     """State of a VM or endpoint as listed by the platform or the cell's table."""
 
@@ -54,10 +57,13 @@
         Raises
         ------
         ValueError
-            If the port is not a number.
+            If the port is not a number from 0 to 65535.
         """
-        host, _, port = text.rpartition(":")
-        return cls(host, int(port))
+        host, _, port_text = text.rpartition(":")
+        port = int(port_text)
+        if not 0 <= port <= MAX_PORT:
+            raise ValueError(f"port {port} is not within 0 to {MAX_PORT}")
+        return cls(host, port)
 
 
 @dataclass(frozen=True, slots=True)
