Date a daemon's answer from when it was given

A copy's age decides when its followers ask the store. Daemons now say how long a call had waited before it was answered; the asker counts from its own sending. Answers of the previous release are dated as before.

--- a/features/config_bounds.feature
+++ b/features/config_bounds.feature
@@ -59,3 +59,15 @@
       | daemons | limit |
       | 27      | 3.0   |
       | 9       | 2.0   |
+
+  # Guards against an answer that a cut held up being taken for a recent confirmation.
+  Scenario Outline: An answer that is held up on its way is dated from when it was given
+    Given a daemon whose copy was confirmed <age> s before it answers
+    When its answer, given after <waited> s and <content>, is <held> s on its way
+    Then the copy of the daemon that asked is <copy_age> s old
+
+    Examples:
+      | age | waited | content          | held | copy_age |
+      | 0.2 | 0.5    | without a change | 0.0  | 0.2      |
+      | 0.2 | 0.5    | without a change | 0.9  | 1.1      |
+      | 0.0 | 0.1    | with a change    | 1.3  | 1.3      |
--- a/features/steps/config_bounds_steps.py
+++ b/features/steps/config_bounds_steps.py
@@ -3,12 +3,16 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from behave import then, when
+from behave import given, then, when
 from behave.runner import Context
 
 from features.support.copy_fleet import CopyFleet, FleetDaemon
 from features.support.fleet_play import OLD_VERSION, Play, fail, now_s
 from features.support.virtual_time import run_in_virtual_time
+from greengagetack.coordination.copies import decode_copy
+from greengagetack.coordination.messages import encode
+from greengagetack.objects.base import PlatformObject, WatchAnswer
+from greengagetack.objects.feed import Feed
 
 # The moments of a failure cover a turn of the watches, those of a change the time that
 # a daemon needs to notice it.
@@ -17,6 +21,8 @@
 OBSERVATION_S = 6.0
 CHANGE_INTERVAL_S = 0.3
 SILENCE_S = 1.0
+ANSWER_POLL_S = 0.005
+MAX_POLLS = 1_000
 NEVER_S = float("inf")
 
 
@@ -177,3 +183,60 @@
 @then("it has the changes of this time within {limit:g} s of its return")
 def step_returned(context: Context, limit: float) -> None:
     assert max(context.return_times_s) <= limit, context.return_times_s
+
+
+class _HeldUpSource:
+    """Another daemon whose second answer is on its way for some time."""
+
+    def __init__(self, answer: WatchAnswer, held_s: float) -> None:
+        self._answer = answer
+        self._held_s = held_s
+
+    async def list(self, prefix: str) -> WatchAnswer:
+        """Return no objects."""
+        return WatchAnswer(1, (), waited_s=0.0)
+
+    async def watch(self, prefix: str, after: int, timeout_s: float) -> WatchAnswer:
+        """Return the answer once, as the encoded form brings it, then wait."""
+        if after >= self._answer.revision:
+            await asyncio.Event().wait()
+        await asyncio.sleep(self._answer.waited_s + self._held_s)
+        headers = (
+            (b"x-copy-age-ms", b"%d" % round(self._answer.age_s * 1000)),
+            (b"x-copy-waited-ms", b"%d" % round(self._answer.waited_s * 1000)),
+        )
+        body = WatchAnswer(self._answer.revision, self._answer.objects)
+        return decode_copy(headers, encode(body))
+
+
+@given("a daemon whose copy was confirmed {age:g} s before it answers")
+def step_confirmed(context: Context, age: float) -> None:
+    context.age_s = age
+
+
+@when(
+    "its answer, given after {waited:g} s and {content}, is {held:g} s on its way",
+)
+def step_held_up(context: Context, waited: float, content: str, held: float) -> None:
+    has_change = content == "with a change"
+    changes = (PlatformObject("config/main", 2, "", {}),) if has_change else ()
+    answer = WatchAnswer(2, changes, age_s=context.age_s, waited_s=waited)
+
+    async def run() -> float:
+        source = _HeldUpSource(answer, held)
+        feed = Feed(lambda: source, "config/", lambda: 1.0)
+        following = asyncio.ensure_future(feed.run())
+        for _ in range(MAX_POLLS):
+            if feed.revision == answer.revision:
+                break
+            await asyncio.sleep(ANSWER_POLL_S)
+        age_s = feed.age_s
+        following.cancel()
+        return age_s
+
+    context.copy_age_s = run_in_virtual_time(run())
+
+
+@then("the copy of the daemon that asked is {age:g} s old")
+def step_age(context: Context, age: float) -> None:
+    assert abs(context.copy_age_s - age) <= 2 * ANSWER_POLL_S, context.copy_age_s
--- a/greengagetack/coordination/copies.py
+++ b/greengagetack/coordination/copies.py
@@ -13,6 +13,7 @@
 from starlette.responses import Response
 
 from greengagetack.coordination.messages import decode, encode
+from greengagetack.freezes import boottime_s
 from greengagetack.http1.message import Headers, header
 from greengagetack.objects.base import WatchAnswer
 from greengagetack.objects.feed import Feed
@@ -31,6 +32,7 @@
 MAX_CACHED_BYTES = 4 * 1024 * 1024
 AGE_HEADER = "x-copy-age-ms"
 STORE_RETURN_HEADER = "x-copy-store-return-age-ms"
+WAITED_HEADER = "x-copy-waited-ms"
 DISPATCHER_HEADER = "x-copy-dispatcher"
 PACKED_HEADER = "x-copy-packed"
 YES = "1"
@@ -78,6 +80,7 @@
         PlatformUnavailable
             If the copy is not known to be up to date.
         """
+        began_s = boottime_s()
         prefix = request.path_params["prefix"]
         feed = self._feeds.get(prefix)
         if feed is None:
@@ -100,6 +103,7 @@
         encoded = self._encode(key, answer, accepts_packed)
         headers = {
             AGE_HEADER: str(int(answer.age_s * MS_PER_S)),
+            WAITED_HEADER: str(int((boottime_s() - began_s) * MS_PER_S)),
             DISPATCHER_HEADER: YES if self._is_dispatcher() else NO,
         }
         if math.isfinite(answer.since_return_s):
@@ -145,9 +149,13 @@
         body = _unpack(body)
     answer = decode(body, type=WatchAnswer)
     age_ms = float(header(headers, AGE_HEADER.encode()) or b"0")
+    waited_ms = float(header(headers, WAITED_HEADER.encode()) or b"inf")
     return_age_ms = float(header(headers, STORE_RETURN_HEADER.encode()) or b"inf")
     return dataclasses.replace(
-        answer, age_s=age_ms / MS_PER_S, since_return_s=return_age_ms / MS_PER_S
+        answer,
+        age_s=age_ms / MS_PER_S,
+        since_return_s=return_age_ms / MS_PER_S,
+        waited_s=waited_ms / MS_PER_S,
     )
 
 
--- a/greengagetack/coordination/remote_copy.py
+++ b/greengagetack/coordination/remote_copy.py
@@ -100,7 +100,8 @@
             raise
         self._failures = 0
         self._failed_prefixes.discard(prefix)
-        self._confirmed_s[prefix] = boottime_s() - copy.answer.age_s
+        answered_s = min(boottime_s(), sent_s + copy.answer.waited_s)
+        self._confirmed_s[prefix] = answered_s - copy.answer.age_s
         if copy.is_from_dispatcher:
             self._on_dispatcher(self.address)
         return copy.answer
