Let a daemon that was out of step not take one software version for the only one

In a release, a daemon that is cut off or frozen for a moment does not know the version that has just joined.

One version counts as the only one once the daemon's copy of the list of replicas is confirmed later than the request came; otherwise the request is refused as not run. That costs no call, and at most one turn of the watches for streams of unknown origin.

--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -122,3 +122,25 @@
       | 9       | 3    | 0     | 0.9   |
       | 72      | 25   | 0     | 0.9   |
       | 72      | 0    | 7     | 0.95  |
+
+  # Guards against a list of replicas from before a daemon was cut off or frozen.
+  Scenario Outline: A stream is taken up where its software version is not listed yet
+    Given a daemon that follows the replicas of a service, all of software v1
+    When it is <state> for 3 s, a replica of v2 joins <joined> s later
+    And a stream of unknown origin is taken up there <taken_up> s later
+    Then it does not take v1 for the only version
+
+    Examples:
+      | state    | joined | taken_up |
+      | frozen   | 0.1    | 3.0      |
+      | frozen   | 2.9    | 3.0      |
+      | frozen   | 2.9    | 3.3      |
+      | cut off  | 0.1    | 0.3      |
+      | cut off  | 0.1    | 2.9      |
+      | cut off  | 2.9    | 3.1      |
+      | in touch | 0.9    | 0.9      |
+
+  Scenario: A stream is taken up while all replicas have run one software version
+    Given a daemon that follows the replicas of a service, all of software v1
+    When a stream of unknown origin is taken up there 1.0 s later
+    Then it goes on with v1 within 1.2 s
--- a/features/support/cut_network.py
+++ b/features/support/cut_network.py
@@ -33,6 +33,7 @@
     ResponseHead,
     header,
 )
+from greengagetack.objects.feed import Feed
 from greengagetack.observability.metrics import Metrics
 from greengagetack.platform.replica import PlatformDialect
 from greengagetack.replicas.fleet import Fleet
@@ -262,7 +263,12 @@
             PlatformDialect(),
             Permits(fleet, owner, facts, metrics),  # type: ignore[arg-type]
             StreamOrigins(owner, self.addresses[number]),  # type: ignore[arg-type]
-            SoftwareHistory(fleet, facts, FactArchive(MemoryObjects(), facts)),
+            SoftwareHistory(
+                fleet,
+                Feed(MemoryObjects, "servers/", lambda: 1.0),
+                facts,
+                FactArchive(MemoryObjects(), facts),
+            ),
             Suspects(fleet, pool, paths, owner, facts, metrics),  # type: ignore[arg-type]
             paths,
             Detours(_Peers(self, number), self.addresses[number], metrics),
--- a/greengagetack/gateway/software_history.py
+++ b/greengagetack/gateway/software_history.py
@@ -12,7 +12,9 @@
 
 from greengagetack.errors import PlatformUnavailable
 from greengagetack.facts import FactTable, fact_type
+from greengagetack.freezes import boottime_s
 from greengagetack.gateway.stream_origins import RETENTION_S
+from greengagetack.objects.feed import Feed
 from greengagetack.replicas.fleet import Fleet
 
 __all__ = ["SavedFacts", "ServedSoftware", "SoftwareHistory"]
@@ -22,6 +24,8 @@
 # Callers that take up streams after a loss of all daemons come together.
 CACHE_S = 1.0
 READ_TIMEOUT_S = 0.8
+# The copy of the replicas' list is confirmed about once in this time.
+CONFIRMATION_TIMEOUT_S = 1.2
 
 T = TypeVar("T")
 
@@ -50,10 +54,24 @@
 
 
 class SoftwareHistory:
-    """Publishes which software serves, and finds what may have begun a stream."""
-
-    def __init__(self, fleet: Fleet, facts: FactTable, archive: SavedFacts) -> None:
+    """Publishes which software serves, and finds what may have begun a stream.
+
+    Parameters
+    ----------
+    fleet_feed : Feed
+        Copy of the list of replicas. That of a daemon that was cut off or frozen lacks
+        the versions that have joined meanwhile.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        fleet_feed: Feed,
+        facts: FactTable,
+        archive: SavedFacts,
+    ) -> None:
         self._fleet = fleet
+        self._fleet_feed = fleet_feed
         self._facts = facts
         self._archive = archive
         self._saved: tuple[ServedSoftware, ...] = ()
@@ -89,14 +107,32 @@
         PlatformUnavailable
             If this daemon knows of one version only and cannot read of others.
         """
-        found = self._fleet.recent_software(service, RETENTION_S)
-        found |= _of_service(self._facts.values(ServedSoftware), service)
+        asked_s = boottime_s()
+        found = self._known(service)
         if len(found) > 1:
             return found
         async with self._reading:
             if time.monotonic() - self._read_s > CACHE_S:
                 await self._read()
-        return found | _of_service(self._saved, service)
+        found |= _of_service(self._saved, service)
+        if len(found) > 1:
+            return found
+        await self._wait_for_list(asked_s)
+        return found | self._known(service)
+
+    def _known(self, service: str) -> set[str]:
+        found = self._fleet.recent_software(service, RETENTION_S)
+        return found | _of_service(self._facts.values(ServedSoftware), service)
+
+    async def _wait_for_list(self, asked_s: float) -> None:
+        """Wait until the list of replicas is known to be as new as the question."""
+        try:
+            async with asyncio.timeout(CONFIRMATION_TIMEOUT_S):
+                await self._fleet_feed.wait_until_confirmed(asked_s)
+        except TimeoutError as error:
+            raise PlatformUnavailable(
+                f"the list of replicas is {self._fleet_feed.age_s:.1f} s old"
+            ) from error
 
     async def _read(self) -> None:
         try:
--- a/greengagetack/objects/feed.py
+++ b/greengagetack/objects/feed.py
@@ -199,6 +199,17 @@
         self._confirmed_s = confirmed_s
         self._announce()
 
+    async def wait_until_confirmed(self, since_s: float) -> None:
+        """Wait until the copy has everything that was stored at a time.
+
+        Parameters
+        ----------
+        since_s : float
+            Time of `boottime_s`.
+        """
+        while self._confirmed_s < since_s:
+            await self._news.wait()
+
     def _announce(self) -> None:
         self._news.set()
         self._news = asyncio.Event()
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -192,7 +192,7 @@
         )
         self._stream_origins = StreamOrigins(self._peers, facts.control)
         self._software_history = SoftwareHistory(
-            self._fleet, self._fact_table, self._fact_archive
+            self._fleet, self._servers_feed, self._fact_table, self._fact_archive
         )
         self._duties = make_duty_parts(
             facts,
