Let a stopping daemon refuse what it cannot end, and answer what it has to break off

In a planned stop, a request that ran on at the end of the grace period got a bare 500 or a closed connection, and one whose body ended late was passed on although its answer could not come in time, among them requests that may not be repeated. A stopping daemon also told others that it reaches the replicas, and sent their requests on until it ended.

All requests of a daemon now have one end, its stop. A request that needs more than what is left, by the usual time of its replicas, is refused as not run, to be sent to another daemon at once. One that still runs 0.7 s before the process ends gets 504. A stopping daemon takes no requests of other daemons.

New requests in the last part of the grace cannot come: the daemon closes its listener and idle connections 2.6 s after SIGTERM.

--- a/greengagetack/coordination/server.py
+++ b/greengagetack/coordination/server.py
@@ -119,7 +119,8 @@
 
     async def has_path(request: Request) -> Response:
         service = request.path_params["service"]
-        return Response(encode(await forwarder.paths.check(service)))
+        is_usable = not forwarder.is_stopping and await forwarder.paths.check(service)
+        return Response(encode(is_usable))
 
     async def attempts(request: Request) -> Response:
         relayed = decode(await request.body(), type=RelayedRequest)
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -1,15 +1,16 @@
 """greengagetack.gateway.forward: sends requests to replicas, retries and hedges."""
 
 import asyncio
+import math
 import random
 import time
-from collections.abc import AsyncIterator, Callable, Collection
+from collections.abc import AsyncIterator, Callable, Collection, Iterable
 from dataclasses import replace
 
 from loguru import logger
 
 from greengagetack.accounting.windows import UsageCounter
-from greengagetack.errors import EndpointRefused, NoEndpoint, Overloaded
+from greengagetack.errors import EndpointRefused, NoEndpoint, NotReady, Overloaded
 from greengagetack.gateway.attempt import Attempt, AttemptTerms, Reply
 from greengagetack.gateway.call import (
     Call,
@@ -52,6 +53,8 @@
 # long, hangs.
 HANG_FACTOR = 5.0
 MIN_HANG_S = 0.5
+# A request of a stopping daemon needs this multiple of its usual time.
+STOP_FACTOR = 2.0
 # Replicas that a request of another daemon is offered to before it is refused.
 MAX_RELAYED_OFFERS = 2
 MS_PER_S = 1_000
@@ -91,6 +94,8 @@
         self._record_outcome = record_outcome
         self._rng = random.Random()
         self.congestion = Congestion(fleet, zones.used_share)
+        # No request runs on after this time; infinite unless the daemon is stopping.
+        self.stop_s = float("inf")
         # Called with the service of each caller's request.
         self.on_arrival: Callable[[str], None] = lambda service: None
         # Counts callers' requests by customer, if this deployment reports them.
@@ -98,12 +103,17 @@
         # Keeps customers to their shares of congested services, if there are customers.
         self.shares: CustomerShares | None = None
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether this daemon is about to stop."""
+        return math.isfinite(self.stop_s)
+
     async def forward(self, call: Call, route: Route, deadline_s: float) -> Reply:
         """Forward a request and return the response of a replica.
 
         Raises
         ------
-        NoEndpoint, EndpointRefused, Overloaded
+        NoEndpoint, EndpointRefused, NotReady, Overloaded
             If no replica has run the request, and none will.
         RequestCrashesReplicas
             If replicas crashed under the request; none will run it now.
@@ -112,6 +122,7 @@
         """
         service = route.service_for(call.routing_id)
         self.on_arrival(service)
+        self._require_time_to_run(service)
         run = RequestRun(self, call, route, deadline_s)
         await self.suspects.admit(call, service)
         try:
@@ -127,6 +138,14 @@
             run.cancel()
             run.settle_usage()
 
+    def _require_time_to_run(self, service: str) -> None:
+        """Refuse a request that would be cut off when this daemon stops."""
+        remaining_s = self.stop_s - time.monotonic()
+        listed = self._fleet.replicas_of_service(service)
+        usual_s = self._usual_s(state.replica.replica_id for state in listed)
+        if remaining_s <= STOP_FACTOR * usual_s:
+            raise NotReady("this daemon stops before the request would end", 0.0)
+
     def unusable_reason(self, service: str, software: str | None) -> str:
         """Describe why no replica can get a request now."""
         now_s = time.monotonic()
@@ -277,6 +296,8 @@
     async def send_relayed(self, request: RelayedRequest) -> Attempt:
         """Send a request of another daemon, which has no path, to one replica."""
         service = request.service
+        if self.is_stopping:
+            return Attempt(AttemptResult.NOT_SENT, None, "this daemon is stopping")
         if self.paths.is_lost(service):
             return Attempt(
                 AttemptResult.NOT_SENT, None, f"no path to the replicas of {service}"
@@ -315,12 +336,16 @@
 
     def silence_limit_s(self, replica_ids: Collection[str]) -> float:
         """Return the silence of replicas that puts the path to them in doubt."""
+        return max(MIN_SILENCE_S, SILENCE_FACTOR * self._usual_s(replica_ids))
+
+    def _usual_s(self, replica_ids: Iterable[str]) -> float:
+        """Return the usual time of a request at the slowest of some replicas."""
         usual_s = 0.0
         for replica_id in replica_ids:
             state = self._fleet.get(replica_id)
             if state is not None and state.service_time_s is not None:
                 usual_s = max(usual_s, state.service_time_s)
-        return max(MIN_SILENCE_S, SILENCE_FACTOR * usual_s)
+        return usual_s
 
     async def _stream(
         self,
--- a/greengagetack/gateway/request_run.py
+++ b/greengagetack/gateway/request_run.py
@@ -41,6 +41,8 @@
 RESUME_RETRY_PAUSE_S = 0.05
 # How often a waiting request is checked for a lost path to its replicas.
 PATH_CHECK_INTERVAL_S = 0.1
+# How late a request notices that this daemon stops.
+STOP_CHECK_INTERVAL_S = 0.5
 
 
 class RequestRun:
@@ -126,7 +128,8 @@
         has_hedged = False
         while True:
             now_s = time.monotonic()
-            remaining_s = self._deadline_s - now_s - DEADLINE_MARGIN_S
+            end_s = min(self._deadline_s, self._forwarder.stop_s)
+            remaining_s = end_s - now_s - DEADLINE_MARGIN_S
             if remaining_s <= 0:
                 tried = ", ".join(sorted(self._tried))
                 raise DeadlineExceeded(
@@ -136,8 +139,9 @@
             waits_s = [remaining_s]
             if not has_hedged:
                 waits_s.append(max(0.0, until_hedge_s))
-            if self._direct:
-                waits_s.append(PATH_CHECK_INTERVAL_S)
+            waits_s.append(
+                PATH_CHECK_INTERVAL_S if self._direct else STOP_CHECK_INTERVAL_S
+            )
             done, _ = await asyncio.wait(
                 self._pending,
                 timeout=min(waits_s),
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -83,6 +83,8 @@
 ROTATION_REMOVAL_TIME_S = 2.6
 # Everything must have stopped this long before the grace period ends.
 SHUTDOWN_MARGIN_S = 0.8
+# Requests that still run this long before everything stops get an error.
+LAST_ANSWERS_S = 0.7
 LISTEN_BACKLOG = 1_024
 MS_PER_S = 1_000
 BYTES_PER_MB = 1_000_000
@@ -579,6 +581,7 @@
         deadline_s = stop_requested_s + self._facts.grace_s - SHUTDOWN_MARGIN_S
         logger.info("daemon: stopping")
         self._ingress.is_draining = True
+        self._forwarder.stop_s = deadline_s - LAST_ANSWERS_S
         self._peers.node = ""
         await self._claim.release(self._roster.successor())
         self._dispatcher_lifecycle.on_claim_change()
--- a/greengagetack/platform/ingress.py
+++ b/greengagetack/platform/ingress.py
@@ -201,7 +201,7 @@
             _header_value(headers, wire.DEADLINE), DEFAULT_DEADLINE_MS
         )
         limit_ms = min(deadline_ms, route.timeout_ms)
-        deadline_s = arrived_s + limit_ms / MS_PER_S
+        deadline_s = min(arrived_s + limit_ms / MS_PER_S, self._forwarder.stop_s)
         pending_reply = self._forwarder.forward(call, route, deadline_s)
         reply = await cancel_on_disconnect(pending_reply, receive)
         logger.info(
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -39,6 +39,7 @@
 MODULE = "greengagetack.platform"
 HOST_NAME = "kiosk.example"
 JOBS_PREFIX = "/jobs/"
+DEFAULT_TIMEOUT_MS = 1_500
 LOOKUP_PREFIX = "/lookup/"
 REWARD_PREFIX = "/reward/"
 BOOKING_PREFIX = "/booking/"
@@ -159,6 +160,7 @@
         self.crashed_s: list[float] = []
         self._store_address = self.loop.run(self._serve(self.store.app, "store"))
         self.memory_tokens = 100_000
+        self.timeout_ms = DEFAULT_TIMEOUT_MS
         # The configuration's customers, as the operator writes them; the names of the
         # routes that need no key; and the key that clients send.
         self.customers: list[dict[str, Any]] = []
@@ -218,6 +220,7 @@
             for prefix in extra_routes
         ]
         for route in routes:
+            route["timeout_ms"] = self.timeout_ms
             if route["name"] in self.public_routes:
                 route["public"] = True
         engine = {"slots": 4, "kv_capacity": self.memory_tokens, "stride": 1}
@@ -517,7 +520,7 @@
         "host": HOST_NAME,
         "path_prefix": prefix,
         "kind": kind,
-        "timeout_ms": 1_500,
+        "timeout_ms": DEFAULT_TIMEOUT_MS,
         "target_latency_ms": 200,
         "priority": 1,
         "service": service,
