Check the time before a stop and the depth of documents only where they matter

Both checks ran for every request, over all replicas of its service, and for every object of the daemons' own kinds, which can have a megabyte. Only a stopping daemon has an end, and only other writers' documents are of unknown depth.

--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -122,7 +122,8 @@
         """
         service = route.service_for(call.routing_id)
         self.on_arrival(service)
-        self._require_time_to_run(service)
+        if self.is_stopping:
+            self._require_time_to_run(service)
         run = RequestRun(self, call, route, deadline_s)
         await self.suspects.admit(call, service)
         try:
--- a/greengagetack/objects/json_repair.py
+++ b/greengagetack/objects/json_repair.py
@@ -9,7 +9,7 @@
 
 # Decoders recurse; the documents of the store have a depth of about ten.
 MAX_DEPTH = 64
-TOKENS = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]|-?(?:NaN|Infinity)', re.DOTALL)
+TOKENS = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{}]|-?(?:NaN|Infinity)', re.DOTALL)
 ESCAPES = re.compile(
     rb"\\(?:u[dD][89abAB][0-9a-fA-F]{2}\\u[dD][c-fC-F][0-9a-fA-F]{2}|u[0-9a-fA-F]{4}|.)"
 )
--- a/greengagetack/platform/store.py
+++ b/greengagetack/platform/store.py
@@ -312,9 +312,9 @@
 def _decode_object(
     kind: str, path: str, version: int, spec: msgspec.Raw
 ) -> PlatformObject:
-    if is_too_deep(bytes(spec)):
-        raise ValueError("it is nested too deeply")
     if kind in FOREIGN_KINDS:
+        if is_too_deep(bytes(spec)):
+            raise ValueError("it is nested too deeply")
         value = msgspec.json.decode(spec)
         # Other daemons get a copy in this format, which has no larger integers.
         msgspec.msgpack.encode(value)
