--- a/features/config_bounds.feature
+++ b/features/config_bounds.feature
@@ -60,6 +60,23 @@
       | 27      | 3.0   |
       | 9       | 2.0   |
 
+  # Guards against a lost history being taken for a store that does not answer.
+  Scenario Outline: Sources fall silent right after the store has lost its history
+    Given <daemons> daemons in 3 zones, of which 3 are seeds
+    When the store's history is gone, and <gap> s later <failure>
+    Then all daemons in touch have each change of this time within <limit> s
+
+    Examples:
+      | daemons | limit | gap | failure                                             |
+      | 9       | 2.0   | 0   | the dispatcher is frozen                            |
+      | 9       | 2.0   | 0.1 | the dispatcher is frozen                            |
+      | 9       | 2.0   | 0.6 | the dispatcher is frozen                            |
+      | 9       | 2.0   | 0.1 | the dispatcher is cut off                           |
+      | 9       | 2.0   | 0.1 | a half of the daemons are frozen, the dispatcher too |
+      | 27      | 3.0   | 0   | the dispatcher and both relays of a zone are frozen |
+      | 27      | 3.0   | 0.1 | the dispatcher and all relays are frozen            |
+      | 27      | 3.0   | 0.6 | the dispatcher and all relays are cut off           |
+
   # Guards against an answer that a cut held up being taken for a recent confirmation.
   Scenario Outline: An answer that is held up on its way is dated from when it was given
     Given a daemon whose copy was confirmed <age> s before it answers
--- a/features/steps/config_bounds_steps.py
+++ b/features/steps/config_bounds_steps.py
@@ -21,6 +21,7 @@
 OBSERVATION_S = 6.0
 CHANGE_INTERVAL_S = 0.3
 SILENCE_S = 1.0
+MANY_CHANGES_FROM = OLD_VERSION + 100
 ANSWER_POLL_S = 0.005
 MAX_POLLS = 1_000
 NEVER_S = float("inf")
@@ -48,12 +49,14 @@
     return Change(version, written_s)
 
 
-async def _write_series(play: Play, duration_s: float) -> list[Change]:
+async def _write_series(
+    play: Play, duration_s: float, first_version: int = OLD_VERSION + 1
+) -> list[Change]:
     """Write configurations at a steady rate."""
     changes: list[Change] = []
     until_s = now_s() + duration_s
     while now_s() < until_s:
-        changes.append(await _write(play, OLD_VERSION + 1 + len(changes)))
+        changes.append(await _write(play, first_version + len(changes)))
         await asyncio.sleep(CHANGE_INTERVAL_S)
     return changes
 
@@ -119,6 +122,23 @@
     context.plays = _plays_with_changes(context, drop)
 
 
+@when("the store's history is gone, and {gap:g} s later {failure}")
+def step_history_then_failure(context: Context, gap: float, failure: str) -> None:
+    async def run(moment_s: float) -> tuple[Play, list[Change]]:
+        play = await _started(context, moment_s)
+        store = play.fleet.network.store
+        store.silent_until_s = now_s() + SILENCE_S
+        await _write_series(play, SILENCE_S)
+        store.drop_history()
+        await asyncio.sleep(gap)
+        fail(play.fleet, failure)
+        changes = await _write_series(play, OBSERVATION_S, MANY_CHANGES_FROM)
+        await asyncio.sleep(OBSERVATION_S)
+        return play, changes
+
+    context.plays = [run_in_virtual_time(run(each)) for each in FAILURE_MOMENTS_S]
+
+
 def _plays_with_changes(
     context: Context, disrupt: Callable[[Play], Awaitable[None]]
 ) -> list[tuple[Play, list[Change]]]:
