--- a/greengagetack/coordination/store_gate.py
+++ b/greengagetack/coordination/store_gate.py
@@ -8,6 +8,8 @@
 import time
 from collections.abc import Awaitable
 
+from loguru import logger
+
 from greengagetack.errors import CodedError, PeerUnreachable
 from greengagetack.objects.base import WatchAnswer
 from greengagetack.objects.feed import FeedSource
@@ -61,9 +63,17 @@
     async def _record(self, call: Awaitable[WatchAnswer]) -> WatchAnswer:
         try:
             answer = await call
-        except CodedError:
+        except CodedError as error:
+            was_reached = self._is_reached
             self._reached_s = float("-inf")
             self._next_try_s = time.monotonic() + TRY_INTERVAL_S
+            logger.info(
+                "feed: the store is not asked for some time",
+                pause_s=TRY_INTERVAL_S,
+                was_reached=was_reached,
+                code=error.code,
+                reason=error.reason,
+            )
             raise
         self._reached_s = time.monotonic()
         return answer
