Take a lost history for the answer of the store that it is

Callers got 404 for a route over 2 s after its acknowledgement, where the history of the store was lost right before the daemons that others copy from fell silent.

Cause: StoreGate counted HistoryGone, an answer, as a store that does not answer, and closed for 1.0 s before the listing that has to follow. A call that failed late closed it too, though the store had answered others since that call was sent; and the feed's doubled pauses went on past the moment at which the gate opened again. Ruled out: the links of the daemons that were late, which had no fault.

Change: HistoryGone opens the gate; a failure closes it only if nothing was answered since its call was sent; a feed with no source looks again after 0.2 s at most; a daemon that has lost its history is recorded as having answered.

--- a/features/config_bounds.feature
+++ b/features/config_bounds.feature
@@ -77,6 +77,20 @@
       | 27      | 3.0   | 0.1 | the dispatcher and all relays are frozen            |
       | 27      | 3.0   | 0.6 | the dispatcher and all relays are cut off           |
 
+  Scenario Outline: Which ends of calls show that the store does not answer
+    When a daemon's calls to the store end like this: <calls>
+    Then the daemon <verdict> ask the store again at once
+
+    Examples:
+      | calls                                     | verdict |
+      | 0 0.1 answer                              | may     |
+      | 0 0.1 history gone                        | may     |
+      | 0 0.1 failure                             | may not |
+      | 0 0.7 failure, 0.1 0.2 answer             | may     |
+      | 0 0.7 failure, 0.1 0.2 history gone       | may     |
+      | 0 0.2 answer, 0.3 0.7 failure             | may not |
+      | 0 0.1 history gone, 0.3 0.7 failure       | may not |
+
   # Guards against an answer that a cut held up being taken for a recent confirmation.
   Scenario Outline: An answer that is held up on its way is dated from when it was given
     Given a daemon whose copy was confirmed <age> s before it answers
--- a/features/steps/config_bounds_steps.py
+++ b/features/steps/config_bounds_steps.py
@@ -11,7 +11,9 @@
 from features.support.virtual_time import run_in_virtual_time
 from greengagetack.coordination.copies import decode_copy
 from greengagetack.coordination.messages import encode
-from greengagetack.objects.base import PlatformObject, WatchAnswer
+from greengagetack.coordination.store_gate import StoreGate
+from greengagetack.errors import PlatformUnavailable
+from greengagetack.objects.base import HistoryGone, PlatformObject, WatchAnswer
 from greengagetack.objects.feed import Feed
 
 # The moments of a failure cover a turn of the watches, those of a change the time that
@@ -260,3 +262,46 @@
 @then("the copy of the daemon that asked is {age:g} s old")
 def step_age(context: Context, age: float) -> None:
     assert abs(context.copy_age_s - age) <= 2 * ANSWER_POLL_S, context.copy_age_s
+
+
+class _ScriptedStore:
+    """A store whose calls end after a time, in one of several ways."""
+
+    def __init__(self, ends: list[tuple[float, str]]) -> None:
+        self._ends = ends
+
+    async def list(self, prefix: str) -> WatchAnswer:
+        """End the next call."""
+        after_s, end = self._ends.pop(0)
+        await asyncio.sleep(after_s)
+        if end == "history gone":
+            raise HistoryGone("changes are gone")
+        if end == "failure":
+            raise PlatformUnavailable("the connection was reset")
+        return WatchAnswer(1, ())
+
+
+@when("a daemon's calls to the store end like this: {calls}")
+def step_calls(context: Context, calls: str) -> None:
+    """Each call is given as when it is sent, when it ends, and how."""
+    rows = [each.strip().split(" ", 2) for each in calls.split(",")]
+    ends = [(float(end_s) - float(sent_s), how) for sent_s, end_s, how in rows]
+
+    async def run() -> bool:
+        gate = StoreGate(_ScriptedStore(ends))
+        began_s = now_s()
+        pending = []
+        for sent_s, _, _ in rows:
+            await asyncio.sleep(began_s + float(sent_s) - now_s())
+            gate.take_turn()
+            pending.append(asyncio.ensure_future(gate.list("config/")))
+            await asyncio.sleep(0)
+        await asyncio.gather(*pending, return_exceptions=True)
+        return gate.take_turn()
+
+    context.may_ask = run_in_virtual_time(run())
+
+
+@then("the daemon {verdict} ask the store again at once")
+def step_may_ask(context: Context, verdict: str) -> None:
+    assert context.may_ask == (verdict == "may"), context.may_ask
--- a/greengagetack/coordination/remote_copy.py
+++ b/greengagetack/coordination/remote_copy.py
@@ -8,7 +8,7 @@
 from greengagetack.coordination.client import Copy, CopyRefused, PeerClient
 from greengagetack.errors import PeerUnreachable
 from greengagetack.freezes import boottime_s
-from greengagetack.objects.base import WatchAnswer
+from greengagetack.objects.base import HistoryGone, WatchAnswer
 from greengagetack.world import Address
 
 __all__ = ["RemoteCopy"]
@@ -87,6 +87,9 @@
         sent_s = boottime_s()
         try:
             copy = await call
+        except HistoryGone:
+            self._record_answer(prefix)
+            raise
         except CopyRefused:
             self._failed_prefixes.add(prefix)
             now_s = time.monotonic()
@@ -98,14 +101,17 @@
             self._log_silence(prefix, sent_s, error)
             self._record_silence(prefix)
             raise
-        self._failures = 0
-        self._failed_prefixes.discard(prefix)
+        self._record_answer(prefix)
         answered_s = min(boottime_s(), sent_s + copy.answer.waited_s)
         self._confirmed_s[prefix] = answered_s - copy.answer.age_s
         if copy.is_from_dispatcher:
             self._on_dispatcher(self.address)
         return copy.answer
 
+    def _record_answer(self, prefix: str) -> None:
+        self._failures = 0
+        self._failed_prefixes.discard(prefix)
+
     def _log_silence(self, prefix: str, sent_s: float, error: PeerUnreachable) -> None:
         logger.info(
             "copy: no answer from a daemon",
--- a/greengagetack/coordination/store_gate.py
+++ b/greengagetack/coordination/store_gate.py
@@ -10,9 +10,9 @@
 
 from loguru import logger
 
-from greengagetack.errors import CodedError, PeerUnreachable
-from greengagetack.objects.base import WatchAnswer
-from greengagetack.objects.feed import FeedSource
+from greengagetack.errors import CodedError
+from greengagetack.objects.base import HistoryGone, WatchAnswer
+from greengagetack.objects.feed import FeedSource, SourceMissing
 
 __all__ = ["ClaimPause", "NoSource", "StoreGate"]
 
@@ -61,34 +61,43 @@
         return await self._record(self._store.watch(prefix, after, timeout_s))
 
     async def _record(self, call: Awaitable[WatchAnswer]) -> WatchAnswer:
+        sent_s = time.monotonic()
         try:
             answer = await call
+        except HistoryGone:
+            # The store has answered, and the listing that follows must not wait.
+            self._reached_s = time.monotonic()
+            raise
         except CodedError as error:
-            was_reached = self._is_reached
-            self._reached_s = float("-inf")
-            self._next_try_s = time.monotonic() + TRY_INTERVAL_S
-            logger.info(
-                "feed: the store is not asked for some time",
-                pause_s=TRY_INTERVAL_S,
-                was_reached=was_reached,
-                code=error.code,
-                reason=error.reason,
-            )
+            self._record_failure(error, sent_s)
             raise
         self._reached_s = time.monotonic()
         return answer
 
+    def _record_failure(self, error: CodedError, sent_s: float) -> None:
+        """Close the gate, unless the store has answered since the call was sent."""
+        if sent_s < self._reached_s:
+            return
+        self._reached_s = float("-inf")
+        self._next_try_s = time.monotonic() + TRY_INTERVAL_S
+        logger.info(
+            "feed: the store is not asked for some time",
+            pause_s=TRY_INTERVAL_S,
+            code=error.code,
+            reason=error.reason,
+        )
+
 
 class NoSource:
     """Stands for the source of a feed while there is none to ask."""
 
     async def list(self, prefix: str) -> WatchAnswer:
         """Raise, as there is nothing to list from."""
-        raise PeerUnreachable(f"no source of {prefix} at present", RETRY_AFTER_S)
+        raise SourceMissing(f"no source of {prefix} at present", RETRY_AFTER_S)
 
     async def watch(self, prefix: str, after: int, timeout_s: float) -> WatchAnswer:
         """Raise, as there is nothing to watch."""
-        raise PeerUnreachable(f"no source of {prefix} at present", RETRY_AFTER_S)
+        raise SourceMissing(f"no source of {prefix} at present", RETRY_AFTER_S)
 
 
 class ClaimPause(NoSource):
--- a/greengagetack/objects/feed.py
+++ b/greengagetack/objects/feed.py
@@ -15,12 +15,14 @@
 from greengagetack.objects.base import HistoryGone, PlatformObject, WatchAnswer
 from greengagetack.objects.outages import StoreOutages
 
-__all__ = ["Feed", "FeedListener", "FeedSource"]
+__all__ = ["Feed", "FeedListener", "FeedSource", "SourceMissing"]
 
 INITIAL_RETRY_PAUSE_S = 0.05
 # Half of the time within which a configuration must be in force. Not shorter, because
 # refused calls are charged as well.
 MAX_RETRY_PAUSE_S = 1.0
+# While there is no source to ask, looking for one again costs no call.
+MAX_SOURCE_PAUSE_S = 0.2
 MAX_RECORDED_REMOVALS = 1_000
 # A copy that the store has not confirmed for this long, directly or through the daemons
 # that it was copied from, is not served to other daemons.
@@ -32,6 +34,10 @@
 FeedListener = Callable[[tuple[PlatformObject, ...], tuple[str, ...]], None]
 
 
+class SourceMissing(PeerUnreachable):
+    """There is no source to ask at present; no call was made."""
+
+
 class FeedSource(Protocol):
     """Source of a feed: the store or the feed of another daemon."""
 
@@ -128,6 +134,9 @@
             except CodedError as error:
                 self._log_failure(error)
                 self.record_source_failure(error)
+                if isinstance(error, SourceMissing):
+                    await asyncio.sleep(min(retry_pause_s, MAX_SOURCE_PAUSE_S))
+                    continue
                 await asyncio.sleep(retry_pause_s)
                 retry_pause_s = min(MAX_RETRY_PAUSE_S, retry_pause_s * 2)
                 continue
