Bound what a process holds of all servers' responses together

What callers would see: requests that end with the process, as the kernel ends one that uses more than its VM's memory. One replica is enough.

Cause: each place had a bound of its own, in bytes that arrive, and nobody added them up. A header line of five bytes is held at over thirty times its size; each connection might hold its own 262,144 bytes of head and 4 MB of an event; parsers of connections that had failed waited for the collector of cycles; and the work for tiny pieces or for a lot of bytes was not bounded at all.

Change: `http1.memory` counts what connections, unfinished events and responses that wait for their caller hold, objects included, for all connections to replicas (a fifth of the VM's memory), to the store and to other daemons (an eighth each). At the limit the source with the most bytes loses its largest holder; a response that is ready is not dropped. Events have a bound on their lines, an item's output one on its events (those without text counted nothing), the answer of a daemon that sends a request on one on its size. A gauge and a counter of evictions for each sender are among the metrics.

The bounds of 16 MB and 64 MB for the store's and the daemons' responses become the whole of their share: 16 MB on a VM of 128 MB.

--- a/features/steps/endless_bytes_steps.py
+++ b/features/steps/endless_bytes_steps.py
@@ -15,6 +15,7 @@
 from greengagetack.batches.progress import ItemProgress
 from greengagetack.gateway.call import Call
 from greengagetack.gateway.stream import resumable_stream
+from greengagetack.http1.limits import ResponseLimits
 from greengagetack.http1.memory import ResponseMemory
 from greengagetack.http1.message import ExchangeError, IncompleteResponse, Request
 from greengagetack.http1.pool import Pool
@@ -103,11 +104,15 @@
     context.took_s = time.monotonic() - started_s
 
 
-async def _exchange(state: ReplicaState, memory: ResponseMemory) -> None:
+async def _exchange(state: ReplicaState, pool: Pool) -> None:
     request = Request(b"GET", b"/", ((b"host", b"h"), (b"x-request-id", b"i")))
-    async with Pool(CONNECT_TIMEOUT_S).connection(state.replica.address) as connection:
+    async with pool.connection(state.replica.address) as connection:
         await connection.send(request, b"i")
-        await memory.read_all(connection)
+        await connection.read_all()
+
+
+def _pool() -> Pool:
+    return Pool(CONNECT_TIMEOUT_S, ResponseLimits(ResponseMemory(MEMORY_BYTES)))
 
 
 @when("a replica sends {name} without end to a plain call")
@@ -117,13 +122,13 @@
     context.failures = []
 
     async def work() -> None:
-        memory = ResponseMemory(MEMORY_BYTES)
+        pool = _pool()
         async with _replica(first, endless, 0.0, context.sent) as state:
             try:
-                await _exchange(state, memory)
+                await _exchange(state, pool)
             except ExchangeError as error:
                 context.failures.append(str(error))
-            assert memory.used_bytes == 0
+            assert pool.limits.memory.used_bytes == 0
 
     _measured(context, work())
 
@@ -135,16 +140,16 @@
     context.failures = []
     context.expected_failures = replicas
 
-    async def fail(state: ReplicaState, memory: ResponseMemory) -> None:
+    async def fail(state: ReplicaState, pool: Pool) -> None:
         try:
-            await _exchange(state, memory)
+            await _exchange(state, pool)
         except ExchangeError as error:
             context.failures.append(str(error))
 
     async def work() -> None:
-        memory = ResponseMemory(MEMORY_BYTES)
+        pool = _pool()
         async with _replica(first, endless, 0.0, context.sent) as state:
-            await asyncio.gather(*(fail(state, memory) for _ in range(replicas)))
+            await asyncio.gather(*(fail(state, pool) for _ in range(replicas)))
 
     _measured(context, work())
 
--- a/features/support/cut_network.py
+++ b/features/support/cut_network.py
@@ -24,7 +24,7 @@
 from greengagetack.gateway.stream_origins import StreamOrigins
 from greengagetack.gateway.suspects import Suspects
 from greengagetack.gateway.zone_routing import ZoneRouting
-from greengagetack.http1.memory import ResponseMemory
+from greengagetack.http1.limits import ResponseLimits
 from greengagetack.http1.message import (
     ConnectFailed,
     Headers,
@@ -103,13 +103,23 @@
         self._body = [ANSWER]
         return ResponseHead(200, ((b"x-response-seal", b"s"), (b"x-request-id", b"")))
 
-    async def read(self) -> bytes:
+    async def read(self, kept_bytes: int = 0) -> bytes:
         """Return the next part of the body, empty at its end."""
         if self._body:
             return self._body.pop()
         self.is_clean = True
         return b""
 
+    async def read_all(self) -> bytes:
+        """Return the rest of the body."""
+        body = b"".join(self._body)
+        self._body.clear()
+        self.is_clean = True
+        return body
+
+    def hold_ready(self, body: bytes) -> None:
+        """Do nothing: bodies are small."""
+
     def close(self) -> None:
         """Do nothing: a connection that is not clean is not kept."""
 
@@ -118,6 +128,7 @@
     """A daemon's connections to all replicas."""
 
     def __init__(self, network: "CutNetwork", daemon: int) -> None:
+        self.limits = ResponseLimits()
         self._network = network
         self._daemon = daemon
         self._links: dict[Address, _Link] = {}
@@ -272,7 +283,6 @@
             Suspects(fleet, pool, paths, owner, facts, metrics),  # type: ignore[arg-type]
             paths,
             Detours(_Peers(self, number), self.addresses[number], metrics),
-            ResponseMemory(1_000_000),
             ZoneRouting(f"zone-{number % 2}", ZoneCost()),
             lambda state, is_failure: None,
         )
--- a/greengagetack/batches/events.py
+++ b/greengagetack/batches/events.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-__all__ = ["Event", "EventParser"]
+from greengagetack.http1.blocks import BlockSplitter
 
-MAX_EVENT_BYTES = 4 * 1024 * 1024
+__all__ = ["Event", "EventParser"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,12 +21,17 @@
     """Incremental parser that yields an event at its terminating blank line."""
 
     def __init__(self) -> None:
-        self._pending = b""
+        self._splitter = BlockSplitter()
 
     @property
     def has_partial_event(self) -> bool:
         """Whether the bytes so far end in the middle of an event."""
-        return bool(self._pending.strip())
+        return not self._splitter.is_pending_blank
+
+    @property
+    def held_bytes(self) -> int:
+        """What the event that is not complete yet occupies."""
+        return self._splitter.held_bytes
 
     def feed(self, part: bytes) -> Iterator[Event]:
         """Parse more bytes and yield the events that they complete.
@@ -34,13 +39,9 @@
         Raises
         ------
         ValueError
-            If an event is larger than ``MAX_EVENT_BYTES`` or is not UTF-8.
+            If an event exceeds the bounds of `BlockSplitter` or is not UTF-8.
         """
-        self._pending += part.replace(b"\r\n", b"\n")
-        *blocks, self._pending = self._pending.split(b"\n\n")
-        if len(self._pending) > MAX_EVENT_BYTES:
-            raise ValueError("an event is larger than the size limit")
-        for block in blocks:
+        for block in self._splitter.feed(part.replace(b"\r\n", b"\n")):
             if block.strip():
                 yield self._parse(block)
 
--- a/greengagetack/batches/item_run.py
+++ b/greengagetack/batches/item_run.py
@@ -137,12 +137,13 @@
     allows_version: Callable[[int], bool],
 ) -> tuple[RunEnd, str]:
     parser = EventParser()
+    held_bytes = 0
     last_event_s = 0.0
     # Single bytes are no progress: a stalled replica may go on sending some.
     progress_s = time.monotonic()
     while True:
         async with asyncio.timeout(progress_s + stall_s() - time.monotonic()):
-            part = await connection.read()
+            part = await connection.read(held_bytes)
         if progress.generation != generation:
             return RunEnd.BROKEN, "the item was restarted meanwhile"
         if not part:
@@ -161,3 +162,4 @@
             now_s = time.monotonic()
             on_event(now_s - last_event_s if last_event_s else 0.0)
             last_event_s = progress_s = now_s
+        held_bytes = parser.held_bytes
--- a/greengagetack/batches/progress.py
+++ b/greengagetack/batches/progress.py
@@ -10,6 +10,8 @@
 
 # A result must fit into one object of the store.
 MAX_OUTPUT_CHARS = 700_000
+# An event is held as an object of its own, even one without any text.
+MAX_OUTPUT_EVENTS = 65_536
 
 
 class OutputTooLong(ValueError):
@@ -128,7 +130,7 @@
         ValueError
             If the event does not follow the last one.
         OutputTooLong
-            If the output would exceed ``MAX_OUTPUT_CHARS``.
+            If the output would exceed ``MAX_OUTPUT_CHARS`` or ``MAX_OUTPUT_EVENTS``.
         """
         expected = int(self.last_event_id) + 1 if self.last_event_id else None
         number = int(event.event_id)
@@ -136,6 +138,8 @@
             raise ValueError(f"received event {number}, expected event {expected}")
         if self.output_chars + len(event.data) > MAX_OUTPUT_CHARS:
             raise OutputTooLong(f"the output exceeds {MAX_OUTPUT_CHARS} characters")
+        if len(self.outputs) >= MAX_OUTPUT_EVENTS:
+            raise OutputTooLong(f"the output has over {MAX_OUTPUT_EVENTS} events")
         self.output_chars += len(event.data)
         self.outputs.append(event.data)
         self.last_event_id = event.event_id
--- a/greengagetack/coordination/client.py
+++ b/greengagetack/coordination/client.py
@@ -38,6 +38,7 @@
 from greengagetack.gateway.stream_origins import StreamOrigin
 from greengagetack.gateway.suspects import ProbeRequest
 from greengagetack.grants import Grant
+from greengagetack.http1.limits import ResponseLimits
 from greengagetack.http1.message import (
     ConnectFailed,
     ExchangeError,
@@ -70,7 +71,6 @@
 # A daemon that answers later may have lost the store itself; the next one is asked.
 RELAY_STAGGER_S = 0.3
 MAX_RELAY_CANDIDATES = 4
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 RETRY_AFTER_S = 0.5
 MIN_PACKED_BYTES = 512
 PACKING_LEVEL = 1
@@ -114,6 +114,8 @@
         Returns the addresses of all other daemons.
     member_addresses : callable
         Returns the addresses of all listed daemons.
+    limits : ResponseLimits or None
+        What the responses of all daemons may use.
     """
 
     def __init__(
@@ -122,12 +124,13 @@
         dispatcher_address: Callable[[], Address | None],
         other_addresses: Callable[[], list[Address]],
         member_addresses: Callable[[], tuple[Address, ...]],
+        limits: ResponseLimits | None = None,
     ) -> None:
         self.node = node
         self._dispatcher_address = dispatcher_address
         self._other_addresses = other_addresses
         self.member_addresses = member_addresses
-        self._pool = Pool(CONNECT_TIMEOUT_S)
+        self._pool = Pool(CONNECT_TIMEOUT_S, limits)
         self._rng = random.Random()
         self._preferred_relay: Address | None = None
         self.ping_reports = PingReports()
@@ -411,7 +414,10 @@
             if head.status != OK:
                 raise IncompleteResponse(f"{address}: status {head.status}")
             answer, rest = await read_relayed_answer(connection)
-            return answer, read_relayed_body(connection, rest, stack.pop_all())
+            is_gathered = not answer.is_stream(request.is_streaming)
+            return answer, read_relayed_body(
+                connection, rest, stack.pop_all(), is_gathered
+            )
 
     async def send_origins(
         self, address: Address, origins: tuple[StreamOrigin, ...]
@@ -500,7 +506,7 @@
             async with asyncio.timeout(limit_s):
                 async with self._pool.connection(address) as connection:
                     head = await connection.send(request)
-                    return head, await connection.read_all(MAX_RESPONSE_BYTES)
+                    return head, await connection.read_all()
         except (ExchangeError, TimeoutError) as error:
             raise PeerUnreachable(f"{address}: {error!r}", RETRY_AFTER_S) from error
 
--- a/greengagetack/coordination/relayed.py
+++ b/greengagetack/coordination/relayed.py
@@ -16,6 +16,8 @@
 __all__ = ["encode_relayed", "read_relayed_answer", "read_relayed_body"]
 
 LENGTH_BYTES = 4
+# The head of a replica's response is bounded, and the rest of the answer is short.
+MAX_ANSWER_BYTES = 1_048_576
 
 
 async def encode_relayed(attempt: Attempt) -> AsyncIterator[bytes]:
@@ -44,6 +46,8 @@
         received += part
         if len(received) >= LENGTH_BYTES:
             end = LENGTH_BYTES + int.from_bytes(received[:LENGTH_BYTES])
+        if end > MAX_ANSWER_BYTES:
+            raise IncompleteResponse(f"the answer of the daemon has {end} bytes")
     try:
         answer = decode(received[LENGTH_BYTES:end], type=RelayedAnswer)
     except ValueError as error:
@@ -52,11 +56,16 @@
 
 
 async def read_relayed_body(
-    connection: Connection, first: bytes, stack: AsyncExitStack
+    connection: Connection, first: bytes, stack: AsyncExitStack, is_gathered: bool
 ) -> AsyncIterator[bytes]:
-    """Yield the body, of which `first` has been read; `stack` is closed at its end."""
+    """Yield the body, of which `first` has been read; `stack` is closed at its end.
+
+    With `is_gathered`, the reader keeps all parts until the end.
+    """
     async with stack:
+        kept_bytes = len(first)
         if first:
             yield first
-        while part := await connection.read():
+        while part := await connection.read(kept_bytes if is_gathered else 0):
+            kept_bytes += len(part)
             yield part
--- a/greengagetack/gateway/attempt.py
+++ b/greengagetack/gateway/attempt.py
@@ -5,6 +5,7 @@
 
 from greengagetack.accounting.windows import RequestUsage
 from greengagetack.gateway.retry import AttemptResult
+from greengagetack.http1.memory import Holding
 from greengagetack.http1.message import ResponseHead
 
 __all__ = ["Attempt", "AttemptTerms", "Reply"]
@@ -37,11 +38,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """A replica's response; `parts` yields the rest of the body of a streamed one."""
+    """A replica's response.
+
+    Attributes
+    ----------
+    parts : async iterator or None
+        Yields the rest of the body of a streamed response.
+    holding : Holding or None
+        Counts the body until the caller has it, and the reply is deleted.
+    """
 
     head: ResponseHead
     body: bytes
     parts: AsyncIterator[bytes] | None = None
+    holding: Holding | None = None
 
     async def body_parts(self) -> AsyncIterator[bytes]:
         """Yield the whole body, streamed or not."""
--- a/greengagetack/gateway/detours.py
+++ b/greengagetack/gateway/detours.py
@@ -78,6 +78,11 @@
             head.headers,
         )
 
+    def is_stream(self, is_streaming: bool) -> bool:
+        """Whether the body is a stream that was asked for; that of an error is not."""
+        is_answer = self.result is AttemptResult.ANSWERED
+        return is_streaming and is_answer and self.status == OK
+
 
 class DetourPeers(Protocol):
     """Calls to the daemons that send requests on."""
@@ -157,12 +162,7 @@
         )
         try:
             answer, parts = await self._peers.send_relayed(address, request)
-            # The body of an error is no part of a stream.
-            is_stream = (
-                terms.is_streaming
-                and answer.result is AttemptResult.ANSWERED
-                and answer.status == OK
-            )
+            is_stream = answer.is_stream(terms.is_streaming)
             body = b"" if is_stream else b"".join([part async for part in parts])
         except CodedError as error:
             self._pause(service, address, error.reason)
--- a/greengagetack/gateway/forward.py
+++ b/greengagetack/gateway/forward.py
@@ -32,7 +32,6 @@
 from greengagetack.gateway.suspects import Suspects
 from greengagetack.gateway.zone_routing import ZoneReading, ZoneRouting
 from greengagetack.http1.connection import Connection
-from greengagetack.http1.memory import ResponseMemory
 from greengagetack.http1.message import ExchangeError, IncompleteResponse
 from greengagetack.http1.pool import Pool
 from greengagetack.replicas.fleet import Fleet
@@ -76,12 +75,12 @@
         suspects: Suspects,
         paths: ReplicaPaths,
         detours: Detours,
-        memory: ResponseMemory,
         zones: ZoneRouting,
         record_outcome: Callable[[ReplicaState, bool], None],
     ) -> None:
         self._fleet = fleet
         self._pool = pool
+        self.memory = pool.limits.memory
         self._dialect = dialect
         self._permits = permits
         self.origins = origins
@@ -89,7 +88,6 @@
         self.suspects = suspects
         self.paths = paths
         self.detours = detours
-        self._memory = memory
         self._zones = zones
         self._record_outcome = record_outcome
         self._rng = random.Random()
@@ -237,7 +235,8 @@
                     software = replica.software_version
                     return Attempt(AttemptResult.ANSWERED, reply, "", software)
                 # A stream that is no replica's answer need not end.
-                body = b"" if is_stream else await self._memory.read_all(connection)
+                body = b"" if is_stream else await connection.read_all()
+                holding = connection.hold_ready(body)
                 size_bytes = len(call.body) + len(body)
                 self._zones.record_size(
                     replica.service, replica.availability_zone, size_bytes
@@ -292,7 +291,8 @@
         self._record_outcome(state, is_failure)
         if head.status < SERVER_FAILURE:
             self.suspects.record_answer(call, replica.service)
-        return Attempt(AttemptResult.ANSWERED, Reply(head, body), "")
+        reply = Reply(head, body, holding=holding)
+        return Attempt(AttemptResult.ANSWERED, reply, "")
 
     async def send_relayed(self, request: RelayedRequest) -> Attempt:
         """Send a request of another daemon, which has no path, to one replica."""
--- a/greengagetack/gateway/request_run.py
+++ b/greengagetack/gateway/request_run.py
@@ -229,7 +229,9 @@
             self._forwarder.origins.record(origin)
         resume = self._resume if self._route.is_resumable else None
         on_first = None if self._usage is None else self._usage.record_began
-        parts = resumable_stream(self._call, reply.parts, resume, on_first)
+        parts = resumable_stream(
+            self._call, reply.parts, resume, on_first, self._forwarder.memory
+        )
         return Reply(reply.head, reply.body, parts)
 
     async def _resume(self, after_event: str) -> AsyncIterator[bytes] | None:
--- a/greengagetack/gateway/stream.py
+++ b/greengagetack/gateway/stream.py
@@ -8,6 +8,8 @@
 from loguru import logger
 
 from greengagetack.gateway.call import Call
+from greengagetack.http1.blocks import BLOCK_END, BlockSplitter, OversizedBlock
+from greengagetack.http1.memory import ResponseMemory
 from greengagetack.http1.message import ExchangeError, IncompleteResponse
 
 __all__ = ["EventBlocks", "resumable_stream"]
@@ -18,9 +20,7 @@
 # A stream that cannot be resumed is given up only once nobody can still wait for it.
 MAX_STALL_S = 30.0
 MAX_RESUMPTIONS = 4
-MAX_EVENT_BYTES = 4 * 1024 * 1024
 MAX_LOGGED_BYTES = 80
-EVENT_END = b"\n\n"
 # A comment, or a field with its value. An error's text or head has other lines.
 FIELD_LINE = re.compile(rb":|[a-z][a-z0-9-]*(?::|$)")
 
@@ -49,7 +49,7 @@
     def __init__(
         self, last_event_id: str = "", needs_ids: bool = False, has_gaps: bool = False
     ) -> None:
-        self._pending = b""
+        self._splitter = BlockSplitter()
         self._needs_ids = needs_ids
         self.has_gaps = has_gaps
         # Whether the next event must have the next number.
@@ -61,7 +61,12 @@
     @property
     def has_partial_event(self) -> bool:
         """Whether the bytes received so far end within an event."""
-        return bool(self._pending)
+        return bool(self._splitter.pending_bytes)
+
+    @property
+    def held_bytes(self) -> int:
+        """What the event that is not complete yet occupies."""
+        return self._splitter.held_bytes
 
     def feed(self, part: bytes) -> bytes:
         """Add received bytes; return the events that are now complete, unchanged.
@@ -69,19 +74,20 @@
         Raises
         ------
         IncompleteResponse
-            If an event is larger than ``MAX_EVENT_BYTES``.
+            If an event is larger than the bounds of `BlockSplitter`.
         """
         if self.error:
             return b""
-        *blocks, self._pending = (self._pending + part).split(EVENT_END)
-        if len(self._pending) > MAX_EVENT_BYTES:
-            raise IncompleteResponse("an event is larger than the size limit")
+        try:
+            blocks = self._splitter.feed(part)
+        except OversizedBlock as error:
+            raise IncompleteResponse(str(error)) from error
         valid: list[bytes] = []
         for block in blocks:
             self._add(block)
             if self.error:
                 break
-            valid.append(block + EVENT_END)
+            valid.append(block + BLOCK_END)
         return b"".join(valid)
 
     def _add(self, block: bytes) -> None:
@@ -116,11 +122,39 @@
         self.last_event_id = event_id
 
 
+class PendingEvent:
+    """Counts the incomplete event of a stream among the responses that are held."""
+
+    def __init__(self, memory: ResponseMemory, request_id: str) -> None:
+        self._holding = memory.open(f"stream {request_id}", self._evict)
+        self._eviction = ""
+
+    def record(self, size_bytes: int) -> None:
+        """Record the size of the event so far.
+
+        Raises
+        ------
+        IncompleteResponse
+            If the event has to be dropped for lack of memory.
+        """
+        self._holding.resize(size_bytes)
+        if self._eviction:
+            raise IncompleteResponse(self._eviction)
+
+    def release(self) -> None:
+        """Count nothing any more."""
+        self._holding.resize(0)
+
+    def _evict(self, reason: str) -> None:
+        self._eviction = reason
+
+
 async def resumable_stream(
     call: Call,
     first_parts: AsyncIterator[bytes],
     resume: ResumeStream | None,
     on_first_event: Callable[[], None] | None = None,
+    memory: ResponseMemory | None = None,
 ) -> AsyncIterator[bytes]:
     """Yield complete events; resume at another replica when the stream breaks.
 
@@ -130,6 +164,8 @@
         Opens the stream resumed after an event; None if it may not be resumed.
     on_first_event : callable or None
         Called when the first event has arrived.
+    memory : ResponseMemory or None
+        Counts the event that is not complete yet.
 
     Raises
     ------
@@ -139,6 +175,8 @@
     after_event = "" if resume is None else call.after_event
     blocks = EventBlocks(after_event, needs_ids=resume is not None)
     parts = first_parts
+    memory = memory or ResponseMemory()
+    pending = PendingEvent(memory, call.request_id)
     stall_s = MAX_SILENCE_S if resume else MAX_STALL_S
     for _ in range(MAX_RESUMPTIONS + 1):
         reason = ""
@@ -152,6 +190,7 @@
                     break
                 former_lines = blocks.event_lines
                 complete = blocks.feed(part)
+                pending.record(blocks.held_bytes)
                 if on_first_event is not None and blocks.event_lines:
                     on_first_event()
                     on_first_event = None
@@ -167,6 +206,7 @@
         except (ExchangeError, TimeoutError) as error:
             reason = repr(error)
         finally:
+            pending.release()
             await _close(parts)
         if resume is None or not blocks.last_event_id:
             raise IncompleteResponse(f"the stream broke: {reason}")
@@ -184,6 +224,7 @@
         blocks = EventBlocks(
             blocks.last_event_id, needs_ids=True, has_gaps=blocks.has_gaps
         )
+        pending = PendingEvent(memory, call.request_id)
         parts = resumed
     raise IncompleteResponse("the stream broke more often than it may be resumed")
 
--- a/greengagetack/http1/pool.py
+++ b/greengagetack/http1/pool.py
@@ -1,10 +1,12 @@
 """greengagetack.http1.pool: a pool of idle connections per server."""
 
+import ssl
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 from greengagetack.http1.connection import Connection, open_connection
+from greengagetack.http1.limits import ResponseLimits
 from greengagetack.world import Address
 
 __all__ = ["Pool"]
@@ -17,10 +19,32 @@
 
 
 class Pool:
-    """Pools idle connections per address; each runs one exchange at a time."""
+    """Pools idle connections per address; each runs one exchange at a time.
 
-    def __init__(self, connect_timeout_s: float) -> None:
+    Parameters
+    ----------
+    connect_timeout_s : float
+        Time in which a connection must open.
+    limits : ResponseLimits or None
+        What the responses may use, together with those of other pools; None for limits
+        of the pool's own.
+    id_header : bytes
+        Header in which servers echo a request's identifier, empty if they do not.
+    tls : SSLContext or None
+        Encrypts the connections; None for plain ones.
+    """
+
+    def __init__(
+        self,
+        connect_timeout_s: float,
+        limits: ResponseLimits | None = None,
+        id_header: bytes = REQUEST_ID_HEADER,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
         self._connect_timeout_s = connect_timeout_s
+        self.limits = limits or ResponseLimits()
+        self._id_header = id_header
+        self._tls = tls
         self._idle_connections: dict[Address, list[Connection]] = {}
 
     @asynccontextmanager
@@ -38,9 +62,7 @@
         """
         connection = None if is_fresh else self._take_idle(address)
         if connection is None:
-            connection = await open_connection(
-                address, REQUEST_ID_HEADER, self._connect_timeout_s
-            )
+            connection = await self._open(address)
         try:
             yield connection
         finally:
@@ -54,10 +76,12 @@
         ConnectFailed
             If no connection can be opened.
         """
-        connection = await open_connection(
-            address, REQUEST_ID_HEADER, self._connect_timeout_s
+        self._release(address, await self._open(address))
+
+    async def _open(self, address: Address) -> Connection:
+        return await open_connection(
+            address, self._id_header, self._connect_timeout_s, self.limits, self._tls
         )
-        self._release(address, connection)
 
     def _take_idle(self, address: Address) -> Connection | None:
         idle = self._idle_connections.get(address, [])
@@ -78,7 +102,7 @@
             or not connection.is_reusable
             or not connection.is_open
         ):
-            connection.close()
+            connection.discard()
             return
         connection.idle_since_s = time.monotonic()
         self._idle_connections.setdefault(address, []).append(connection)
@@ -87,3 +111,8 @@
         """Close the idle connections to a server."""
         for connection in self._idle_connections.pop(address, []):
             connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in list(self._idle_connections):
+            self.close_idle(address)
--- a/greengagetack/objects/transport.py
+++ b/greengagetack/objects/transport.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from greengagetack.errors import PlatformUnavailable
+from greengagetack.http1.limits import ResponseLimits
 from greengagetack.http1.message import ExchangeError, Request, ResponseHead
 from greengagetack.http1.pool import Pool
 from greengagetack.observability.metrics import Metrics
@@ -30,7 +31,6 @@
 # again within the bounds on leaving replicas and new configurations (2 s).
 WATCH_MARGIN_S = 0.6
 RETRY_AFTER_S = 0.5
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # After a direct call failed, peers are asked first for this long. The time doubles
 # while direct calls go on failing, because each one may take its whole limit.
 DIRECT_FAILURE_PAUSE_S = 1.0
@@ -74,9 +74,14 @@
 class DirectTransport:
     """Calls the store directly."""
 
-    def __init__(self, address: Address, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        address: Address,
+        metrics: Metrics,
+        limits: ResponseLimits | None = None,
+    ) -> None:
         self._address = address
-        self._pool = Pool(CALL_TIMEOUT_S)
+        self._pool = Pool(CALL_TIMEOUT_S, limits)
         self._host = str(address).encode()
         self._metrics = metrics
 
@@ -99,7 +104,7 @@
             async with asyncio.timeout(limit_s):
                 async with self._pool.connection(self._address) as connection:
                     head = await connection.send(request)
-                    content = await connection.read_all(MAX_RESPONSE_BYTES)
+                    content = await connection.read_all()
         except (ExchangeError, TimeoutError) as error:
             self._metrics.add("store_failures", method=method)
             raise PlatformUnavailable(
--- a/greengagetack/platform/daemon.py
+++ b/greengagetack/platform/daemon.py
@@ -44,6 +44,7 @@
 from greengagetack.gateway.suspects import Suspects
 from greengagetack.gateway.zone_load import TICK_S, ZoneLoads
 from greengagetack.gateway.zone_routing import ZoneRouting
+from greengagetack.http1.limits import ResponseLimits
 from greengagetack.http1.memory import ResponseMemory
 from greengagetack.http1.pool import Pool
 from greengagetack.objects.base import PlatformObject
@@ -88,8 +89,11 @@
 LISTEN_BACKLOG = 1_024
 MS_PER_S = 1_000
 BYTES_PER_MB = 1_000_000
-# Share of the memory for responses that are being read.
-RESPONSE_MEMORY_SHARE = 0.25
+# Shares of the memory for responses, by who sends them.
+RESPONSE_MEMORY_SHARES = {"replicas": 0.2, "store": 0.125, "daemons": 0.125}
+# Share of these that a single response may use. A listing of the store may need all.
+MAX_RESPONSE_SHARES = {"replicas": 0.5, "store": 1.0, "daemons": 1.0}
+MEMORY_INTERVAL_S = 1.0
 SWEEP_INTERVAL_S = 15.0
 # At most this much work per item is lost if all daemons fail.
 CHECKPOINT_INTERVAL_S = 1.0
@@ -117,7 +121,10 @@
             facts.availability_zone,
             cores=facts.cores,
         )
-        self._direct_transport = DirectTransport(facts.store, self._metrics)
+        self._response_limits = _response_limits(facts.memory_mb)
+        self._direct_transport = DirectTransport(
+            facts.store, self._metrics, self._response_limits["store"]
+        )
         self._transport = RelayedTransport(
             self._direct_transport, self._relay_call, self._metrics
         )
@@ -174,6 +181,7 @@
             self._claim.holder_address,
             self._roster.addresses,
             self._roster.member_addresses,
+            self._response_limits["daemons"],
         )
         self._zone_loads = ZoneLoads(
             facts.node,
@@ -214,7 +222,7 @@
         )
         self._route_table: RouteTable | None = None
         self._config_version = 0
-        pool = Pool(REPLICA_CONNECT_TIMEOUT_S)
+        pool = Pool(REPLICA_CONNECT_TIMEOUT_S, self._response_limits["replicas"])
         self._fleet.subscribe_removals(lambda replica: pool.close_idle(replica.address))
         self._paths = ReplicaPaths(self._fleet, pool)
         self._path_watch = PathWatch(
@@ -240,7 +248,6 @@
             self._suspects,
             self._paths,
             Detours(self._peers, facts.control, self._metrics),
-            ResponseMemory(int(facts.memory_mb * BYTES_PER_MB * RESPONSE_MEMORY_SHARE)),
             ZoneRouting(
                 facts.availability_zone,
                 facts.zone_cost,
@@ -449,6 +456,12 @@
             replicas.append(replica)
         self._fleet.update(replicas, removed)
 
+    async def _record_memory(self) -> None:
+        for name, limits in self._response_limits.items():
+            memory = limits.memory
+            self._metrics.set("response_bytes", memory.used_bytes, sender=name)
+            self._metrics.set("response_evictions", memory.evictions, sender=name)
+
     # -- lifecycle
 
     def _start_part(self, part: Callable[[], Awaitable[None]], name: str) -> None:
@@ -563,6 +576,7 @@
         self._timer.subscribe(
             PUBLISH_INTERVAL_S, self._software_history.publish_changes, "software"
         )
+        self._timer.subscribe(MEMORY_INTERVAL_S, self._record_memory, "memory")
         self._timer.subscribe(FREEZE_TICK_S, self._freezes.tick, "freezes")
         self._timer.subscribe(PATH_INTERVAL_S, self._path_watch.tick, "paths")
         self._timer.subscribe(TICK_S, self._zone_loads.tick, "zone loads")
@@ -617,6 +631,17 @@
         logger.info("daemon: SIGHUP received; the settings are not reloaded")
 
 
+def _response_limits(memory_mb: float) -> dict[str, ResponseLimits]:
+    """Return the limits on responses, by who sends them."""
+    memory_bytes = memory_mb * BYTES_PER_MB
+    return {
+        name: ResponseLimits(
+            ResponseMemory(int(memory_bytes * share), name, MAX_RESPONSE_SHARES[name])
+        )
+        for name, share in RESPONSE_MEMORY_SHARES.items()
+    }
+
+
 def _age_ms(feed: Feed) -> int | None:
     """Return the age of a copy before a change, None before its first confirmation."""
     return None if math.isinf(feed.age_s) else int(feed.age_s * MS_PER_S)
--- a/greengagetack/platform/duties.py
+++ b/greengagetack/platform/duties.py
@@ -9,6 +9,7 @@
 
 from greengagetack.coordination.duty_api import DutyEnd, DutyTerms, ReplicaOrder
 from greengagetack.http1.connection import open_connection
+from greengagetack.http1.limits import ResponseLimits
 from greengagetack.http1.message import ConnectFailed, ExchangeError, Request
 from greengagetack.http1.pool import Pool
 from greengagetack.platform import wire
@@ -26,9 +27,10 @@
 class PlatformDutyApi:
     """Implements `DutyApi` for the platform's API."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, limits: ResponseLimits | None = None) -> None:
         self._address = address
-        self._pool = Pool(CONNECT_TIMEOUT_S)
+        self._limits = limits or ResponseLimits()
+        self._pool = Pool(CONNECT_TIMEOUT_S, self._limits)
 
     async def report_usage(
         self, window: int, counts: Mapping[str, int], terms: DutyTerms
@@ -53,7 +55,7 @@
         """Return whether the API accepts a connection from this VM now."""
         try:
             connection = await open_connection(
-                self._address, wire.REQUEST_ID, CONNECT_TIMEOUT_S
+                self._address, wire.REQUEST_ID, CONNECT_TIMEOUT_S, self._limits
             )
         except ConnectFailed:
             return False
