--- a/greengagetack/engines/base.py
+++ b/greengagetack/engines/base.py
@@ -13,6 +13,7 @@
     Order,
 )
 from greengagetack.errors import InvalidRequest, OptionError
+from greengagetack.http1.limits import ResponseLimits
 from greengagetack.keeper.messages import CallService, Chunk, ServiceAnswer
 from greengagetack.world import Endpoint
 
@@ -31,6 +32,8 @@
     ----------
     endpoint : Endpoint
         The endpoint to connect to.
+    limits : ResponseLimits or None
+        What its answers may use, together with those of other endpoints.
 
     Attributes
     ----------
@@ -43,9 +46,11 @@
     name = ""
     progress_timeout_s = 2.0
 
-    def __init__(self, endpoint: Endpoint) -> None:
+    def __init__(
+        self, endpoint: Endpoint, limits: ResponseLimits | None = None
+    ) -> None:
         self.endpoint = endpoint
-        self.http = EndpointHttp(endpoint)
+        self.http = EndpointHttp(endpoint, limits)
 
     def stream(self, request: Generate) -> AsyncGenerator[Chunk | Finish, None]:
         """Yield the chunks of a completion, then its finish, over one connection."""
@@ -117,7 +122,9 @@
     return register
 
 
-def make_adapter(endpoint: Endpoint) -> EngineAdapter:
+def make_adapter(
+    endpoint: Endpoint, limits: ResponseLimits | None = None
+) -> EngineAdapter:
     """Return a new adapter of the type that the endpoint's settings name.
 
     Raises
@@ -129,4 +136,4 @@
     if adapter_type is None:
         known = ", ".join(sorted(ADAPTERS))
         raise OptionError(f"unknown adapter {endpoint.adapter!r}; known: {known}")
-    return adapter_type(endpoint)
+    return adapter_type(endpoint, limits)
--- a/greengagetack/engines/http.py
+++ b/greengagetack/engines/http.py
@@ -1,36 +1,27 @@
 """greengagetack.engines.http: HTTP connections to one endpoint."""
 
 import asyncio
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
-from aiosonic import HttpResponse
-from aiosonic.exceptions import (
-    AiosonicError,
-    ConnectionPoolAcquireTimeout,
-    ConnectTimeout,
-)
-from aiosonic.timeout import Timeouts
-
 from greengagetack.errors import CodedError, EndpointFailed
-from greengagetack.httpclient import make_http_client
+from greengagetack.http1.client import Exchange, HttpClient
+from greengagetack.http1.limits import ResponseLimits
+from greengagetack.http1.message import ConnectFailed, ExchangeError, Headers
 from greengagetack.keeper.errors import EndpointUnreachable
 from greengagetack.observability.logs import REQUEST_ID
 from greengagetack.observability.traces import current_traceparent
 from greengagetack.world import Endpoint
 
-__all__ = ["EndpointHttp", "HttpAnswer", "transport_error"]
+__all__ = ["EndpointHttp", "HttpAnswer", "StreamedAnswer", "transport_error"]
 
 CONNECT_TIMEOUT_S = 1.0
-POOL_TIMEOUT_S = 1.0
 REFUSED_RETRY_S = 0.5
-SPARE_CONNECTIONS = 16
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
-# Raised if a connection breaks, times out or receives invalid HTTP.
-CONNECTION_ERRORS = (AiosonicError, OSError, asyncio.IncompleteReadError, ValueError)
-CONNECT_ERRORS = (ConnectionRefusedError, ConnectTimeout, ConnectionPoolAcquireTimeout)
+# Raised if a connection breaks, times out or receives invalid HTTP or events.
+CONNECTION_ERRORS = (ExchangeError, OSError, ValueError)
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,10 +40,57 @@
         return ""
 
 
+class StreamedAnswer:
+    """An answer that is still arriving."""
+
+    def __init__(self, exchange: Exchange) -> None:
+        self.head = exchange.head
+        self._connection = exchange.connection
+        # What the reader holds of the parts that it has read.
+        self.kept_bytes = 0
+
+    @property
+    def status(self) -> int:
+        """The HTTP status."""
+        return self.head.status
+
+    async def parts(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives.
+
+        Raises
+        ------
+        IncompleteResponse
+            If the answer ends early.
+        """
+        while part := await self._connection.read(self.kept_bytes):
+            yield part
+
+    async def read_rest(self) -> HttpAnswer:
+        """Read the answer to its end.
+
+        Raises
+        ------
+        IncompleteResponse
+            If the answer ends early or is larger than ``MAX_ANSWER_BYTES``.
+        ValueError
+            If the answer does not tell where it ends.
+        """
+        if self._connection.ends_at_close and self.status not in (204, 304):
+            raise ValueError(
+                "the answer has neither Content-Length nor chunked encoding"
+            )
+        body = await self._connection.read_all(MAX_ANSWER_BYTES)
+        headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in self.head.headers
+        )
+        return HttpAnswer(self.status, headers, body)
+
+
 def transport_error(endpoint: Endpoint, error: Exception) -> CodedError:
     """Return the coded error for a failed connection."""
     detail = str(error) or type(error).__name__
-    if isinstance(error, CONNECT_ERRORS):
+    if isinstance(error, ConnectFailed):
         return EndpointUnreachable(
             f"{endpoint.endpoint_id} accepts no connections: {detail}", REFUSED_RETRY_S
         )
@@ -62,31 +100,32 @@
 class EndpointHttp:
     """HTTP client of one endpoint.
 
-    Streams, short requests and calls that must not be resent have separate
-    connection pools, so that they don't wait for each other. Each call that must
-    not be resent uses a new connection, because the HTTP library resends a request
-    by itself if a reused connection fails.
+    Each call that must not be resent uses a new connection: one that is idle may have
+    been closed by the endpoint, and then nobody knows whether the call ran.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        The endpoint to connect to.
+    limits : ResponseLimits or None
+        What the answers may use, together with those of other endpoints.
     """
 
-    def __init__(self, endpoint: Endpoint) -> None:
+    def __init__(
+        self, endpoint: Endpoint, limits: ResponseLimits | None = None
+    ) -> None:
         self.endpoint = endpoint
-        timeouts = Timeouts(
-            sock_connect=CONNECT_TIMEOUT_S,
-            sock_read=None,
-            pool_acquire=POOL_TIMEOUT_S,
-            request_timeout=None,
-        )
-        pool_size = 2 * endpoint.slots + SPARE_CONNECTIONS
-        self._streams = make_http_client(pool_size, timeouts)
-        self._pooled = make_http_client(SPARE_CONNECTIONS, timeouts)
-        self._single_use = make_http_client(pool_size, timeouts, max_requests=0)
+        self._client = HttpClient(endpoint.url, CONNECT_TIMEOUT_S, limits)
 
-    def _headers(self) -> dict[str, str]:
+    def _headers(self, others: dict[str, str]) -> Headers:
         headers = {"X-Request-Id": REQUEST_ID.get()}
         traceparent = current_traceparent()
         if traceparent:
             headers["traceparent"] = traceparent
-        return headers
+        return tuple(
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in (headers | others).items()
+        )
 
     async def request(
         self,
@@ -99,27 +138,26 @@
     ) -> HttpAnswer:
         """Send a request and return the complete answer.
 
-        With `never_resend`, a new connection is used, on which the HTTP library
-        does not resend the request.
+        With `never_resend`, a new connection is used, and the request is sent once.
 
         Raises
         ------
-        EndpointRefused
+        EndpointUnreachable
             If no connection could be made.
         EndpointFailed
             If the complete answer did not arrive within `timeout_s`.
         """
-        client = self._single_use if never_resend else self._pooled
         try:
             async with asyncio.timeout(timeout_s):
-                response = await client.request(
-                    self.endpoint.url + path,
-                    method=method,
-                    data=body,
-                    headers=self._headers() | (headers or {}),
-                    stream=True,
-                )
-                return await self._read_whole(response)
+                async with self._client.exchange(
+                    method,
+                    path,
+                    self._headers(headers or {}),
+                    body,
+                    is_fresh=never_resend,
+                    may_resend=not never_resend,
+                ) as exchange:
+                    return await StreamedAnswer(exchange).read_rest()
         except TimeoutError:
             raise EndpointFailed(
                 f"{self.endpoint.endpoint_id} did not answer within {timeout_s:g} s"
@@ -127,65 +165,24 @@
         except CONNECTION_ERRORS as error:
             raise transport_error(self.endpoint, error) from error
 
-    async def _read_whole(self, response: HttpResponse) -> HttpAnswer:
-        parts: list[bytes] = []
-        size_bytes = len(response.body)
-        if response.body:
-            parts.append(response.body)
-        try:
-            if self._lacks_length(response):
-                raise ValueError(
-                    "the answer has neither Content-Length nor chunked encoding"
-                )
-            if response._has_pending_body():
-                async for part in response.read_chunks():
-                    size_bytes += len(part)
-                    if size_bytes > MAX_ANSWER_BYTES:
-                        raise ValueError("the answer is larger than 16 MiB")
-                    parts.append(part)
-        finally:
-            await response.aclose()
-        headers = tuple((key, value) for key, value in response.raw_headers)
-        return HttpAnswer(response.status_code, headers, b"".join(parts))
-
-    @staticmethod
-    def _lacks_length(response: HttpResponse) -> bool:
-        # An answer without a length ends when the connection is closed; the library
-        # returns an empty body for it.
-        if response.method == "HEAD" or response.status_code in (204, 304):
-            return False
-        return not response.chunked and "content-length" not in response.headers
-
     @asynccontextmanager
     async def stream(
         self, path: str, body: bytes
-    ) -> AsyncGenerator[HttpResponse, None]:
+    ) -> AsyncGenerator[StreamedAnswer, None]:
         """Send a POST request and yield the answer while it is still arriving.
 
         Leaving the block early closes the connection. Connection errors are
         raised as `EndpointUnreachable` or `EndpointFailed`.
         """
-        response: HttpResponse | None = None
+        headers = self._headers({"Content-Type": "application/json"})
         try:
-            response = await self._streams.request(
-                self.endpoint.url + path,
-                method="POST",
-                data=body,
-                headers=self._headers() | {"Content-Type": "application/json"},
-                stream=True,
-            )
-            yield response
+            async with self._client.exchange(
+                "POST", path, headers, body, may_resend=True
+            ) as exchange:
+                yield StreamedAnswer(exchange)
         except CONNECTION_ERRORS as error:
             raise transport_error(self.endpoint, error) from error
-        finally:
-            if response is not None:
-                await response.aclose()
-
-    async def read_rest(self, response: HttpResponse) -> HttpAnswer:
-        """Read a streamed answer to its end and return it."""
-        return await self._read_whole(response)
 
     async def close(self) -> None:
         """Close all connections."""
-        for client in (self._streams, self._pooled, self._single_use):
-            await client.connector.cleanup()
+        self._client.close()
--- a/greengagetack/engines/openai.py
+++ b/greengagetack/engines/openai.py
@@ -146,11 +146,11 @@
         """Yield the chunks of a completion, then its finish, over one connection."""
         body = msgspec.json.encode(asdict(request) | {"stream": True})
         async with self.http.stream("/v1/completions", body) as response:
-            if response.status_code != 200:
-                raise self._answer_error(await self.http.read_rest(response))
+            if response.status != 200:
+                raise self._answer_error(await response.read_rest())
             reader = EventReader()
             reason: str | None = None
-            async for part in response.read_chunks():
+            async for part in response.parts():
                 for data in reader.feed(part):
                     if data == END_OF_STREAM:
                         yield Finish(reason or "stop")
@@ -171,6 +171,7 @@
                         text=choice.text,
                         weight_version=event.weight_version,
                     )
+                response.kept_bytes = reader.held_bytes
         raise EndpointFailed(
             f"{self.endpoint.endpoint_id} ended a stream without [DONE]"
         )
--- a/greengagetack/keeper/role.py
+++ b/greengagetack/keeper/role.py
@@ -10,6 +10,7 @@
 from greengagetack.engines import make_adapter
 from greengagetack.engines.state import Finish
 from greengagetack.errors import InvalidRequest, NotFound
+from greengagetack.http1.limits import ResponseLimits
 from greengagetack.keeper.gate import EngineGate
 from greengagetack.keeper.held import HeldAnswers
 from greengagetack.keeper.messages import (
@@ -58,6 +59,8 @@
         self.draining = False
         self._monitors: dict[str, EngineMonitor] = {}
         self._running_monitors: set[str] = set()
+        # What the answers of all endpoints may use together.
+        self._limits = ResponseLimits()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -105,7 +108,11 @@
         if endpoint.kind is not EndpointKind.ENGINE:
             raise InvalidRequest(f"{endpoint.endpoint_id} is not a model engine")
         gate = EngineGate(
-            endpoint, make_adapter(endpoint), self.services, self.held, self.spending
+            endpoint,
+            make_adapter(endpoint, self._limits),
+            self.services,
+            self.held,
+            self.spending,
         )
         gate.draining = self.draining
         self.gates[endpoint.endpoint_id] = gate
@@ -121,7 +128,8 @@
             self._spawn(gate.close())
         if endpoint.kind is not EndpointKind.SERVICE:
             raise InvalidRequest(f"{endpoint.endpoint_id} is not a plain service")
-        gate = ServiceGate(endpoint, make_adapter(endpoint), self.services)
+        adapter = make_adapter(endpoint, self._limits)
+        gate = ServiceGate(endpoint, adapter, self.services)
         gate.draining = self.draining
         self.service_gates[endpoint.endpoint_id] = gate
         return gate
--- a/greengagetack/objects/client.py
+++ b/greengagetack/objects/client.py
@@ -2,18 +2,17 @@
 
 import asyncio
 import uuid
-from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any, TypeVar
 from urllib.parse import quote
 
 import msgspec
-from aiosonic.exceptions import AiosonicError
-from aiosonic.timeout import Timeouts
 from loguru import logger
 
 from greengagetack.errors import InvalidRequest, PlatformUnavailable
-from greengagetack.httpclient import make_http_client
+from greengagetack.http1.client import HttpClient
+from greengagetack.http1.limits import ResponseLimits
+from greengagetack.http1.message import ExchangeError, Headers, header
 from greengagetack.leases.decisions import WriteResult, resolve_lost_write
 from greengagetack.objects.base import (
     ListedVm,
@@ -32,9 +31,6 @@
 WRITE_ATTEMPTS = 2
 MAX_VALUE_BYTES = 1_000_000
 
-# Raised when a connection breaks, times out or does not speak HTTP.
-CONNECTION_ERRORS = (AiosonicError, OSError, EOFError, TimeoutError, ValueError)
-
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 412
@@ -87,15 +83,22 @@
         Bearer token, None if the platform requires none.
     timeout_s : float
         Timeout of one call, to which the wait of a watch is added.
+    limits : ResponseLimits or None
+        What the responses may use.
     """
 
     def __init__(
-        self, url: str, token: str | None = None, timeout_s: float = CALL_TIMEOUT_S
+        self,
+        url: str,
+        token: str | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+        limits: ResponseLimits | None = None,
     ) -> None:
-        self._url = url.rstrip("/")
-        self._headers = {"Authorization": f"Bearer {token}"} if token else {}
+        self._headers: Headers = ()
+        if token:
+            self._headers = ((b"authorization", f"Bearer {token}".encode()),)
         self._timeout_s = timeout_s
-        self._http = make_http_client()
+        self._http = HttpClient(url.rstrip("/"), timeout_s, limits)
 
     async def read(self, path: str) -> PlatformObject | None:
         """Return an object, None if it does not exist.
@@ -164,14 +167,14 @@
 
     async def close(self) -> None:
         """Close all connections to the platform."""
-        await self._http.aclose()
+        self._http.close()
 
     async def _fetch(
         self, path: str, response_type: type[T], wait_s: float = 0.0
     ) -> T | None:
         """Return the decoded response of a read, None if the path does not exist."""
         try:
-            response = await self._call("GET", path, {}, None, wait_s)
+            response = await self._call("GET", path, (), b"", wait_s)
             if response.status == HTTP_OK:
                 return _decoded(response, response_type)
         except _ResponseLost as lost:
@@ -181,11 +184,10 @@
         raise _refusal(path, response)
 
     async def _put(self, path: str, body: bytes, expected_version: int) -> _Response:
-        headers = {"Content-Type": "application/json"}
+        condition = (b"if-none-match", b"*")
         if expected_version:
-            headers["If-Match"] = f'"{expected_version}"'
-        else:
-            headers["If-None-Match"] = "*"
+            condition = (b"if-match", b'"%d"' % expected_version)
+        headers = ((b"content-type", b"application/json"), condition)
         response = await self._call(
             "PUT", f"/objects/{_quote_path(path)}", headers, body
         )
@@ -198,30 +200,26 @@
         self,
         method: str,
         path: str,
-        headers: dict[str, str],
-        body: bytes | None,
+        headers: Headers,
+        body: bytes,
         wait_s: float = 0.0,
     ) -> _Response:
-        limit_s = self._timeout_s + wait_s
-        timeouts = Timeouts(
-            sock_connect=self._timeout_s, sock_read=limit_s, request_timeout=limit_s
-        )
         try:
-            async with asyncio.timeout(limit_s):
-                response = await self._http.request(
-                    self._url + path,
+            async with asyncio.timeout(self._timeout_s + wait_s):
+                async with self._http.exchange(
                     method,
-                    headers={**self._headers, **headers},
-                    # aiosonic silently repeats a dropped PUT unless its body is an
-                    # iterator; only `write` may repeat a write.
-                    data=None if body is None else _body_iterator(body),
-                    timeouts=timeouts,
-                )
-                content = await response.content()
-        except CONNECTION_ERRORS as error:
+                    path,
+                    (*self._headers, *headers),
+                    body,
+                    # Only `write` may repeat a write.
+                    may_resend=method == "GET",
+                ) as exchange:
+                    content = await exchange.connection.read_all()
+                    head = exchange.head
+        except (ExchangeError, TimeoutError) as error:
             raise _ResponseLost(f"{method} {path}: {error!r}") from error
-        retry_after_s = _retry_after_s(response.headers.get("Retry-After"))
-        return _Response(response.status_code, content, retry_after_s)
+        retry_after_s = _retry_after_s(header(head.headers, b"retry-after"))
+        return _Response(head.status, content, retry_after_s)
 
     async def _read_back(
         self, path: str, change_id: str, expected_version: int, lost: _ResponseLost
@@ -316,16 +314,12 @@
     )
 
 
-def _retry_after_s(header: str | None) -> float:
+def _retry_after_s(value: bytes | None) -> float:
     try:
-        return float(header) if header else RETRY_AFTER_S
+        return float(value) if value else RETRY_AFTER_S
     except ValueError:
         return RETRY_AFTER_S
 
 
 def _quote_path(path: str) -> str:
     return quote(path.strip("/"), safe="/")
-
-
-def _body_iterator(body: bytes) -> Iterator[bytes]:
-    yield body
