Leave half of the responses' memory to those that are not ready yet

Read, not seen: responses that wait for slow callers are never dropped, so that enough of them would have had every other response on the VM dropped at its first byte. Responses of which half the limit is left are dropped only beyond that half now.

Also: an idle connection held the head of its last response and its parser; the unfinished event of a stream that has to be dropped is dropped at once, not when the stream's next bytes arrive. A row of each decision is in response_memory.feature.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -25,6 +25,7 @@
       | with port 0                          | before they list     |
       | with port -1                         | before they list     |
       | with a port of 40 digits             | before they list     |
+      | with a port of another script        | before they list     |
       | with a name for an address           | before they list     |
       | with slots of 10 to the 30           | before they list     |
       | with negative slots                  | before they list     |
--- a/features/response_memory.feature
+++ b/features/response_memory.feature
@@ -14,10 +14,13 @@
       | a1=101                            | a1      | 0    |
       | a1=30 b1=40 a1=10 c1=50           | -       | 100  |
       | a1=30 b1=40 a1=10 c1=51           | c1      | 50   |
-      | a1=30 a2=30 b1=50                 | a1      | 80   |
-      | ready=90 a1=20                    | a1      | 90   |
-      | ready=120                         | -       | 120  |
-      | a1=90 ready=20                    | a1      | 20   |
+      | a1=31 a2=30 b1=50                 | a1      | 80   |
+      | ready=60 a1=50                    | -       | 110  |
+      | ready=60 a1=51                    | a1      | 60   |
+      | ready=30 a1=71                    | a1      | 30   |
+      | ready=200 a1=50                   | -       | 250  |
+      | ready=200 a1=30 b1=21             | a1      | 221  |
+      | a1=90 ready=20 b1=1               | a1      | 21   |
 
   Scenario: What a deleted holder had counts no longer
     Given a memory for responses of 100 bytes
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -60,6 +60,9 @@
     "with port 70000": _entry(ODD_NAME, address="127.0.0.1:70000"),
     "with port 0": _entry(ODD_NAME, address="127.0.0.1:0"),
     "with port -1": _entry(ODD_NAME, address="127.0.0.1:-1"),
+    "with a port of another script": _entry(
+        ODD_NAME, address="127.0.0.1:\u0664\u0662\u0664\u0662"
+    ),
     "with a port of 40 digits": _entry(ODD_NAME, address="127.0.0.1:" + "9" * 40),
     "with a name for an address": _entry(ODD_NAME, address="replica.example:80"),
     "with slots of 10 to the 30": _entry(ODD_NAME, slots=10**30),
--- a/greengagetack/gateway/stream.py
+++ b/greengagetack/gateway/stream.py
@@ -90,6 +90,11 @@
             valid.append(block + BLOCK_END)
         return b"".join(valid)
 
+    def discard(self, reason: str) -> None:
+        """Drop the event that is not complete yet; nothing more is returned."""
+        self._splitter = BlockSplitter()
+        self.error = reason
+
     def _add(self, block: bytes) -> None:
         """Record one event, or why it is none."""
         event_id: bytes | None = None
@@ -122,33 +127,6 @@
         self.last_event_id = event_id
 
 
-class PendingEvent:
-    """Counts the incomplete event of a stream among the responses that are held."""
-
-    def __init__(self, memory: ResponseMemory, request_id: str) -> None:
-        self._holding = memory.open(f"stream {request_id}", self._evict)
-        self._eviction = ""
-
-    def record(self, size_bytes: int) -> None:
-        """Record the size of the event so far.
-
-        Raises
-        ------
-        IncompleteResponse
-            If the event has to be dropped for lack of memory.
-        """
-        self._holding.resize(size_bytes)
-        if self._eviction:
-            raise IncompleteResponse(self._eviction)
-
-    def release(self) -> None:
-        """Count nothing any more."""
-        self._holding.resize(0)
-
-    def _evict(self, reason: str) -> None:
-        self._eviction = reason
-
-
 async def resumable_stream(
     call: Call,
     first_parts: AsyncIterator[bytes],
@@ -176,7 +154,7 @@
     blocks = EventBlocks(after_event, needs_ids=resume is not None)
     parts = first_parts
     memory = memory or ResponseMemory()
-    pending = PendingEvent(memory, call.request_id)
+    pending = memory.open(f"stream {call.request_id}", blocks.discard)
     stall_s = MAX_SILENCE_S if resume else MAX_STALL_S
     for _ in range(MAX_RESUMPTIONS + 1):
         reason = ""
@@ -190,7 +168,7 @@
                     break
                 former_lines = blocks.event_lines
                 complete = blocks.feed(part)
-                pending.record(blocks.held_bytes)
+                pending.resize(blocks.held_bytes)
                 if on_first_event is not None and blocks.event_lines:
                     on_first_event()
                     on_first_event = None
@@ -206,7 +184,7 @@
         except (ExchangeError, TimeoutError) as error:
             reason = repr(error)
         finally:
-            pending.release()
+            pending.resize(0)
             await _close(parts)
         if resume is None or not blocks.last_event_id:
             raise IncompleteResponse(f"the stream broke: {reason}")
@@ -224,7 +202,7 @@
         blocks = EventBlocks(
             blocks.last_event_id, needs_ids=True, has_gaps=blocks.has_gaps
         )
-        pending = PendingEvent(memory, call.request_id)
+        pending = memory.open(f"stream {call.request_id}", blocks.discard)
         parts = resumed
     raise IncompleteResponse("the stream broke more often than it may be resumed")
 
--- a/greengagetack/http1/connection.py
+++ b/greengagetack/http1/connection.py
@@ -368,7 +368,17 @@
 
     def _end_exchange(self) -> None:
         self.in_exchange = False
+        self._release()
+
+    def _release(self) -> None:
+        """Hold nothing of a response any more, while the connection is idle."""
+        self._buffer = bytearray()
+        self._head = None
+        self._headers = []
+        self._deferred = b""
         self._retained_bytes = 0
+        # The parser holds parts of headers, and refers to this connection.
+        self._parser = None
         self._holding.resize(0)
 
     def _retain(self, size_bytes: int) -> None:
@@ -393,12 +403,7 @@
     def discard(self) -> None:
         """Close the connection; what it holds of a response is not read any more."""
         self.close()
-        self._buffer = bytearray()
-        self._headers = []
-        self._deferred = b""
-        # The parser holds parts of headers, and refers to this connection.
-        self._parser = None
-        self._holding.resize(0)
+        self._release()
 
     def _evict(self, reason: str) -> None:
         self._fail(reason)
--- a/greengagetack/http1/memory.py
+++ b/greengagetack/http1/memory.py
@@ -39,8 +39,8 @@
 
     Servers may send without end, several at a time and over many connections, and a
     process that uses more than its VM's memory is killed. At the limit, the source with
-    the most bytes loses its largest holder; a response that is ready to be passed on is
-    never evicted.
+    the most bytes loses its largest holder. A response that is ready to be passed on is
+    never evicted, and half of the limit is left to the others, however many are ready.
 
     Parameters
     ----------
@@ -48,7 +48,7 @@
         Memory for all responses, in bytes that are held: an object's own size is part
         of it.
     name : str
-        Names the responses in logs.
+        Names the servers in logs.
     max_response_share : float
         Share of this memory that the body of a single response may use.
     """
@@ -56,13 +56,14 @@
     def __init__(
         self,
         limit_bytes: int = DEFAULT_LIMIT_BYTES,
-        name: str = "responses",
+        name: str = "servers",
         max_response_share: float = 0.5,
     ) -> None:
         self.limit_bytes = limit_bytes
         self.max_response_bytes = int(limit_bytes * max_response_share)
         self.used_bytes = 0
         self.evictions = 0
+        self._evictable_bytes = 0
         self._name = name
         self._source_bytes: dict[str, int] = {}
         self._holdings: dict[str, set[Holding]] = {}
@@ -88,9 +89,11 @@
             return
         holding.held_bytes = held_bytes
         self.used_bytes += growth_bytes
-        if holding.on_evicted is not None:
-            self._update_source(holding, growth_bytes)
-        if growth_bytes > 0 and self.used_bytes > self.limit_bytes:
+        if holding.on_evicted is None:
+            return
+        self._evictable_bytes += growth_bytes
+        self._update_source(holding, growth_bytes)
+        if growth_bytes > 0:
             self._evict()
 
     def _update_source(self, holding: Holding, growth_bytes: int) -> None:
@@ -108,7 +111,9 @@
         self._source_bytes.pop(source, None)
 
     def _evict(self) -> None:
-        while self.used_bytes > self.limit_bytes and self._source_bytes:
+        ready_bytes = self.used_bytes - self._evictable_bytes
+        allowed_bytes = max(self.limit_bytes - ready_bytes, self.limit_bytes // 2)
+        while self._evictable_bytes > allowed_bytes:
             source = max(self._source_bytes, key=self._source_bytes.__getitem__)
             largest = max(
                 self._holdings[source], key=lambda holding: holding.held_bytes
@@ -116,15 +121,17 @@
             self.evictions += 1
             logger.warning(
                 "memory: dropped what a server sent",
-                responses=self._name,
+                servers=self._name,
                 source=source,
                 held_bytes=largest.held_bytes,
                 source_bytes=self._source_bytes[source],
+                ready_bytes=ready_bytes,
                 used_bytes=self.used_bytes,
                 limit_bytes=self.limit_bytes,
             )
             assert largest.on_evicted is not None
             largest.on_evicted(
-                f"{self.used_bytes} bytes of {self._name} exceed the memory for them"
+                f"{self.used_bytes} bytes of responses from {self._name} exceed the "
+                "memory for them"
             )
             largest.resize(0)
--- a/greengagetack/world.py
+++ b/greengagetack/world.py
@@ -60,6 +60,8 @@
             If the port is not a number from 0 to 65535.
         """
         host, _, port_text = text.rpartition(":")
+        if not port_text.isascii():
+            raise ValueError(f"port {port_text!r} is not written in ASCII digits")
         port = int(port_text)
         if not 0 <= port <= MAX_PORT:
             raise ValueError(f"port {port} is not within 0 to {MAX_PORT}")
