--- /dev/null
+++ b/review/rig/__init__.py
@@ -0,0 +1,1 @@
+"""review.rig: daemons, clients and records for the cases of the second review."""
