--- a/review/rig/deployment.py
+++ b/review/rig/deployment.py
@@ -27,7 +27,8 @@
 ]
 
 ROOT = Path(__file__).resolve().parent.parent.parent
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# Python exits with 1 when a program fails, so that `run.sh` translates the codes.
+HELD, BROKEN, NOT_RUN = 0, 10, 2
 STOP_LIMIT_S = 12.0
 LISTENERS = ("front", "ready", "control")
 # Limits that the configurations of kmoor-kiosk hold.
@@ -266,7 +267,7 @@
 def run_case(
     file: str, case: Callable[[Record, bool], str], environment: Any = os.environ
 ) -> None:
-    """Run a case and exit with 1 if the rule was broken, 0 if not, 2 if it failed.
+    """Run a case and exit with `BROKEN`, `HELD`, or `NOT_RUN` if it failed.
 
     Parameters
     ----------
