--- a/review/9/case.py
+++ b/review/9/case.py
@@ -173,11 +173,10 @@
     counts = {end: ends.count(end) for end in sorted(set(ends))}
     record.add(f"{len(ends)} streams ended: {counts}; {preemptions} preemptions")
     over = {one: names for one, names in ran_at.items() if len(names) > MAX_ATTEMPTS}
-    for request_id, names in sorted(over.items()):
-        record.add(
-            f"{request_id} ran on {len(names)} replicas: {', '.join(sorted(names))}; "
-            f"its end: {streams.ends[request_id]}"
-        )
+    for request_id, end in streams.ends.items():
+        names = sorted(ran_at.get(request_id, ()))
+        note = " (over its limit)" if request_id in over else ""
+        record.add(f"{request_id}: {end}; ran on {', '.join(names) or 'none'}{note}")
     if not ran_at:
         raise CannotRun("no stream has run")
     if len(over) <= MAX_REQUESTS:
