--- a/review/rig/deployment.py
+++ b/review/rig/deployment.py
@@ -138,6 +138,9 @@
 class Deployment(PlatformCluster):
     """The stand-ins of the platform, and daemons of the deploy file."""
 
+    # The service of the route of resumable streams, empty for the engines.
+    stream_service = ""
+
     def __init__(self, memory_mb: int = 300) -> None:
         super().__init__()
         self._memory_mb = memory_mb
@@ -151,6 +154,9 @@
         super().configure(version, extra_routes)
         spec = self.store.objects["config", "main"]["spec"]
         limited = {**spec, "version": version, "limits": LIMITS}
+        for route in limited["routes"]:
+            if self.stream_service and route["name"] == "chat":
+                route["service"] = self.stream_service
         self.run_on_loop(lambda: self.store.put("config", "main", limited))
 
     def start_daemons(self, count: int) -> None:
